--- /dev/null
+++ b/internal/blocks/blocks.go
@@ -0,0 +1,178 @@
+// Package blocks hands the room of machines to jobs: training tasks ahead of
+// the others, then the smallest aged virtual size whose team is under its
+// limit, and room held for a first job that does not fit.
+package blocks
+
+import (
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/sizing"
+	"bitternmoor/internal/workers"
+)
+
+// Limit is what a team may use at any time; 0 means no limit.
+type Limit struct{ CPU, GPU int64 }
+
+// Planner gives waiting tasks to machines.
+type Planner struct {
+	Limits []Limit // by team
+	use    []amounts.Amounts
+	AtOnce int // T
+}
+
+// New makes a planner for the teams with these limits.
+func New(limits []Limit, atOnce int) *Planner {
+	return &Planner{Limits: limits, use: make([]amounts.Amounts, len(limits)), AtOnce: atOnce}
+}
+
+// Charge counts a task against its team, Refund takes it back.
+func (p *Planner) Charge(team int32, a amounts.Amounts) { p.use[team] = p.use[team].Plus(a) }
+
+// Refund takes back what Charge counted.
+func (p *Planner) Refund(team int32, a amounts.Amounts) { p.use[team] = p.use[team].Minus(a) }
+
+// Use is what a team's tasks count as using.
+func (p *Planner) Use(team int32) amounts.Amounts { return p.use[team] }
+
+// Within says whether a team may use a more, with extra counted besides: an
+// unresolved machine counts full against every team.
+func (p *Planner) Within(team int32, a, extra amounts.Amounts) bool {
+	l, u := p.Limits[team], p.use[team]
+	return (l.CPU == 0 || u.CPU+a.CPU+extra.CPU <= l.CPU) && (l.GPU == 0 || u.GPU+a.GPU+extra.GPU <= l.GPU)
+}
+
+// Allowed says whether a job's tasks may be on a machine.
+func Allowed(j *jobs.Job, m *workers.Machine, zones func(string) int32) bool {
+	if j.Types != nil && (int(m.Type) >= len(j.Types) || !j.Types[m.Type]) {
+		return false
+	}
+	if m.Spot && !j.Rec.Spot {
+		return false
+	}
+	return j.Rec.Zone == "" || zones(j.Rec.Zone) == m.Zone
+}
+
+// World is what a pass looks at.
+type World struct {
+	Now        time.Duration
+	Quiet      time.Duration // a machine silent for longer gets nothing
+	Jobs       *jobs.Table
+	Yard       *workers.Yard
+	Book       *sizing.Book
+	Unresolved amounts.Amounts // of machines of an earlier term
+	Zone       func(string) int32
+	Place      func(j *jobs.Job, k int, m *workers.Machine)
+}
+
+// Pass gives out all room that the order lets it give.
+func (p *Planner) Pass(w World) {
+	machines := make([]*workers.Machine, 0, len(w.Yard.All()))
+	for _, m := range w.Yard.All() {
+		m.Held = false
+		if m.Usable(w.Now, w.Quiet) && m.Free.CPU > 0 {
+			machines = append(machines, m)
+		}
+	}
+	order := w.Book.Order()
+	training := 0
+	waiting := false
+	for _, i := range order {
+		j := w.Jobs.At(i)
+		waiting = waiting || j.Waiting > 0
+		if w.Book.InTraining(i) {
+			for k := range j.Tasks {
+				if !w.Book.Training(i, k) {
+					break
+				}
+				if j.Tasks[k] == jobs.Placed {
+					training++
+				}
+			}
+		}
+	}
+	if !waiting || len(machines) == 0 {
+		return
+	}
+	for _, i := range order {
+		if training >= p.AtOnce {
+			break
+		}
+		if !w.Book.InTraining(i) {
+			continue
+		}
+		j := w.Jobs.At(i)
+		for training < p.AtOnce {
+			k := j.NextWaiting(len(j.Tasks))
+			if k < 0 || !w.Book.Training(i, k) || !p.give(w, j, k, machines) {
+				break
+			}
+			training++
+		}
+	}
+	held := false
+	for _, i := range order {
+		j := w.Jobs.At(i)
+		for {
+			k := j.NextWaiting(len(j.Tasks))
+			if k < 0 {
+				break
+			}
+			if p.give(w, j, k, machines) {
+				continue
+			}
+			if !held && p.ready(w, j) && p.Within(j.Team, j.Need, w.Unresolved) {
+				held = p.hold(w, j)
+			}
+			break
+		}
+	}
+}
+
+func (p *Planner) ready(w World, j *jobs.Job) bool {
+	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && w.Unresolved != amounts.Amounts{})
+}
+
+// give places one task on the best machine, if there is one.
+func (p *Planner) give(w World, j *jobs.Job, k int, machines []*workers.Machine) bool {
+	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.Unresolved) {
+		return false
+	}
+	var best *workers.Machine
+	var bestScore int64
+	for _, m := range machines {
+		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) {
+			continue
+		}
+		// The image there first, then the tightest fit.
+		score := m.Free.CPU - j.Need.CPU
+		if !m.HasImage(j.Image) {
+			score += 1 << 40
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = m, score
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.Charge(j.Team, j.Need)
+	w.Place(j, k, best)
+	return true
+}
+
+// hold keeps the room of one machine for a job that fits nowhere now: the
+// one that would fit it and has most room already.
+func (p *Planner) hold(w World, j *jobs.Job) bool {
+	var best *workers.Machine
+	for _, m := range w.Yard.All() {
+		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && (best == nil || m.Free.CPU > best.Free.CPU) {
+			best = m
+		}
+	}
+	if best != nil {
+		best.Held = true
+	}
+	return best != nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,142 @@
+// Package fleet decides which machines to rent: the offers of type, zone and
+// kind that cover what is missing at the least price, leaving out for a
+// while those that were refused.
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/ledger"
+)
+
+const (
+	maxCount    = 50
+	firstPause  = 10 * time.Second
+	longestWait = 80 * time.Second
+)
+
+type key struct {
+	typ, zone string
+	spot      bool
+}
+
+type refusal struct {
+	until, pause time.Duration
+}
+
+// Buyer keeps what is known of the offers.
+type Buyer struct {
+	prefix  string
+	n       int
+	refused map[key]*refusal
+	asked   map[string]ledger.Rental // requests without an answer yet
+}
+
+// New makes a buyer whose request names begin with a prefix used by no
+// other term.
+func New(prefix string) *Buyer {
+	return &Buyer{prefix: prefix, refused: map[key]*refusal{}, asked: map[string]ledger.Rental{}}
+}
+
+// Want is what is missing.
+type Want struct {
+	CPUs float64
+	Spot bool // spot machines will do
+	Fits func(t ledger.Type, zone string, spot bool) bool
+}
+
+// Rent chooses requests that cover what is wanted.
+func (b *Buyer) Rent(now time.Duration, types []ledger.Type, w Want) []ledger.Rental {
+	var out []ledger.Rental
+	missing := w.CPUs
+	for missing > 0.5 && len(b.asked) < 4 {
+		type offer struct {
+			key
+			count int
+			cost  float64
+			cpus  float64
+		}
+		var offers []offer
+		for _, t := range types {
+			for _, z := range t.Zones {
+				for _, spot := range []bool{true, false} {
+					k := key{t.Name, z, spot}
+					if r := b.refused[k]; r != nil && now < r.until {
+						continue
+					}
+					if (spot && !w.Spot) || b.outstanding(k) || !w.Fits(t, z, spot) {
+						continue
+					}
+					price := t.Price
+					if spot {
+						price = t.SpotPrice
+					}
+					count := min(maxCount, int(math.Ceil(missing/t.CPUs-0.01)))
+					count = max(count, 1)
+					covered := min(missing, float64(count)*t.CPUs)
+					offers = append(offers, offer{k, count, price * float64(count) / covered, t.CPUs})
+				}
+			}
+		}
+		if len(offers) == 0 {
+			return out
+		}
+		best := slices.MinFunc(offers, func(a, c offer) int { return cmp.Compare(a.cost, c.cost) })
+		b.n++
+		r := ledger.Rental{Name: fmt.Sprintf("%s-%d", b.prefix, b.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: best.count}
+		b.asked[r.Name] = r
+		out = append(out, r)
+		missing -= float64(best.count) * best.cpus
+	}
+	return out
+}
+
+func (b *Buyer) outstanding(k key) bool {
+	for _, r := range b.asked {
+		if k == (key{r.Type, r.Zone, r.Spot}) {
+			return true
+		}
+	}
+	return false
+}
+
+// Restore takes over a request of an earlier term that has no answer yet.
+func (b *Buyer) Restore(r ledger.Rental) { b.asked[r.Name] = r }
+
+// Asked lists the processors of requests without an answer.
+func (b *Buyer) Asked(cpus func(typ string) float64) float64 {
+	var sum float64
+	for _, r := range b.asked {
+		sum += cpus(r.Type) * float64(r.Count)
+	}
+	return sum
+}
+
+// Answered notes how many machines a request brought.
+func (b *Buyer) Answered(now time.Duration, name string, got int) (ledger.Rental, bool) {
+	r, ok := b.asked[name]
+	if !ok {
+		return r, false
+	}
+	delete(b.asked, name)
+	k := key{r.Type, r.Zone, r.Spot}
+	if got >= r.Count {
+		delete(b.refused, k)
+		return r, true
+	}
+	f := b.refused[k]
+	if f == nil {
+		f = &refusal{pause: firstPause / 2}
+		b.refused[k] = f
+	}
+	f.pause = min(2*f.pause, longestWait)
+	if got > 0 {
+		f.pause = firstPause
+	}
+	f.until = now + f.pause
+	return r, true
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,193 @@
+// Package jobs keeps the life of every job: which are open, what each of
+// their tasks is doing, and the final state of those that are over.
+package jobs
+
+import (
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/ledger"
+)
+
+// Kinds of jobs.
+const (
+	Array uint8 = iota
+	Gang
+	Service
+)
+
+// TaskState is what the leader knows of a task.
+type TaskState uint8
+
+// States of a task. Finished tasks become Noted once that is durable.
+const (
+	Waiting TaskState = iota
+	Placed
+	Finished
+	Noted
+)
+
+// Phase is a job's place in its life.
+type Phase uint8
+
+// Phases. A job is Accepting until its acceptance is durable, and Cancelling
+// until its cancellation is.
+const (
+	Accepting Phase = iota
+	Open
+	Cancelling
+	Cancelled
+	Done
+)
+
+// Job is an unfinished job, or a cancelled one whose tasks are not all gone.
+type Job struct {
+	Index   int32
+	Rec     ledger.Job
+	Team    int32
+	Image   int32
+	Need    amounts.Amounts
+	Phase   Phase
+	Earlier bool // accepted in an earlier term: unseen tasks may be running
+	Types   []bool
+
+	Tasks    []TaskState
+	Waiting  int
+	Placed   int
+	Running  int
+	Finished int // including the noted ones
+	NotedN   int
+	cursor   int
+
+	SumS float64 // run time of completed tasks
+	SumN int
+
+	CancelledAt time.Duration // when its user was told
+	Errors      int
+	NotBefore   time.Duration
+	AcceptedAt  time.Duration
+}
+
+// Table holds all jobs by dense index, and the final states by id.
+type Table struct {
+	byID   map[uint64]int32
+	jobs   []*Job
+	free   []int32
+	finals map[uint64]Phase
+}
+
+// NewTable makes an empty table.
+func NewTable() *Table {
+	return &Table{byID: map[uint64]int32{}, finals: map[uint64]Phase{}}
+}
+
+// Add enters a job.
+func (t *Table) Add(rec ledger.Job) *Job {
+	j := &Job{Rec: rec, Need: amounts.Need(rec.CPUs, rec.GPUs, rec.MemoryGB), Tasks: make([]TaskState, rec.Tasks), Waiting: rec.Tasks}
+	if n := len(t.free); n > 0 {
+		j.Index = t.free[n-1]
+		t.free = t.free[:n-1]
+		t.jobs[j.Index] = j
+	} else {
+		j.Index = int32(len(t.jobs))
+		t.jobs = append(t.jobs, j)
+	}
+	t.byID[rec.ID] = j.Index
+	return j
+}
+
+// Find returns the job with an id, if it is in the table.
+func (t *Table) Find(id uint64) *Job {
+	if i, ok := t.byID[id]; ok {
+		return t.jobs[i]
+	}
+	return nil
+}
+
+// At returns the job with an index; nil when it has left.
+func (t *Table) At(i int32) *Job { return t.jobs[i] }
+
+// All returns the table's jobs; some may be nil.
+func (t *Table) All() []*Job { return t.jobs }
+
+// Final returns the final state of a job that is over.
+func (t *Table) Final(id uint64) (Phase, bool) {
+	p, ok := t.finals[id]
+	return p, ok
+}
+
+// Finish notes a job's final state; it stays so.
+func (t *Table) Finish(id uint64, p Phase) {
+	if _, ok := t.finals[id]; !ok {
+		t.finals[id] = p
+	}
+}
+
+// Leave takes a job out of the table; its index will be used again.
+func (t *Table) Leave(j *Job) {
+	delete(t.byID, j.Rec.ID)
+	t.jobs[j.Index] = nil
+	t.free = append(t.free, j.Index)
+}
+
+// NextWaiting returns the waiting task of the lowest number below limit, or -1.
+func (j *Job) NextWaiting(limit int) int {
+	for j.cursor < len(j.Tasks) && j.Tasks[j.cursor] != Waiting {
+		j.cursor++
+	}
+	if j.cursor < min(limit, len(j.Tasks)) {
+		return j.cursor
+	}
+	return -1
+}
+
+// Place notes that a task was given to a machine.
+func (j *Job) Place(k int) {
+	j.Tasks[k] = Placed
+	j.Waiting--
+	j.Placed++
+}
+
+// Release notes that a task is proved gone from its machine, uncompleted.
+func (j *Job) Release(k int) {
+	if j.Tasks[k] != Placed {
+		return
+	}
+	j.Tasks[k] = Waiting
+	j.Waiting++
+	j.Placed--
+	j.cursor = min(j.cursor, k)
+}
+
+// Complete notes that a task is done; false when it was already.
+func (j *Job) Complete(k int) bool {
+	switch j.Tasks[k] {
+	case Finished, Noted:
+		return false
+	case Placed:
+		j.Placed--
+	case Waiting:
+		j.Waiting--
+	}
+	j.Tasks[k] = Finished
+	j.Finished++
+	return true
+}
+
+// Note notes that a task's completion is durable.
+func (j *Job) Note(k int) {
+	j.Complete(k)
+	if j.Tasks[k] != Noted {
+		j.Tasks[k] = Noted
+		j.NotedN++
+	}
+}
+
+// Mean is the mean run time of the job's completed tasks, or the owner's
+// estimate while there are none.
+func (j *Job) Mean() float64 {
+	if j.SumN > 0 {
+		return j.SumS / float64(j.SumN)
+	}
+	return max(j.Rec.EstimateS, 1)
+}
--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,296 @@
+// Package leadership decides which controller leads, by a key on a hold of
+// the state service. Each term has a higher epoch, kept in a second key, and
+// every write of a leader is conditional on that key's version.
+package leadership
+
+import "time"
+
+// Keys in the state service.
+const (
+	Prefix    = "lead/"
+	HolderKey = "lead/holder"
+	EpochKey  = "lead/epoch"
+)
+
+// Holder is the value of both keys.
+type Holder struct {
+	Node  string `json:"n"`
+	Epoch uint64 `json:"e"`
+}
+
+// View is what a read of both keys showed. Marks are 0 where a key is
+// missing; Revision is the store's at the time of the read.
+type View struct {
+	Holder     *Holder
+	Epoch      uint64
+	EpochNode  string
+	EpochMark  uint64
+	HolderMark uint64
+	Revision   uint64
+}
+
+// Action is what the caller must do; its result comes back as an input.
+type Action uint8
+
+// Actions.
+const (
+	Read  Action = iota // read both keys: Seen
+	Watch               // wait for a change of the keys after Revision: Changed
+	Hold                // make a hold: Held
+	Claim               // put both keys if unchanged: Claimed
+	Renew               // renew the hold: Renewed
+	Drop                // give the hold back; no result
+)
+
+// Order is an action with its arguments.
+type Order struct {
+	Action   Action
+	Seq      uint64
+	Hold     uint64
+	View     View
+	Revision uint64
+}
+
+// Role is what a node is at present.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	Candidate
+	Leader
+)
+
+const (
+	retry  = 300 * time.Millisecond
+	drift  = 0.001 // twice what two steady clocks may drift apart
+	margin = 60 * time.Millisecond
+	idle   = 400 * time.Millisecond // a watcher reads anew this long after a change was missed
+)
+
+// Core is the state machine of one node.
+type Core struct {
+	node string
+	life time.Duration
+
+	role    Role
+	view    View
+	known   bool // view has been read at least once
+	epoch   uint64
+	mark    uint64 // version of the epoch key in our term
+	hold    uint64
+	sure    time.Duration // until when nobody else can lead
+	renewed time.Duration
+
+	seq      uint64
+	reading  *call
+	watching *call
+	election *call
+	renewing *call
+	nextRead time.Duration
+	nextTry  time.Duration
+}
+
+type call struct {
+	seq  uint64
+	sent time.Duration
+}
+
+// New makes a node's core; life is that of the hold.
+func New(node string, life time.Duration) *Core { return &Core{node: node, life: life} }
+
+// Role is the node's role; a leader may be unsure, see Sure.
+func (c *Core) Role() Role { return c.role }
+
+// Epoch and its key's version in our term.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Mark is the version of the epoch key that our term's writes demand.
+func (c *Core) Mark() uint64 { return c.mark }
+
+// Sure says whether no other node can be leading. The time is counted from
+// when the last renewal that succeeded was sent: a hold never ends early.
+func (c *Core) Sure(now time.Duration) bool { return c.role == Leader && now < c.sure }
+
+// LeaderName is the node that holds the key as last seen, or empty.
+func (c *Core) LeaderName() string {
+	if c.role == Leader {
+		return c.node
+	}
+	if c.view.Holder != nil && c.view.Holder.Node != c.node {
+		return c.view.Holder.Node
+	}
+	return ""
+}
+
+// Seen gives the highest epoch known.
+func (c *Core) Highest() uint64 { return max(c.epoch, c.view.Epoch) }
+
+func (c *Core) order(a Action) Order {
+	c.seq++
+	return Order{Action: a, Seq: c.seq, Hold: c.hold, View: c.view, Revision: c.view.Revision}
+}
+
+// Tick returns what is due.
+func (c *Core) Tick(now time.Duration) []Order {
+	var out []Order
+	if c.role == Leader {
+		if c.renewing == nil && now-c.renewed >= c.life/5 && now >= c.nextTry {
+			o := c.order(Renew)
+			c.renewing = &call{o.Seq, now}
+			out = append(out, o)
+		}
+	}
+	if c.reading == nil && c.election == nil && now >= c.nextRead && (!c.known || (c.watching == nil && c.role != Candidate)) {
+		if !c.known || c.role != Leader {
+			o := c.order(Read)
+			c.reading = &call{o.Seq, now}
+			out = append(out, o)
+		}
+	}
+	if c.role == Leader && c.watching == nil && c.known && now >= c.nextRead {
+		o := c.order(Watch)
+		c.watching = &call{o.Seq, now}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Seen takes the result of Read.
+func (c *Core) Seen(now time.Duration, seq uint64, ok bool, v View) []Order {
+	if c.reading == nil || c.reading.seq != seq {
+		return nil
+	}
+	c.reading = nil
+	if !ok {
+		c.nextRead = now + retry
+		return nil
+	}
+	c.known = true
+	c.view = v
+	if c.role == Leader {
+		if v.Epoch != c.epoch {
+			c.stepDown(now)
+		}
+		return nil
+	}
+	if v.Holder == nil && now >= c.nextTry {
+		c.role = Candidate
+		o := c.order(Hold)
+		c.election = &call{o.Seq, now}
+		return []Order{o}
+	}
+	if c.watching == nil {
+		o := c.order(Watch)
+		c.watching = &call{o.Seq, now}
+		return []Order{o}
+	}
+	return nil
+}
+
+// Changed takes the result of Watch: something changed, or the time ran out.
+func (c *Core) Changed(now time.Duration, seq uint64, ok bool) []Order {
+	if c.watching == nil || c.watching.seq != seq {
+		return nil
+	}
+	c.watching = nil
+	if !ok {
+		c.nextRead = now + idle
+		return nil
+	}
+	if c.reading == nil && c.election == nil {
+		o := c.order(Read)
+		c.reading = &call{o.Seq, now}
+		return []Order{o}
+	}
+	return nil
+}
+
+// Held takes the result of Hold.
+func (c *Core) Held(now time.Duration, seq uint64, ok bool, hold uint64) []Order {
+	if c.election == nil || c.election.seq != seq {
+		return nil
+	}
+	sent := c.election.sent
+	c.election = nil
+	if !ok {
+		c.fallBack(now)
+		return nil
+	}
+	c.hold = hold
+	o := c.order(Claim)
+	c.election = &call{o.Seq, sent} // sureness counts from the hold's making
+	return []Order{o}
+}
+
+// Claimed takes the result of Claim; mark is the revision of the change. An
+// unanswered claim counts as failed: should it be applied yet, the hold that
+// is given back takes the key along.
+func (c *Core) Claimed(now time.Duration, seq uint64, ok bool, mark uint64) []Order {
+	if c.election == nil || c.election.seq != seq {
+		return nil
+	}
+	sent := c.election.sent
+	c.election = nil
+	if !ok {
+		o := c.order(Drop)
+		c.fallBack(now)
+		return []Order{o}
+	}
+	c.role = Leader
+	c.epoch = c.view.Epoch + 1
+	c.mark = mark
+	c.view.Epoch, c.view.EpochMark, c.view.Revision = c.epoch, mark, mark
+	c.view.Holder = &Holder{c.node, c.epoch}
+	c.renewed = sent
+	c.extend(sent)
+	return nil
+}
+
+// Renewed takes the result of Renew; gone means the hold has ended.
+func (c *Core) Renewed(now time.Duration, seq uint64, ok, gone bool) []Order {
+	if c.renewing == nil || c.renewing.seq != seq || c.role != Leader {
+		return nil
+	}
+	sent := c.renewing.sent
+	c.renewing = nil
+	switch {
+	case gone:
+		c.stepDown(now)
+	case ok:
+		c.renewed = sent
+		c.extend(sent)
+	default:
+		c.nextTry = now + retry/2
+	}
+	return nil
+}
+
+// Superseded tells the core that a higher epoch was met.
+func (c *Core) Superseded(now time.Duration, epoch uint64) {
+	if epoch > c.epoch && c.role == Leader {
+		c.stepDown(now)
+	}
+}
+
+func (c *Core) extend(sent time.Duration) {
+	until := sent + time.Duration(float64(c.life)*(1-drift)) - margin
+	c.sure = max(c.sure, until)
+}
+
+func (c *Core) stepDown(now time.Duration) {
+	c.role = Follower
+	c.hold, c.renewing = 0, nil
+	c.view.Holder = nil
+	c.sure = 0
+	c.known = false
+	c.nextRead, c.nextTry = now, now
+}
+
+func (c *Core) fallBack(now time.Duration) {
+	c.role = Follower
+	c.hold = 0
+	c.nextRead = now + retry/3
+	c.nextTry = now
+	c.known = false
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,460 @@
+// Package ledger is the only writer of durable state. It keeps a log of
+// small entries in values of the state service and commits many entries with
+// one write.
+//
+// Layout: keys log/00000001, log/00000002, … hold {"e":[entry,…]}. A commit
+// rewrites the last of them with entries appended, opening further ones as
+// they fill up. Every write is conditional on the epoch key, so that a
+// transaction of an earlier term that comes late fails, and on the version
+// of the value it rewrites, so that a late one of this term does too.
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Prefix is where the log's keys begin; SizesPrefix holds the virtual sizes.
+const (
+	Prefix      = "log/"
+	SizesPrefix = "sizes/"
+)
+
+// Entry is one durable fact; exactly one field is set.
+type Entry struct {
+	Job      *Job      `json:"j,omitempty"`
+	Cancel   *uint64   `json:"c,omitempty"`
+	Tasks    *Tasks    `json:"t,omitempty"`
+	Size     *Size     `json:"s,omitempty"`
+	Machine  *Machine  `json:"m,omitempty"`
+	Gone     []string  `json:"x,omitempty"`
+	Rental   *Rental   `json:"r,omitempty"`
+	Answered *Answered `json:"a,omitempty"`
+	Types    []Type    `json:"y,omitempty"`
+}
+
+// Job is an accepted job, by names.
+type Job struct {
+	ID         uint64   `json:"i"`
+	Class      string   `json:"h"`
+	Team       string   `json:"k"`
+	Kind       uint8    `json:"g"`
+	Priority   uint8    `json:"u"`
+	Tasks      int      `json:"n"`
+	CPUs       float64  `json:"c"`
+	GPUs       float64  `json:"p,omitempty"`
+	MemoryGB   float64  `json:"m"`
+	Image      string   `json:"b"`
+	ImageGB    float64  `json:"z"`
+	Types      []string `json:"t,omitempty"`
+	Zone       string   `json:"o,omitempty"`
+	OneZone    bool     `json:"1,omitempty"`
+	Spread     bool     `json:"2,omitempty"`
+	Spot       bool     `json:"l,omitempty"`
+	EstimateS  float64  `json:"e"`
+	Checkpoint float64  `json:"w,omitempty"`
+	SaveS      float64  `json:"s,omitempty"`
+	DeadlineS  float64  `json:"d,omitempty"`
+}
+
+// Tasks notes completed tasks of a job as ranges [from, to), and the run
+// time of those whose time is known.
+type Tasks struct {
+	ID      uint64   `json:"i"`
+	Ranges  [][2]int `json:"r"`
+	Seconds float64  `json:"s,omitempty"`
+	Known   int      `json:"n,omitempty"`
+}
+
+// Size notes a job's final size.
+type Size struct {
+	ID   uint64  `json:"i"`
+	Size float64 `json:"s"`
+}
+
+// Machine notes a machine, before any task is started on it.
+type Machine struct {
+	Name    string `json:"n"`
+	Address string `json:"a"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+}
+
+// Rental notes a request's name, before it is sent.
+type Rental struct {
+	Name  string `json:"n"`
+	Type  string `json:"t"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"s,omitempty"`
+	Count int    `json:"c"`
+}
+
+// Answered notes that a rental request had its answer.
+type Answered struct {
+	Name     string   `json:"n"`
+	Machines []string `json:"m,omitempty"`
+}
+
+// Type is a machine type as the cloud gave it.
+type Type struct {
+	Name      string   `json:"n"`
+	CPUs      float64  `json:"c"`
+	GPUs      float64  `json:"g,omitempty"`
+	MemoryGB  float64  `json:"m"`
+	CacheGB   float64  `json:"l"`
+	FetchGBPS float64  `json:"f"`
+	Price     float64  `json:"p"`
+	SpotPrice float64  `json:"q"`
+	BootS     float64  `json:"b"`
+	Zones     []string `json:"z"`
+}
+
+// VirtualSizes is what one sizes value holds.
+type VirtualSizes struct {
+	Sizes []VirtualSize `json:"v"`
+}
+
+// VirtualSize is a job's estimate and what is left of it.
+type VirtualSize struct {
+	ID      uint64  `json:"i"`
+	Size    float64 `json:"s"`
+	Virtual float64 `json:"v"`
+}
+
+// Op is a put (or, without a value, a delete) of a transaction.
+type Op struct {
+	Key    string
+	Value  json.RawMessage
+	Remove bool
+}
+
+// Cond is a version that a key must have.
+type Cond struct {
+	Key  string
+	Mark uint64
+}
+
+// Txn is a transaction to be sent to the state service.
+type Txn struct {
+	Seq    uint64
+	Conds  []Cond
+	Writes []Op
+}
+
+// Outcome is what became of a transaction.
+type Outcome uint8
+
+// Outcomes of a transaction.
+const (
+	Applied  Outcome = iota // 200
+	Conflict                // 409
+	Refused                 // 429, 503: not executed
+	Unknown                 // no response: may be executed, now or later
+)
+
+// Limits are those of the state service.
+type Limits struct {
+	WriteRPS   float64
+	ValueBytes int
+	TxnOps     int
+}
+
+const (
+	txnBytes  = 56 << 10 // below the service's 64 KiB, which counts keys and conditions too
+	openShare = 0.7      // share of write_rps that commits may use; elections and sizes use the rest
+)
+
+// Log is the write side, held by the leader during its term.
+type Log struct {
+	lim       Limits
+	epochKey  string
+	epochMark uint64
+
+	segment  int    // number of the open segment
+	mark     uint64 // its version; 0 while it does not exist
+	body     []byte // its entries, comma separated, as committed or in flight
+	inBody   int    // how many bytes of body are committed
+	pending  []pend
+	inflight *flight
+	readBack bool
+	seq      uint64
+
+	tokens float64
+	at     time.Duration
+	wait   time.Duration // no commit before this
+	fails  int
+
+	sizes     []Op
+	sizeCount int
+}
+
+type pend struct {
+	raw []byte
+	tag any
+}
+
+type flight struct {
+	txn      Txn
+	segments []segment
+	count    int // pending entries in it
+	sent     bool
+	unsure   bool // a try of it had no answer
+}
+
+type segment struct {
+	number int
+	body   []byte
+}
+
+// NewLog starts the log of a term after the last segment that was read.
+func NewLog(lim Limits, epochKey string, epochMark uint64, last int) *Log {
+	return &Log{lim: lim, epochKey: epochKey, epochMark: epochMark, segment: last + 1, tokens: 1}
+}
+
+// Key is the key of a segment.
+func Key(n int) string { return fmt.Sprintf("%s%08d", Prefix, n) }
+
+// Append queues an entry; tag comes back from Result once it is durable.
+// Entries become durable in the order they were appended.
+func (l *Log) Append(e Entry, tag any) {
+	raw, err := json.Marshal(e)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: an entry that cannot be written: %v", err)) // no entry holds such a value
+	}
+	l.pending = append(l.pending, pend{raw, tag})
+}
+
+// Fits says whether an entry can be stored at all.
+func (l *Log) Fits(e Entry) bool {
+	raw, err := json.Marshal(e)
+	return err == nil && len(raw) <= l.room()
+}
+
+func (l *Log) room() int { return l.lim.ValueBytes - 64 }
+
+// Pending is the number of entries not known to be durable.
+func (l *Log) Pending() int { return len(l.pending) }
+
+// SetSizes queues the virtual sizes of all jobs; they go with the next
+// commit that has room, and a newer list replaces one still waiting.
+func (l *Log) SetSizes(all []VirtualSize) {
+	l.sizes = l.sizes[:0]
+	var list []VirtualSize
+	used := 16
+	flush := func() {
+		raw, err := json.Marshal(VirtualSizes{list})
+		if err != nil {
+			panic(fmt.Sprintf("ledger: sizes that cannot be written: %v", err))
+		}
+		l.sizes = append(l.sizes, Op{Key: fmt.Sprintf("%s%04d", SizesPrefix, len(l.sizes)), Value: raw})
+		list, used = nil, 16
+	}
+	for _, s := range all {
+		raw, _ := json.Marshal(s)
+		if used+len(raw)+1 > l.room() {
+			flush()
+		}
+		used += len(raw) + 1
+		list = append(list, s)
+	}
+	flush()
+	for n := len(l.sizes); n < l.sizeCount; n++ {
+		l.sizes = append(l.sizes, Op{Key: fmt.Sprintf("%s%04d", SizesPrefix, n), Remove: true})
+	}
+}
+
+// Next returns the transaction to send now, if any.
+func (l *Log) Next(now time.Duration) *Txn {
+	rate := l.lim.WriteRPS * openShare
+	l.tokens = min(max(2, rate/2), l.tokens+(now-l.at).Seconds()*rate)
+	l.at = now
+	if l.readBack || now < l.wait || l.tokens < 1 {
+		return nil
+	}
+	if f := l.inflight; f != nil {
+		if f.sent {
+			return nil
+		}
+		l.seq++
+		f.txn.Seq = l.seq
+		f.sent = true
+		l.tokens -= float64(len(f.txn.Writes))
+		return &f.txn
+	}
+	if len(l.pending) == 0 && len(l.sizes) == 0 {
+		return nil
+	}
+	f := &flight{}
+	cur := segment{l.segment, bytes.Clone(l.body)}
+	total := len(cur.body)
+	ops := 1
+	for _, p := range l.pending {
+		if total+len(p.raw) > txnBytes {
+			break
+		}
+		if len(cur.body) > 0 && len(cur.body)+1+len(p.raw) > l.room() {
+			if ops+1 > l.lim.TxnOps || float64(ops+1) > l.tokens {
+				break
+			}
+			ops++
+			f.segments = append(f.segments, cur)
+			cur = segment{number: cur.number + 1}
+		}
+		if len(cur.body) > 0 {
+			cur.body = append(cur.body, ',')
+		}
+		cur.body = append(cur.body, p.raw...)
+		total += len(p.raw) + 1
+		f.count++
+	}
+	f.segments = append(f.segments, cur)
+	l.seq++
+	txn := Txn{Seq: l.seq, Conds: []Cond{{l.epochKey, l.epochMark}, {Key(l.segment), l.mark}}}
+	if f.count > 0 {
+		for i, s := range f.segments {
+			if i == 0 && len(s.body) == len(l.body) {
+				continue // the open segment was full: it stays as it is
+			}
+			txn.Writes = append(txn.Writes, Op{Key: Key(s.number), Value: wrap(s.body)})
+		}
+	}
+	if len(l.sizes) > 0 {
+		size := total
+		for _, o := range l.sizes {
+			size += len(o.Value)
+		}
+		if len(txn.Writes)+len(l.sizes) <= l.lim.TxnOps && size <= txnBytes {
+			txn.Writes = append(txn.Writes, l.sizes...)
+			l.sizeCount = len(l.sizes)
+			l.sizes = nil
+		} else if f.count == 0 {
+			l.sizes = nil // more jobs than fit: aging of this round is not kept
+			return nil
+		}
+	}
+	l.tokens -= float64(len(txn.Writes))
+	f.txn = txn
+	f.sent = true
+	l.inflight = f
+	return &f.txn
+}
+
+func wrap(body []byte) json.RawMessage {
+	out := make([]byte, 0, len(body)+8)
+	out = append(out, `{"e":[`...)
+	out = append(out, body...)
+	return append(out, "]}"...)
+}
+
+// Step says what the holder of the log must do after a result.
+type Step uint8
+
+// Steps after a result.
+const (
+	Carry  Step = iota // go on
+	Reread             // read the key of Log.Open back and hand it to ReadBack
+	Lost               // the term is over
+)
+
+// Result takes the outcome of the transaction in flight. It returns the tags
+// of the entries that are now durable. mark is the revision of the change.
+func (l *Log) Result(now time.Duration, seq uint64, out Outcome, mark uint64, failed []string) ([]any, Step) {
+	f := l.inflight
+	if f == nil || f.txn.Seq != seq {
+		return nil, Carry
+	}
+	f.sent = false
+	switch out {
+	case Applied:
+		return l.applied(f, mark), Carry
+	case Conflict:
+		for _, k := range failed {
+			if k == l.epochKey {
+				return nil, Lost
+			}
+		}
+		if !f.unsure {
+			return nil, Lost // somebody else wrote our log
+		}
+		l.readBack = true
+		return nil, Reread
+	case Unknown:
+		if f.count == 0 {
+			l.inflight = nil // only sizes: the next ones replace them
+			return nil, Carry
+		}
+		f.unsure = true
+		l.readBack = true
+		return nil, Reread
+	default:
+		l.fails++
+		l.wait = now + time.Duration(min(l.fails, 8))*60*time.Millisecond
+		if !f.unsure {
+			l.inflight = nil
+		}
+		return nil, Carry
+	}
+}
+
+func (l *Log) applied(f *flight, mark uint64) []any {
+	l.fails = 0
+	l.inflight = nil
+	if f.count == 0 {
+		return nil
+	}
+	last := f.segments[len(f.segments)-1]
+	l.segment, l.body, l.mark = last.number, last.body, mark
+	tags := make([]any, f.count)
+	for i := range tags {
+		tags[i] = l.pending[i].tag
+	}
+	l.pending = l.pending[f.count:]
+	return tags
+}
+
+// Open is the key whose value settles an unknown outcome: the last segment
+// that the transaction in flight writes.
+func (l *Log) Open() string {
+	if l.inflight != nil {
+		return Key(l.inflight.segments[len(l.inflight.segments)-1].number)
+	}
+	return Key(l.segment)
+}
+
+// ReadBack settles an unknown outcome. It is called with the value of
+// Log.Open (mark 0: the key does not exist), read after the outcome became
+// unknown. When the transaction is not there, the very same one is sent
+// again: should the first still arrive, one of the two fails its conditions,
+// and whichever was applied left the same value. read is false when the key
+// could not be read.
+func (l *Log) ReadBack(now time.Duration, read bool, mark uint64, value json.RawMessage) []any {
+	f := l.inflight
+	if f == nil || !l.readBack {
+		return nil
+	}
+	l.wait = now + 100*time.Millisecond
+	l.readBack = false
+	if read && mark != 0 && mark != l.mark && holds(value, f.segments[len(f.segments)-1].body) {
+		return l.applied(f, mark)
+	}
+	return nil
+}
+
+func holds(value json.RawMessage, body []byte) bool {
+	var got bytes.Buffer
+	return json.Compact(&got, value) == nil && bytes.Equal(got.Bytes(), wrap(body))
+}
+
+// Decode reads the entries of one segment.
+func Decode(value json.RawMessage) ([]Entry, error) {
+	var v struct {
+		E []Entry `json:"e"`
+	}
+	if err := json.Unmarshal(value, &v); err != nil {
+		return nil, fmt.Errorf("ledger: a segment that cannot be read: %w", err)
+	}
+	return v.E, nil
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// store is a stand-in for the state service: versions and conditions only.
+type store struct {
+	rev  uint64
+	mark map[string]uint64
+	data map[string]json.RawMessage
+}
+
+func newStore() *store {
+	return &store{rev: 1, mark: map[string]uint64{"lead/epoch": 1}, data: map[string]json.RawMessage{}}
+}
+
+func (s *store) apply(t Txn) (Outcome, uint64, []string) {
+	var failed []string
+	for _, c := range t.Conds {
+		if s.mark[c.Key] != c.Mark {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return Conflict, 0, failed
+	}
+	s.rev++
+	for _, w := range t.Writes {
+		s.mark[w.Key], s.data[w.Key] = s.rev, w.Value
+	}
+	return Applied, s.rev, nil
+}
+
+func (s *store) ids(t *testing.T) []uint64 {
+	t.Helper()
+	var out []uint64
+	for n := 1; s.mark[Key(n)] != 0; n++ {
+		es, err := Decode(s.data[Key(n)])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range es {
+			out = append(out, *e.Cancel)
+		}
+	}
+	return out
+}
+
+func cancel(n uint64) Entry { return Entry{Cancel: &n} }
+
+var lim = Limits{WriteRPS: 1000, ValueBytes: 200, TxnOps: 4}
+
+func newLog() *Log { return NewLog(lim, "lead/epoch", 1, 0) }
+
+// An unanswered commit is applied late, after it has been sent again: the
+// second try fails, the value shows that the first did, nothing is doubled.
+func TestUnansweredCommitAppliedLate(t *testing.T) {
+	s, l := newStore(), newLog()
+	now := time.Second
+	for n := range uint64(40) {
+		l.Append(cancel(n), n)
+	}
+	first := *l.Next(now)
+	if _, step := l.Result(now, first.Seq, Unknown, 0, nil); step != Reread {
+		t.Fatal("an unknown outcome must be read back")
+	}
+	if tags := l.ReadBack(now, true, 0, nil); tags != nil {
+		t.Fatal("told durable though not applied")
+	}
+	l.Append(cancel(99), uint64(99))
+	now += time.Second
+	again := l.Next(now)
+	s.apply(first) // the late one
+	out, mark, failed := s.apply(*again)
+	if out != Conflict {
+		t.Fatal("both tries were applied")
+	}
+	if _, step := l.Result(now, again.Seq, out, mark, failed); step != Reread {
+		t.Fatal("the conflict must be settled by reading")
+	}
+	tags := l.ReadBack(now, true, s.mark[l.Open()], s.data[l.Open()])
+	for len(tags) < 41 {
+		now += time.Second
+		txn := l.Next(now)
+		if txn == nil {
+			t.Fatalf("stuck with %d of 41 durable", len(tags))
+		}
+		out, mark, failed := s.apply(*txn)
+		more, _ := l.Result(now, txn.Seq, out, mark, failed)
+		tags = append(tags, more...)
+	}
+	got := s.ids(t)
+	want := make([]uint64, 0, 41)
+	for n := range uint64(40) {
+		want = append(want, n)
+	}
+	if want = append(want, 99); !slices.Equal(got, want) {
+		t.Errorf("the log holds %v", got)
+	}
+}
+
+// A transaction of an earlier term that comes late fails its condition.
+func TestLateCommitOfEarlierTerm(t *testing.T) {
+	s, l := newStore(), newLog()
+	l.Append(cancel(1), nil)
+	late := *l.Next(time.Second)
+	s.rev++
+	s.mark["lead/epoch"] = s.rev
+	out, mark, failed := s.apply(late)
+	if out != Conflict || len(s.ids(t)) != 0 {
+		t.Fatal("a superseded leader wrote")
+	}
+	if _, step := l.Result(time.Second, late.Seq, out, mark, failed); step != Lost {
+		t.Error("the term must end")
+	}
+}
+
+func TestLimitsAreKept(t *testing.T) {
+	s, l := newStore(), newLog()
+	now, puts := time.Second, 0
+	small := lim
+	small.WriteRPS = 10
+	l.lim = small
+	for n := range uint64(200) {
+		l.Append(cancel(n), n)
+	}
+	for l.Pending() > 0 && now < time.Minute {
+		if txn := l.Next(now); txn != nil {
+			if len(txn.Writes) > lim.TxnOps {
+				t.Fatalf("%d writes in one transaction", len(txn.Writes))
+			}
+			for _, w := range txn.Writes {
+				puts++
+				if len(w.Value) > lim.ValueBytes {
+					t.Fatalf("a value of %d bytes", len(w.Value))
+				}
+			}
+			out, mark, failed := s.apply(*txn)
+			l.Result(now, txn.Seq, out, mark, failed)
+		}
+		now += 10 * time.Millisecond
+	}
+	if l.Pending() > 0 {
+		t.Fatal("not all was written in a minute")
+	}
+	if allowed := 10 + 10*(now-time.Second).Seconds(); float64(puts) > allowed {
+		t.Errorf("%d puts in %v", puts, now-time.Second)
+	}
+	if got := s.ids(t); len(got) != 200 {
+		t.Errorf("%d of 200 entries", len(got))
+	}
+}
+
+func TestSizesAreSplit(t *testing.T) {
+	l := newLog()
+	var all []VirtualSize
+	for n := range uint64(10) {
+		all = append(all, VirtualSize{n, 1.5, 0.5})
+	}
+	l.SetSizes(all)
+	seen := 0
+	txn := l.Next(time.Second)
+	for _, w := range txn.Writes {
+		var v VirtualSizes
+		if err := json.Unmarshal(w.Value, &v); err != nil || len(w.Value) > lim.ValueBytes {
+			t.Fatal(fmt.Errorf("value of %d bytes: %w", len(w.Value), err))
+		}
+		seen += len(v.Sizes)
+	}
+	if seen != 10 {
+		t.Errorf("%d of 10 sizes", seen)
+	}
+}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// Core is a controller as a state machine: inputs go in with the time, and
+// Take gives what is to be sent, written and answered. It has no clock,
+// socket or goroutine.
+type Core struct {
+	cfg  *settings.Settings
+	lead *leadership.Core
+	term *Term
+	out  []Effect
+}
+
+// NewCore makes the core of a controller.
+func NewCore(cfg *settings.Settings) *Core {
+	return &Core{cfg: cfg, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+}
+
+// Take returns the effects since the last call.
+func (c *Core) Take() []Effect {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) orders(list []leadership.Order) {
+	for _, o := range list {
+		c.out = append(c.out, Lead{o})
+	}
+}
+
+// after follows every input: it starts and ends terms and gathers effects.
+func (c *Core) after(now time.Duration) {
+	leading := c.lead.Role() == leadership.Leader
+	if c.term != nil && (!leading || c.term.epoch != c.lead.Epoch()) {
+		c.term.end()
+		c.out = append(c.out, c.term.out...)
+		c.out = append(c.out, Note{Info, "term ended", []any{"epoch", c.term.epoch}})
+		c.term = nil
+	}
+	if c.term == nil && leading {
+		c.term = newTerm(c.cfg, c.lead.Epoch(), now)
+		c.out = append(c.out, Note{Info, "leading", []any{"epoch", c.term.epoch}}, Load{c.term.epoch})
+	}
+	if c.term != nil {
+		c.term.pump(now)
+		c.out = append(c.out, c.term.out...)
+		c.term.out = nil
+	}
+}
+
+// Leading says whether this node leads, and otherwise who does, if known.
+func (c *Core) Leading() (bool, string) {
+	return c.term != nil, c.lead.LeaderName()
+}
+
+// ready says whether jobs can be spoken of.
+func (c *Core) ready(now time.Duration) bool {
+	return c.term != nil && c.term.loaded && c.lead.Sure(now)
+}
+
+// Tick is called several times a second.
+func (c *Core) Tick(now time.Duration) {
+	c.orders(c.lead.Tick(now))
+	if c.term != nil {
+		c.term.tick(now, c.lead.Sure(now))
+	}
+	c.after(now)
+}
+
+// Submit takes a submission.
+func (c *Core) Submit(now time.Duration, to Asker, s wire.Submission) {
+	if !c.ready(now) {
+		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		return
+	}
+	c.term.submit(now, to, s)
+	c.after(now)
+}
+
+// Query answers for a job's state.
+func (c *Core) Query(now time.Duration, to Asker, id uint64) {
+	if !c.ready(now) {
+		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		return
+	}
+	c.term.query(to, id)
+	c.after(now)
+}
+
+// Abort cancels a job.
+func (c *Core) Abort(now time.Duration, to Asker, id uint64) {
+	if !c.ready(now) {
+		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		return
+	}
+	c.term.abort(to, id)
+	c.after(now)
+}
+
+// Report takes a worker's report. A leader unsure of its term still answers
+// with its token, so that tasks outlive an outage of the state service; it
+// starts nothing. A node that does not lead sends the worker to the one that
+// does.
+func (c *Core) Report(now time.Duration, to Asker, r *workers.Report) {
+	if epoch := r.Token >> tokenBits; epoch > c.lead.Epoch() {
+		c.lead.Superseded(now, epoch)
+		c.after(now)
+	}
+	if c.term == nil {
+		a := ReportAnswer{Status: 421, Node: c.lead.LeaderName()}
+		if a.Node == "" {
+			a.Status = 503
+		}
+		c.out = append(c.out, ReplyReport{to, a})
+		return
+	}
+	c.out = append(c.out, ReplyReport{to, c.term.report(now, c.lead.Sure(now), r)})
+	c.after(now)
+}
+
+// Seen takes the result of leadership's Read.
+func (c *Core) Seen(now time.Duration, seq uint64, ok bool, v leadership.View) {
+	c.orders(c.lead.Seen(now, seq, ok, v))
+	c.after(now)
+}
+
+// Changed takes the result of leadership's Watch.
+func (c *Core) Changed(now time.Duration, seq uint64, ok bool) {
+	c.orders(c.lead.Changed(now, seq, ok))
+	c.after(now)
+}
+
+// Held takes the result of leadership's Hold.
+func (c *Core) Held(now time.Duration, seq uint64, ok bool, hold uint64) {
+	c.orders(c.lead.Held(now, seq, ok, hold))
+	c.after(now)
+}
+
+// Claimed takes the result of leadership's Claim.
+func (c *Core) Claimed(now time.Duration, seq uint64, ok bool, mark uint64) {
+	c.orders(c.lead.Claimed(now, seq, ok, mark))
+	c.after(now)
+}
+
+// Renewed takes the result of leadership's Renew.
+func (c *Core) Renewed(now time.Duration, seq uint64, ok, gone bool) {
+	c.orders(c.lead.Renewed(now, seq, ok, gone))
+	c.after(now)
+}
+
+// Loaded takes the whole log, read after the term began.
+func (c *Core) Loaded(now time.Duration, epoch uint64, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+	if c.term != nil && c.term.epoch == epoch && !c.term.loaded {
+		c.term.load(now, c.lead.Mark(), last, entries, sizes)
+	}
+	c.after(now)
+}
+
+// Committed takes the outcome of a commit of the term.
+func (c *Core) Committed(now time.Duration, epoch, seq uint64, out ledger.Outcome, mark uint64, failed []string) {
+	if c.term != nil && c.term.epoch == epoch {
+		if c.term.committed(now, c.lead.Sure(now), seq, out, mark, failed) == ledger.Lost {
+			c.lead.Superseded(now, c.lead.Epoch()+1)
+		}
+	}
+	c.after(now)
+}
+
+// Rechecked takes the value that settles a commit without an answer.
+func (c *Core) Rechecked(now time.Duration, epoch uint64, read bool, mark uint64, value json.RawMessage) {
+	if c.term != nil && c.term.epoch == epoch {
+		c.term.rechecked(now, c.lead.Sure(now), read, mark, value)
+	}
+	c.after(now)
+}
+
+// Deleted takes the result of a deletion.
+func (c *Core) Deleted(now time.Duration, epoch uint64, list []string, ok bool) {
+	if c.term != nil && c.term.epoch == epoch {
+		c.term.deleted(now, list, ok)
+	}
+	c.after(now)
+}
+
+// Rented takes the result of a rental request.
+func (c *Core) Rented(now time.Duration, epoch uint64, name string, machines []string, res wire.RentResult) {
+	if c.term != nil && c.term.epoch == epoch {
+		c.term.rented(now, name, machines, res)
+	}
+	c.after(now)
+}
+
+// GotTypes takes the machine types; an empty list is a failure.
+func (c *Core) GotTypes(now time.Duration, epoch uint64, list []ledger.Type) {
+	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
+		c.term.gotTypes(now, list)
+	}
+	c.after(now)
+}
+
+// Listed takes the cloud's list of machines.
+func (c *Core) Listed(now time.Duration, epoch uint64, list []wire.Listed, ok bool) {
+	if c.term != nil && c.term.epoch == epoch {
+		c.term.listed(now, list, ok)
+	}
+	c.after(now)
+}
--- /dev/null
+++ b/internal/node/door.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"bitternmoor/internal/wire"
+)
+
+// stuckAfter is how long the loop may be silent before the node calls itself
+// unhealthy. A flap costs far more than single refusals, so it is long.
+const stuckAfter = 4 * time.Second
+
+// door is what users, the load balancer and workers reach.
+func (n *Node) door() http.Handler {
+	r := chi.NewRouter()
+	r.Post(wire.PathJobs, n.submit)
+	r.Get(wire.PathJob, func(w http.ResponseWriter, r *http.Request) { n.onJob(w, r, opQuery) })
+	r.Post(wire.PathAbort, func(w http.ResponseWriter, r *http.Request) { n.onJob(w, r, opAbort) })
+	r.Get(wire.PathHealth, n.health)
+	r.Post(wire.PathReports, n.report)
+	return r
+}
+
+func (n *Node) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := wire.ReadBody(r.Body)
+	if err != nil {
+		why := "body not readable"
+		if errors.Is(err, wire.ErrTooLarge) {
+			why = "body over 64 KiB"
+		}
+		write(w, Answer{Status: http.StatusBadRequest, Why: why})
+		return
+	}
+	s := wire.ParseSubmission(body)
+	if !s.HasID {
+		write(w, Answer{Status: http.StatusBadRequest, Why: s.Bad})
+		return
+	}
+	write(w, n.route(UserRequest{Op: opSubmit, ID: s.ID, Submission: s}))
+}
+
+func (n *Node) onJob(w http.ResponseWriter, r *http.Request, op string) {
+	id, ok := wire.ParseID(chi.URLParam(r, "id"))
+	if !ok {
+		write(w, Answer{Status: http.StatusNotFound, Why: "no such job"})
+		return
+	}
+	write(w, n.route(UserRequest{Op: op, ID: id}))
+}
+
+func (n *Node) health(w http.ResponseWriter, _ *http.Request) {
+	if s := n.now.Load(); time.Since(n.start)-s.at > stuckAfter {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) report(w http.ResponseWriter, r *http.Request) {
+	body, err := wire.ReadBody(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	rep, err := wire.ParseReport(body)
+	if err != nil {
+		n.log.Warn("report not understood", "error", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	a, err := n.askReport(rep)
+	switch {
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case a.Status == http.StatusOK:
+		send(w, a.Status, wire.ReportAnswer(a.Token, a.Commands))
+	default:
+		send(w, a.Status, wire.Elsewhere(a.Node))
+	}
+}
+
+func write(w http.ResponseWriter, a Answer) {
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	if a.Status == http.StatusOK || a.Status == http.StatusCreated {
+		send(w, a.Status, wire.JobAnswer(a.ID, a.State, a.Counts, a.Done, a.Running))
+		return
+	}
+	send(w, a.Status, wire.Problem(a.Why))
+}
+
+func send(w http.ResponseWriter, status int, body []byte) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a client that has gone is no fault of ours
+}
--- /dev/null
+++ b/internal/node/machines.go
@@ -0,0 +1,310 @@
+package node
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/fleet"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+const (
+	listEvery  = 12 * time.Second
+	typesEvery = 60 * time.Second
+	bootSlack  = 20 * time.Second
+)
+
+// leave decides, for good, that a machine is to be deleted.
+func (t *Term) leave(m *workers.Machine, why string) {
+	if m.Leaving {
+		return
+	}
+	m.Leaving, m.Why = true, why
+	for ref, p := range m.Tasks {
+		if p.Planned {
+			t.unplan(m, ref)
+		}
+	}
+	t.dirty = true
+	t.note(Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+}
+
+// watch looks after every machine: silent ones, boots that take too long,
+// spot notices, tasks that were to be stopped and are still there.
+func (t *Term) watch(now time.Duration, sure bool) {
+	w := t.cfg.Deployment.Workers
+	up, silent := 0, 0
+	for _, m := range t.yard.All() {
+		if m.Up || m.Durable {
+			up++
+			if now-max(m.Heard, t.began) > t.quiet() {
+				silent++
+			}
+		}
+	}
+	limit := t.silence()
+	if silent > 3 && silent*2 > up {
+		// Most of them at once: the fault is more likely on our side.
+		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
+	}
+	overdue := settings.Seconds(0.5 * w.CancelS)
+	for _, m := range slices.Clone(t.yard.All()) {
+		if m.Leaving {
+			continue
+		}
+		heard := max(m.Heard, t.began)
+		if now-heard > t.quiet() {
+			for ref, p := range m.Tasks {
+				if p.Planned {
+					t.unplan(m, ref)
+				}
+			}
+		}
+		switch {
+		case sure && (m.Up || m.Durable) && now-heard > limit:
+			t.leave(m, "silent")
+		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(t.cfg.Tunables.BootGiveUpTimes*t.types[m.Type].BootS)+bootSlack:
+			t.leave(m, "never came up")
+		case m.Notice && now > m.TakenAt:
+			t.leave(m, "taken by the cloud")
+		case m.Notice && len(m.Tasks) == 0:
+			t.leave(m, "to be taken by the cloud")
+		case m.Strays > 0 && now-m.StraysSince > overdue:
+			t.leave(m, "tasks that do not stop")
+		}
+		for _, p := range m.Tasks {
+			j := t.table.At(p.Ref.Job)
+			if j.Phase == jobs.Cancelled && now-j.CancelledAt > overdue {
+				// Its task is not proved gone: the deletion will prove it.
+				t.leave(m, "a cancelled job's task not proved gone")
+				break
+			}
+			if m.Notice && !p.Planned && !p.Stopping && j.Rec.Checkpoint > 0 && p.State == workers.Running &&
+				m.TakenAt-now < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS) {
+				p.Stopping, p.GraceS = true, j.Rec.SaveS+5
+			}
+		}
+	}
+}
+
+// rent covers the work that is there with machines, and returns idle ones.
+func (t *Term) rent(now time.Duration) {
+	if len(t.types) == 0 {
+		return
+	}
+	horizon := t.cfg.Tunables.DrainBacklogS
+	perTeam := make([]float64, len(t.plan.Limits))
+	var open []*jobs.Job
+	for _, i := range t.book.Order() {
+		j := t.table.At(i)
+		left := len(j.Tasks) - j.Finished
+		if j.Phase != jobs.Open || left == 0 {
+			continue
+		}
+		tasks := math.Ceil(float64(left) * j.Mean() / horizon)
+		tasks = max(float64(j.Placed), min(float64(left), tasks))
+		perTeam[j.Team] += tasks * j.Need.CPUs()
+		open = append(open, j)
+	}
+	var want float64
+	for team, cpus := range perTeam {
+		if l := t.plan.Limits[team].CPU; l > 0 {
+			cpus = min(cpus, float64(l)/1000)
+		}
+		want += cpus
+	}
+	var have float64
+	for _, m := range t.yard.All() {
+		if !m.Leaving && !m.Notice {
+			have += m.Cap.CPUs()
+		}
+	}
+	have += t.buyer.Asked(func(typ string) float64 {
+		if i, ok := t.typeNames.Find(typ); ok {
+			return t.types[i].CPUs
+		}
+		return 0
+	})
+	spot := slices.ContainsFunc(open, func(j *jobs.Job) bool { return j.Rec.Spot })
+	if want > have {
+		for _, r := range t.buyer.Rent(now, t.types, t.wanted(want-have, spot, open)) {
+			t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
+			t.note(Info, "renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+		}
+		return
+	}
+	// Return idle machines, the dearest first.
+	idle := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
+		return m.Leaving || !m.Up || len(m.Tasks) > 0 || m.Strays > 0 || m.Held || now-m.IdleSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
+	})
+	slices.SortFunc(idle, func(a, b *workers.Machine) int {
+		if pa, pb := t.pricePerCPU(a), t.pricePerCPU(b); pa != pb {
+			return int(math.Copysign(1, pb-pa))
+		}
+		return int(a.Index - b.Index)
+	})
+	for _, m := range idle {
+		if have-m.Cap.CPUs() >= want {
+			have -= m.Cap.CPUs()
+			t.leave(m, "idle")
+		}
+	}
+}
+
+func (t *Term) wanted(cpus float64, spot bool, open []*jobs.Job) (w fleet.Want) {
+	w.CPUs, w.Spot = cpus, spot
+	w.Fits = func(ty ledger.Type, zone string, spot bool) bool {
+		i, ok := t.typeNames.Find(ty.Name)
+		if !ok {
+			return false
+		}
+		m := &workers.Machine{Type: i, Zone: t.zones.Index(zone), Spot: spot, Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
+		return slices.ContainsFunc(open, func(j *jobs.Job) bool { return j.Need.Fits(m.Cap) && blocks.Allowed(j, m, t.zones.Index) })
+	}
+	return w
+}
+
+func (t *Term) pricePerCPU(m *workers.Machine) float64 {
+	ty := t.types[m.Type]
+	if m.Spot {
+		return ty.SpotPrice / ty.CPUs
+	}
+	return ty.Price / ty.CPUs
+}
+
+// callCloud sends what is due to the cloud, within its rate. When unsure of
+// the term it still deletes: that can lose work but break nothing.
+func (t *Term) callCloud(now time.Duration, sure bool) {
+	rate := t.cfg.Deployment.Cloud.RPS * 0.8
+	t.cloudRoom = min(max(1, rate), t.cloudRoom+(now-t.cloudAt).Seconds()*rate)
+	t.cloudAt = now
+	spend := func() bool {
+		if t.cloudRoom < 1 {
+			return false
+		}
+		t.cloudRoom--
+		return true
+	}
+	if !t.deleteBusy {
+		var list []string
+		for _, m := range t.yard.All() {
+			if m.Leaving && len(list) < 100 {
+				list = append(list, m.Name)
+			}
+		}
+		if len(list) > 0 && spend() {
+			t.deleteBusy = true
+			t.emit(Delete{list})
+		}
+	}
+	if !sure {
+		return
+	}
+	if !t.typesAsked && (len(t.types) == 0 || t.typesAt == 0 || now-t.typesAt > typesEvery) && spend() {
+		t.typesAsked = true
+		t.emit(Types{})
+	}
+	for name, r := range t.rentals {
+		if now >= t.rentDue[name] && spend() {
+			t.rentDue[name] = now + 20*time.Second
+			t.emit(Rent{r})
+		}
+	}
+	if !t.listBusy && now-t.listAt > listEvery && spend() {
+		t.listBusy, t.listAt = true, now
+		t.emit(List{})
+	}
+}
+
+func (t *Term) deleted(now time.Duration, list []string, ok bool) {
+	t.deleteBusy = false
+	if !ok {
+		return // asked again at the next tick
+	}
+	for _, name := range list {
+		m := t.yard.Find(name)
+		if m == nil {
+			continue
+		}
+		for ref, p := range m.Tasks {
+			if p.Seen && p.State == workers.Running {
+				t.table.At(ref.Job).Running--
+			}
+			m.Take(ref)
+			t.lift(ref)
+		}
+		t.yard.Remove(name)
+	}
+	t.log.Append(ledger.Entry{Gone: list}, nil)
+	t.dirty = true
+}
+
+func (t *Term) rented(now time.Duration, name string, machines []string, res wire.RentResult) {
+	r, ok := t.rentals[name]
+	if !ok {
+		return
+	}
+	if res == wire.NoAnswer {
+		t.rentDue[name] = now + time.Second // the same name again: it may have been executed
+		return
+	}
+	delete(t.rentals, name)
+	delete(t.rentDue, name)
+	t.buyer.Answered(now, name, len(machines))
+	for _, n := range machines {
+		if m := t.addMachine(now, ledger.Machine{Name: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot}); m != nil {
+			m.Resolved = true
+		}
+	}
+	t.log.Append(ledger.Entry{Answered: &ledger.Answered{Name: name, Machines: machines}}, nil)
+	t.note(Info, "rental answered", "request", name, "asked", r.Count, "got", len(machines))
+}
+
+func (t *Term) gotTypes(now time.Duration, list []ledger.Type) {
+	t.typesAsked = false
+	if len(list) == 0 {
+		return
+	}
+	t.typesAt = now
+	changed := false
+	for _, ty := range list {
+		i, ok := t.typeNames.Find(ty.Name)
+		if !ok {
+			changed = true
+			continue
+		}
+		old := t.types[i]
+		changed = changed || old.CPUs != ty.CPUs || old.GPUs != ty.GPUs || old.MemoryGB != ty.MemoryGB || !slices.Equal(old.Zones, ty.Zones)
+	}
+	t.setTypes(list)
+	if changed {
+		t.log.Append(ledger.Entry{Types: list}, nil)
+	}
+}
+
+func (t *Term) listed(now time.Duration, list []wire.Listed, ok bool) {
+	t.listBusy = false
+	if !ok {
+		return
+	}
+	for _, l := range list {
+		m := t.yard.Find(l.Machine.Name)
+		if m == nil && len(t.rentals) == 0 {
+			// Rented by a request whose answer was lost for good, or there from the start.
+			if m = t.addMachine(now, l.Machine); m != nil {
+				m.Resolved = true
+				m.RentedAt = now - settings.Seconds(l.HeldS)
+			}
+		}
+		if m != nil && l.Failed {
+			t.leave(m, "failed")
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// Asker is whoever waits for an answer; adapters map it to a connection.
+type Asker uint64
+
+// Answer is what a user is told.
+type Answer struct {
+	Status     int
+	ID         uint64
+	State      wire.JobState
+	Counts     bool
+	Done       int
+	Running    int
+	Why        string
+	RetryAfter int
+}
+
+// ReportAnswer is what a worker is told.
+type ReportAnswer struct {
+	Status   int
+	Token    uint64
+	Commands []workers.Command
+	Node     string
+}
+
+// Effect is something the core wants done.
+type Effect interface{ effect() }
+
+// The effects. Each result comes back as an input of the same name.
+type (
+	Reply struct {
+		To     Asker
+		Answer Answer
+	}
+	ReplyReport struct {
+		To     Asker
+		Answer ReportAnswer
+	}
+	Lead    struct{ Order leadership.Order }
+	Load    struct{ Epoch uint64 }
+	Commit  struct{ Txn ledger.Txn }
+	Recheck struct{ Key string }
+	Rent    struct{ Rental ledger.Rental }
+	Delete  struct{ Machines []string }
+	List    struct{}
+	Types   struct{}
+	Note    struct {
+		Level Level
+		Text  string
+		Args  []any
+	}
+)
+
+// Level of a note.
+type Level uint8
+
+// Levels.
+const (
+	Debug Level = iota
+	Info
+	Warn
+)
+
+func (Reply) effect()       {}
+func (ReplyReport) effect() {}
+func (Lead) effect()        {}
+func (Load) effect()        {}
+func (Commit) effect()      {}
+func (Recheck) effect()     {}
+func (Rent) effect()        {}
+func (Delete) effect()      {}
+func (List) effect()        {}
+func (Types) effect()       {}
+func (Note) effect()        {}
+
+func unavailable(why string) Answer { return Answer{Status: 503, Why: why, RetryAfter: 1} }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,456 @@
+// Package node composes the slices into one controller: a core that is a
+// state machine, one loop that feeds it, and the adapters to the network.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+const (
+	tickEvery    = 100 * time.Millisecond
+	stateTimeout = 1200 * time.Millisecond
+	watchFor     = 10 * time.Second
+	cloudTimeout = 5 * time.Second
+	queueLength  = 512
+)
+
+// standing is what the doors need to know between turns of the loop.
+type standing struct {
+	leading bool
+	leader  string
+	at      time.Duration // of the loop's last turn
+}
+
+// Node runs one controller.
+type Node struct {
+	cfg   *settings.Settings
+	log   *slog.Logger
+	core  *Core
+	in    chan func(now time.Duration)
+	start time.Time
+	state *wire.State
+	cloud *wire.Cloud
+	peers map[string]*peer
+	now   atomic.Pointer[standing]
+
+	nextAsker Asker
+	users     map[Asker]chan Answer
+	reports   map[Asker]chan ReportAnswer
+}
+
+// New makes a controller.
+func New(cfg *settings.Settings, log *slog.Logger) *Node {
+	n := &Node{
+		cfg: cfg, log: log, core: NewCore(cfg), in: make(chan func(time.Duration), queueLength), start: time.Now(),
+		state: wire.NewState(cfg.External.State), cloud: wire.NewCloud(cfg.External.Cloud), peers: map[string]*peer{},
+		users: map[Asker]chan Answer{}, reports: map[Asker]chan ReportAnswer{},
+	}
+	for _, p := range cfg.Peers {
+		n.peers[p.Node] = &peer{addr: p.Endpoint}
+	}
+	n.now.Store(&standing{})
+	return n
+}
+
+// Run serves until the context ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	public, err := net.Listen("tcp4", n.cfg.PublicAddr)
+	if err != nil {
+		return fmt.Errorf("node: public_addr: %w", err)
+	}
+	internal, err := net.Listen("tcp4", n.cfg.InternalAddr)
+	if err != nil {
+		return fmt.Errorf("node: internal_addr: %w", err)
+	}
+	// Sockets are few: some are kept for the peers, the state service and the cloud.
+	room := max(16, n.cfg.Deployment.MachineLimits.FDLimit-80)
+	srv := &http.Server{Handler: n.door(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
+		IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	failed := make(chan error, 2)
+	go func() { failed <- srv.Serve(netutil.LimitListener(public, room)) }()
+	go func() { failed <- n.servePeers(netutil.LimitListener(internal, 32)) }()
+	done := make(chan struct{})
+	go func() { n.loop(ctx); close(done) }()
+	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "public", n.cfg.PublicAddr, "internal", n.cfg.InternalAddr)
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	_ = srv.Close()
+	_ = internal.Close()
+	if ctx.Err() != nil {
+		<-done
+		return nil
+	}
+	return fmt.Errorf("node: serving: %w", err)
+}
+
+// loop is the only goroutine that touches the core.
+func (n *Node) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-n.in:
+			f(time.Since(n.start))
+		case <-tick.C:
+			n.core.Tick(time.Since(n.start))
+		}
+		for _, e := range n.core.Take() {
+			n.do(e)
+		}
+		leading, leader := n.core.Leading()
+		n.now.Store(&standing{leading, leader, time.Since(n.start)})
+	}
+}
+
+func (n *Node) post(f func(now time.Duration)) { n.in <- f }
+
+// do carries out an effect. Calls go to goroutines and come back as inputs.
+func (n *Node) do(e Effect) {
+	switch e := e.(type) {
+	case Reply:
+		if ch := n.users[e.To]; ch != nil {
+			ch <- e.Answer
+			delete(n.users, e.To)
+		}
+	case ReplyReport:
+		if ch := n.reports[e.To]; ch != nil {
+			ch <- e.Answer
+			delete(n.reports, e.To)
+		}
+	case Lead:
+		go n.lead(e.Order)
+	case Load:
+		go n.load(e.Epoch)
+	case Commit:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+			defer cancel()
+			out, mark, failed := n.state.Commit(ctx, e.Txn)
+			n.post(func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) })
+		}()
+	case Recheck:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+			defer cancel()
+			it, err := n.state.Get(ctx, e.Key)
+			n.post(func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) })
+		}()
+	case Rent:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
+			defer cancel()
+			names, res := n.cloud.Rent(ctx, e.Rental)
+			n.post(func(now time.Duration) { n.core.Rented(now, epoch, e.Rental.Name, names, res) })
+		}()
+	case Delete:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
+			defer cancel()
+			ok := n.cloud.Delete(ctx, e.Machines)
+			n.post(func(now time.Duration) { n.core.Deleted(now, epoch, e.Machines, ok) })
+		}()
+	case List:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
+			defer cancel()
+			list, err := n.cloud.List(ctx)
+			n.post(func(now time.Duration) { n.core.Listed(now, epoch, list, err == nil) })
+		}()
+	case Types:
+		epoch := n.core.lead.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
+			defer cancel()
+			list, err := n.cloud.Types(ctx)
+			if err != nil {
+				n.log.Debug("machine types not read", "error", err)
+			}
+			n.post(func(now time.Duration) { n.core.GotTypes(now, epoch, list) })
+		}()
+	case Note:
+		n.log.Log(context.Background(), []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn}[e.Level], e.Text, e.Args...)
+	}
+}
+
+func (n *Node) lead(o leadership.Order) {
+	limit := stateTimeout
+	if o.Action == leadership.Watch {
+		limit = watchFor + 2*time.Second
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	switch o.Action {
+	case leadership.Read:
+		v, err := n.state.ReadLeadership(ctx)
+		n.post(func(now time.Duration) { n.core.Seen(now, o.Seq, err == nil, v) })
+	case leadership.Watch:
+		ok := n.state.Follow(ctx, leadership.Prefix, o.Revision, watchFor)
+		n.post(func(now time.Duration) { n.core.Changed(now, o.Seq, ok) })
+	case leadership.Hold:
+		id, ok := n.state.Hold(ctx, settings.Seconds(n.cfg.Tunables.LeaderHoldS))
+		n.post(func(now time.Duration) { n.core.Held(now, o.Seq, ok, id) })
+	case leadership.Claim:
+		ok, mark := n.state.Claim(ctx, n.cfg.Node, o.View, o.Hold)
+		n.post(func(now time.Duration) { n.core.Claimed(now, o.Seq, ok, mark) })
+	case leadership.Renew:
+		ok, gone := n.state.Renew(ctx, o.Hold)
+		n.post(func(now time.Duration) { n.core.Renewed(now, o.Seq, ok, gone) })
+	case leadership.Drop:
+		n.state.Release(ctx, o.Hold)
+	}
+}
+
+// load reads the whole log and the sizes, trying until it succeeds or the
+// term is over.
+func (n *Node) load(epoch uint64) {
+	for {
+		last, entries, sizes, err := n.readAll()
+		if err == nil {
+			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, last, entries, sizes) })
+			return
+		}
+		n.log.Warn("durable state not read", "epoch", epoch, "error", err)
+		time.Sleep(150*time.Millisecond + rand.N(150*time.Millisecond))
+		over := make(chan bool, 1)
+		n.post(func(time.Duration) { over <- n.core.term == nil || n.core.term.epoch != epoch })
+		if <-over {
+			return
+		}
+	}
+}
+
+func (n *Node) readAll() (last int, entries []ledger.Entry, sizes []ledger.VirtualSize, err error) {
+	err = n.readPrefix(ledger.Prefix, func(it wire.Item) error {
+		list, err := ledger.Decode(it.Value)
+		if err != nil {
+			return fmt.Errorf("%s: %w", it.Key, err)
+		}
+		entries = append(entries, list...)
+		_, err = fmt.Sscanf(it.Key, ledger.Prefix+"%d", &last)
+		return err
+	})
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	err = n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error {
+		var v ledger.VirtualSizes
+		if err := json.Unmarshal(it.Value, &v); err != nil {
+			return fmt.Errorf("%s: %w", it.Key, err)
+		}
+		sizes = append(sizes, v.Sizes...)
+		return nil
+	})
+	return last, entries, sizes, err
+}
+
+func (n *Node) readPrefix(prefix string, each func(wire.Item) error) error {
+	since := ""
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		items, more, _, err := n.state.List(ctx, prefix, since, 64)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, it := range items {
+			if err := each(it); err != nil {
+				return err
+			}
+			since = it.Key
+		}
+		if !more || len(items) == 0 {
+			return nil
+		}
+	}
+}
+
+var errBusy = errors.New("node: the loop is behind")
+
+// ask hands a user's request to the loop and waits for its answer.
+func (n *Node) ask(limit time.Duration, f func(now time.Duration, to Asker)) Answer {
+	ch := make(chan Answer, 1)
+	var id Asker
+	if err := n.try(func(now time.Duration) {
+		n.nextAsker++
+		id = n.nextAsker
+		n.users[id] = ch
+		f(now, id)
+	}); err != nil {
+		return Answer{Status: 429, Why: "too many requests at once", RetryAfter: 1}
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case a := <-ch:
+		return a
+	case <-timer.C:
+		// Given up: the final answer goes out now, and the job's state is
+		// found out by asking again.
+		_ = n.try(func(time.Duration) { delete(n.users, id) })
+		return unavailable("not durable in time")
+	}
+}
+
+func (n *Node) try(f func(time.Duration)) error {
+	select {
+	case n.in <- f:
+		return nil
+	default:
+		return errBusy
+	}
+}
+
+func (n *Node) askReport(r *workers.Report) (ReportAnswer, error) {
+	ch := make(chan ReportAnswer, 1)
+	if err := n.try(func(now time.Duration) {
+		n.nextAsker++
+		n.reports[n.nextAsker] = ch
+		n.core.Report(now, n.nextAsker, r)
+	}); err != nil {
+		return ReportAnswer{}, err
+	}
+	return <-ch, nil
+}
+
+// peer is another controller, called over net/rpc.
+type peer struct {
+	addr   string
+	client atomic.Pointer[rpc.Client]
+}
+
+const peerTimeout = 1200 * time.Millisecond
+
+// call makes one call with a deadline, which net/rpc itself does not have. A
+// connection that missed one is closed.
+func (p *peer) call(method string, in, out any) error {
+	deadline := time.NewTimer(peerTimeout)
+	defer deadline.Stop()
+	c := p.client.Load()
+	if c == nil {
+		conn, err := net.DialTimeout("tcp4", p.addr, 500*time.Millisecond)
+		if err != nil {
+			return fmt.Errorf("node: %w", err)
+		}
+		fresh := rpc.NewClient(conn)
+		if p.client.CompareAndSwap(nil, fresh) {
+			c = fresh
+		} else {
+			_ = fresh.Close()
+			if c = p.client.Load(); c == nil {
+				return errors.New("node: the peer's connection was just lost")
+			}
+		}
+	}
+	call := c.Go(method, in, out, make(chan *rpc.Call, 1))
+	var err error
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-deadline.C:
+		err = fmt.Errorf("node: %s: no answer in %v", p.addr, peerTimeout)
+	}
+	var remote rpc.ServerError
+	if err != nil && !errors.As(err, &remote) && p.client.CompareAndSwap(c, nil) {
+		_ = c.Close()
+	}
+	return err
+}
+
+// UserRequest is a user's request as one controller hands it to another.
+type UserRequest struct {
+	Op         string
+	ID         uint64
+	Submission wire.Submission
+}
+
+// Operations of a UserRequest.
+const (
+	opSubmit = "submit"
+	opQuery  = "query"
+	opAbort  = "abort"
+)
+
+// Controller is what peers may call.
+type Controller struct{ n *Node }
+
+// Ask serves a request that another controller's user made. It is never
+// handed on a second time.
+func (c *Controller) Ask(in UserRequest, out *Answer) error {
+	*out = c.n.serve(in)
+	return nil
+}
+
+func (n *Node) servePeers(l net.Listener) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Controller", &Controller{n}); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return fmt.Errorf("node: internal_addr: %w", err)
+		}
+		go srv.ServeConn(conn)
+	}
+}
+
+const askLimit = time.Second
+
+// serve answers a request here, whoever leads.
+func (n *Node) serve(in UserRequest) Answer {
+	return n.ask(askLimit, func(now time.Duration, to Asker) {
+		switch in.Op {
+		case opSubmit:
+			n.core.Submit(now, to, in.Submission)
+		case opQuery:
+			n.core.Query(now, to, in.ID)
+		default:
+			n.core.Abort(now, to, in.ID)
+		}
+	})
+}
+
+// route serves a request here or hands it to the leader: one hop at most.
+func (n *Node) route(in UserRequest) Answer {
+	s := n.now.Load()
+	if s.leading {
+		return n.serve(in)
+	}
+	p := n.peers[s.leader]
+	if p == nil {
+		return unavailable("no leader at present")
+	}
+	var a Answer
+	if err := p.call("Controller.Ask", in, &a); err != nil {
+		n.log.Debug("leader not reached", "leader", s.leader, "error", err)
+		return unavailable("the leader does not answer")
+	}
+	return a
+}
--- /dev/null
+++ b/internal/node/term.go
@@ -0,0 +1,752 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/fleet"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/names"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/sizing"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// Bits of a token and of an attempt that count within a term.
+const (
+	tokenBits   = 20
+	attemptBits = 24
+)
+
+// Term is what a leader knows and does from its election to its end. It
+// composes the slices; it has no clock and does nothing by itself.
+type Term struct {
+	cfg      *settings.Settings
+	epoch    uint64
+	token    uint64
+	attempts uint64
+	began    time.Duration
+	loaded   bool
+
+	log   *ledger.Log
+	table *jobs.Table
+	yard  *workers.Yard
+	book  *sizing.Book
+	plan  *blocks.Planner
+	buyer *fleet.Buyer
+
+	teams, zones, images names.Table
+	typeNames            names.Table
+	types                []ledger.Type // by index of typeNames
+	typesAt              time.Duration
+	typesAsked           bool
+
+	where map[workers.Ref]*workers.Machine
+	// tasks completed but not yet handed to the log, by job id
+	completed map[uint64]*ledger.Tasks
+
+	accepting map[uint64][]Asker
+	ending    map[uint64][]Asker // askers of a cancellation
+
+	dirty      bool
+	rentals    map[string]ledger.Rental // sent or to be sent
+	rentDue    map[string]time.Duration
+	deleting   map[string]bool
+	deleteBusy bool
+	listBusy   bool
+	listAt     time.Duration
+	fleetAt    time.Duration
+	sizesAt    time.Duration
+	cloudRoom  float64
+	cloudAt    time.Duration
+
+	out []Effect
+}
+
+type (
+	tagAccept  uint64
+	tagCancel  uint64
+	tagTasks   ledger.Tasks
+	tagMachine string
+	tagRental  ledger.Rental
+)
+
+func newTerm(cfg *settings.Settings, epoch uint64, now time.Duration) *Term {
+	t := &Term{
+		cfg: cfg, epoch: epoch, token: epoch << tokenBits, attempts: epoch << attemptBits, began: now,
+		table: jobs.NewTable(), yard: workers.NewYard(),
+		book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks, AtOnce: cfg.Tunables.TrainingAtOnce,
+			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
+		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
+		where: map[workers.Ref]*workers.Machine{}, completed: map[uint64]*ledger.Tasks{},
+		accepting: map[uint64][]Asker{}, ending: map[uint64][]Asker{},
+		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{}, deleting: map[string]bool{},
+		cloudAt: now, listAt: now, sizesAt: now,
+	}
+	var limits []blocks.Limit
+	for _, team := range cfg.Deployment.Teams {
+		t.teams.Index(team.Name)
+		l := amounts.Room(team.CPUsMax, team.GPUsMax, 0)
+		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
+	}
+	t.plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
+	return t
+}
+
+func (t *Term) emit(e Effect) { t.out = append(t.out, e) }
+
+func (t *Term) note(l Level, text string, args ...any) { t.emit(Note{l, text, args}) }
+
+// load replays the whole log. last is the number of its last segment.
+func (t *Term) load(now time.Duration, mark uint64, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+	finals := map[uint64]float64{}
+	registry := map[string]ledger.Machine{}
+	booting := map[string]ledger.Machine{}
+	asked := map[string]ledger.Rental{}
+	for _, e := range entries {
+		switch {
+		case e.Types != nil:
+			t.setTypes(e.Types)
+		case e.Job != nil:
+			if t.table.Find(e.Job.ID) == nil {
+				t.enter(*e.Job, now)
+			}
+		case e.Cancel != nil:
+			if j := t.table.Find(*e.Cancel); j != nil {
+				t.table.Finish(j.Rec.ID, jobs.Cancelled)
+				t.table.Leave(j)
+			}
+		case e.Tasks != nil:
+			j := t.table.Find(e.Tasks.ID)
+			if j == nil {
+				continue
+			}
+			for _, r := range e.Tasks.Ranges {
+				for k := r[0]; k < r[1] && k < len(j.Tasks); k++ {
+					j.Note(k)
+				}
+			}
+			j.SumS += e.Tasks.Seconds
+			j.SumN += e.Tasks.Known
+			if j.NotedN == len(j.Tasks) {
+				t.book.RestoreHistory(j.SumS, j.SumN)
+				t.table.Finish(j.Rec.ID, jobs.Done)
+				t.table.Leave(j)
+			}
+		case e.Size != nil:
+			finals[e.Size.ID] = e.Size.Size
+		case e.Machine != nil:
+			registry[e.Machine.Name] = *e.Machine
+			delete(booting, e.Machine.Name)
+		case e.Gone != nil:
+			for _, n := range e.Gone {
+				t.yard.Remove(n)
+				delete(registry, n)
+				delete(booting, n)
+			}
+		case e.Rental != nil:
+			asked[e.Rental.Name] = *e.Rental
+		case e.Answered != nil:
+			r := asked[e.Answered.Name]
+			delete(asked, e.Answered.Name)
+			for _, n := range e.Answered.Machines {
+				if _, up := registry[n]; !up && !t.yard.Gone(n) {
+					booting[n] = ledger.Machine{Name: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+				}
+			}
+		}
+	}
+	for _, j := range t.table.All() {
+		if j == nil {
+			continue
+		}
+		j.Phase, j.Earlier = jobs.Open, true
+		t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		took := -1.0
+		if j.SumN > 0 {
+			took = j.SumS / float64(j.SumN)
+		}
+		for k, s := range j.Tasks {
+			if s == jobs.Noted {
+				t.book.Completed(j.Index, k, took)
+			}
+		}
+		if s, ok := finals[j.Rec.ID]; ok {
+			t.book.Restore(j.Index, true, s, s)
+		}
+	}
+	for _, v := range sizes {
+		if j := t.table.Find(v.ID); j != nil {
+			_, final := t.book.Size(j.Index)
+			t.book.Restore(j.Index, final, v.Size, v.Virtual)
+		}
+	}
+	for _, m := range registry {
+		if x := t.addMachine(now, m); x != nil {
+			x.Durable = true
+		}
+	}
+	for _, m := range booting {
+		if x := t.addMachine(now, m); x != nil {
+			x.Resolved = true // never registered: nothing was ever started on it
+		}
+	}
+	for _, r := range asked {
+		t.buyer.Restore(r)
+		t.rentals[r.Name] = r
+	}
+	t.log = ledger.NewLog(ledger.Limits{WriteRPS: t.cfg.Deployment.State.WriteRPS, ValueBytes: int(t.cfg.Deployment.State.ValueKB * 1024),
+		TxnOps: t.cfg.Deployment.State.TxnOps}, leadership.EpochKey, mark, last)
+	t.loaded = true
+	t.book.Age(now.Seconds(), 0)
+	t.dirty = true
+	t.note(Info, "term begun", "epoch", t.epoch, "jobs", len(t.book.Order()), "machines", len(registry), "booting", len(booting), "segments", last)
+}
+
+func (t *Term) enter(rec ledger.Job, now time.Duration) *jobs.Job {
+	j := t.table.Add(rec)
+	j.AcceptedAt = now
+	j.Team = t.teams.Index(rec.Team)
+	for int(j.Team) >= len(t.plan.Limits) {
+		// A team of an earlier configuration: its jobs stay accepted.
+		t.plan = blocks.New(append(t.plan.Limits, blocks.Limit{}), t.plan.AtOnce)
+	}
+	j.Image = t.images.Index(rec.Image)
+	if rec.Types != nil {
+		j.Types = make([]bool, max(t.typeNames.Len(), 1))
+		for _, n := range rec.Types {
+			if i, ok := t.typeNames.Find(n); ok {
+				j.Types[i] = true
+			}
+		}
+	}
+	return j
+}
+
+func (t *Term) setTypes(list []ledger.Type) {
+	for _, ty := range list {
+		i := t.typeNames.Index(ty.Name)
+		if int(i) == len(t.types) {
+			t.types = append(t.types, ty)
+		} else {
+			t.types[i] = ty
+		}
+	}
+}
+
+func (t *Term) addMachine(now time.Duration, m ledger.Machine) *workers.Machine {
+	if t.yard.Gone(m.Name) || t.yard.Find(m.Name) != nil {
+		return nil
+	}
+	i, ok := t.typeNames.Find(m.Type)
+	if !ok {
+		return nil
+	}
+	ty := t.types[i]
+	return t.yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: t.zones.Index(m.Zone), Spot: m.Spot,
+		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, RentedAt: now, Heard: now, IdleSince: now})
+}
+
+// submit takes a submission.
+func (t *Term) submit(now time.Duration, to Asker, s wire.Submission) {
+	if j := t.table.Find(s.ID); j != nil && j.Phase == jobs.Accepting {
+		t.accepting[s.ID] = append(t.accepting[s.ID], to)
+		return
+	}
+	if a, ok := t.state(s.ID); ok {
+		t.emit(Reply{to, a})
+		return
+	}
+	if s.Job == nil {
+		t.emit(Reply{to, Answer{Status: 400, Why: s.Bad}})
+		return
+	}
+	if len(t.types) == 0 {
+		t.emit(Reply{to, unavailable("the machine types are not known yet")})
+		return
+	}
+	if why := t.never(s.Job); why != "" {
+		t.emit(Reply{to, Answer{Status: 422, Why: why}})
+		return
+	}
+	if s.Job.Kind != jobs.Array || s.Job.OneZone || s.Job.Spread {
+		t.emit(Reply{to, Answer{Status: 503, Why: "not served yet: gangs, services, jobs in one zone or spread over zones", RetryAfter: 30}})
+		return
+	}
+	if !t.log.Fits(ledger.Entry{Job: s.Job}) {
+		t.emit(Reply{to, Answer{Status: 400, Why: "breeds: too many names"}})
+		return
+	}
+	if t.log.Pending() > 2000 {
+		t.emit(Reply{to, Answer{Status: 429, Why: "too much is waiting to be written", RetryAfter: 2}})
+		return
+	}
+	t.enter(*s.Job, now)
+	t.accepting[s.ID] = append(t.accepting[s.ID], to)
+	t.log.Append(ledger.Entry{Job: s.Job}, tagAccept(s.ID))
+}
+
+// never says why a job can never run, or nothing.
+func (t *Term) never(j *ledger.Job) string {
+	team, ok := t.teams.Find(j.Team)
+	if !ok || int(team) >= len(t.cfg.Deployment.Teams) {
+		return "keeper: no such team"
+	}
+	need := amounts.Need(j.CPUs, j.GPUs, j.MemoryGB)
+	fits := slices.ContainsFunc(t.types, func(ty ledger.Type) bool {
+		return need.Fits(amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)) &&
+			(j.Types == nil || slices.Contains(j.Types, ty.Name)) && (j.Zone == "" || slices.Contains(ty.Zones, j.Zone))
+	})
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	all := need
+	if j.Kind != jobs.Array {
+		all = need.Times(j.Tasks)
+	}
+	l := t.plan.Limits[team]
+	if (l.CPU > 0 && all.CPU > l.CPU) || (l.GPU > 0 && all.GPU > l.GPU) {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+// state is what users may be told of a job.
+func (t *Term) state(id uint64) (Answer, bool) {
+	if p, ok := t.table.Final(id); ok {
+		s := wire.Done
+		if p == jobs.Cancelled {
+			s = wire.Cancelled
+		}
+		return Answer{Status: 200, ID: id, State: s}, true
+	}
+	j := t.table.Find(id)
+	if j == nil || j.Phase == jobs.Accepting {
+		return Answer{}, false
+	}
+	s := wire.Queued
+	if j.Running > 0 {
+		s = wire.Running
+	}
+	return Answer{Status: 200, ID: id, State: s, Counts: true, Done: j.NotedN, Running: j.Running}, true
+}
+
+func (t *Term) query(to Asker, id uint64) {
+	if a, ok := t.state(id); ok {
+		t.emit(Reply{to, a})
+		return
+	}
+	if t.table.Find(id) != nil {
+		t.emit(Reply{to, unavailable("being accepted")})
+		return
+	}
+	t.emit(Reply{to, Answer{Status: 404, Why: "no such job"}})
+}
+
+func (t *Term) abort(to Asker, id uint64) {
+	if _, over := t.table.Final(id); over {
+		a, _ := t.state(id)
+		t.emit(Reply{to, a})
+		return
+	}
+	j := t.table.Find(id)
+	if j == nil {
+		t.emit(Reply{to, Answer{Status: 404, Why: "no such job"}})
+		return
+	}
+	t.ending[id] = append(t.ending[id], to)
+	if j.Phase == jobs.Cancelling || j.Finished == len(j.Tasks) {
+		return // answered with what becomes durable first
+	}
+	if j.Phase == jobs.Open {
+		j.Phase = jobs.Cancelling
+	}
+	t.log.Append(ledger.Entry{Cancel: &id}, tagCancel(id))
+}
+
+// durable acts on an entry that has become durable.
+func (t *Term) durable(now time.Duration, sure bool, tag any) {
+	switch tag := tag.(type) {
+	case tagAccept:
+		id := uint64(tag)
+		j := t.table.Find(id)
+		j.Phase = jobs.Open
+		if len(t.ending[id]) > 0 {
+			j.Phase = jobs.Cancelling
+		}
+		t.book.Age(now.Seconds(), t.cpus())
+		t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		t.dirty = true
+		for i, to := range t.accepting[id] {
+			a := Answer{Status: 201, ID: id, State: wire.Queued}
+			if i > 0 {
+				a.Status = 200
+			}
+			t.tell(sure, to, a)
+		}
+		delete(t.accepting, id)
+	case tagCancel:
+		id := uint64(tag)
+		if j := t.table.Find(id); j != nil && j.Phase != jobs.Done {
+			j.Phase, j.CancelledAt = jobs.Cancelled, now
+			t.table.Finish(id, jobs.Cancelled)
+			t.book.Remove(j.Index, false, 0, 0)
+			for k, s := range j.Tasks {
+				ref := workers.Ref{Job: j.Index, Task: int32(k)}
+				if m := t.where[ref]; s == jobs.Placed && m != nil {
+					if p := m.Tasks[ref]; p.Planned {
+						t.unplan(m, ref)
+					} else {
+						p.Stopping, p.GraceS = true, 0
+					}
+				}
+			}
+			t.leaveIfEmpty(j)
+			t.dirty = true
+		}
+		t.tellEnd(sure, id)
+	case tagTasks:
+		j := t.table.Find(tag.ID)
+		if j == nil || j.Phase == jobs.Cancelled {
+			return
+		}
+		for _, r := range tag.Ranges {
+			for k := r[0]; k < r[1]; k++ {
+				j.Note(k)
+			}
+		}
+		if j.NotedN == len(j.Tasks) {
+			j.Phase = jobs.Done
+			t.table.Finish(tag.ID, jobs.Done)
+			t.book.Remove(j.Index, true, j.SumS, j.SumN)
+			t.leaveIfEmpty(j)
+			t.tellEnd(sure, tag.ID)
+		}
+	case tagMachine:
+		if m := t.yard.Find(string(tag)); m != nil {
+			m.Durable = true
+			t.dirty = true
+		}
+	case tagRental:
+		r := ledger.Rental(tag)
+		t.rentals[r.Name] = r
+		t.rentDue[r.Name] = now
+	}
+}
+
+func (t *Term) tell(sure bool, to Asker, a Answer) {
+	if !sure {
+		a = unavailable("leadership is in doubt")
+	}
+	t.emit(Reply{to, a})
+}
+
+func (t *Term) tellEnd(sure bool, id uint64) {
+	a, _ := t.state(id)
+	for _, to := range t.ending[id] {
+		t.tell(sure, to, a)
+	}
+	delete(t.ending, id)
+}
+
+func (t *Term) leaveIfEmpty(j *jobs.Job) {
+	if j.Placed == 0 && (j.Phase == jobs.Cancelled || j.Phase == jobs.Done) {
+		t.table.Leave(j)
+	}
+}
+
+// unplan takes back a plan that was never sent.
+func (t *Term) unplan(m *workers.Machine, ref workers.Ref) {
+	m.Take(ref)
+	t.lift(ref)
+}
+
+// lift takes a task off its machine in the books of jobs, teams and sizes.
+func (t *Term) lift(ref workers.Ref) {
+	if t.where[ref] == nil {
+		return
+	}
+	delete(t.where, ref)
+	j := t.table.At(ref.Job)
+	t.plan.Refund(j.Team, j.Need)
+	j.Release(int(ref.Task))
+	t.book.Lost(ref.Job, int(ref.Task))
+	t.leaveIfEmpty(j)
+	t.dirty = true
+}
+
+func (t *Term) cpus() float64 {
+	var sum float64
+	for _, m := range t.yard.All() {
+		if m.Up && !m.Leaving {
+			sum += m.Cap.CPUs()
+		}
+	}
+	return sum
+}
+
+func (t *Term) unresolved() amounts.Amounts {
+	var sum amounts.Amounts
+	for _, m := range t.yard.All() {
+		if m.Durable && !m.Resolved {
+			sum = sum.Plus(m.Cap)
+		}
+	}
+	return sum
+}
+
+// quiet is how long a worker may be silent before it gets no new tasks, and
+// silence how long before its machine is given up.
+func (t *Term) quiet() time.Duration {
+	return settings.Seconds(2.5 * t.cfg.Deployment.Workers.ReportS)
+}
+
+func (t *Term) silence() time.Duration {
+	w := t.cfg.Deployment.Workers
+	return settings.Seconds(max(4*w.ReportS+2, 0.6*w.LeaseS))
+}
+
+// report takes in a worker's report and answers it.
+func (t *Term) report(now time.Duration, sure bool, r *workers.Report) ReportAnswer {
+	answer := ReportAnswer{Status: 200, Token: t.token}
+	if !t.loaded {
+		return answer
+	}
+	m := t.yard.Find(r.Machine)
+	if m == nil {
+		m = t.addMachine(now, ledger.Machine{Name: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+		if m == nil {
+			return answer
+		}
+		t.note(Info, "machine appeared unasked", "machine", r.Machine)
+	}
+	if !m.Durable && !m.Leaving {
+		m.Address = r.Address
+		m.Resolved = true // no task is ever started on a machine before it is registered
+		if m.QueueRegistry() {
+			t.log.Append(ledger.Entry{Machine: &ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}, tagMachine(r.Machine))
+		}
+	}
+	if !m.Fresh(r) {
+		return answer // a late report: its answer goes nowhere
+	}
+	if !m.Up {
+		m.IdleSince = now
+		t.dirty = true
+	}
+	resolved := m.Resolved
+	events, cmds := m.Absorb(now, r, t.token, func(job uint64, task int) (workers.Known, bool) { return t.known(m, job, task) })
+	if m.Resolved != resolved {
+		t.dirty = true
+	}
+	for _, e := range events {
+		t.event(now, m, e)
+	}
+	t.settle(now)
+	if t.dirty && sure {
+		t.pass(now)
+	}
+	answer.Commands = append(cmds, m.Orders(sure, func() uint64 { t.attempts++; return t.attempts })...)
+	return answer
+}
+
+func (t *Term) known(m *workers.Machine, id uint64, task int) (workers.Known, bool) {
+	j := t.table.Find(id)
+	if j == nil || task >= len(j.Tasks) || j.Phase == jobs.Accepting {
+		return workers.Known{}, false
+	}
+	ref := workers.Ref{Job: j.Index, Task: int32(task)}
+	if at := t.where[ref]; at != nil && at != m && at.Tasks[ref].Planned {
+		t.unplan(at, ref)
+	}
+	at := t.where[ref]
+	s := j.Tasks[task]
+	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
+		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && (at == nil || at == m),
+		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Elsewhere: at != nil && at != m}, true
+}
+
+func (t *Term) event(now time.Duration, m *workers.Machine, e workers.Event) {
+	j := t.table.At(e.Ref.Job)
+	k := int(e.Ref.Task)
+	switch e.Kind {
+	case workers.EvAdopted:
+		if t.where[e.Ref] == nil {
+			j.Place(k)
+			t.plan.Charge(j.Team, j.Need)
+		}
+		t.where[e.Ref] = m
+	case workers.EvBegan:
+		j.Running++
+		t.book.Began(e.Ref.Job, k, now.Seconds())
+	case workers.EvCompleted:
+		if e.Running {
+			j.Running--
+		}
+		took := -1.0
+		if e.Ran >= 0 {
+			took = e.Ran.Seconds()
+			j.SumS += took
+			j.SumN++
+		}
+		if t.where[e.Ref] == m {
+			delete(t.where, e.Ref)
+			t.plan.Refund(j.Team, j.Need)
+		}
+		j.Complete(k)
+		j.Errors, m.Errors = 0, 0
+		t.book.Completed(e.Ref.Job, k, took)
+		t.complete(e.JobID, k, took)
+		t.dirty = true
+	case workers.EvGone:
+		if e.Running {
+			j.Running--
+		}
+		t.lift(e.Ref)
+		switch e.Reason {
+		case workers.Failed:
+			m.Errors++
+			j.Errors++
+			if m.Errors >= 3 {
+				// Few failures without a success between them: the machine is faulty.
+				m.ShunUntil = now + time.Minute
+			}
+			if j.Errors >= 3 {
+				// It fails wherever it goes: tried ever more slowly, so that others get on.
+				j.NotBefore = now + time.Second<<min(j.Errors-3, 6)
+			}
+			t.note(Debug, "task failed", "job", e.JobID, "task", k, "machine", m.Name)
+		case workers.NoRoom, workers.Busy:
+			m.ShunUntil = now + 2*time.Second // our count of its room is wrong for the moment
+		case workers.UnknownTask:
+			j.NotBefore = now + 2*time.Second
+		}
+	}
+}
+
+// complete collects finished tasks for one entry of the log.
+func (t *Term) complete(id uint64, k int, took float64) {
+	b := t.completed[id]
+	if b == nil {
+		b = &ledger.Tasks{ID: id}
+		t.completed[id] = b
+	}
+	if n := len(b.Ranges); n > 0 && b.Ranges[n-1][1] == k {
+		b.Ranges[n-1][1] = k + 1
+	} else {
+		b.Ranges = append(b.Ranges, [2]int{k, k + 1})
+	}
+	if took >= 0 {
+		b.Seconds = float64(int64((b.Seconds+took)*100)) / 100
+		b.Known++
+	}
+}
+
+// settle sets final sizes that are due; each is written once.
+func (t *Term) settle(now time.Duration) {
+	for _, i := range t.book.Order() {
+		if s, ok := t.book.Settle(i, now.Seconds()); ok {
+			t.log.Append(ledger.Entry{Size: &ledger.Size{ID: t.table.At(i).Rec.ID, Size: s}}, nil)
+			t.dirty = true
+		}
+	}
+}
+
+func (t *Term) pass(now time.Duration) {
+	t.dirty = false
+	t.plan.Pass(blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: t.unresolved(), Zone: t.zones.Index,
+		Place: func(j *jobs.Job, k int, m *workers.Machine) {
+			ref := workers.Ref{Job: j.Index, Task: int32(k)}
+			j.Place(k)
+			t.where[ref] = m
+			m.Plan(&workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need})
+			m.UseImage(j.Image, j.Rec.ImageGB, now)
+			m.IdleSince = now
+		}})
+}
+
+// pump hands what has gathered to the log and sends what the log allows.
+func (t *Term) pump(now time.Duration) {
+	if !t.loaded {
+		return
+	}
+	for id, b := range t.completed {
+		t.log.Append(ledger.Entry{Tasks: b}, tagTasks(*b))
+		delete(t.completed, id)
+	}
+	if txn := t.log.Next(now); txn != nil {
+		t.emit(Commit{*txn})
+	}
+}
+
+func (t *Term) committed(now time.Duration, sure bool, seq uint64, out ledger.Outcome, mark uint64, failed []string) ledger.Step {
+	tags, step := t.log.Result(now, seq, out, mark, failed)
+	for _, tag := range tags {
+		t.durable(now, sure, tag)
+	}
+	if step == ledger.Reread {
+		t.emit(Recheck{t.log.Open()})
+	}
+	return step
+}
+
+func (t *Term) rechecked(now time.Duration, sure, read bool, mark uint64, value json.RawMessage) {
+	for _, tag := range t.log.ReadBack(now, read, mark, value) {
+		t.durable(now, sure, tag)
+	}
+}
+
+// end answers everybody who still waits; the next leader knows more.
+func (t *Term) end() {
+	for _, waiting := range []map[uint64][]Asker{t.accepting, t.ending} {
+		for _, list := range waiting {
+			for _, to := range list {
+				t.emit(Reply{to, unavailable("leadership has changed")})
+			}
+		}
+	}
+	t.accepting, t.ending = nil, nil
+}
+
+// tick does what is due by time.
+func (t *Term) tick(now time.Duration, sure bool) {
+	if !t.loaded {
+		return
+	}
+	if now-t.fleetAt >= 500*time.Millisecond {
+		t.fleetAt = now
+		t.book.Age(now.Seconds(), t.cpus())
+		t.settle(now)
+		t.watch(now, sure)
+		if sure {
+			t.rent(now)
+		}
+		t.dirty = true
+	}
+	if sure && t.dirty {
+		t.pass(now)
+	}
+	if sure && now-t.sizesAt >= settings.Seconds(t.cfg.Tunables.SizesEveryS) {
+		t.sizesAt = now
+		t.writeSizes()
+	}
+	t.callCloud(now, sure)
+}
+
+func (t *Term) writeSizes() {
+	var list []ledger.VirtualSize
+	for _, i := range t.book.Order() {
+		if v := t.book.Virtual(i); v > 0 {
+			s, _ := t.book.Size(i)
+			list = append(list, ledger.VirtualSize{ID: t.table.At(i).Rec.ID, Size: float64(int64(s*10)) / 10, Virtual: float64(int64(v*10)) / 10})
+		}
+	}
+	t.log.SetSizes(list)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,225 @@
+// Package settings reads and checks what a controller is started with: the
+// platform's TOML file and the operators' optional INI file.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gopkg.in/ini.v1"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Node     string `toml:"node"`
+	Zone     string `toml:"domain"`
+	Endpoint string `toml:"endpoint"`
+}
+
+// Team is a team's guarantee and limit; zero means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim that users stated for a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Platform is the file that the platform hands over. Unknown fields are
+// ignored.
+type Platform struct {
+	Node         string `toml:"node"`
+	Zone         string `toml:"domain"`
+	PublicAddr   string `toml:"public_addr"`
+	InternalAddr string `toml:"internal_addr"`
+	Peers        []Peer `toml:"others"`
+	External     struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Deployment struct {
+		Count       int         `toml:"count"`
+		Zones       []string    `toml:"zones"`
+		TimeBoundMS float64     `toml:"time_bound_ms"`
+		Teams       []Team      `toml:"teams"`
+		Objectives  []Objective `toml:"objectives"`
+		Workers     struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		MachineLimits struct {
+			CPU     float64 `toml:"cpu"`
+			RAMMB   float64 `toml:"ram_mb"`
+			FDLimit int     `toml:"fd_limit"`
+		} `toml:"machine_limits"`
+	} `toml:"deployment"`
+}
+
+// Settings is everything a controller runs by.
+type Settings struct {
+	Platform
+	Tunables Tunables
+}
+
+// FieldError names the setting that is wrong.
+type FieldError struct {
+	Field string
+	Why   string
+}
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Why }
+
+func wrong(field, why string, a ...any) error {
+	return &FieldError{Field: field, Why: fmt.Sprintf(why, a...)}
+}
+
+// Load reads the platform's file and, where iniPath is not empty, the
+// operators' file, and checks both.
+func Load(path, iniPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{}
+	if err := toml.Unmarshal(raw, &s.Platform); err != nil {
+		return nil, wrong(path, "not valid TOML: %s", firstLine(err.Error()))
+	}
+	if err := s.Platform.check(); err != nil {
+		return nil, err
+	}
+	s.Tunables = Defaults()
+	if iniPath != "" {
+		f, err := ini.Load(iniPath)
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+		if err != nil {
+			return nil, wrong(iniPath, "not valid INI: %s", firstLine(err.Error()))
+		}
+		if err := s.Tunables.read(f); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func firstLine(s string) string {
+	line, _, _ := strings.Cut(s, "\n")
+	return line
+}
+
+func (p *Platform) check() error {
+	if p.Node == "" {
+		return wrong("node", "missing")
+	}
+	addrs := []struct{ field, value string }{
+		{"public_addr", p.PublicAddr}, {"internal_addr", p.InternalAddr},
+		{"external.cloud", p.External.Cloud}, {"external.state", p.External.State},
+	}
+	for _, a := range addrs {
+		if a.value == "" {
+			return wrong(a.field, "missing")
+		}
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return wrong(a.field, "not host:port: %q", a.value)
+		}
+	}
+	if p.PublicAddr == p.InternalAddr {
+		return wrong("internal_addr", "the same as public_addr")
+	}
+	seen := map[string]bool{p.Node: true}
+	for i, o := range p.Peers {
+		field := fmt.Sprintf("others[%d]", i)
+		if o.Node == "" {
+			return wrong(field+".node", "missing")
+		}
+		if seen[o.Node] {
+			return wrong(field+".node", "%q is named twice", o.Node)
+		}
+		seen[o.Node] = true
+		if _, _, err := net.SplitHostPort(o.Endpoint); err != nil {
+			return wrong(field+".endpoint", "not host:port: %q", o.Endpoint)
+		}
+	}
+	d := &p.Deployment
+	positive := []struct {
+		field string
+		value float64
+	}{
+		{"deployment.workers.report_s", d.Workers.ReportS},
+		{"deployment.workers.lease_s", d.Workers.LeaseS},
+		{"deployment.workers.cancel_s", d.Workers.CancelS},
+		{"deployment.state.rps", d.State.RPS},
+		{"deployment.state.write_rps", d.State.WriteRPS},
+		{"deployment.state.value_kb", d.State.ValueKB},
+		{"deployment.state.txn_ops", float64(d.State.TxnOps)},
+		{"deployment.cloud.rps", d.Cloud.RPS},
+		{"deployment.machine_limits.ram_mb", d.MachineLimits.RAMMB},
+		{"deployment.machine_limits.fd_limit", float64(d.MachineLimits.FDLimit)},
+	}
+	for _, v := range positive {
+		if !(v.value > 0) || v.value > 1e12 {
+			return wrong(v.field, "must be a positive number, is %v", v.value)
+		}
+	}
+	if d.Workers.LeaseS <= d.Workers.ReportS {
+		return wrong("deployment.workers.lease_s", "must be longer than report_s")
+	}
+	if d.State.TxnOps < 3 {
+		return wrong("deployment.state.txn_ops", "must be at least 3, is %d", d.State.TxnOps)
+	}
+	teams := map[string]bool{}
+	for i, t := range d.Teams {
+		field := fmt.Sprintf("deployment.teams[%d]", i)
+		if t.Name == "" {
+			return wrong(field+".name", "missing")
+		}
+		if teams[t.Name] {
+			return wrong(field+".name", "%q is named twice", t.Name)
+		}
+		teams[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if v < 0 || v != v {
+				return wrong(field, "%q has a negative amount", t.Name)
+			}
+		}
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			return wrong(field+".cpus", "%q is guaranteed more than its cpus_max", t.Name)
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			return wrong(field+".gpus", "%q is guaranteed more than its gpus_max", t.Name)
+		}
+	}
+	return nil
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/settings/tunables.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"strconv"
+
+	"gopkg.in/ini.v1"
+)
+
+// Tunables are the operators' own settings. Names of fields that the design
+// document gives a letter carry that letter in their comment.
+type Tunables struct {
+	TrainingTasks   int     // t: tasks that train a job's size
+	TrainingAtOnce  int     // T: training tasks running at once
+	Eagerness       float64 // ξ: weight of a size not yet trained
+	TrainingLimitS  float64 // Δ: longest wait for a training task
+	FirstSizeS      float64 // size of a job while there is no history
+	BlockLeaseS     float64 // how long a block of machines is leased
+	SizesEveryS     float64 // how often virtual sizes are written down
+	LeaderHoldS     float64 // life of the leader's hold
+	DrainBacklogS   float64 // waiting work should be gone within this time
+	IdleReturnS     float64 // an idle machine is returned after this time
+	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
+}
+
+// Tunable describes one key of the operators' file.
+type Tunable struct {
+	Section, Key, Unit, Help string
+	Min, Max                 float64
+	Whole                    bool
+	get                      func(*Tunables) float64
+	set                      func(*Tunables, float64)
+}
+
+// Defaults are the values that hold where the operators say nothing.
+func Defaults() Tunables {
+	var t Tunables
+	for _, k := range table {
+		k.set(&t, k.def)
+	}
+	return t
+}
+
+type row struct {
+	Tunable
+	def float64
+}
+
+func whole(section, key, unit, help string, def, lo, hi float64, p func(*Tunables) *int) row {
+	return row{Tunable{Section: section, Key: key, Unit: unit, Help: help, Min: lo, Max: hi, Whole: true,
+		get: func(t *Tunables) float64 { return float64(*p(t)) },
+		set: func(t *Tunables, v float64) { *p(t) = int(v) }}, def}
+}
+
+func amount(section, key, unit, help string, def, lo, hi float64, p func(*Tunables) *float64) row {
+	return row{Tunable{Section: section, Key: key, Unit: unit, Help: help, Min: lo, Max: hi,
+		get: func(t *Tunables) float64 { return *p(t) },
+		set: func(t *Tunables, v float64) { *p(t) = v }}, def}
+}
+
+var table = []row{
+	whole("sizing", "training_tasks", "tasks", "tasks that train a job's size (t)", 5, 1, 1000, func(t *Tunables) *int { return &t.TrainingTasks }),
+	whole("sizing", "training_at_once", "tasks", "training tasks running at once (T)", 10, 1, 100000, func(t *Tunables) *int { return &t.TrainingAtOnce }),
+	amount("sizing", "eagerness", "factor", "weight of a size not yet trained (ξ)", 1, 1, 1000, func(t *Tunables) *float64 { return &t.Eagerness }),
+	amount("sizing", "training_limit", "s", "longest wait for a training task (Δ)", 60, 1, 86400, func(t *Tunables) *float64 { return &t.TrainingLimitS }),
+	amount("sizing", "first_size", "s", "size of a job while no job has finished", 30, 0.1, 1e6, func(t *Tunables) *float64 { return &t.FirstSizeS }),
+	amount("sizing", "write_every", "s", "how often virtual sizes are written down", 5, 0.5, 3600, func(t *Tunables) *float64 { return &t.SizesEveryS }),
+	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
+	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
+	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
+	amount("fleet", "idle_return", "s", "an idle machine is returned after this time", 15, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
+	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
+}
+
+// Known lists every tunable with its default.
+func Known() []Tunable {
+	out := make([]Tunable, len(table))
+	for i, r := range table {
+		out[i] = r.Tunable
+	}
+	return out
+}
+
+func (t *Tunables) read(f *ini.File) error {
+	known := map[string]*row{}
+	for i := range table {
+		known[table[i].Section+"."+table[i].Key] = &table[i]
+	}
+	for _, sec := range f.Sections() {
+		for _, key := range sec.Keys() {
+			name := sec.Name() + "." + key.Name()
+			r := known[name]
+			if r == nil {
+				return wrong(name, "no such tunable")
+			}
+			v, err := strconv.ParseFloat(key.Value(), 64)
+			if err != nil || v != v {
+				return wrong(name, "not a number: %q", key.Value())
+			}
+			if r.Whole && v != float64(int64(v)) {
+				return wrong(name, "must be a whole number, is %v", v)
+			}
+			if v < r.Min || v > r.Max {
+				return wrong(name, "must be between %v and %v %s, is %v", r.Min, r.Max, r.Unit, v)
+			}
+			r.set(t, v)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sizing/sizing.go
@@ -0,0 +1,243 @@
+// Package sizing is HFSP: it estimates the size of each job from a few
+// training tasks, ages the sizes in a virtual cluster shared max-min fairly,
+// and orders jobs by what is left of them there. It is pure: times come in,
+// an order comes out.
+package sizing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Params are the letters of the design document.
+type Params struct {
+	Train  int     // t
+	AtOnce int     // T
+	Xi     float64 // ξ
+	Delta  float64 // Δ in seconds
+	First  float64 // size of a job without any history, in seconds
+}
+
+// Job is what HFSP knows of one job.
+type Job struct {
+	tasks   int
+	cpus    float64
+	left    int // tasks not completed
+	skip    bool
+	final   bool
+	size    float64 // S_i, then S_f
+	aged    float64 // virtual work done so far
+	seq     uint64
+	trained []sample
+}
+
+type sample struct {
+	started float64 // when it began to run; negative: not running
+	took    float64 // negative: not completed
+}
+
+// Book holds the sizes of all unfinished jobs, by dense job index.
+type Book struct {
+	p       Params
+	jobs    map[int32]*Job
+	order   []int32
+	sumS    float64 // run time of the tasks of finished jobs
+	sumN    float64
+	nextSeq uint64
+	at      float64
+}
+
+// New makes an empty book.
+func New(p Params) *Book { return &Book{p: p, jobs: map[int32]*Job{}} }
+
+// Mean is s̄, the mean task time of finished jobs, and whether there is one.
+func (b *Book) Mean() (float64, bool) {
+	if b.sumN == 0 {
+		return 0, false
+	}
+	return b.sumS / b.sumN, true
+}
+
+// Add enters a job of n tasks, each taking cpus. A job under t tasks is tiny
+// and gets size zero; a gang has no training and keeps its initial size.
+func (b *Book) Add(j int32, n int, cpus float64, gang bool) {
+	b.nextSeq++
+	job := &Job{tasks: n, left: n, cpus: max(cpus, 0.001), seq: b.nextSeq}
+	switch {
+	case n < b.p.Train && !gang:
+		job.final = true
+	default:
+		if mean, ok := b.Mean(); ok {
+			job.size = float64(n) * b.p.Xi * mean
+		} else {
+			job.size = b.p.First
+		}
+		job.skip = gang
+		job.trained = make([]sample, min(n, b.p.Train))
+		for k := range job.trained {
+			job.trained[k] = sample{-1, -1}
+		}
+	}
+	b.jobs[j] = job
+	b.order = append(b.order, j)
+}
+
+// Restore puts back what an earlier term had written down.
+func (b *Book) Restore(j int32, final bool, size, virtual float64) {
+	if job := b.jobs[j]; job != nil {
+		job.final = job.final || final
+		job.size = size
+		job.aged = max(0, size-virtual)
+	}
+}
+
+// RestoreHistory counts the tasks of a job that finished in an earlier term.
+func (b *Book) RestoreHistory(seconds float64, tasks int) {
+	b.sumS += seconds
+	b.sumN += float64(tasks)
+}
+
+// Remove takes out a job; seconds and tasks are what its completed tasks
+// took, counted into s̄ when it finished rather than being cancelled.
+func (b *Book) Remove(j int32, finished bool, seconds float64, tasks int) {
+	if b.jobs[j] == nil {
+		return
+	}
+	if finished {
+		b.RestoreHistory(seconds, tasks)
+	}
+	delete(b.jobs, j)
+	b.order = slices.DeleteFunc(b.order, func(o int32) bool { return o == j })
+}
+
+// Training says whether task k of job j is one that trains its size.
+func (b *Book) Training(j int32, k int) bool {
+	job := b.jobs[j]
+	return job != nil && !job.final && !job.skip && k < len(job.trained)
+}
+
+// InTraining says whether the job's size is still to be set from training.
+func (b *Book) InTraining(j int32) bool { return b.Training(j, 0) }
+
+// Began notes that a task started to run.
+func (b *Book) Began(j int32, k int, now float64) {
+	if b.Training(j, k) && b.jobs[j].trained[k].started < 0 {
+		b.jobs[j].trained[k].started = now
+	}
+}
+
+// Lost notes that a task no longer runs and did not complete.
+func (b *Book) Lost(j int32, k int) {
+	if b.Training(j, k) {
+		b.jobs[j].trained[k].started = -1
+	}
+}
+
+// Completed notes that a task completed after took seconds of running. A
+// negative time is unknown, and the mean of the known ones stands in for it.
+func (b *Book) Completed(j int32, k int, took float64) {
+	job := b.jobs[j]
+	if job == nil {
+		return
+	}
+	job.left--
+	if b.Training(j, k) {
+		if took < 0 {
+			if mean, ok := b.Mean(); ok {
+				took = mean
+			} else {
+				took = b.p.First
+			}
+		}
+		job.trained[k].took = took
+	}
+}
+
+// Settle sets the final size of job j when its training is over: all
+// training tasks completed, or the ones left have run for Δ and count 2Δ
+// (workers report no progress, so p is taken as one half). It returns the
+// size and true when it was set by this call; it is set only once.
+func (b *Book) Settle(j int32, now float64) (float64, bool) {
+	job := b.jobs[j]
+	if job == nil || job.final || job.skip {
+		return 0, false
+	}
+	var sum, open float64
+	for _, s := range job.trained {
+		switch {
+		case s.took >= 0:
+			sum += s.took
+		case s.started >= 0 && now-s.started >= b.p.Delta:
+			sum += 2 * b.p.Delta
+			open += 0.5
+		default:
+			return 0, false
+		}
+	}
+	mean := sum / float64(len(job.trained))
+	job.size = mean * (float64(job.tasks-len(job.trained)) + open)
+	job.final = true
+	return job.size, true
+}
+
+// Virtual is what is left of a job in the virtual cluster.
+func (b *Book) Virtual(j int32) float64 {
+	job := b.jobs[j]
+	if job == nil {
+		return 0
+	}
+	return max(0, job.size-job.aged)
+}
+
+// Size is the job's present estimate and whether it is final.
+func (b *Book) Size(j int32) (float64, bool) {
+	job := b.jobs[j]
+	if job == nil {
+		return 0, false
+	}
+	return job.size, job.final
+}
+
+// Age lets the virtual cluster of cpus processors work until now. Its
+// processors are shared max-min fairly: no job gets more than its tasks can
+// use, and what small jobs leave goes to the others.
+func (b *Book) Age(now, cpus float64) {
+	dt := now - b.at
+	b.at = now
+	if dt <= 0 || cpus <= 0 {
+		return
+	}
+	type claim struct {
+		job    *Job
+		demand float64
+	}
+	claims := make([]claim, 0, len(b.order))
+	for _, j := range b.order {
+		job := b.jobs[j]
+		if rest := job.size - job.aged; rest > 0 {
+			parallel := min(float64(job.left), math.Ceil(rest/dt))
+			claims = append(claims, claim{job, max(parallel, 1) * job.cpus})
+		}
+	}
+	slices.SortFunc(claims, func(a, c claim) int { return cmp.Compare(a.demand, c.demand) })
+	room := cpus
+	for i, c := range claims {
+		got := min(c.demand, room/float64(len(claims)-i))
+		room -= got
+		c.job.aged = min(c.job.size, c.job.aged+got/c.job.cpus*dt)
+	}
+}
+
+// Order lists the jobs, smallest virtual size first, then by arrival. The
+// slice is valid until the next call.
+func (b *Book) Order() []int32 {
+	slices.SortFunc(b.order, func(x, y int32) int {
+		jx, jy := b.jobs[x], b.jobs[y]
+		if c := cmp.Compare(max(0, jx.size-jx.aged), max(0, jy.size-jy.aged)); c != 0 {
+			return c
+		}
+		return cmp.Compare(jx.seq, jy.seq)
+	})
+	return b.order
+}
--- /dev/null
+++ b/internal/wire/services.go
@@ -0,0 +1,399 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+)
+
+// Client calls one of the platform's services over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient makes a client for the service at addr.
+func NewClient(addr string, conns int) *Client {
+	dial := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	return &Client{"http://" + addr, &http.Client{Transport: &http.Transport{
+		DialContext: dial.DialContext, MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns,
+		IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}}
+}
+
+// call returns the status, or an error when there was no whole response.
+func (c *Client) call(ctx context.Context, method, path string, in, out any, limit int64) (int, error) {
+	var body io.Reader
+	if in != nil {
+		body = bytes.NewReader(encode(in))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, fmt.Errorf("wire: %w", err)
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("wire: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return 0, fmt.Errorf("wire: %w", err)
+	}
+	if out != nil && len(data) > 0 && (resp.StatusCode == 200 || resp.StatusCode == 409 || resp.StatusCode == 404) {
+		if err := json.Unmarshal(data, out); err != nil {
+			return 0, fmt.Errorf("wire: %s %s: %w", method, path, err)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+const bigBody = 4 << 20
+
+// State is the state service.
+type State struct{ c *Client }
+
+// NewState makes a client of the state service.
+func NewState(addr string) *State { return &State{NewClient(addr, 6)} }
+
+type item struct {
+	Key   string          `json:"k"`
+	Value json.RawMessage `json:"data"`
+	Mark  uint64          `json:"entry_mark"`
+}
+
+// Item is one key of the state service.
+type Item struct {
+	Key   string
+	Value json.RawMessage
+	Mark  uint64
+}
+
+// Get reads a key; a missing one has mark 0.
+func (s *State) Get(ctx context.Context, key string) (Item, error) {
+	var it item
+	status, err := s.c.call(ctx, "GET", "/keys/"+key, nil, &it, bigBody)
+	if err != nil {
+		return Item{}, err
+	}
+	switch status {
+	case 200:
+		return Item(it), nil
+	case 404:
+		return Item{Key: key}, nil
+	}
+	return Item{}, fmt.Errorf("wire: state service: status %d", status)
+}
+
+// List reads one page of the keys with a prefix, after the key since.
+func (s *State) List(ctx context.Context, prefix, since string, most int) (items []Item, more bool, rev uint64, err error) {
+	q := url.Values{"starts": {prefix}, "most": {strconv.Itoa(most)}}
+	if since != "" {
+		q.Set("since", since)
+	}
+	var out struct {
+		Rows []item `json:"rows"`
+		More bool   `json:"has_next"`
+		Rev  uint64 `json:"ledger_mark"`
+	}
+	status, err := s.c.call(ctx, "GET", "/keys?"+q.Encode(), nil, &out, bigBody)
+	if err != nil {
+		return nil, false, 0, err
+	}
+	if status != 200 {
+		return nil, false, 0, fmt.Errorf("wire: state service: status %d", status)
+	}
+	for _, r := range out.Rows {
+		items = append(items, Item(r))
+	}
+	return items, out.More, out.Rev, nil
+}
+
+type cond struct {
+	Key  string `json:"k"`
+	Mark uint64 `json:"entry_mark"`
+}
+
+type put struct {
+	Put    string          `json:"write,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Lease  uint64          `json:"tether,omitempty"`
+	Delete string          `json:"remove,omitempty"`
+}
+
+type txn struct {
+	If   []cond `json:"when"`
+	Then []put  `json:"writes"`
+}
+
+type txnAnswer struct {
+	Rev    uint64   `json:"ledger_mark"`
+	Failed []string `json:"failed"`
+}
+
+func (s *State) multi(ctx context.Context, t txn) (ledger.Outcome, uint64, []string) {
+	var out txnAnswer
+	status, err := s.c.call(ctx, "POST", "/multi", t, &out, bigBody)
+	switch {
+	case err != nil:
+		return ledger.Unknown, 0, nil
+	case status == 200:
+		return ledger.Applied, out.Rev, nil
+	case status == 409:
+		return ledger.Conflict, 0, out.Failed
+	case status == 429 || status == 503 || status == 400:
+		return ledger.Refused, 0, nil
+	}
+	return ledger.Unknown, 0, nil
+}
+
+// Commit runs a transaction of the ledger.
+func (s *State) Commit(ctx context.Context, t ledger.Txn) (ledger.Outcome, uint64, []string) {
+	var x txn
+	for _, c := range t.Conds {
+		x.If = append(x.If, cond{c.Key, c.Mark})
+	}
+	for _, w := range t.Writes {
+		if w.Remove {
+			x.Then = append(x.Then, put{Delete: w.Key})
+		} else {
+			x.Then = append(x.Then, put{Put: w.Key, Value: w.Value})
+		}
+	}
+	return s.multi(ctx, x)
+}
+
+// ReadLeadership reads the two keys of leadership.
+func (s *State) ReadLeadership(ctx context.Context) (leadership.View, error) {
+	items, _, rev, err := s.List(ctx, leadership.Prefix, "", 10)
+	if err != nil {
+		return leadership.View{}, err
+	}
+	v := leadership.View{Revision: rev}
+	for _, it := range items {
+		var h leadership.Holder
+		if err := json.Unmarshal(it.Value, &h); err != nil {
+			return v, fmt.Errorf("wire: key %s: %w", it.Key, err)
+		}
+		switch it.Key {
+		case leadership.HolderKey:
+			v.Holder, v.HolderMark = &h, it.Mark
+		case leadership.EpochKey:
+			v.Epoch, v.EpochNode, v.EpochMark = h.Epoch, h.Node, it.Mark
+		}
+	}
+	return v, nil
+}
+
+// Claim takes leadership if the view still holds.
+func (s *State) Claim(ctx context.Context, node string, v leadership.View, hold uint64) (bool, uint64) {
+	value := encode(leadership.Holder{Node: node, Epoch: v.Epoch + 1})
+	out, rev, _ := s.multi(ctx, txn{
+		If:   []cond{{leadership.HolderKey, 0}, {leadership.EpochKey, v.EpochMark}},
+		Then: []put{{Put: leadership.HolderKey, Value: value, Lease: hold}, {Put: leadership.EpochKey, Value: value}},
+	})
+	return out == ledger.Applied, rev
+}
+
+// Follow waits for a change of keys with a prefix; it says whether it waited
+// or saw one rather than failing.
+func (s *State) Follow(ctx context.Context, prefix string, since uint64, wait time.Duration) bool {
+	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)}, "hold_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	status, err := s.c.call(ctx, "GET", "/follow?"+q.Encode(), nil, nil, bigBody)
+	return err == nil && (status == 200 || status == 410)
+}
+
+// Hold makes a hold.
+func (s *State) Hold(ctx context.Context, life time.Duration) (uint64, bool) {
+	var out struct {
+		ID uint64 `json:"tether"`
+	}
+	status, err := s.c.call(ctx, "POST", "/holds", map[string]int64{"life_ms": life.Milliseconds()}, &out, bigBody)
+	return out.ID, err == nil && status == 200
+}
+
+// Renew renews a hold; gone says that it has ended.
+func (s *State) Renew(ctx context.Context, id uint64) (ok, gone bool) {
+	status, err := s.c.call(ctx, "POST", "/holds/"+strconv.FormatUint(id, 10)+"/renew", struct{}{}, nil, bigBody)
+	return err == nil && status == 200, err == nil && status == 404
+}
+
+// Release ends a hold.
+func (s *State) Release(ctx context.Context, id uint64) {
+	_, _ = s.c.call(ctx, "DELETE", "/holds/"+strconv.FormatUint(id, 10), nil, nil, bigBody) // it ends by itself otherwise
+}
+
+// Cloud is the cloud that rents machines.
+type Cloud struct{ c *Client }
+
+// NewCloud makes a client of the cloud.
+func NewCloud(addr string) *Cloud { return &Cloud{NewClient(addr, 4)} }
+
+// Types reads the machine types.
+func (c *Cloud) Types(ctx context.Context) ([]ledger.Type, error) {
+	var out struct {
+		Types []struct {
+			Name      string   `json:"label"`
+			CPUs      float64  `json:"vcpus"`
+			GPUs      float64  `json:"gpus"`
+			MemoryGB  float64  `json:"memory_gb"`
+			CacheGB   float64  `json:"local_gb"`
+			Fetch     float64  `json:"fetch_gb_per_s"`
+			Price     float64  `json:"price"`
+			SpotPrice float64  `json:"spot_price"`
+			BootS     float64  `json:"ready_s"`
+			Zones     []string `json:"pastures"`
+		} `json:"breeds"`
+	}
+	status, err := c.c.call(ctx, "GET", "/machine_types", nil, &out, bigBody)
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 {
+		return nil, fmt.Errorf("wire: cloud: status %d", status)
+	}
+	var types []ledger.Type
+	for _, t := range out.Types {
+		if t.Name == "" || !(t.CPUs > 0) || math.IsInf(t.CPUs, 0) {
+			continue
+		}
+		types = append(types, ledger.Type{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, CacheGB: t.CacheGB,
+			FetchGBPS: t.Fetch, Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, Zones: t.Zones})
+	}
+	return types, nil
+}
+
+// RentResult is what became of a rental request.
+type RentResult uint8
+
+// Results of a rental request.
+const (
+	Rented RentResult = iota
+	NoCapacity
+	Malformed
+	NoAnswer // outage, rate limit or no response: the same request must be repeated
+)
+
+// Rent sends a rental request.
+func (c *Cloud) Rent(ctx context.Context, r ledger.Rental) ([]string, RentResult) {
+	in := struct {
+		Request string `json:"hire"`
+		Type    string `json:"breed"`
+		Zone    string `json:"pasture"`
+		Spot    bool   `json:"loaned_stock"`
+		Count   int    `json:"count"`
+	}{r.Name, r.Type, r.Zone, r.Spot, r.Count}
+	var out struct {
+		Machines []string `json:"stalls"`
+	}
+	req := struct {
+		Error string `json:"error"`
+	}{}
+	status, body, err := c.c.raw(ctx, "POST", "/rentals", in)
+	if err != nil {
+		return nil, NoAnswer
+	}
+	switch status {
+	case 200:
+		if json.Unmarshal(body, &out) != nil {
+			return nil, NoAnswer
+		}
+		return out.Machines, Rented
+	case 400:
+		return nil, Malformed
+	case 503:
+		if json.Unmarshal(body, &req) == nil && req.Error == "no capacity" {
+			return nil, NoCapacity
+		}
+	}
+	return nil, NoAnswer
+}
+
+func (c *Client) raw(ctx context.Context, method, path string, in any) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(encode(in)))
+	if err != nil {
+		return 0, nil, fmt.Errorf("wire: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("wire: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bigBody))
+	if err != nil {
+		return 0, nil, fmt.Errorf("wire: %w", err)
+	}
+	return resp.StatusCode, body, nil
+}
+
+// Delete returns machines; true means that they are gone.
+func (c *Cloud) Delete(ctx context.Context, names []string) bool {
+	status, err := c.c.call(ctx, "POST", "/rentals/delete", map[string][]string{"stalls": names}, nil, bigBody)
+	return err == nil && status == 200
+}
+
+// Listed is a machine of the cloud's list, which lags.
+type Listed struct {
+	Machine ledger.Machine
+	Failed  bool
+	HeldS   float64
+}
+
+// List reads the whole list of machines.
+func (c *Cloud) List(ctx context.Context) ([]Listed, error) {
+	var all []Listed
+	since := ""
+	for {
+		q := url.Values{"most": {"500"}}
+		if since != "" {
+			q.Set("since", since)
+		}
+		var out struct {
+			Machines []struct {
+				Name    string  `json:"name_id"`
+				Address string  `json:"address"`
+				Type    string  `json:"breed"`
+				Zone    string  `json:"pasture"`
+				Spot    bool    `json:"loaned_stock"`
+				State   string  `json:"standing"`
+				HeldS   float64 `json:"held_s"`
+			} `json:"stalls"`
+			More bool `json:"has_next"`
+		}
+		status, err := c.c.call(ctx, "GET", "/rentals?"+q.Encode(), nil, &out, bigBody)
+		if err != nil {
+			return nil, err
+		}
+		if status != 200 {
+			return nil, fmt.Errorf("wire: cloud: status %d", status)
+		}
+		for _, m := range out.Machines {
+			all = append(all, Listed{ledger.Machine{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, m.State == "failed", m.HeldS})
+			since = m.Name
+		}
+		if !out.More || len(out.Machines) == 0 {
+			return all, nil
+		}
+	}
+}
+
+// Do sends direct commands to a worker. It is used for stops alone.
+func (c *Client) Do(ctx context.Context, body []byte) error {
+	_, _, err := c.raw(ctx, "POST", PathCommands, json.RawMessage(body))
+	return err
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,420 @@
+// Package workers keeps what is known of each machine: its session, the
+// tasks that count as being on it, and what its reports prove.
+//
+// A task given to a machine counts there until it is proved gone: by a newer
+// report at the current token without it or with it ended, by a later
+// session, or by the machine's deletion. Silence proves nothing.
+package workers
+
+import (
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+)
+
+// TaskState is a task's state as its worker reports it.
+type TaskState uint8
+
+// States of a task on a machine.
+const (
+	Fetching TaskState = iota
+	Gathering
+	Running
+	Saving
+	Ended
+)
+
+// Reason is why a task ended.
+type Reason uint8
+
+// Reasons of an end; Vanished is a task that a report no longer shows.
+const (
+	Vanished Reason = iota
+	Completed
+	Stopped
+	PeersLost
+	Alone
+	Failed
+	NoRoom
+	Busy
+	UnknownTask
+)
+
+// Report is a worker's report.
+type Report struct {
+	Machine, Address, Type, Zone string
+	Spot                         bool
+	Session, Seq, Token          uint64
+	Notice                       bool
+	NoticeS                      float64
+	Tasks                        []TaskReport
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Job     uint64
+	Task    int
+	Attempt uint64
+	State   TaskState
+	Reason  Reason
+	Saved   bool
+}
+
+// Op is a command's verb.
+type Op uint8
+
+// Commands.
+const (
+	Start Op = iota
+	Stop
+	Reap
+)
+
+// Command is a command to a worker.
+type Command struct {
+	Op      Op
+	Job     uint64
+	Task    int
+	Attempt uint64
+	GraceS  float64
+}
+
+// Ref names a task by its job's dense index.
+type Ref struct{ Job, Task int32 }
+
+// Placement is a task that counts as being on a machine.
+type Placement struct {
+	Ref      Ref
+	JobID    uint64
+	Image    int32
+	Need     amounts.Amounts
+	Attempt  uint64
+	Planned  bool // not yet sent: nothing has to be proved to take it back
+	seq      uint64
+	State    TaskState
+	Seen     bool
+	RanAt    time.Duration
+	Stopping bool
+	GraceS   float64
+}
+
+type image struct {
+	id   int32
+	gb   float64
+	used time.Duration
+}
+
+// Machine is one machine.
+type Machine struct {
+	Index          int32
+	Name, Address  string
+	Type, Zone     int32
+	Spot           bool
+	Cap, Free      amounts.Amounts
+	CacheGB        float64
+	Durable        bool // in the registry: tasks may be started
+	Up             bool // has reported in this term
+	Resolved       bool // what an earlier term left on it is known
+	Session, Seq   uint64
+	Heard          time.Duration
+	RentedAt       time.Duration
+	Notice         bool
+	TakenAt        time.Duration
+	Leaving        bool // its deletion has been decided, for good
+	Why            string
+	Tasks          map[Ref]*Placement
+	Strays         int // tasks that should not be there, still shown
+	StraysSince    time.Duration
+	IdleSince      time.Duration
+	Errors         int
+	ShunUntil      time.Duration
+	Held           bool // room is held here for the first job in order
+	images         []image
+	registryQueued bool
+}
+
+// Usable says whether tasks may be planned on the machine.
+func (m *Machine) Usable(now, quiet time.Duration) bool {
+	return m.Durable && m.Up && m.Resolved && !m.Leaving && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+}
+
+// HasImage says whether the machine has or is fetching an image.
+func (m *Machine) HasImage(id int32) bool {
+	for _, im := range m.images {
+		if im.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// UseImage notes that an image is on, or on its way to, the machine; the
+// least recently used ones are taken to be dropped when the cache is full.
+func (m *Machine) UseImage(id int32, gb float64, now time.Duration) {
+	for i := range m.images {
+		if m.images[i].id == id {
+			m.images[i].used = now
+			return
+		}
+	}
+	m.images = append(m.images, image{id, gb, now})
+	slices.SortFunc(m.images, func(a, b image) int { return int(b.used - a.used) })
+	var sum float64
+	for i, im := range m.images {
+		if sum += im.gb; sum > m.CacheGB && i > 0 {
+			m.images = m.images[:i]
+			break
+		}
+	}
+}
+
+// Plan gives a task to the machine, to be sent with its next answer.
+func (m *Machine) Plan(p *Placement) {
+	p.Planned = true
+	m.Tasks[p.Ref] = p
+	m.Free = m.Free.Minus(p.Need)
+}
+
+// Take removes a placement.
+func (m *Machine) Take(ref Ref) {
+	if p := m.Tasks[ref]; p != nil {
+		m.Free = m.Free.Plus(p.Need)
+		delete(m.Tasks, ref)
+	}
+}
+
+// Yard holds all machines.
+type Yard struct {
+	byName map[string]*Machine
+	all    []*Machine
+	gone   map[string]bool // deleted ones; their late reports mean nothing
+}
+
+// NewYard makes an empty yard.
+func NewYard() *Yard { return &Yard{byName: map[string]*Machine{}, gone: map[string]bool{}} }
+
+// Find returns a machine by name.
+func (y *Yard) Find(name string) *Machine { return y.byName[name] }
+
+// Gone says whether a machine is known to be deleted.
+func (y *Yard) Gone(name string) bool { return y.gone[name] }
+
+// Add enters a machine.
+func (y *Yard) Add(m *Machine) *Machine {
+	m.Index = int32(len(y.all))
+	m.Free = m.Cap
+	m.Tasks = map[Ref]*Placement{}
+	y.all = append(y.all, m)
+	y.byName[m.Name] = m
+	return m
+}
+
+// Remove takes a deleted machine out.
+func (y *Yard) Remove(name string) {
+	y.gone[name] = true
+	if m := y.byName[name]; m != nil {
+		delete(y.byName, name)
+		last := y.all[len(y.all)-1]
+		y.all[m.Index] = last
+		last.Index = m.Index
+		y.all = y.all[:len(y.all)-1]
+	}
+}
+
+// All returns the machines.
+func (y *Yard) All() []*Machine { return y.all }
+
+// QueueRegistry says, once, that the machine has to be registered.
+func (m *Machine) QueueRegistry() bool {
+	if m.Durable || m.registryQueued {
+		return false
+	}
+	m.registryQueued = true
+	return true
+}
+
+// Known is what the leader knows of a reported task.
+type Known struct {
+	Ref       Ref
+	Need      amounts.Amounts
+	Image     int32
+	ImageGB   float64
+	Open      bool // the job is open and the task not finished
+	Noted     bool // the task's end is durable, or the job is over
+	Elsewhere bool // it counts as being on another machine
+}
+
+// EventKind is what a report told.
+type EventKind uint8
+
+// Events of a report.
+const (
+	EvBegan EventKind = iota // began to run
+	EvAdopted
+	EvCompleted
+	EvGone
+)
+
+// Event is something a report told.
+type Event struct {
+	Kind    EventKind
+	Ref     Ref
+	JobID   uint64
+	Attempt uint64
+	Reason  Reason
+	Ran     time.Duration // how long it ran; negative: not known
+	Running bool          // it was running
+}
+
+// Fresh says whether a report is newer than all that were taken in.
+func (m *Machine) Fresh(r *Report) bool {
+	return r.Session > m.Session || (r.Session == m.Session && r.Seq > m.Seq)
+}
+
+// Absorb takes in a fresh report. known tells what the leader knows of a
+// task. It returns the events and the commands that follow from the report
+// alone: reaps and the stops of tasks that should not be there.
+func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, known func(job uint64, task int) (Known, bool)) ([]Event, []Command) {
+	var events []Event
+	var cmds []Command
+	gone := func(p *Placement, why Reason) {
+		ran := time.Duration(-1)
+		if p.Seen && p.State == Running {
+			ran = now - p.RanAt
+		}
+		events = append(events, Event{Kind: EvGone, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Reason: why, Ran: ran, Running: p.Seen && p.State == Running})
+		m.Take(p.Ref)
+	}
+	if r.Session > m.Session && m.Session != 0 {
+		// A later session: the worker killed and forgot every task.
+		for _, p := range m.Tasks {
+			if !p.Planned {
+				gone(p, Vanished)
+			}
+		}
+		m.images = nil
+	}
+	m.Session, m.Seq = r.Session, r.Seq
+	m.Up, m.Heard = true, now
+	if r.Notice {
+		m.Notice = true
+		m.TakenAt = now + time.Duration(r.NoticeS*float64(time.Second))
+	} else {
+		m.Notice = false
+	}
+	current := r.Token == token
+	m.Resolved = m.Resolved || current
+	strays := 0
+	for _, t := range r.Tasks {
+		k, ok := known(t.Job, t.Task)
+		reap := Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt}
+		if !ok {
+			if t.State == Ended {
+				cmds = append(cmds, reap)
+			} else {
+				strays++
+				cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+			}
+			continue
+		}
+		if t.State != Fetching && t.State != Ended {
+			m.UseImage(k.Image, k.ImageGB, now)
+		}
+		p := m.Tasks[k.Ref]
+		if p != nil && p.Planned {
+			p = nil
+		}
+		if t.State == Ended {
+			mine := p != nil && p.Attempt == t.Attempt
+			if t.Reason == Completed && k.Open {
+				ev := Event{Kind: EvCompleted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Ran: -1}
+				if mine && p.Seen && p.State == Running {
+					ev.Ran, ev.Running = now-p.RanAt, true
+				}
+				m.Take(k.Ref)
+				events = append(events, ev)
+				continue // reaped once that is durable
+			}
+			if mine {
+				gone(p, t.Reason)
+			}
+			if t.Reason != Completed || k.Noted {
+				cmds = append(cmds, reap)
+			}
+			continue
+		}
+		if p == nil {
+			if !k.Open || k.Elsewhere {
+				strays++
+				cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+				continue
+			}
+			// A task of an earlier term: it counts here from now on.
+			m.Take(k.Ref)
+			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, State: Fetching}
+			m.Tasks[k.Ref] = p
+			m.Free = m.Free.Minus(p.Need)
+			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt})
+		}
+		if p.Attempt != t.Attempt {
+			strays++
+			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+			continue
+		}
+		if t.State == Running && (!p.Seen || p.State != Running) {
+			p.RanAt = now
+			events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
+		}
+		p.State, p.Seen, p.seq = t.State, true, r.Seq
+	}
+	if current {
+		for _, p := range m.Tasks {
+			// Sent with an earlier answer and not shown by this report: it
+			// never started, for a start in an answer cannot run late.
+			if !p.Planned && p.seq < r.Seq {
+				gone(p, Vanished)
+			}
+		}
+	}
+	if strays > 0 && m.Strays == 0 {
+		m.StraysSince = now
+	}
+	m.Strays = strays
+	if len(m.Tasks) > 0 {
+		m.IdleSince = now
+	}
+	return events, cmds
+}
+
+// Orders returns the stops due on the machine and, when sure of the term and
+// of the machine, the starts that were planned. A start is marked with the
+// report that it answers.
+func (m *Machine) Orders(sure bool, attempt func() uint64) []Command {
+	var cmds []Command
+	for _, p := range m.Tasks {
+		if p.Stopping && !p.Planned && (p.State != Saving || p.GraceS == 0) {
+			cmds = append(cmds, Command{Op: Stop, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt, GraceS: p.GraceS})
+		}
+	}
+	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
+		for _, p := range m.Tasks {
+			if p.Planned {
+				p.Planned = false
+				p.Attempt = attempt()
+				p.seq = m.Seq
+				cmds = append(cmds, Command{Op: Start, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt})
+			}
+		}
+	}
+	slices.SortFunc(cmds, func(a, b Command) int {
+		if a.Op != b.Op {
+			return int(b.Op) - int(a.Op) // stops before starts
+		}
+		if a.Job != b.Job {
+			return int(int64(a.Job) - int64(b.Job))
+		}
+		return a.Task - b.Task
+	})
+	return cmds
+}
