Urgent jobs go first; ordinary machines for long backlogs only; machines drain

On both sites ordinary machines were rented for backlogs that spot ones clear within a minute, and half-empty machines were kept.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -4,6 +4,7 @@
 package blocks
 
 import (
+	"slices"
 	"time"
 
 	"bitternmoor/internal/amounts"
@@ -20,6 +21,9 @@
 	Limits []Limit // by team
 	use    []amounts.Amounts
 	AtOnce int // T
+	// UrgentFirst is an exception to the size order: urgent and critical jobs
+	// go ahead of it, in size order among themselves.
+	UrgentFirst bool
 }
 
 // New makes a planner for the teams with these limits.
@@ -27,6 +31,12 @@
 	return &Planner{Limits: limits, use: make([]amounts.Amounts, len(limits)), AtOnce: atOnce}
 }
 
+// AddTeam adds a team without a limit.
+func (p *Planner) AddTeam() {
+	p.Limits = append(p.Limits, Limit{})
+	p.use = append(p.use, amounts.Amounts{})
+}
+
 // Charge counts a task against its team, Refund takes it back.
 func (p *Planner) Charge(team int32, a amounts.Amounts) { p.use[team] = p.use[team].Plus(a) }
 
@@ -95,7 +105,16 @@
 	if !waiting || len(machines) == 0 {
 		return
 	}
-	for _, i := range order {
+	ahead := 0
+	if p.UrgentFirst {
+		order = slices.Clone(order)
+		slices.SortStableFunc(order, func(a, b int32) int { return urgent(w.Jobs.At(b)) - urgent(w.Jobs.At(a)) })
+		for ahead < len(order) && urgent(w.Jobs.At(order[ahead])) > 0 {
+			ahead++
+		}
+	}
+	held := p.inOrder(w, order[:ahead], machines, false)
+	for _, i := range order[ahead:] {
 		if training >= p.AtOnce {
 			break
 		}
@@ -111,7 +130,14 @@
 			training++
 		}
 	}
-	held := false
+	p.inOrder(w, order[ahead:], machines, held)
+}
+
+func urgent(j *jobs.Job) int { return max(0, int(j.Rec.Priority)-1) }
+
+// inOrder gives room to the jobs in their order; room is held for the first
+// that does not fit, unless it is held already.
+func (p *Planner) inOrder(w World, order []int32, machines []*workers.Machine, held bool) bool {
 	for _, i := range order {
 		j := w.Jobs.At(i)
 		for {
@@ -128,6 +154,7 @@
 			break
 		}
 	}
+	return held
 }
 
 func (p *Planner) ready(w World, j *jobs.Job) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,7 @@
 // Want is what is missing.
 type Want struct {
 	CPUs float64
-	Spot bool // spot machines will do
+	Spot bool // spot machines, else ordinary ones
 	Fits func(t ledger.Type, zone string, spot bool) bool
 }
 
@@ -63,23 +63,20 @@
 		var offers []offer
 		for _, t := range types {
 			for _, z := range t.Zones {
-				for _, spot := range []bool{true, false} {
-					k := key{t.Name, z, spot}
-					if r := b.refused[k]; r != nil && now < r.until {
-						continue
-					}
-					if (spot && !w.Spot) || b.outstanding(k) || !w.Fits(t, z, spot) {
-						continue
-					}
-					price := t.Price
-					if spot {
-						price = t.SpotPrice
-					}
-					count := min(maxCount, int(math.Ceil(missing/t.CPUs-0.01)))
-					count = max(count, 1)
-					covered := min(missing, float64(count)*t.CPUs)
-					offers = append(offers, offer{k, count, price * float64(count) / covered, t.CPUs})
+				k := key{t.Name, z, w.Spot}
+				if r := b.refused[k]; r != nil && now < r.until {
+					continue
 				}
+				if b.outstanding(k) || !w.Fits(t, z, w.Spot) {
+					continue
+				}
+				price := t.Price
+				if w.Spot {
+					price = t.SpotPrice
+				}
+				count := max(1, min(maxCount, int(math.Ceil(missing/t.CPUs-0.01))))
+				covered := min(missing, float64(count)*t.CPUs)
+				offers = append(offers, offer{k, count, price * float64(count) / covered, t.CPUs})
 			}
 		}
 		if len(offers) == 0 {
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -94,36 +95,29 @@
 	}
 }
 
-// rent covers the work that is there with machines, and returns idle ones.
+// rent covers the work that is there with machines, and returns what was not
+// wanted for a while: machines are drained first, the dearest and emptiest
+// ones before the others, and deleted once empty.
 func (t *Term) rent(now time.Duration) {
 	if len(t.types) == 0 {
 		return
 	}
-	horizon := t.cfg.Tunables.DrainBacklogS
-	perTeam := make([]float64, len(t.plan.Limits))
 	var open []*jobs.Job
 	for _, i := range t.book.Order() {
-		j := t.table.At(i)
-		left := len(j.Tasks) - j.Finished
-		if j.Phase != jobs.Open || left == 0 {
-			continue
-		}
-		tasks := math.Ceil(float64(left) * j.Mean() / horizon)
-		tasks = max(float64(j.Placed), min(float64(left), tasks))
-		perTeam[j.Team] += tasks * j.Need.CPUs()
-		open = append(open, j)
-	}
-	var want float64
-	for team, cpus := range perTeam {
-		if l := t.plan.Limits[team].CPU; l > 0 {
-			cpus = min(cpus, float64(l)/1000)
+		if j := t.table.At(i); j.Phase == jobs.Open && j.Finished < len(j.Tasks) {
+			open = append(open, j)
 		}
-		want += cpus
 	}
-	var have float64
+	cheap := t.demand(open, t.cfg.Tunables.DrainBacklogS)
+	dear := t.demand(open, t.cfg.Tunables.DearBacklogS)
+	t.peak(now, cheap)
+	var have, ordinary float64
 	for _, m := range t.yard.All() {
-		if !m.Leaving && !m.Notice {
+		if !m.Leaving && !m.Notice && !m.Draining {
 			have += m.Cap.CPUs()
+			if !m.Spot {
+				ordinary += m.Cap.CPUs()
+			}
 		}
 	}
 	have += t.buyer.Asked(func(typ string) float64 {
@@ -132,28 +126,89 @@
 		}
 		return 0
 	})
-	spot := slices.ContainsFunc(open, func(j *jobs.Job) bool { return j.Rec.Spot })
-	if want > have {
-		for _, r := range t.buyer.Rent(now, t.types, t.wanted(want-have, spot, open)) {
-			t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
-			t.note(Info, "renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+	for _, m := range t.yard.All() {
+		if cheap > have && m.Draining && !m.Leaving {
+			m.Draining = false
+			have += m.Cap.CPUs()
+			t.dirty = true
 		}
-		return
 	}
-	// Return idle machines, the dearest first.
-	idle := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
-		return m.Leaving || !m.Up || len(m.Tasks) > 0 || m.Strays > 0 || m.Held || now-m.IdleSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
+	bound := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Rec.Spot })
+	var requests []ledger.Rental
+	if len(bound) < len(open) && cheap > have {
+		requests = t.buyer.Rent(now, t.types, t.wanted(cheap-have, true, open))
+	}
+	// Ordinary machines: what spot ones could not bring, and jobs that may
+	// not use spot machines at all.
+	missing := max(dear-have, min(cheap-have, t.demand(bound, t.cfg.Tunables.DrainBacklogS)-ordinary))
+	if len(requests) == 0 && missing > 0 {
+		requests = t.buyer.Rent(now, t.types, t.wanted(missing, false, open))
+	}
+	for _, r := range requests {
+		t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
+		t.note(Info, "renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+	}
+	if cheap <= have {
+		t.shrink(now, have)
+	}
+}
+
+// demand is how many processors would have the open jobs' work done within
+// the horizon, team limits considered.
+func (t *Term) demand(open []*jobs.Job, horizon float64) float64 {
+	perTeam := make([]float64, len(t.plan.Limits))
+	for _, j := range open {
+		left := float64(len(j.Tasks) - j.Finished)
+		tasks := max(float64(j.Placed), min(left, math.Ceil(left*j.Mean()/horizon)))
+		perTeam[j.Team] += tasks * j.Need.CPUs()
+	}
+	var sum float64
+	for team, cpus := range perTeam {
+		if l := t.plan.Limits[team].CPU; l > 0 {
+			cpus = min(cpus, float64(l)/1000)
+		}
+		sum += cpus
+	}
+	return sum
+}
+
+// peak keeps the highest demand of the last while, in two halves.
+func (t *Term) peak(now time.Duration, demand float64) {
+	if now-t.peakAt > settings.Seconds(t.cfg.Tunables.IdleReturnS) {
+		t.peakAt = now
+		t.peakBefore, t.peakNow = t.peakNow, 0
+	}
+	t.peakNow = max(t.peakNow, demand)
+}
+
+func (t *Term) shrink(now time.Duration, have float64) {
+	wanted := max(t.peakNow, t.peakBefore)
+	list := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
+		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
 	})
-	slices.SortFunc(idle, func(a, b *workers.Machine) int {
-		if pa, pb := t.pricePerCPU(a), t.pricePerCPU(b); pa != pb {
-			return int(math.Copysign(1, pb-pa))
+	slices.SortFunc(list, func(a, b *workers.Machine) int {
+		if pa, pb := t.pricePerCPU(a), t.pricePerCPU(b); math.Abs(pa-pb) > 0.2*pa {
+			return cmp.Compare(pb, pa)
+		}
+		if c := cmp.Compare(len(a.Tasks), len(b.Tasks)); c != 0 {
+			return c
 		}
-		return int(a.Index - b.Index)
+		return cmp.Compare(a.Name, b.Name)
 	})
-	for _, m := range idle {
-		if have-m.Cap.CPUs() >= want {
+	for _, m := range list {
+		if have-m.Cap.CPUs() >= wanted {
 			have -= m.Cap.CPUs()
-			t.leave(m, "idle")
+			m.Draining = true
+			for ref, p := range m.Tasks {
+				if p.Planned {
+					t.unplan(m, ref)
+				}
+			}
+		}
+	}
+	for _, m := range t.yard.All() {
+		if m.Draining && len(m.Tasks) == 0 && m.Strays == 0 {
+			t.leave(m, "not needed")
 		}
 	}
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -64,6 +64,9 @@
 	listAt     time.Duration
 	fleetAt    time.Duration
 	sizesAt    time.Duration
+	peakAt     time.Duration
+	peakNow    float64
+	peakBefore float64
 	cloudRoom  float64
 	cloudAt    time.Duration
 
@@ -97,6 +100,7 @@
 		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
 	}
 	t.plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
+	t.plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
 	return t
 }
 
@@ -216,7 +220,7 @@
 	j.Team = t.teams.Index(rec.Team)
 	for int(j.Team) >= len(t.plan.Limits) {
 		// A team of an earlier configuration: its jobs stay accepted.
-		t.plan = blocks.New(append(t.plan.Limits, blocks.Limit{}), t.plan.AtOnce)
+		t.plan.AddTeam()
 	}
 	j.Image = t.images.Index(rec.Image)
 	if rec.Types != nil {
@@ -251,7 +255,7 @@
 	}
 	ty := t.types[i]
 	return t.yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: t.zones.Index(m.Zone), Spot: m.Spot,
-		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, RentedAt: now, Heard: now, IdleSince: now})
+		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, RentedAt: now, Heard: now})
 }
 
 // submit takes a submission.
@@ -538,7 +542,7 @@
 		return answer // a late report: its answer goes nowhere
 	}
 	if !m.Up {
-		m.IdleSince = now
+		m.UpSince = now
 		t.dirty = true
 	}
 	resolved := m.Resolved
@@ -668,7 +672,6 @@
 			t.where[ref] = m
 			m.Plan(&workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need})
 			m.UseImage(j.Image, j.Rec.ImageGB, now)
-			m.IdleSince = now
 		}})
 }
 
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -17,9 +17,11 @@
 	BlockLeaseS     float64 // how long a block of machines is leased
 	SizesEveryS     float64 // how often virtual sizes are written down
 	LeaderHoldS     float64 // life of the leader's hold
-	DrainBacklogS   float64 // waiting work should be gone within this time
-	IdleReturnS     float64 // an idle machine is returned after this time
+	DrainBacklogS   float64 // waiting work should be gone within this time, by cheap machines
+	DearBacklogS    float64 // the same by dear ones, rented only when cheap ones do not get there
+	IdleReturnS     float64 // room that was not wanted for this time is returned
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
+	UrgentFirst     int     // exception: urgent jobs go ahead of the order
 }
 
 // Tunable describes one key of the operators' file.
@@ -66,8 +68,10 @@
 	amount("sizing", "write_every", "s", "how often virtual sizes are written down", 5, 0.5, 3600, func(t *Tunables) *float64 { return &t.SizesEveryS }),
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
+	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
-	amount("fleet", "idle_return", "s", "an idle machine is returned after this time", 15, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
+	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 90, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
+	amount("fleet", "idle_return", "s", "room that was not wanted for this time is returned", 15, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
 	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -121,12 +121,13 @@
 	RentedAt       time.Duration
 	Notice         bool
 	TakenAt        time.Duration
+	Draining       bool // gets no new tasks, to be returned when empty
 	Leaving        bool // its deletion has been decided, for good
 	Why            string
 	Tasks          map[Ref]*Placement
 	Strays         int // tasks that should not be there, still shown
 	StraysSince    time.Duration
-	IdleSince      time.Duration
+	UpSince        time.Duration
 	Errors         int
 	ShunUntil      time.Duration
 	Held           bool // room is held here for the first job in order
@@ -136,7 +137,7 @@
 
 // Usable says whether tasks may be planned on the machine.
 func (m *Machine) Usable(now, quiet time.Duration) bool {
-	return m.Durable && m.Up && m.Resolved && !m.Leaving && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+	return m.Durable && m.Up && m.Resolved && !m.Leaving && !m.Draining && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
 // HasImage says whether the machine has or is fetching an image.
@@ -381,9 +382,6 @@
 		m.StraysSince = now
 	}
 	m.Strays = strays
-	if len(m.Tasks) > 0 {
-		m.IdleSince = now
-	}
 	return events, cmds
 }
 
