--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -4,6 +4,7 @@
 package blocks
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -105,16 +106,17 @@
 	if !waiting || len(machines) == 0 {
 		return
 	}
-	ahead := 0
-	if p.UrgentFirst {
-		order = slices.Clone(order)
-		slices.SortStableFunc(order, func(a, b int32) int { return urgent(w.Jobs.At(b)) - urgent(w.Jobs.At(a)) })
-		for ahead < len(order) && urgent(w.Jobs.At(order[ahead])) > 0 {
-			ahead++
-		}
+	order = slices.Clone(order)
+	slices.SortStableFunc(order, func(a, b int32) int { return p.rank(w, b) - p.rank(w, a) })
+	ahead, behind := 0, len(order)
+	for ahead < len(order) && p.rank(w, order[ahead]) > 0 {
+		ahead++
+	}
+	for behind > 0 && p.rank(w, order[behind-1]) < 0 {
+		behind--
 	}
 	held := p.inOrder(w, order[:ahead], machines, false)
-	for _, i := range order[ahead:] {
+	for _, i := range order[ahead:behind] {
 		if training >= p.AtOnce {
 			break
 		}
@@ -133,7 +135,20 @@
 	p.inOrder(w, order[ahead:], machines, held)
 }
 
-func urgent(j *jobs.Job) int { return max(0, int(j.Rec.Priority)-1) }
+// rank is 0 for jobs on the ordinary path, above it for those that an
+// exception puts ahead of the order and below for those it puts behind.
+func (p *Planner) rank(w World, i int32) int {
+	j := w.Jobs.At(i)
+	switch {
+	case p.UrgentFirst && j.Rec.Priority >= 2:
+		return int(j.Rec.Priority)
+	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
+		return 1
+	case w.Now < j.BehindUntil:
+		return -1
+	}
+	return 0
+}
 
 // inOrder gives room to the jobs in their order; room is held for the first
 // that does not fit, unless it is held already.
@@ -189,17 +204,27 @@
 	return true
 }
 
-// hold keeps the room of one machine for a job that fits nowhere now: the
-// one that would fit it and has most room already.
+// hold keeps the room of machines for a job that fits nowhere now: of those
+// that would fit it the ones with most room already, as many as its waiting
+// tasks fill and its team may use.
 func (p *Planner) hold(w World, j *jobs.Job) bool {
-	var best *workers.Machine
+	var fit []*workers.Machine
 	for _, m := range w.Yard.All() {
-		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && (best == nil || m.Free.CPU > best.Free.CPU) {
-			best = m
+		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) {
+			fit = append(fit, m)
 		}
 	}
-	if best != nil {
-		best.Held = true
+	slices.SortFunc(fit, func(a, b *workers.Machine) int { return cmp.Compare(b.Free.CPU, a.Free.CPU) })
+	want := 0
+	for n := j.Waiting; want < n && p.Within(j.Team, j.Need.Times(want+1), w.Unresolved); want++ {
 	}
-	return best != nil
+	held := false
+	for _, m := range fit {
+		if want <= 0 {
+			break
+		}
+		m.Held, held = true, true
+		want -= int(m.Cap.CPU / max(1, j.Need.CPU))
+	}
+	return held
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -66,6 +66,8 @@
 	Errors      int
 	NotBefore   time.Duration
 	AcceptedAt  time.Duration
+	BehindUntil time.Duration      // best-effort work goes behind the order until then
+	Ahead       [][2]time.Duration // spans in which waiting tasks go ahead of the order
 }
 
 // Table holds all jobs by dense index, and the final states by id.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,6 +57,7 @@
 	Checkpoint float64  `json:"w,omitempty"`
 	SaveS      float64  `json:"s,omitempty"`
 	DeadlineS  float64  `json:"d,omitempty"`
+	AtMS       int64    `json:"a"` // time of day of the acceptance
 }
 
 // Tasks notes completed tasks of a job as ranges [from, to), and the run
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -16,14 +16,17 @@
 // socket or goroutine.
 type Core struct {
 	cfg  *settings.Settings
+	zero int64 // time of day at time 0, in milliseconds; off by a known bound
 	lead *leadership.Core
 	term *Term
 	out  []Effect
 }
 
-// NewCore makes the core of a controller.
-func NewCore(cfg *settings.Settings) *Core {
-	return &Core{cfg: cfg, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+// NewCore makes the core of a controller whose time 0 is at this time of
+// day, in milliseconds. The time of day orders nothing: it only tells a
+// successor how long a job has been waiting.
+func NewCore(cfg *settings.Settings, zero int64) *Core {
+	return &Core{cfg: cfg, zero: zero, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -49,7 +52,7 @@
 		c.term = nil
 	}
 	if c.term == nil && leading {
-		c.term = newTerm(c.cfg, c.lead.Epoch(), now)
+		c.term = newTerm(c.cfg, c.zero, c.lead.Epoch(), now)
 		c.out = append(c.out, Note{Info, "leading", []any{"epoch", c.term.epoch}}, Load{c.term.epoch})
 	}
 	if c.term != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,8 +58,9 @@
 
 // New makes a controller.
 func New(cfg *settings.Settings, log *slog.Logger) *Node {
+	start := time.Now()
 	n := &Node{
-		cfg: cfg, log: log, core: NewCore(cfg), in: make(chan func(time.Duration), queueLength), start: time.Now(),
+		cfg: cfg, log: log, core: NewCore(cfg, start.UnixMilli()), in: make(chan func(time.Duration), queueLength), start: start,
 		state: wire.NewState(cfg.External.State), cloud: wire.NewCloud(cfg.External.Cloud), peers: map[string]*peer{},
 		users: map[Asker]chan Answer{}, reports: map[Asker]chan ReportAnswer{},
 	}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -29,6 +29,7 @@
 // composes the slices; it has no clock and does nothing by itself.
 type Term struct {
 	cfg      *settings.Settings
+	zero     int64
 	epoch    uint64
 	token    uint64
 	attempts uint64
@@ -81,9 +82,9 @@
 	tagRental  ledger.Rental
 )
 
-func newTerm(cfg *settings.Settings, epoch uint64, now time.Duration) *Term {
+func newTerm(cfg *settings.Settings, zero int64, epoch uint64, now time.Duration) *Term {
 	t := &Term{
-		cfg: cfg, epoch: epoch, token: epoch << tokenBits, attempts: epoch << attemptBits, began: now,
+		cfg: cfg, zero: zero, epoch: epoch, token: epoch << tokenBits, attempts: epoch << attemptBits, began: now,
 		table: jobs.NewTable(), yard: workers.NewYard(),
 		book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks, AtOnce: cfg.Tunables.TrainingAtOnce,
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
@@ -216,13 +217,21 @@
 
 func (t *Term) enter(rec ledger.Job, now time.Duration) *jobs.Job {
 	j := t.table.Add(rec)
-	j.AcceptedAt = now
+	at := min(now, time.Duration(rec.AtMS-t.zero)*time.Millisecond)
+	j.AcceptedAt = at
 	j.Team = t.teams.Index(rec.Team)
 	for int(j.Team) >= len(t.plan.Limits) {
 		// A team of an earlier configuration: its jobs stay accepted.
 		t.plan.AddTeam()
 	}
 	j.Image = t.images.Index(rec.Image)
+	j.BehindUntil = at + t.patience(rec)
+	for _, o := range t.cfg.Deployment.Objectives {
+		if o.Class == rec.Class && o.Kind == settings.AimWait {
+			within := settings.Seconds(o.WithinS)
+			j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS*t.cfg.Tunables.WaitRisk), at + within})
+		}
+	}
 	if rec.Types != nil {
 		j.Types = make([]bool, max(t.typeNames.Len(), 1))
 		for _, n := range rec.Types {
@@ -234,6 +243,22 @@
 	return j
 }
 
+// patience is how long a job goes behind the order: best-effort work for a
+// share of its class's tightest aim, so that small jobs of it do not jump the
+// queue of those that are in more of a hurry.
+func (t *Term) patience(rec ledger.Job) time.Duration {
+	if rec.Priority > 0 {
+		return 0
+	}
+	tightest := 0.0
+	for _, o := range t.cfg.Deployment.Objectives {
+		if o.Class == rec.Class && o.WithinS > 0 && (tightest == 0 || o.WithinS < tightest) {
+			tightest = o.WithinS
+		}
+	}
+	return settings.Seconds(t.cfg.Tunables.LowPatience * tightest)
+}
+
 func (t *Term) setTypes(list []ledger.Type) {
 	for _, ty := range list {
 		i := t.typeNames.Index(ty.Name)
@@ -292,6 +317,7 @@
 		t.emit(Reply{to, Answer{Status: 429, Why: "too much is waiting to be written", RetryAfter: 2}})
 		return
 	}
+	s.Job.AtMS = t.zero + now.Milliseconds()
 	t.enter(*s.Job, now)
 	t.accepting[s.ID] = append(t.accepting[s.ID], to)
 	t.log.Append(ledger.Entry{Job: s.Job}, tagAccept(s.ID))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,9 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// Kinds of aims that code acts upon.
+const AimWait = "wait"
+
 // Objective is one aim that users stated for a class of jobs.
 type Objective struct {
 	Kind    string  `toml:"kind"`
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -22,6 +22,8 @@
 	IdleReturnS     float64 // room that was not wanted for this time is returned
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
+	WaitRisk        float64 // exception: share of a class's wait aim after which waiting tasks go ahead; 1 is never
+	LowPatience     float64 // exception: share of its tightest aim that best-effort work waits behind the order
 }
 
 // Tunable describes one key of the operators' file.
@@ -69,6 +71,8 @@
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
+	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
+	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 90, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
 	amount("fleet", "idle_return", "s", "room that was not wanted for this time is returned", 15, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
