--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -187,10 +187,11 @@
 		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) {
 			continue
 		}
-		// The image there first, then the tightest fit.
+		// The earliest start, then the tightest fit: a second of fetching
+		// weighs as much as ten processors left over.
 		score := m.Free.CPU - j.Need.CPU
 		if !m.HasImage(j.Image) {
-			score += 1 << 40
+			score += int64(1e4 * j.Rec.ImageGB / m.FetchGBPS)
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,8 @@
 // Want is what is missing.
 type Want struct {
 	CPUs float64
-	Spot bool // spot machines, else ordinary ones
+	Spot bool    // spot machines, else ordinary ones
+	Stay float64 // seconds that a machine is usually kept; its boot is paid too
 	Fits func(t ledger.Type, zone string, spot bool) bool
 }
 
@@ -74,6 +75,7 @@
 				if w.Spot {
 					price = t.SpotPrice
 				}
+				price *= 1 + t.BootS/w.Stay
 				count := max(1, min(maxCount, int(math.Ceil(missing/t.CPUs-0.01))))
 				covered := min(missing, float64(count)*t.CPUs)
 				offers = append(offers, offer{k, count, price * float64(count) / covered, t.CPUs})
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -110,7 +110,8 @@
 	}
 	cheap := t.demand(open, t.cfg.Tunables.DrainBacklogS)
 	dear := t.demand(open, t.cfg.Tunables.DearBacklogS)
-	t.peak(now, cheap)
+	t.dearPeak.add(now, settings.Seconds(t.cfg.Tunables.IdleReturnS), cheap)
+	t.spotPeak.add(now, settings.Seconds(t.cfg.Tunables.SpotReturnS), cheap)
 	var have, ordinary float64
 	for _, m := range t.yard.All() {
 		if !m.Leaving && !m.Notice && !m.Draining {
@@ -172,30 +173,46 @@
 	return sum
 }
 
-// peak keeps the highest demand of the last while, in two halves.
-func (t *Term) peak(now time.Duration, demand float64) {
-	if now-t.peakAt > settings.Seconds(t.cfg.Tunables.IdleReturnS) {
-		t.peakAt = now
-		t.peakBefore, t.peakNow = t.peakNow, 0
+// peak is the highest demand of the last while, kept in two halves.
+type peak struct {
+	since          time.Duration
+	before, during float64
+}
+
+func (p *peak) add(now, window time.Duration, demand float64) {
+	if now-p.since > window {
+		p.since = now
+		p.before, p.during = p.during, 0
 	}
-	t.peakNow = max(t.peakNow, demand)
+	p.during = max(p.during, demand)
 }
 
+func (p *peak) value() float64 { return max(p.before, p.during) }
+
 func (t *Term) shrink(now time.Duration, have float64) {
-	wanted := max(t.peakNow, t.peakBefore)
 	list := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
 		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
 	})
 	slices.SortFunc(list, func(a, b *workers.Machine) int {
-		if pa, pb := t.pricePerCPU(a), t.pricePerCPU(b); math.Abs(pa-pb) > 0.2*pa {
-			return cmp.Compare(pb, pa)
+		if a.Spot != b.Spot {
+			if b.Spot {
+				return -1
+			}
+			return 1
 		}
 		if c := cmp.Compare(len(a.Tasks), len(b.Tasks)); c != 0 {
 			return c
 		}
+		if c := cmp.Compare(t.pricePerCPU(b), t.pricePerCPU(a)); c != 0 {
+			return c
+		}
 		return cmp.Compare(a.Name, b.Name)
 	})
 	for _, m := range list {
+		wanted := t.dearPeak.value()
+		if m.Spot {
+			wanted = t.spotPeak.value()
+		}
 		if have-m.Cap.CPUs() >= wanted {
 			have -= m.Cap.CPUs()
 			m.Draining = true
@@ -214,7 +231,7 @@
 }
 
 func (t *Term) wanted(cpus float64, spot bool, open []*jobs.Job) (w fleet.Want) {
-	w.CPUs, w.Spot = cpus, spot
+	w.CPUs, w.Spot, w.Stay = cpus, spot, t.cfg.Tunables.UsualStayS
 	w.Fits = func(ty ledger.Type, zone string, spot bool) bool {
 		i, ok := t.typeNames.Find(ty.Name)
 		if !ok {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -65,9 +65,8 @@
 	listAt     time.Duration
 	fleetAt    time.Duration
 	sizesAt    time.Duration
-	peakAt     time.Duration
-	peakNow    float64
-	peakBefore float64
+	dearPeak   peak
+	spotPeak   peak
 	cloudRoom  float64
 	cloudAt    time.Duration
 
@@ -280,7 +279,7 @@
 	}
 	ty := t.types[i]
 	return t.yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: t.zones.Index(m.Zone), Spot: m.Spot,
-		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, RentedAt: now, Heard: now})
+		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), RentedAt: now, Heard: now})
 }
 
 // submit takes a submission.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -113,6 +113,7 @@
 	Spot           bool
 	Cap, Free      amounts.Amounts
 	CacheGB        float64
+	FetchGBPS      float64
 	Durable        bool // in the registry: tasks may be started
 	Up             bool // has reported in this term
 	Resolved       bool // what an earlier term left on it is known
