--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -75,6 +75,7 @@
 	Unresolved amounts.Amounts // of machines of an earlier term
 	Zone       func(string) int32
 	Place      func(j *jobs.Job, k int, m *workers.Machine)
+	Unplace    func(j *jobs.Job, k int) // takes back a plan that was not sent
 }
 
 // Pass gives out all room that the order lets it give.
@@ -82,13 +83,13 @@
 	machines := make([]*workers.Machine, 0, len(w.Yard.All()))
 	for _, m := range w.Yard.All() {
 		m.Held = false
-		if m.Usable(w.Now, w.Quiet) && m.Free.CPU > 0 {
+		if m.Usable(w.Now, w.Quiet) && (m.Free.CPU > 0 || m.Free.GPU > 0) {
 			machines = append(machines, m)
 		}
 	}
 	order := w.Book.Order()
 	training := 0
-	waiting := false
+	waiting := p.services(w, machines)
 	for _, i := range order {
 		j := w.Jobs.At(i)
 		waiting = waiting || j.Waiting > 0
@@ -160,7 +161,11 @@
 			if k < 0 {
 				break
 			}
-			if p.give(w, j, k, machines) {
+			if j.Rec.Kind == jobs.Gang {
+				if p.launch(w, j, machines) {
+					break
+				}
+			} else if p.give(w, j, k, machines) {
 				continue
 			}
 			if !held && p.ready(w, j) && p.Within(j.Team, j.Need, w.Unresolved) {
@@ -172,6 +177,47 @@
 	return held
 }
 
+// services get room first, outside the order. It says whether any waits.
+func (p *Planner) services(w World, machines []*workers.Machine) bool {
+	waiting := false
+	for _, j := range w.Jobs.All() {
+		if j == nil || j.Rec.Kind != jobs.Service {
+			continue
+		}
+		for {
+			k := j.NextWaiting(len(j.Tasks))
+			if k < 0 || !p.give(w, j, k, machines) {
+				waiting = waiting || k >= 0
+				break
+			}
+		}
+	}
+	return waiting
+}
+
+// launch places all waiting tasks of a gang or none. While the gang still
+// gathers, lost tasks are replaced under the attempt it has.
+func (p *Planner) launch(w World, j *jobs.Job, machines []*workers.Machine) bool {
+	if j.Broken || (j.Began && j.Placed > 0) || !p.Within(j.Team, j.Need.Times(j.Waiting), w.Unresolved) {
+		return false
+	}
+	var placed []int
+	for {
+		k := j.NextWaiting(len(j.Tasks))
+		if k < 0 {
+			return true
+		}
+		if !p.give(w, j, k, machines) {
+			break
+		}
+		placed = append(placed, k)
+	}
+	for _, k := range placed {
+		w.Unplace(j, k)
+	}
+	return false
+}
+
 func (p *Planner) ready(w World, j *jobs.Job) bool {
 	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && w.Unresolved != amounts.Amounts{})
 }
@@ -184,7 +230,7 @@
 	var best *workers.Machine
 	var bestScore int64
 	for _, m := range machines {
-		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) {
+		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) {
 			continue
 		}
 		// The earliest start, then the tightest fit: a second of fetching
@@ -211,7 +257,7 @@
 func (p *Planner) hold(w World, j *jobs.Job) bool {
 	var fit []*workers.Machine
 	for _, m := range w.Yard.All() {
-		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) {
+		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone) {
 			fit = append(fit, m)
 		}
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -59,6 +59,15 @@
 	NotedN   int
 	cursor   int
 
+	Zones map[int32]int // placed tasks by zone, where the job has a say in that
+	// Launch is the attempt that all tasks of a gang share; 0 while none is
+	// under way. Broken says that it cannot succeed any more: the next one
+	// begins once every task is proved gone.
+	Launch uint64
+	Broken bool
+	Began  bool    // the gang has run in this launch
+	Share  float64 // processors of a machine that a task takes up, counting what it makes unusable
+
 	SumS float64 // run time of completed tasks
 	SumN int
 
@@ -161,6 +170,33 @@
 	j.cursor = min(j.cursor, k)
 }
 
+// ZoneRule says whether the job restricts where its tasks may be together.
+func (j *Job) ZoneRule() bool { return j.Rec.OneZone || j.Rec.Spread }
+
+// ZoneAllows says whether one more task may be in a zone, given where the
+// placed ones are.
+func (j *Job) ZoneAllows(zone int32) bool {
+	if j.Rec.OneZone {
+		for z, n := range j.Zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Rec.Spread || j.Zones[zone] < (len(j.Tasks)+1)/2
+}
+
+// MoveZone counts a task in or out of a zone.
+func (j *Job) MoveZone(zone int32, n int) {
+	if !j.ZoneRule() {
+		return
+	}
+	if j.Zones == nil {
+		j.Zones = map[int32]int{}
+	}
+	j.Zones[zone] += n
+}
+
 // Complete notes that a task is done; false when it was already.
 func (j *Job) Complete(k int) bool {
 	switch j.Tasks[k] {
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -87,10 +87,44 @@
 				t.leave(m, "a cancelled job's task not proved gone")
 				break
 			}
-			if m.Notice && !p.Planned && !p.Stopping && j.Rec.Checkpoint > 0 && p.State == workers.Running &&
-				m.TakenAt-now < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS) {
-				p.Stopping, p.GraceS = true, j.Rec.SaveS+5
+			if p.Planned || p.Stopping {
+				continue
 			}
+			left := m.TakenAt - now
+			switch {
+			case j.Rec.Kind == jobs.Service && (m.Notice || m.Draining):
+				p.Stopping, p.GraceS = true, j.Rec.SaveS // replaced elsewhere once it is gone
+			case m.Notice && j.Rec.Checkpoint > 0 && p.State == workers.Running && left < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS+t.peerTime(j)):
+				t.saveAndStop(j, p)
+			}
+		}
+	}
+}
+
+// peerTime is how long it may take until all tasks of a gang are told.
+func (t *Term) peerTime(j *jobs.Job) float64 {
+	if j.Rec.Kind != jobs.Gang {
+		return 0
+	}
+	return t.cfg.Deployment.Workers.GangPeerS
+}
+
+// saveAndStop stops a task with time to save; a gang is stopped as a whole,
+// for its progress is safe only when all of it is told in time.
+func (t *Term) saveAndStop(j *jobs.Job, p *workers.Placement) {
+	grace := j.Rec.SaveS + 5 + t.peerTime(j)
+	if j.Rec.Kind != jobs.Gang {
+		p.Stopping, p.GraceS = true, grace
+		return
+	}
+	for k := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		m := t.where[ref]
+		if m == nil {
+			continue
+		}
+		if q := m.Tasks[ref]; q != nil && !q.Planned && !q.Stopping {
+			q.Stopping, q.GraceS = true, grace
 		}
 	}
 }
@@ -103,8 +137,8 @@
 		return
 	}
 	var open []*jobs.Job
-	for _, i := range t.book.Order() {
-		if j := t.table.At(i); j.Phase == jobs.Open && j.Finished < len(j.Tasks) {
+	for _, j := range t.table.All() {
+		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) {
 			open = append(open, j)
 		}
 	}
@@ -149,19 +183,70 @@
 		t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
 		t.note(Info, "renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
 	}
-	if cheap <= have {
+	stuck := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Waiting == 0 || t.couldRun(j) })
+	if len(requests) == 0 && len(stuck) > 0 {
+		// Jobs that would not fit if all machines were free.
+		var cpus float64
+		for _, j := range stuck {
+			cpus += float64(j.Waiting) * j.Share
+		}
+		spotless := slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return !j.Rec.Spot })
+		requests = t.buyer.Rent(now, t.types, t.wanted(cpus, !spotless, stuck))
+		if len(requests) == 0 {
+			requests = t.buyer.Rent(now, t.types, t.wanted(cpus, false, stuck))
+		}
+		for _, r := range requests {
+			t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
+			t.note(Info, "renting for jobs that fit nowhere", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+		}
+	}
+	if cheap <= have && len(stuck) == 0 {
 		t.shrink(now, have)
 	}
 }
 
+// couldRun says whether the machines there are or are coming have a place
+// for a job: for one task, or for all of a gang.
+func (t *Term) couldRun(j *jobs.Job) bool {
+	need := 1
+	if j.Rec.Kind == jobs.Gang {
+		need = j.Waiting
+	}
+	zones := map[int32]int{}
+	total := 0
+	for _, m := range t.yard.All() {
+		if !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone)) {
+			n := perMachine(j.Need, m.Cap)
+			zones[m.Zone] += n
+			total += n
+		}
+	}
+	if j.Rec.OneZone {
+		total = 0
+		for _, n := range zones {
+			total = max(total, n)
+		}
+	}
+	if j.Rec.Spread {
+		total = 0
+		for _, n := range zones {
+			total += min(n, (len(j.Tasks)+1)/2)
+		}
+	}
+	return total >= need || len(t.rentals) > 0
+}
+
 // demand is how many processors would have the open jobs' work done within
 // the horizon, team limits considered.
 func (t *Term) demand(open []*jobs.Job, horizon float64) float64 {
 	perTeam := make([]float64, len(t.plan.Limits))
 	for _, j := range open {
 		left := float64(len(j.Tasks) - j.Finished)
-		tasks := max(float64(j.Placed), min(left, math.Ceil(left*j.Mean()/horizon)))
-		perTeam[j.Team] += tasks * j.Need.CPUs()
+		tasks := left
+		if j.Rec.Kind == jobs.Array {
+			tasks = max(float64(j.Placed), min(left, math.Ceil(left*j.Mean()/horizon)))
+		}
+		perTeam[j.Team] += tasks * j.Share
 	}
 	var sum float64
 	for team, cpus := range perTeam {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -172,6 +172,10 @@
 			continue
 		}
 		j.Phase, j.Earlier = jobs.Open, true
+		j.Share = t.share(j)
+		if j.Rec.Kind == jobs.Service {
+			continue
+		}
 		t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
 		took := -1.0
 		if j.SumN > 0 {
@@ -304,10 +308,6 @@
 		t.emit(Reply{to, Answer{Status: 422, Why: why}})
 		return
 	}
-	if s.Job.Kind != jobs.Array || s.Job.OneZone || s.Job.Spread {
-		t.emit(Reply{to, Answer{Status: 503, Why: "not served yet: gangs, services, jobs in one zone or spread over zones", RetryAfter: 30}})
-		return
-	}
 	if !t.log.Fits(ledger.Entry{Job: s.Job}) {
 		t.emit(Reply{to, Answer{Status: 400, Why: "breeds: too many names"}})
 		return
@@ -317,7 +317,8 @@
 		return
 	}
 	s.Job.AtMS = t.zero + now.Milliseconds()
-	t.enter(*s.Job, now)
+	j := t.enter(*s.Job, now)
+	j.Share = t.share(j)
 	t.accepting[s.ID] = append(t.accepting[s.ID], to)
 	t.log.Append(ledger.Entry{Job: s.Job}, tagAccept(s.ID))
 }
@@ -347,6 +348,33 @@
 	return ""
 }
 
+// share is how many processors of a machine a task takes up, counting those
+// that its memory or accelerators leave unusable, on the type that suits it
+// best.
+func (t *Term) share(j *jobs.Job) float64 {
+	best := j.Rec.CPUs
+	found := false
+	for i, ty := range t.types {
+		if n := perMachine(j.Need, amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
+			if s := ty.CPUs / float64(n); !found || s < best {
+				best, found = s, true
+			}
+		}
+	}
+	return max(best, j.Rec.CPUs)
+}
+
+// perMachine is how many tasks fit on a machine.
+func perMachine(need, room amounts.Amounts) int {
+	n := int64(1 << 30)
+	for _, d := range [][2]int64{{need.CPU, room.CPU}, {need.GPU, room.GPU}, {need.Mem, room.Mem}} {
+		if d[0] > 0 {
+			n = min(n, d[1]/d[0])
+		}
+	}
+	return int(n)
+}
+
 // state is what users may be told of a job.
 func (t *Term) state(id uint64) (Answer, bool) {
 	if p, ok := t.table.Final(id); ok {
@@ -411,7 +439,9 @@
 			j.Phase = jobs.Cancelling
 		}
 		t.book.Age(now.Seconds(), t.cpus())
-		t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		if j.Rec.Kind != jobs.Service {
+			t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		}
 		t.dirty = true
 		for i, to := range t.accepting[id] {
 			a := Answer{Status: 201, ID: id, State: wire.Queued}
@@ -499,13 +529,16 @@
 
 // lift takes a task off its machine in the books of jobs, teams and sizes.
 func (t *Term) lift(ref workers.Ref) {
-	if t.where[ref] == nil {
+	m := t.where[ref]
+	if m == nil {
 		return
 	}
 	delete(t.where, ref)
 	j := t.table.At(ref.Job)
+	j.MoveZone(m.Zone, -1)
 	t.plan.Refund(j.Team, j.Need)
 	j.Release(int(ref.Task))
+	t.gangEnds(j)
 	t.book.Lost(ref.Job, int(ref.Task))
 	t.leaveIfEmpty(j)
 	t.dirty = true
@@ -582,10 +615,15 @@
 	if t.dirty && sure {
 		t.pass(now)
 	}
-	answer.Commands = append(cmds, m.Orders(sure, func() uint64 { t.attempts++; return t.attempts })...)
+	answer.Commands = append(cmds, m.Orders(sure, t.attempt)...)
 	return answer
 }
 
+func (t *Term) attempt() uint64 {
+	t.attempts++
+	return t.attempts
+}
+
 func (t *Term) known(m *workers.Machine, id uint64, task int) (workers.Known, bool) {
 	j := t.table.Find(id)
 	if j == nil || task >= len(j.Tasks) || j.Phase == jobs.Accepting {
@@ -610,10 +648,21 @@
 		if t.where[e.Ref] == nil {
 			j.Place(k)
 			t.plan.Charge(j.Team, j.Need)
+			j.MoveZone(m.Zone, 1)
 		}
 		t.where[e.Ref] = m
+		if j.Rec.Kind == jobs.Gang {
+			if j.Launch == 0 {
+				j.Launch = e.Attempt
+			}
+			j.Began = true // or so it must be taken: it is not known whether it ran
+			if j.Launch != e.Attempt {
+				t.breakGang(j)
+			}
+		}
 	case workers.EvBegan:
 		j.Running++
+		j.Began = j.Began || j.Rec.Kind == jobs.Gang
 		t.book.Began(e.Ref.Job, k, now.Seconds())
 	case workers.EvCompleted:
 		if e.Running {
@@ -628,8 +677,10 @@
 		if t.where[e.Ref] == m {
 			delete(t.where, e.Ref)
 			t.plan.Refund(j.Team, j.Need)
+			j.MoveZone(m.Zone, -1)
 		}
 		j.Complete(k)
+		t.gangEnds(j)
 		j.Errors, m.Errors = 0, 0
 		t.book.Completed(e.Ref.Job, k, took)
 		t.complete(e.JobID, k, took)
@@ -639,6 +690,10 @@
 			j.Running--
 		}
 		t.lift(e.Ref)
+		if j.Rec.Kind == jobs.Gang && (j.Began || e.Reason == workers.Alone || e.Reason == workers.PeersLost || e.Reason == workers.Failed || e.Reason == workers.Stopped) {
+			t.breakGang(j)
+		}
+		t.gangEnds(j)
 		switch e.Reason {
 		case workers.Failed:
 			m.Errors++
@@ -660,6 +715,36 @@
 	}
 }
 
+// breakGang gives up a gang's launch: what was not sent is taken back, the
+// others are stopped, and the next launch waits until all are proved gone.
+func (t *Term) breakGang(j *jobs.Job) {
+	if j.Broken || j.Finished > 0 {
+		return // one that is done has all of them done
+	}
+	j.Broken = true
+	for k, s := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		m := t.where[ref]
+		if s != jobs.Placed || m == nil {
+			continue
+		}
+		if p := m.Tasks[ref]; p == nil || p.Planned {
+			t.unplan(m, ref)
+		} else if !p.Stopping {
+			p.Stopping, p.GraceS = true, 0
+		}
+	}
+	t.gangEnds(j)
+}
+
+// gangEnds makes a gang ready for its next launch once nothing of the last
+// one is left anywhere.
+func (t *Term) gangEnds(j *jobs.Job) {
+	if j.Rec.Kind == jobs.Gang && j.Placed == 0 {
+		j.Launch, j.Broken, j.Began = 0, false, false
+	}
+}
+
 // complete collects finished tasks for one entry of the log.
 func (t *Term) complete(id uint64, k int, took float64) {
 	b := t.completed[id]
@@ -694,9 +779,21 @@
 		Place: func(j *jobs.Job, k int, m *workers.Machine) {
 			ref := workers.Ref{Job: j.Index, Task: int32(k)}
 			j.Place(k)
+			j.MoveZone(m.Zone, 1)
 			t.where[ref] = m
-			m.Plan(&workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need})
+			p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need}
+			if j.Rec.Kind == jobs.Gang {
+				if j.Launch == 0 {
+					j.Launch = t.attempt()
+				}
+				p.Attempt = j.Launch
+			}
+			m.Plan(p)
 			m.UseImage(j.Image, j.Rec.ImageGB, now)
+		},
+		Unplace: func(j *jobs.Job, k int) {
+			ref := workers.Ref{Job: j.Index, Task: int32(k)}
+			t.unplan(t.where[ref], ref)
 		}})
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -400,7 +400,9 @@
 		for _, p := range m.Tasks {
 			if p.Planned {
 				p.Planned = false
-				p.Attempt = attempt()
+				if p.Attempt == 0 {
+					p.Attempt = attempt()
+				}
 				p.seq = m.Seq
 				cmds = append(cmds, Command{Op: Start, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt})
 			}
