--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -134,8 +134,13 @@
 	}
 }
 
-// Leave takes a job out of the table; its index will be used again.
+// Leave takes a job out of the table; its index will be used again. A job
+// that has left already stays as it is: freeing its index twice would give
+// it to two jobs at once.
 func (t *Table) Leave(j *Job) {
+	if t.jobs[j.Index] != j {
+		return
+	}
 	delete(t.byID, j.Rec.ID)
 	t.jobs[j.Index] = nil
 	t.free = append(t.free, j.Index)
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,68 @@
+package jobs
+
+import (
+	"testing"
+
+	"bitternmoor/internal/ledger"
+)
+
+// Found on a day of gangs: a job that left twice had its index given to two
+// others, whose tasks were then taken for one another's.
+func TestIndexIsFreedOnce(t *testing.T) {
+	table := NewTable()
+	j := table.Add(ledger.Job{ID: 1, Tasks: 1})
+	table.Leave(j)
+	table.Leave(j)
+	a, b := table.Add(ledger.Job{ID: 2, Tasks: 3}), table.Add(ledger.Job{ID: 3, Tasks: 11})
+	if a.Index == b.Index {
+		t.Fatalf("jobs 2 and 3 share index %d", a.Index)
+	}
+	table.Leave(j)
+	if table.Find(2) != a || table.At(a.Index) != a {
+		t.Error("a job that is long gone took another along")
+	}
+}
+
+func TestTaskStates(t *testing.T) {
+	j := NewTable().Add(ledger.Job{ID: 1, Tasks: 4})
+	for _, k := range []int{0, 1, 2} {
+		if got := j.NextWaiting(4); got != k {
+			t.Fatalf("next waiting is %d, want %d", got, k)
+		}
+		j.Place(k)
+	}
+	j.Release(1)
+	if got := j.NextWaiting(4); got != 1 {
+		t.Errorf("a released task is not next: %d", got)
+	}
+	if !j.Complete(0) || j.Complete(0) {
+		t.Error("a task completes once")
+	}
+	j.Release(0) // a late word of its end changes nothing
+	j.Note(0)
+	j.Note(0)
+	if j.Waiting != 2 || j.Placed != 1 || j.Finished != 1 || j.NotedN != 1 {
+		t.Errorf("%d waiting, %d placed, %d finished, %d noted", j.Waiting, j.Placed, j.Finished, j.NotedN)
+	}
+}
+
+func TestZoneRules(t *testing.T) {
+	one := NewTable().Add(ledger.Job{Tasks: 3, OneZone: true})
+	one.MoveZone(0, 1)
+	if one.ZoneAllows(1) || !one.ZoneAllows(0) {
+		t.Error("one zone: the first task decides")
+	}
+	one.MoveZone(0, -1)
+	if !one.ZoneAllows(1) {
+		t.Error("one zone: free again once the first is gone")
+	}
+	half := NewTable().Add(ledger.Job{Tasks: 9, Spread: true})
+	half.MoveZone(0, 4)
+	if !half.ZoneAllows(0) {
+		t.Error("the fifth of nine may be in the zone")
+	}
+	half.MoveZone(0, 1)
+	if half.ZoneAllows(0) {
+		t.Error("five of nine are the most")
+	}
+}
