--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -201,6 +201,27 @@
 	if j.Broken || (j.Began && j.Placed > 0) || !p.Within(j.Team, j.Need.Times(j.Waiting), w.Unresolved) {
 		return false
 	}
+	if j.Rec.OneZone && j.Placed == 0 {
+		// The zone is open yet: the one of the machine that suits best need not
+		// be one where all tasks fit.
+		var tried []int32
+		for _, m := range machines {
+			if slices.Contains(tried, m.Zone) {
+				continue
+			}
+			tried = append(tried, m.Zone)
+			zone := m.Zone
+			if p.all(w, j, slices.DeleteFunc(slices.Clone(machines), func(m *workers.Machine) bool { return m.Zone != zone })) {
+				return true
+			}
+		}
+		return false
+	}
+	return p.all(w, j, machines)
+}
+
+// all places all waiting tasks of a job or none.
+func (p *Planner) all(w World, j *jobs.Job, machines []*workers.Machine) bool {
 	var placed []int
 	for {
 		k := j.NextWaiting(len(j.Tasks))
@@ -253,25 +274,56 @@
 
 // hold keeps the room of machines for a job that fits nowhere now: of those
 // that would fit it the ones with most room already, as many as its waiting
-// tasks fill and its team may use.
+// tasks fill and its team may use. For a job bound to one zone they are of
+// one zone; for a gang nothing is held unless all of it would fit, for then
+// waiting would bring nothing.
 func (p *Planner) hold(w World, j *jobs.Job) bool {
 	var fit []*workers.Machine
+	slots := map[int32]int{}
+	total := 0
 	for _, m := range w.Yard.All() {
 		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone) {
 			fit = append(fit, m)
+			n := Slots(j.Need, m.Cap)
+			slots[m.Zone] += n
+			total += n
 		}
 	}
 	slices.SortFunc(fit, func(a, b *workers.Machine) int { return cmp.Compare(b.Free.CPU, a.Free.CPU) })
+	if j.Rec.OneZone && len(fit) > 0 {
+		zone := fit[0].Zone
+		for _, m := range fit {
+			if slots[m.Zone] > slots[zone] {
+				zone = m.Zone
+			}
+		}
+		total = slots[zone]
+		fit = slices.DeleteFunc(fit, func(m *workers.Machine) bool { return m.Zone != zone })
+	}
 	want := 0
 	for n := j.Waiting; want < n && p.Within(j.Team, j.Need.Times(want+1), w.Unresolved); want++ {
 	}
+	if j.Rec.Kind == jobs.Gang && (want < j.Waiting || total < j.Waiting) {
+		return false
+	}
 	held := false
 	for _, m := range fit {
 		if want <= 0 {
 			break
 		}
 		m.Held, held = true, true
-		want -= int(m.Cap.CPU / max(1, j.Need.CPU))
+		want -= Slots(j.Need, m.Cap)
 	}
 	return held
 }
+
+// Slots is how many tasks fit into room.
+func Slots(need, room amounts.Amounts) int {
+	n := int64(1 << 30)
+	for _, d := range [][2]int64{{need.CPU, room.CPU}, {need.GPU, room.GPU}, {need.Mem, room.Mem}} {
+		if d[0] > 0 {
+			n = min(n, d[1]/d[0])
+		}
+	}
+	return int(n)
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -219,3 +219,6 @@
 	}
 	c.after(now)
 }
+
+// Epoch is the epoch of this node's last term.
+func (c *Core) Epoch() uint64 { return c.lead.Epoch() }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -208,18 +208,17 @@
 // couldRun says whether the machines there are or are coming have a place
 // for a job: for one task, or for all of a gang.
 func (t *Term) couldRun(j *jobs.Job) bool {
+	if len(t.rentals) > 0 {
+		return true // more may be on the way
+	}
 	need := 1
-	if j.Rec.Kind == jobs.Gang {
-		need = j.Waiting
+	if j.Rec.Kind != jobs.Array {
+		need = len(j.Tasks) - j.Finished
 	}
-	zones := map[int32]int{}
+	zones := t.slots(j)
 	total := 0
-	for _, m := range t.yard.All() {
-		if !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone)) {
-			n := perMachine(j.Need, m.Cap)
-			zones[m.Zone] += n
-			total += n
-		}
+	for _, n := range zones {
+		total += n
 	}
 	if j.Rec.OneZone {
 		total = 0
@@ -233,7 +232,19 @@
 			total += min(n, (len(j.Tasks)+1)/2)
 		}
 	}
-	return total >= need || len(t.rentals) > 0
+	return total >= need
+}
+
+// slots is how many tasks of a job each zone's machines could take if they
+// were free.
+func (t *Term) slots(j *jobs.Job) map[int32]int {
+	zones := map[int32]int{}
+	for _, m := range t.yard.All() {
+		if !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone)) {
+			zones[m.Zone] += blocks.Slots(j.Need, m.Cap)
+		}
+	}
+	return zones
 }
 
 // demand is how many processors would have the open jobs' work done within
@@ -323,7 +334,13 @@
 			return false
 		}
 		m := &workers.Machine{Type: i, Zone: t.zones.Index(zone), Spot: spot, Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
-		return slices.ContainsFunc(open, func(j *jobs.Job) bool { return j.Need.Fits(m.Cap) && blocks.Allowed(j, m, t.zones.Index) })
+		return slices.ContainsFunc(open, func(j *jobs.Job) bool {
+			if !j.Need.Fits(m.Cap) || !blocks.Allowed(j, m, t.zones.Index) {
+				return false
+			}
+			// A zone that has its share of a spread job's tasks brings it no further.
+			return !j.ZoneRule() || (j.ZoneAllows(m.Zone) && (!j.Rec.Spread || t.slots(j)[m.Zone] < (len(j.Tasks)+1)/2))
+		})
 	}
 	return w
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,7 @@
 	case Load:
 		go n.load(e.Epoch)
 	case Commit:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 			defer cancel()
@@ -153,7 +153,7 @@
 			n.post(func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) })
 		}()
 	case Recheck:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 			defer cancel()
@@ -161,7 +161,7 @@
 			n.post(func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) })
 		}()
 	case Rent:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
 			defer cancel()
@@ -169,7 +169,7 @@
 			n.post(func(now time.Duration) { n.core.Rented(now, epoch, e.Rental.Name, names, res) })
 		}()
 	case Delete:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
 			defer cancel()
@@ -177,7 +177,7 @@
 			n.post(func(now time.Duration) { n.core.Deleted(now, epoch, e.Machines, ok) })
 		}()
 	case List:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
 			defer cancel()
@@ -185,7 +185,7 @@
 			n.post(func(now time.Duration) { n.core.Listed(now, epoch, list, err == nil) })
 		}()
 	case Types:
-		epoch := n.core.lead.Epoch()
+		epoch := n.core.Epoch()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
 			defer cancel()
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -355,7 +355,7 @@
 	best := j.Rec.CPUs
 	found := false
 	for i, ty := range t.types {
-		if n := perMachine(j.Need, amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
+		if n := blocks.Slots(j.Need, amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
 			if s := ty.CPUs / float64(n); !found || s < best {
 				best, found = s, true
 			}
@@ -364,17 +364,6 @@
 	return max(best, j.Rec.CPUs)
 }
 
-// perMachine is how many tasks fit on a machine.
-func perMachine(need, room amounts.Amounts) int {
-	n := int64(1 << 30)
-	for _, d := range [][2]int64{{need.CPU, room.CPU}, {need.GPU, room.GPU}, {need.Mem, room.Mem}} {
-		if d[0] > 0 {
-			n = min(n, d[1]/d[0])
-		}
-	}
-	return int(n)
-}
-
 // state is what users may be told of a job.
 func (t *Term) state(id uint64) (Answer, bool) {
 	if p, ok := t.table.Final(id); ok {
@@ -728,9 +717,12 @@
 		if s != jobs.Placed || m == nil {
 			continue
 		}
-		if p := m.Tasks[ref]; p == nil || p.Planned {
+		p := m.Tasks[ref]
+		switch {
+		case p == nil: // its end is told by the report being taken in
+		case p.Planned:
 			t.unplan(m, ref)
-		} else if !p.Stopping {
+		case !p.Stopping:
 			p.Stopping, p.GraceS = true, 0
 		}
 	}
--- /dev/null
+++ b/internal/scenario/checker_test.go
@@ -0,0 +1,134 @@
+package scenario
+
+import (
+	"fmt"
+	"time"
+
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/wire"
+)
+
+// checker watches the platform's rules all the time.
+type checker struct {
+	s         *sim
+	on        map[task]map[string]bool // machines that have a task, once it has its image
+	zones     map[string]string
+	completeN map[task]bool
+	broken    []string
+	starts    int
+}
+
+func (c *checker) fail(rule, format string, a ...any) {
+	c.broken = append(c.broken, fmt.Sprintf("%s at %v: %s", rule, c.s.now.Round(time.Millisecond), fmt.Sprintf(format, a...)))
+}
+
+func (c *checker) started(t task, w *worker) {
+	c.starts++
+	j := c.s.jobs[t.job]
+	for m := range c.on[t] {
+		if m != w.name {
+			c.fail("ran_twice", "%d/%d on %s while on %s", t.job, t.k, w.name, m)
+		}
+	}
+	spec := j.spec.Job
+	if (w.spot && !spec.Spot) || (spec.Zone != "" && spec.Zone != w.zone) {
+		c.fail("wrong_place", "%d/%d on %s", t.job, t.k, w.name)
+	}
+	inZone := 0
+	for k := range spec.Tasks {
+		for m := range c.on[task{t.job, k}] {
+			z := c.zones[m]
+			if spec.OneZone && z != w.zone && k != t.k {
+				c.fail("wrong_place", "%d in zones %s and %s", t.job, z, w.zone)
+			}
+			if z == w.zone && k != t.k {
+				inZone++
+			}
+		}
+	}
+	if spec.Spread && inZone+1 > (spec.Tasks+1)/2 {
+		c.fail("wrong_place", "%d of %d tasks of %d in zone %s", inZone+1, spec.Tasks, t.job, w.zone)
+	}
+	if c.on[t] == nil {
+		c.on[t] = map[string]bool{}
+	}
+	if c.zones == nil {
+		c.zones = map[string]string{}
+	}
+	c.on[t][w.name] = true
+	c.zones[w.name] = w.zone
+	if j.gone && c.s.now > j.goneAt+settingsSeconds(c.s.cfg.Deployment.Workers.CancelS) {
+		c.fail("ran_cancelled", "%d/%d started on %s", t.job, t.k, w.name)
+	}
+	use := map[string]float64{}
+	for t, ms := range c.on {
+		sp := c.s.jobs[t.job].spec.Job
+		use[sp.Team] += sp.CPUs * float64(len(ms))
+	}
+	for _, team := range c.s.cfg.Deployment.Teams {
+		if team.CPUsMax > 0 && use[team.Name] > team.CPUsMax {
+			c.fail("quota", "%s uses %v of %v", team.Name, use[team.Name], team.CPUsMax)
+		}
+	}
+}
+
+func (c *checker) left(t task, w *worker) { delete(c.on[t], w.name) }
+
+func (c *checker) completed(t task) {
+	if c.completeN == nil {
+		c.completeN = map[task]bool{}
+	}
+	c.completeN[t] = true
+}
+
+// told takes an answer to a request that was sent at a time: one sent before
+// another answer was told may be overtaken by it.
+func (c *checker) told(j *userJob, a node.Answer, sent time.Duration) {
+	switch {
+	case a.Status == 404 && j.accepted:
+		c.fail("forgotten", "%d gets 404", j.id)
+	case (a.Status == 200 || a.Status == 201) && j.spec.Job == nil:
+		c.fail("invented", "%d gets %d", j.id, a.Status)
+	}
+	if a.Status == 404 {
+		j.state = "unknown"
+	}
+	if a.Status != 200 && a.Status != 201 {
+		return
+	}
+	if (j.toldDone || j.gone) && sent <= j.goneAt {
+		return
+	}
+	j.state = []string{"queued", "running", "done", "cancelled"}[a.State]
+	if j.toldDone && sent > j.goneAt && a.State != wire.Done {
+		c.fail("went_back", "%d was done, is %s", j.id, j.state)
+	}
+	if j.gone && sent > j.goneAt && a.State != wire.Cancelled {
+		c.fail("went_back", "%d was cancelled, is %s", j.id, j.state)
+	}
+	switch a.State {
+	case wire.Done:
+		if !j.toldDone {
+			j.toldDone, j.goneAt = true, c.s.now
+		}
+		for k := range j.spec.Job.Tasks {
+			if !c.completeN[task{j.id, k}] {
+				c.fail("not_done", "%d is called done without task %d", j.id, k)
+			}
+		}
+	case wire.Cancelled:
+		if !j.asked {
+			c.fail("went_back", "%d was not cancelled by its user", j.id)
+		}
+		if !j.gone {
+			j.gone, j.goneAt = true, c.s.now
+			c.s.after(settingsSeconds(c.s.cfg.Deployment.Workers.CancelS), func() {
+				for k := range j.spec.Job.Tasks {
+					for m := range c.on[task{j.id, k}] {
+						c.fail("ran_cancelled", "%d/%d is still on %s", j.id, k, m)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/random_test.go
@@ -0,0 +1,180 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+// TestRandomDays plays days of random jobs and overlapping troubles. Every
+// rule must hold, and once the troubles are over every job must come to its
+// end. SCENARIO_DAYS sets how many; a seed that failed becomes a file of its
+// own in testdata.
+func TestRandomDays(t *testing.T) {
+	days := 60
+	if v, err := strconv.Atoi(os.Getenv("SCENARIO_DAYS")); err == nil {
+		days = v
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			randomDay(t, seed)
+		})
+	}
+}
+
+func randomDay(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 99))
+	c := baseSettings()
+	c.Deployment.Teams[0].CPUsMax = float64(8 + r.IntN(40))
+	s := newSim(c, seed, 3)
+	var log []string
+	say := func(f string, a ...any) {
+		log = append(log, fmt.Sprintf("%v ", s.now.Round(time.Millisecond))+fmt.Sprintf(f, a...))
+	}
+	sometime := func() time.Duration { return time.Duration(r.IntN(120000)) * time.Millisecond }
+	for i := range uint64(12 + r.IntN(15)) {
+		id := i + 1
+		run := time.Duration(2000+r.IntN(25000)) * time.Millisecond
+		job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: uint8(r.IntN(4)), Tasks: 1 + r.IntN(12), CPUs: float64(1 + r.IntN(2)), MemoryGB: 1,
+			Image: fmt.Sprint(r.IntN(3)), ImageGB: 0.3, Spot: r.IntN(4) > 0, EstimateS: run.Seconds(), OneZone: r.IntN(6) == 0, Spread: r.IntN(6) == 0}
+		if job.OneZone {
+			job.Spread = false
+		}
+		if r.IntN(4) == 0 {
+			job.Kind, job.Tasks, job.CPUs = 1, 1+r.IntN(6), 1
+		}
+		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
+		s.jobs[id] = j
+		at := sometime()
+		s.after(at, func() { s.submit(j, r.IntN(3), func() bool { return s.now < at+60*time.Second }) })
+		if r.IntN(5) == 0 {
+			s.after(at+time.Duration(r.IntN(40))*time.Second, func() {
+				if j.accepted {
+					s.abort(j, r.IntN(3))
+				}
+			})
+		}
+		if r.IntN(3) == 0 {
+			s.after(at+sometime(), func() {
+				if j.accepted {
+					s.submit(j, r.IntN(3), func() bool { return false })
+				}
+			})
+		}
+	}
+	machines := func() []string {
+		var out []string
+		for n, w := range s.cloud.machines {
+			if w.up {
+				out = append(out, n)
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	for range 3 + r.IntN(8) {
+		at, length, kind, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(3)
+		s.after(at, func() {
+			ms := machines()
+			var m *worker
+			if len(ms) > 0 {
+				m = s.cloud.machines[ms[r.IntN(len(ms))]]
+			}
+			say("trouble %d for %v, node %d", kind, length, who)
+			switch kind {
+			case 0, 1:
+				n := s.nodes[who]
+				n.crash()
+				s.after(8*time.Second, func() {
+					if !n.up {
+						n.start()
+					}
+				})
+			case 2:
+				for _, n := range s.nodes {
+					n.crash()
+				}
+				s.after(8*time.Second, func() {
+					for _, n := range s.nodes {
+						if !n.up {
+							n.start()
+						}
+					}
+				})
+			case 3:
+				s.state.outage = true
+				s.after(length, func() { s.state.recover() })
+			case 4:
+				n := s.nodes[who].name
+				s.state.refuse[n] = true
+				s.after(length, func() { delete(s.state.refuse, n) })
+			case 5:
+				n := s.nodes[who].name
+				s.cuts = append(s.cuts, &cut{host: n, hold: r.IntN(2) == 0})
+				s.after(length, func() { s.heal(n) })
+			case 6:
+				if m != nil {
+					s.cuts = append(s.cuts, &cut{host: m.name, hold: r.IntN(2) == 0})
+					s.after(length, func() { s.heal(m.name) })
+				}
+			case 7:
+				if m != nil {
+					m.vanish()
+				}
+			case 8:
+				if m != nil {
+					m.hung = true
+					s.after(length, func() { m.hung = false })
+				}
+			case 9:
+				s.state.loseOut += r.IntN(2)
+				s.state.delayed = time.Duration(r.IntN(6)) * time.Second
+				if r.IntN(2) == 0 {
+					s.cloud.late = length
+				}
+			}
+		})
+	}
+	var poll func()
+	poll = func() {
+		for id := range uint64(len(s.jobs)) {
+			if j := s.jobs[id+1]; j.accepted {
+				s.poll(j, r.IntN(3))
+			}
+		}
+		s.after(2*time.Second, poll)
+	}
+	s.after(0, poll)
+	s.run(160 * time.Second)
+	over := s.until(900*time.Second, func() bool {
+		for _, j := range s.jobs {
+			if j.accepted && !j.toldDone && !j.gone {
+				return false
+			}
+		}
+		return true
+	})
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %s\n%s", strings.Join(s.check.broken, "\n"), strings.Join(log, "\n"))
+	}
+	if !over {
+		for _, j := range s.jobs {
+			if j.accepted && !j.toldDone && !j.gone {
+				t.Errorf("job %d never came to its end: %+v, %s", j.id, *j.spec.Job, j.state)
+			}
+		}
+		t.Error(strings.Join(log, "\n"))
+	}
+	if s.check.starts == 0 {
+		t.Error("nothing ran")
+	}
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,361 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// TestScenarios plays every file of testdata. The first line of a file's
+// first command says what failure it stands for.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var p *player
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "world" {
+				p = newPlayer(t, d)
+				return "ok"
+			}
+			return p.play(t, d)
+		})
+		// Whatever a file looks at, no rule may be broken in it.
+		if p != nil && len(p.s.check.broken) > 0 {
+			t.Errorf("rules broken: %s", strings.Join(p.s.check.broken, "; "))
+		}
+	})
+}
+
+type player struct{ s *sim }
+
+func baseSettings() settings.Settings {
+	var c settings.Settings
+	c.Tunables = settings.Defaults()
+	d := &c.Deployment
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.GangWaitS, d.Workers.GangPeerS, d.Workers.CancelS = 1, 10, 15, 3, 30
+	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 200, 20, 8, 12
+	d.Cloud.RPS, d.Cloud.ListLagS = 4, 2
+	d.Teams = []settings.Team{{Name: "team"}}
+	return c
+}
+
+func arg[T any](t *testing.T, d *datadriven.TestData, key string, def T) T {
+	t.Helper()
+	v := def
+	d.MaybeScanArgs(t, key, &v)
+	return v
+}
+
+func span(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	t.Helper()
+	v, err := time.ParseDuration(arg(t, d, key, "0s"))
+	if err != nil {
+		d.Fatalf(t, "%s: %v", key, err)
+	}
+	return v
+}
+
+func newPlayer(t *testing.T, d *datadriven.TestData) *player {
+	c := baseSettings()
+	c.Deployment.Teams[0].CPUsMax = float64(arg(t, d, "limit", 0))
+	c.Deployment.State.WriteRPS = float64(arg(t, d, "write-rps", 20))
+	p := &player{newSim(c, uint64(arg(t, d, "seed", 1)), arg(t, d, "nodes", 3))}
+	p.s.cloud.capacity = arg(t, d, "capacity", 40)
+	var poll func()
+	poll = func() {
+		ids := make([]uint64, 0, len(p.s.jobs))
+		for id := range p.s.jobs {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for i, id := range ids {
+			if j := p.s.jobs[id]; j.accepted {
+				p.s.poll(j, int(p.s.now/time.Second)+i)
+			}
+		}
+		p.s.after(2*time.Second, poll)
+	}
+	p.s.after(0, poll)
+	p.s.run(time.Second)
+	return p
+}
+
+func (p *player) play(t *testing.T, d *datadriven.TestData) string {
+	s := p.s
+	id := uint64(arg(t, d, "id", 1))
+	switch d.Cmd {
+	case "submit":
+		n := arg(t, d, "count", 1)
+		for i := range n {
+			p.submit(t, d, id+uint64(i))
+		}
+	case "resubmit":
+		again := false
+		s.submit(s.jobs[id], arg(t, d, "at", 1), func() bool { return again })
+	case "ask":
+		j := &userJob{id: id}
+		s.poll(j, 0)
+		s.run(2 * time.Second)
+		return j.state
+	case "abort":
+		s.abort(s.jobs[id], arg(t, d, "at", 0))
+	case "run":
+		s.run(span(t, d, "for"))
+	case "await":
+		j, want := s.jobs[id], arg(t, d, "state", "done")
+		if !s.until(span(t, d, "within"), func() bool { return j.state == want }) {
+			return fmt.Sprintf("still %q", j.state)
+		}
+	case "await-all":
+		if !s.until(span(t, d, "within"), func() bool {
+			for _, j := range s.jobs {
+				if !j.toldDone && !j.gone && !strings.HasPrefix(j.state, "refused") {
+					return false
+				}
+			}
+			return true
+		}) {
+			return "not all are over"
+		}
+	case "await-running":
+		n := arg(t, d, "tasks", 1)
+		if !s.until(span(t, d, "within"), func() bool { return s.running(id) >= n }) {
+			return fmt.Sprintf("only %d run", s.running(id))
+		}
+	case "await-leader":
+		if !s.until(span(t, d, "within"), func() bool { return s.leader() != nil }) {
+			return "no leader"
+		}
+	case "crash":
+		for _, c := range p.pick(t, d) {
+			c.crash()
+		}
+	case "start":
+		for _, c := range p.pick(t, d) {
+			if !c.up {
+				c.start()
+			}
+		}
+	case "roll":
+		for _, c := range s.nodes {
+			c.crash()
+			s.run(8 * time.Second)
+			c.start()
+			s.run(span(t, d, "every"))
+		}
+	case "state":
+		if d.HasArg("outage") {
+			s.state.outage = true
+		}
+		if d.HasArg("back") {
+			s.state.recover()
+			s.state.refuse = map[string]bool{}
+		}
+		if d.HasArg("refuse") {
+			for _, c := range p.pick(t, d) {
+				s.state.refuse[c.name] = true
+			}
+		}
+		s.state.loseOut += arg(t, d, "lose", 0)
+		s.state.delayed = span(t, d, "delay")
+	case "cloud":
+		s.cloud.outage = d.HasArg("outage")
+		s.cloud.dud += arg(t, d, "dud", 0)
+		s.cloud.late = span(t, d, "late")
+		if d.HasArg("capacity") {
+			s.cloud.capacity = arg(t, d, "capacity", 0)
+		}
+	case "cut":
+		for _, h := range p.hosts(t, d) {
+			s.cuts = append(s.cuts, &cut{host: h, with: arg(t, d, "from", ""), hold: d.HasArg("hold")})
+		}
+	case "heal":
+		for _, c := range slices.Clone(s.cuts) {
+			s.heal(c.host)
+		}
+	case "kill":
+		for _, h := range p.hosts(t, d) {
+			s.cloud.machines[h].vanish()
+		}
+	case "hang":
+		for _, h := range p.hosts(t, d) {
+			w := s.cloud.machines[h]
+			w.hung = true
+			s.after(span(t, d, "for"), func() { w.hung = false })
+		}
+	case "faulty":
+		for _, h := range p.hosts(t, d) {
+			s.cloud.machines[h].faulty = true
+		}
+	case "notice":
+		for _, h := range p.hosts(t, d) {
+			w := s.cloud.machines[h]
+			in := span(t, d, "in")
+			w.notice = s.now + in
+			w.soon()
+			s.after(in, w.vanish)
+		}
+	case "machines":
+		return fmt.Sprintf("%d", len(s.cloud.machines))
+	case "deleted":
+		return fmt.Sprintf("%v", s.cloud.deleted > 0)
+	case "rules":
+		if len(s.check.broken) > 0 {
+			return strings.Join(s.check.broken, "\n")
+		}
+		return "kept"
+	case "answer":
+		return s.jobs[id].state
+	default:
+		d.Fatalf(t, "no such command")
+	}
+	return "ok"
+}
+
+func (p *player) submit(t *testing.T, d *datadriven.TestData, id uint64) {
+	kinds := map[string]uint8{"array": 0, "gang": 1, "service": 2}
+	runS := span(t, d, "run")
+	job := &ledger.Job{ID: id, Class: "class", Team: arg(t, d, "team", "team"), Kind: kinds[arg(t, d, "kind", "array")], Priority: 1,
+		Tasks: arg(t, d, "tasks", 1), CPUs: float64(arg(t, d, "cpus", 1)), MemoryGB: 1, Image: "image", ImageGB: 0.3,
+		OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: !d.HasArg("no-spot"), EstimateS: max(1, runS.Seconds())}
+	j := &userJob{id: id, run: runS, spec: wire.Submission{ID: id, HasID: true, Job: job}}
+	p.s.jobs[id] = j
+	first := p.s.now
+	p.s.submit(j, arg(t, d, "at", 0), func() bool { return p.s.now-first < 60*time.Second })
+}
+
+func (p *player) pick(t *testing.T, d *datadriven.TestData) []*controller {
+	switch who := arg(t, d, "node", "leader"); who {
+	case "all":
+		return p.s.nodes
+	case "leader":
+		if l := p.s.leader(); l != nil {
+			return []*controller{l}
+		}
+		d.Fatalf(t, "nobody leads")
+	default:
+		for _, c := range p.s.nodes {
+			if c.name == who {
+				return []*controller{c}
+			}
+		}
+		d.Fatalf(t, "no node %s", who)
+	}
+	return nil
+}
+
+// hosts picks nodes, or machines that run tasks of a job.
+func (p *player) hosts(t *testing.T, d *datadriven.TestData) []string {
+	if d.HasArg("node") {
+		var out []string
+		for _, c := range p.pick(t, d) {
+			out = append(out, c.name)
+		}
+		return out
+	}
+	id := uint64(arg(t, d, "job", 1))
+	var out []string
+	for n, w := range p.s.cloud.machines {
+		for k := range w.tasks {
+			if k.job == id {
+				out = append(out, n)
+				break
+			}
+		}
+	}
+	sort.Strings(out)
+	n := arg(t, d, "count", 1)
+	if len(out) < n {
+		d.Fatalf(t, "only %d machines run job %d", len(out), id)
+	}
+	return out[:n]
+}
+
+func (s *sim) running(id uint64) int {
+	n := 0
+	for _, w := range s.cloud.machines {
+		for k, x := range w.tasks {
+			if k.job == id && x.state == workers.Running {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestCheckerCatches breaks each rule on purpose: a checker that sees
+// nothing would pass every scenario.
+func TestCheckerCatches(t *testing.T) {
+	fresh := func() (*sim, *userJob, *worker, *worker) {
+		c := baseSettings()
+		c.Deployment.Teams[0].CPUsMax = 2
+		s := newSim(c, 1, 0)
+		job := &ledger.Job{ID: 1, Team: "team", Tasks: 4, CPUs: 1, Spot: true}
+		j := &userJob{id: 1, spec: wire.Submission{ID: 1, HasID: true, Job: job}, accepted: true}
+		s.jobs[1] = j
+		return s, j, &worker{s: s, name: "w1", zone: "a"}, &worker{s: s, name: "w2", zone: "b"}
+	}
+	cases := []struct {
+		rule string
+		do   func(s *sim, j *userJob, w1, w2 *worker)
+	}{
+		{"ran_twice", func(s *sim, _ *userJob, w1, w2 *worker) {
+			s.check.started(task{1, 0}, w1)
+			s.check.started(task{1, 0}, w2)
+		}},
+		{"quota", func(s *sim, _ *userJob, w1, _ *worker) {
+			for k := range 3 {
+				s.check.started(task{1, k}, w1)
+			}
+		}},
+		{"wrong_place", func(s *sim, j *userJob, w1, _ *worker) {
+			w1.spot, j.spec.Job.Spot = true, false
+			s.check.started(task{1, 0}, w1)
+		}},
+		{"wrong_place", func(s *sim, j *userJob, w1, w2 *worker) {
+			j.spec.Job.OneZone = true
+			s.check.started(task{1, 0}, w1)
+			s.check.started(task{1, 1}, w2)
+		}},
+		{"wrong_place", func(s *sim, j *userJob, w1, _ *worker) {
+			j.spec.Job.Spread, j.spec.Job.Tasks = true, 2
+			s.check.started(task{1, 0}, w1)
+			s.check.started(task{1, 1}, w1)
+		}},
+		{"ran_cancelled", func(s *sim, j *userJob, w1, _ *worker) {
+			j.asked = true
+			s.check.started(task{1, 0}, w1)
+			s.check.told(j, node.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.run(time.Minute)
+		}},
+		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { s.check.told(j, node.Answer{Status: 404}, s.now) }},
+		{"invented", func(s *sim, _ *userJob, _, _ *worker) { s.check.told(&userJob{id: 9}, node.Answer{Status: 200}, s.now) }},
+		{"not_done", func(s *sim, j *userJob, _, _ *worker) {
+			s.check.told(j, node.Answer{Status: 200, State: wire.Done}, s.now)
+		}},
+		{"went_back", func(s *sim, j *userJob, _, _ *worker) {
+			j.toldDone, j.goneAt = true, -1
+			s.check.told(j, node.Answer{Status: 200, State: wire.Running}, s.now)
+		}},
+		{"went_back", func(s *sim, j *userJob, _, _ *worker) {
+			s.check.told(j, node.Answer{Status: 200, State: wire.Cancelled}, s.now)
+		}},
+	}
+	for _, c := range cases {
+		s, j, w1, w2 := fresh()
+		c.do(s, j, w1, w2)
+		if !slices.ContainsFunc(s.check.broken, func(b string) bool { return strings.HasPrefix(b, c.rule) }) {
+			t.Errorf("%s broken on purpose was not seen: %v", c.rule, s.check.broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scenario/services_test.go
@@ -0,0 +1,462 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+// stateService is a stand-in for the state service, with versions,
+// conditions, holds and watches.
+type stateService struct {
+	s       *sim
+	rev     uint64
+	items   map[string]item
+	holds   map[uint64]*hold
+	nextID  uint64
+	holder  string
+	outage  bool
+	refuse  map[string]bool // nodes that are served 503
+	loseOut int             // so many answers to transactions are lost
+	delayed time.Duration   // the next transaction is given up on, and applied this much later
+	watches []func()
+	writes  int
+}
+
+type item struct {
+	value json.RawMessage
+	mark  uint64
+	hold  uint64
+}
+
+type hold struct {
+	life time.Duration
+	ends time.Duration
+}
+
+func (st *stateService) down(c *controller) bool { return st.outage || st.refuse[c.name] }
+
+func (st *stateService) expire() {
+	for id, h := range st.holds {
+		if !st.outage && st.s.now >= h.ends {
+			st.drop(id)
+		}
+	}
+}
+
+func (st *stateService) drop(id uint64) {
+	delete(st.holds, id)
+	for k, it := range st.items {
+		if it.hold == id {
+			st.rev++
+			delete(st.items, k)
+			st.changed(k)
+		}
+	}
+}
+
+func (st *stateService) changed(key string) {
+	if !strings.HasPrefix(key, leadership.Prefix) {
+		return
+	}
+	st.holder = ""
+	if it, ok := st.items[leadership.HolderKey]; ok {
+		var h leadership.Holder
+		if json.Unmarshal(it.value, &h) == nil {
+			st.holder = h.Node
+		}
+	}
+	list := st.watches
+	st.watches = nil
+	for _, f := range list {
+		f()
+	}
+}
+
+func (st *stateService) recover() {
+	st.outage = false
+	for _, h := range st.holds {
+		h.ends = st.s.now + h.life
+		st.s.after(h.life, st.expire)
+	}
+}
+
+type txnResult struct {
+	out    ledger.Outcome
+	mark   uint64
+	failed []string
+}
+
+func (st *stateService) apply(conds []ledger.Cond, writes []ledger.Op, held uint64) txnResult {
+	st.expire()
+	if held != 0 && st.holds[held] == nil {
+		return txnResult{out: ledger.Refused}
+	}
+	var failed []string
+	for _, c := range conds {
+		if st.items[c.Key].mark != c.Mark {
+			failed = append(failed, c.Key)
+		}
+	}
+	st.writes += len(writes)
+	if failed != nil {
+		return txnResult{out: ledger.Conflict, failed: failed}
+	}
+	st.rev++
+	for _, w := range writes {
+		if w.Remove {
+			delete(st.items, w.Key)
+		} else {
+			it := item{value: w.Value, mark: st.rev}
+			if w.Key == leadership.HolderKey {
+				it.hold = held
+			}
+			st.items[w.Key] = it
+		}
+		st.changed(w.Key)
+	}
+	return txnResult{out: ledger.Applied, mark: st.rev}
+}
+
+func (st *stateService) commit(c *controller, t ledger.Txn) {
+	epoch := epochOf(c)
+	done := func(r txnResult, ok bool) {
+		if !ok {
+			r = txnResult{out: ledger.Unknown}
+		}
+		c.into(func(now time.Duration) { c.core.Committed(now, epoch, t.Seq, r.out, r.mark, r.failed) })()
+	}
+	life := c.life
+	if st.delayed > 0 {
+		late := st.delayed
+		st.delayed = 0
+		st.s.after(late, func() { st.apply(t.Conds, t.Writes, 0) })
+		st.s.after(wait, func() {
+			if c.life == life {
+				done(txnResult{}, false)
+			}
+		})
+		return
+	}
+	call(st.s, c.name, "state", wait, func(reply func(txnResult)) {
+		if st.down(c) {
+			reply(txnResult{out: ledger.Refused})
+			return
+		}
+		r := st.apply(t.Conds, t.Writes, 0)
+		if st.loseOut > 0 {
+			st.loseOut--
+			return
+		}
+		st.s.after(4*time.Millisecond, func() { reply(r) })
+	}, func(r txnResult, ok bool) {
+		if c.life == life {
+			done(r, ok)
+		}
+	})
+}
+
+func epochOf(c *controller) uint64 { return c.core.Epoch() }
+
+func (st *stateService) recheck(c *controller, key string) {
+	epoch, life := epochOf(c), c.life
+	call(st.s, c.name, "state", wait, func(reply func(item)) {
+		if !st.down(c) {
+			reply(st.items[key])
+		}
+	}, func(it item, ok bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.Rechecked(now, epoch, ok, it.mark, it.value) })()
+		}
+	})
+}
+
+type loadResult struct {
+	last    int
+	entries []ledger.Entry
+	sizes   []ledger.VirtualSize
+}
+
+func (st *stateService) load(c *controller, epoch uint64) {
+	life := c.life
+	call(st.s, c.name, "state", wait, func(reply func(loadResult)) {
+		if st.down(c) {
+			return
+		}
+		var r loadResult
+		for n := 1; ; n++ {
+			it, ok := st.items[ledger.Key(n)]
+			if !ok {
+				break
+			}
+			list, err := ledger.Decode(it.value)
+			if err != nil {
+				panic(err)
+			}
+			r.last, r.entries = n, append(r.entries, list...)
+		}
+		for k, it := range st.items {
+			var v ledger.VirtualSizes
+			if strings.HasPrefix(k, ledger.SizesPrefix) && json.Unmarshal(it.value, &v) == nil {
+				r.sizes = append(r.sizes, v.Sizes...)
+			}
+		}
+		reply(r)
+	}, func(r loadResult, ok bool) {
+		if c.life != life {
+			return
+		}
+		if !ok {
+			st.s.after(300*time.Millisecond, c.into(func(time.Duration) {
+				if epochOf(c) == epoch {
+					st.load(c, epoch)
+				}
+			}))
+			return
+		}
+		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r.last, r.entries, r.sizes) })()
+	})
+}
+
+type leadResult struct {
+	ok, gone bool
+	id       uint64
+	view     leadership.View
+}
+
+func (st *stateService) lead(c *controller, o leadership.Order) {
+	life := c.life
+	finish := func(r leadResult, ok bool) {
+		if c.life != life {
+			return
+		}
+		r.ok = r.ok && ok
+		c.into(func(now time.Duration) {
+			switch o.Action {
+			case leadership.Read:
+				c.core.Seen(now, o.Seq, r.ok, r.view)
+			case leadership.Watch:
+				c.core.Changed(now, o.Seq, r.ok)
+			case leadership.Hold:
+				c.core.Held(now, o.Seq, r.ok, r.id)
+			case leadership.Claim:
+				c.core.Claimed(now, o.Seq, r.ok, r.id)
+			case leadership.Renew:
+				c.core.Renewed(now, o.Seq, r.ok, r.gone && ok)
+			}
+		})()
+	}
+	limit := wait
+	if o.Action == leadership.Watch {
+		limit = 12 * time.Second
+	}
+	call(st.s, c.name, "state", limit, func(reply func(leadResult)) {
+		if st.down(c) {
+			reply(leadResult{})
+			return
+		}
+		st.expire()
+		switch o.Action {
+		case leadership.Read:
+			reply(leadResult{ok: true, view: st.view()})
+		case leadership.Watch:
+			if st.rev > o.Revision && (st.items[leadership.HolderKey].mark > o.Revision || st.holder == "") {
+				reply(leadResult{ok: true})
+				return
+			}
+			st.watches = append(st.watches, func() { reply(leadResult{ok: true}) })
+			st.s.after(10*time.Second, func() { reply(leadResult{ok: true}) })
+		case leadership.Hold:
+			st.nextID++
+			life := settingsSeconds(c.cfg.Tunables.LeaderHoldS)
+			st.holds[st.nextID] = &hold{life, st.s.now + life}
+			st.s.after(life, st.expire)
+			reply(leadResult{ok: true, id: st.nextID})
+		case leadership.Claim:
+			value, _ := json.Marshal(leadership.Holder{Node: c.name, Epoch: o.View.Epoch + 1})
+			r := st.apply([]ledger.Cond{{Key: leadership.HolderKey}, {Key: leadership.EpochKey, Mark: o.View.EpochMark}},
+				[]ledger.Op{{Key: leadership.HolderKey, Value: value}, {Key: leadership.EpochKey, Value: value}}, o.Hold)
+			reply(leadResult{ok: r.out == ledger.Applied, id: r.mark})
+		case leadership.Renew:
+			h := st.holds[o.Hold]
+			if h == nil {
+				reply(leadResult{gone: true})
+				return
+			}
+			h.ends = st.s.now + h.life
+			st.s.after(h.life, st.expire)
+			reply(leadResult{ok: true})
+		case leadership.Drop:
+			st.drop(o.Hold)
+		}
+	}, finish)
+}
+
+func (st *stateService) view() leadership.View {
+	v := leadership.View{Revision: st.rev}
+	for _, k := range []string{leadership.HolderKey, leadership.EpochKey} {
+		it, ok := st.items[k]
+		var h leadership.Holder
+		if !ok || json.Unmarshal(it.value, &h) != nil {
+			continue
+		}
+		if k == leadership.HolderKey {
+			v.Holder, v.HolderMark = &h, it.mark
+		} else {
+			v.Epoch, v.EpochNode, v.EpochMark = h.Epoch, h.Node, it.mark
+		}
+	}
+	return v
+}
+
+func settingsSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// cloud is a stand-in for the cloud.
+type cloud struct {
+	s        *sim
+	answers  map[string][]string
+	machines map[string]*worker
+	next     int
+	capacity int
+	boot     time.Duration
+	dud      int           // so many of the next machines never come up
+	late     time.Duration // the next rental is given up on, and executed this much later
+	outage   bool
+	deleted  int
+}
+
+var types = []ledger.Type{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: []string{"a", "b"}}}
+
+func (cl *cloud) execute(r ledger.Rental) []string {
+	if got, ok := cl.answers[r.Name]; ok {
+		return got
+	}
+	names := []string{}
+	for range r.Count {
+		if len(cl.machines) >= cl.capacity {
+			break
+		}
+		name := fmt.Sprintf("host-%06d", cl.next)
+		cl.next++
+		names = append(names, name)
+		cl.add(name, r.Zone, r.Spot)
+	}
+	cl.answers[r.Name] = names
+	return names
+}
+
+func (cl *cloud) add(name, zone string, spot bool) {
+	w := &worker{s: cl.s, name: name, zone: zone, spot: spot, session: 1, tasks: map[task]*run{}}
+	cl.machines[name] = w
+	if cl.dud > 0 {
+		cl.dud--
+		return
+	}
+	cl.s.after(cl.boot+time.Duration(cl.s.rng.IntN(1000))*time.Millisecond, w.boot)
+}
+
+type rentResult struct {
+	names []string
+	res   wire.RentResult
+}
+
+func (cl *cloud) rent(c *controller, r ledger.Rental) {
+	epoch, life := epochOf(c), c.life
+	if cl.late > 0 {
+		cl.s.after(cl.late, func() { cl.execute(r) })
+		cl.late = 0
+		cl.s.after(wait, func() {
+			if c.life == life {
+				c.into(func(now time.Duration) { c.core.Rented(now, epoch, r.Name, nil, wire.NoAnswer) })()
+			}
+		})
+		return
+	}
+	call(cl.s, c.name, "cloud", 5*time.Second, func(reply func(rentResult)) {
+		if cl.outage {
+			reply(rentResult{nil, wire.NoAnswer})
+			return
+		}
+		names := cl.execute(r)
+		if len(names) == 0 {
+			delete(cl.answers, r.Name)
+			reply(rentResult{nil, wire.NoCapacity})
+			return
+		}
+		reply(rentResult{names, wire.Rented})
+	}, func(x rentResult, ok bool) {
+		if !ok {
+			x.res = wire.NoAnswer
+		}
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.Rented(now, epoch, r.Name, x.names, x.res) })()
+		}
+	})
+}
+
+func (cl *cloud) delete(c *controller, names []string) {
+	epoch, life := epochOf(c), c.life
+	call(cl.s, c.name, "cloud", 5*time.Second, func(reply func(bool)) {
+		if cl.outage {
+			reply(false)
+			return
+		}
+		for _, n := range names {
+			if w := cl.machines[n]; w != nil {
+				w.vanish()
+				delete(cl.machines, n)
+				cl.deleted++
+			}
+		}
+		reply(true)
+	}, func(res, ok bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.Deleted(now, epoch, names, res && ok) })()
+		}
+	})
+}
+
+func (cl *cloud) types(c *controller) {
+	epoch, life := epochOf(c), c.life
+	call(cl.s, c.name, "cloud", 5*time.Second, func(reply func([]ledger.Type)) {
+		if cl.outage {
+			reply(nil)
+			return
+		}
+		reply(types)
+	}, func(list []ledger.Type, _ bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.GotTypes(now, epoch, list) })()
+		}
+	})
+}
+
+func (cl *cloud) list(c *controller) {
+	epoch, life := epochOf(c), c.life
+	var list []wire.Listed
+	var names []string
+	for n := range cl.machines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		w := cl.machines[n]
+		list = append(list, wire.Listed{Machine: ledger.Machine{Name: n, Address: n, Type: "m4", Zone: w.zone, Spot: w.spot}})
+	}
+	// The list is as old as the time it takes to come.
+	call(cl.s, c.name, "cloud", 5*time.Second, func(reply func([]wire.Listed)) {
+		if !cl.outage {
+			cl.s.after(2*time.Second, func() { reply(list) })
+		}
+	}, func(list []wire.Listed, ok bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.Listed(now, epoch, list, ok) })()
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/sim_test.go
@@ -0,0 +1,362 @@
+package scenario
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// event is something due at a time; seq keeps the order of equal times.
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// cut is an interruption between a host and others. Held packets arrive when
+// it ends, others are lost.
+type cut struct {
+	host string
+	with string // empty: all hosts
+	hold bool
+	held []func()
+}
+
+// sim is the simulated world.
+type sim struct {
+	now   time.Duration
+	q     queue
+	seq   int
+	rng   *rand.Rand
+	cfg   settings.Settings
+	nodes []*controller
+	state *stateService
+	cloud *cloud
+	check *checker
+	cuts  []*cut
+	jobs  map[uint64]*userJob
+}
+
+func newSim(cfg settings.Settings, seed uint64, count int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}}
+	s.state = &stateService{s: s, items: map[string]item{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}}
+	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, capacity: 40, boot: 5 * time.Second}
+	s.check = &checker{s: s, on: map[task]map[string]bool{}}
+	for i := range count {
+		c := cfg
+		c.Node = fmt.Sprintf("n%d", i)
+		s.nodes = append(s.nodes, &controller{s: s, index: i, name: c.Node, cfg: &c})
+	}
+	for _, n := range s.nodes {
+		n.start()
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.q, event{s.now + max(d, 0), s.seq, f})
+}
+
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.q) > 0 && s.q[0].at <= end {
+		e := heap.Pop(&s.q).(event)
+		s.now = e.at
+		e.f()
+	}
+	s.now = end
+}
+
+// until runs until the condition holds, and says whether it came to hold.
+func (s *sim) until(limit time.Duration, done func() bool) bool {
+	end := s.now + limit
+	for s.now < end && !done() {
+		s.run(100 * time.Millisecond)
+	}
+	return done()
+}
+
+func (s *sim) between(a, b string) *cut {
+	for _, c := range s.cuts {
+		if (c.host == a && (c.with == "" || c.with == b)) || (c.host == b && (c.with == "" || c.with == a)) {
+			return c
+		}
+	}
+	return nil
+}
+
+// send carries a packet; f runs at its arrival.
+func (s *sim) send(from, to string, f func()) {
+	if c := s.between(from, to); c != nil {
+		if c.hold {
+			c.held = append(c.held, f)
+		}
+		return
+	}
+	s.after(time.Millisecond+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
+}
+
+func (s *sim) heal(host string) {
+	s.cuts = slices.DeleteFunc(s.cuts, func(c *cut) bool {
+		if c.host != host {
+			return false
+		}
+		for _, f := range c.held {
+			s.after(time.Millisecond, f)
+		}
+		return true
+	})
+}
+
+// call makes a request with a deadline. serve runs at the server and hands
+// its result to reply; done gets the result, or ok false at the deadline.
+func call[T any](s *sim, from, to string, limit time.Duration, serve func(reply func(T)), done func(res T, ok bool)) {
+	over := false
+	s.send(from, to, func() {
+		serve(func(res T) {
+			s.send(to, from, func() {
+				if !over {
+					over = true
+					done(res, true)
+				}
+			})
+		})
+	})
+	s.after(limit, func() {
+		if !over {
+			over = true
+			var none T
+			done(none, false)
+		}
+	})
+}
+
+// controller runs a core.
+type controller struct {
+	s       *sim
+	index   int
+	name    string
+	cfg     *settings.Settings
+	core    *node.Core
+	life    int // counts starts; inputs of an earlier life are dropped
+	began   time.Duration
+	up      bool
+	asker   node.Asker
+	users   map[node.Asker]func(node.Answer)
+	reports map[node.Asker]func(node.ReportAnswer)
+	notes   []string
+}
+
+func (c *controller) start() {
+	c.life++
+	c.up = true
+	c.began = c.s.now
+	c.core = node.NewCore(c.cfg, c.s.now.Milliseconds())
+	c.users = map[node.Asker]func(node.Answer){}
+	c.reports = map[node.Asker]func(node.ReportAnswer){}
+	life := c.life
+	var tick func()
+	tick = func() {
+		if c.life != life || !c.up {
+			return
+		}
+		c.core.Tick(c.clock())
+		c.drain()
+		c.s.after(100*time.Millisecond, tick)
+	}
+	c.s.after(time.Duration(c.index)*7*time.Millisecond, tick)
+}
+
+func (c *controller) crash() { c.up = false; c.life++ }
+
+// clock is the node's steady clock: it starts with the process, and the
+// clocks of nodes run apart as far as they may.
+func (c *controller) clock() time.Duration {
+	d := c.s.now - c.began
+	return d + time.Duration(float64(d)*0.0005*float64(c.index%2))
+}
+
+// into wraps an input so that it is dropped when the process has ended.
+func (c *controller) into(f func(now time.Duration)) func() {
+	life := c.life
+	return func() {
+		if c.life == life && c.up {
+			f(c.clock())
+			c.drain()
+		}
+	}
+}
+
+func (c *controller) drain() {
+	for _, e := range c.core.Take() {
+		c.do(e)
+	}
+}
+
+const wait = 1200 * time.Millisecond
+
+func (c *controller) do(e node.Effect) {
+	s := c.s
+	switch e := e.(type) {
+	case node.Reply:
+		if f := c.users[e.To]; f != nil {
+			delete(c.users, e.To)
+			f(e.Answer)
+		}
+	case node.ReplyReport:
+		if f := c.reports[e.To]; f != nil {
+			delete(c.reports, e.To)
+			f(e.Answer)
+		}
+	case node.Lead:
+		s.state.lead(c, e.Order)
+	case node.Load:
+		s.state.load(c, e.Epoch)
+	case node.Commit:
+		s.state.commit(c, e.Txn)
+	case node.Recheck:
+		s.state.recheck(c, e.Key)
+	case node.Rent:
+		s.cloud.rent(c, e.Rental)
+	case node.Delete:
+		s.cloud.delete(c, e.Machines)
+	case node.List:
+		s.cloud.list(c)
+	case node.Types:
+		s.cloud.types(c)
+	case node.Note:
+		c.notes = append(c.notes, e.Text)
+	}
+}
+
+// ask carries a user's request to the core, by way of the leader.
+func (c *controller) ask(hop bool, f func(c *controller, now time.Duration, to node.Asker), done func(node.Answer)) {
+	if !c.up {
+		return // the connection is refused; the user's deadline stands in for it
+	}
+	leading, leader := c.core.Leading()
+	if !leading && !hop {
+		for _, o := range c.s.nodes {
+			if o.name == leader {
+				call(c.s, c.name, o.name, wait, func(reply func(node.Answer)) { o.ask(true, f, reply) }, func(a node.Answer, ok bool) {
+					if !ok {
+						a = node.Answer{Status: 503, RetryAfter: 1}
+					}
+					done(a)
+				})
+				return
+			}
+		}
+		done(node.Answer{Status: 503, RetryAfter: 1})
+		return
+	}
+	c.asker++
+	to := c.asker
+	c.users[to] = done
+	f(c, c.clock(), to)
+	c.drain()
+}
+
+// userJob is a job as its user sees it.
+type userJob struct {
+	id       uint64
+	spec     wire.Submission
+	run      time.Duration
+	accepted bool
+	told     wire.JobState
+	toldDone bool
+	gone     bool // told cancelled
+	asked    bool // its user asked to cancel it
+	goneAt   time.Duration
+	state    string
+}
+
+func (s *sim) submit(j *userJob, at int, again func() bool) {
+	sent := s.now
+	c := s.nodes[at%len(s.nodes)]
+	call(s, "users", c.name, 5*time.Second, func(reply func(node.Answer)) {
+		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Submit(now, to, j.spec) }, reply)
+	}, func(a node.Answer, ok bool) {
+		if ok && (a.Status == 200 || a.Status == 201) {
+			j.accepted = true
+			s.check.told(j, a, sent)
+			return
+		}
+		if ok && (a.Status == 400 || a.Status == 422) {
+			if j.accepted {
+				s.check.fail("forgotten", "%d refused with %d after it was accepted", j.id, a.Status)
+			}
+			j.state = fmt.Sprintf("refused %d: %s", a.Status, a.Why)
+			return
+		}
+		if again() {
+			s.after(time.Second, func() { s.submit(j, at+1, again) })
+		}
+	})
+}
+
+func (s *sim) poll(j *userJob, at int) {
+	sent := s.now
+	c := s.nodes[at%len(s.nodes)]
+	call(s, "users", c.name, 2*time.Second, func(reply func(node.Answer)) {
+		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Query(now, to, j.id) }, reply)
+	}, func(a node.Answer, ok bool) {
+		if ok {
+			s.check.told(j, a, sent)
+		}
+	})
+}
+
+func (s *sim) abort(j *userJob, at int) {
+	sent := s.now
+	j.asked = true
+	c := s.nodes[at%len(s.nodes)]
+	call(s, "users", c.name, 5*time.Second, func(reply func(node.Answer)) {
+		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Abort(now, to, j.id) }, reply)
+	}, func(a node.Answer, ok bool) {
+		if ok && a.Status == 200 {
+			s.check.told(j, a, sent)
+			return
+		}
+		s.after(time.Second, func() { s.abort(j, at+1) })
+	})
+}
+
+// leader is the node that leads with the highest epoch, or nil.
+func (s *sim) leader() *controller {
+	for _, c := range s.nodes {
+		if l, _ := c.coreLeading(); l && s.state.holder == c.name {
+			return c
+		}
+	}
+	return nil
+}
+
+func (c *controller) coreLeading() (bool, string) {
+	if !c.up {
+		return false, ""
+	}
+	return c.core.Leading()
+}
--- /dev/null
+++ b/internal/scenario/worker_test.go
@@ -0,0 +1,332 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/workers"
+)
+
+type task struct {
+	job uint64
+	k   int
+}
+
+// run is an attempt of a task on a machine.
+type run struct {
+	attempt uint64
+	state   workers.TaskState
+	reason  workers.Reason
+	saved   bool
+}
+
+// worker is a stand-in for a machine's worker.
+type worker struct {
+	s       *sim
+	name    string
+	zone    string
+	spot    bool
+	up      bool
+	hung    bool
+	session uint64
+	seq     uint64
+	token   uint64
+	tasks   map[task]*run
+	ended   []endedRun
+	at      int // node it reports to
+	flight  bool
+	last    time.Duration
+	renewed time.Duration // when the last answered report was sent
+	notice  time.Duration // when the cloud takes it; 0: no notice
+	plan    int           // counts planned reports: only the last counts
+	faulty  bool
+}
+
+type endedRun struct {
+	task
+	run
+}
+
+func (w *worker) boot() {
+	if w.s.cloud.machines[w.name] != w {
+		return
+	}
+	w.up = true
+	w.renewed = w.s.now
+	w.lease()
+	w.plan++
+	w.report(w.plan)
+}
+
+// vanish: the machine and everything on it are gone.
+func (w *worker) vanish() {
+	for t := range w.tasks {
+		w.end(t, workers.Vanished)
+	}
+	w.up = false
+}
+
+func (w *worker) lease() {
+	life := settingsSeconds(w.s.cfg.Deployment.Workers.LeaseS)
+	w.s.after(w.renewed+life-w.s.now+time.Millisecond, func() {
+		if !w.up {
+			return
+		}
+		if w.s.now-w.renewed > life {
+			for t := range w.tasks {
+				w.end(t, workers.Vanished)
+			}
+			w.tasks = map[task]*run{}
+			w.ended = nil
+			w.session++
+			w.renewed = w.s.now
+			w.soon()
+		}
+		w.lease()
+	})
+}
+
+// soon plans a report because something changed.
+func (w *worker) soon() {
+	w.schedule(max(0, w.last+500*time.Millisecond-w.s.now))
+}
+
+func (w *worker) schedule(d time.Duration) {
+	w.plan++
+	p := w.plan
+	w.s.after(d, func() { w.report(p) })
+}
+
+func (w *worker) report(plan int) {
+	if !w.up || plan != w.plan {
+		return
+	}
+	if w.flight || w.hung {
+		w.schedule(200 * time.Millisecond)
+		return
+	}
+	w.flight = true
+	w.seq++
+	w.last = w.s.now
+	r := &workers.Report{Machine: w.name, Address: w.name, Type: "m4", Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token}
+	if w.notice > 0 {
+		r.Notice, r.NoticeS = true, (w.notice - w.s.now).Seconds()
+	}
+	for t, x := range w.tasks {
+		r.Tasks = append(r.Tasks, workers.TaskReport{Job: t.job, Task: t.k, Attempt: x.attempt, State: x.state})
+	}
+	for _, x := range w.ended {
+		r.Tasks = append(r.Tasks, workers.TaskReport{Job: x.job, Task: x.k, Attempt: x.attempt, State: workers.Ended, Reason: x.reason, Saved: x.saved})
+	}
+	slices.SortFunc(r.Tasks, func(a, b workers.TaskReport) int {
+		return int(int64(a.Job)-int64(b.Job))*1000 + a.Task - b.Task
+	})
+	c := w.s.nodes[w.at%len(w.s.nodes)]
+	sent, session := w.s.now, w.session
+	next := func() {
+		w.at++
+		w.schedule(time.Second)
+	}
+	call(w.s, w.name, c.name, 4*time.Second, func(reply func(node.ReportAnswer)) {
+		if !c.up {
+			return
+		}
+		c.asker++
+		c.reports[c.asker] = reply
+		c.core.Report(c.clock(), c.asker, r)
+		c.drain()
+	}, func(a node.ReportAnswer, ok bool) {
+		w.flight = false
+		if !w.up {
+			return
+		}
+		switch {
+		case !ok:
+			next()
+		case a.Status == 421:
+			for i, o := range w.s.nodes {
+				if o.name == a.Node && o != c {
+					w.at = i
+					w.schedule(100 * time.Millisecond)
+					return
+				}
+			}
+			next()
+		case a.Status != 200:
+			next()
+		default:
+			w.schedule(settingsSeconds(w.s.cfg.Deployment.Workers.ReportS * (0.75 + 0.5*w.s.rng.Float64())))
+			if a.Token < w.token || session != w.session {
+				return
+			}
+			changed := a.Token > w.token
+			w.token, w.renewed = a.Token, sent
+			for _, cmd := range a.Commands {
+				changed = w.execute(cmd) || changed
+			}
+			if changed {
+				w.soon()
+			}
+		}
+	})
+}
+
+func (w *worker) execute(c workers.Command) bool {
+	t := task{c.Job, c.Task}
+	switch c.Op {
+	case workers.Start:
+		return w.startTask(t, c.Attempt)
+	case workers.Stop:
+		x := w.tasks[t]
+		if x == nil || x.attempt != c.Attempt {
+			return false
+		}
+		w.finish(t, workers.Stopped)
+		return true
+	default:
+		n := len(w.ended)
+		w.ended = slices.DeleteFunc(w.ended, func(x endedRun) bool { return x.task == t && x.attempt == c.Attempt })
+		return n != len(w.ended)
+	}
+}
+
+func (w *worker) startTask(t task, attempt uint64) bool {
+	j := w.s.jobs[t.job]
+	if x := w.tasks[t]; x != nil {
+		if x.attempt != attempt {
+			w.ended = append(w.ended, endedRun{t, run{attempt: attempt, reason: workers.Busy}})
+		}
+		return x.attempt != attempt
+	}
+	if slices.ContainsFunc(w.ended, func(x endedRun) bool { return x.task == t && x.attempt == attempt }) {
+		return false
+	}
+	if j == nil || j.spec.Job == nil {
+		w.ended = append(w.ended, endedRun{t, run{attempt: attempt, reason: workers.UnknownTask}})
+		return true
+	}
+	used := j.spec.Job.CPUs
+	for o := range w.tasks {
+		used += w.s.jobs[o.job].spec.Job.CPUs
+	}
+	if used > 4 {
+		w.ended = append(w.ended, endedRun{t, run{attempt: attempt, reason: workers.NoRoom}})
+		return true
+	}
+	x := &run{attempt: attempt, state: workers.Fetching}
+	w.tasks[t] = x
+	session := w.session
+	w.s.after(300*time.Millisecond, func() {
+		if w.tasks[t] != x || w.session != session {
+			return
+		}
+		w.s.check.started(t, w)
+		if w.s.check.completeN[t] {
+			w.finish(t, workers.Completed) // its result was kept
+			return
+		}
+		if w.faulty {
+			w.finish(t, workers.Failed)
+			return
+		}
+		if j.spec.Job.Kind == 1 {
+			w.gather(t, x)
+			return
+		}
+		x.state = workers.Running
+		w.soon()
+		if j.spec.Job.Kind == 2 {
+			return
+		}
+		w.s.after(j.run, func() { w.complete(t, x) })
+	})
+	return true
+}
+
+func (w *worker) complete(t task, x *run) {
+	if w.tasks[t] != x {
+		return
+	}
+	if w.hung {
+		w.s.after(time.Second, func() { w.complete(t, x) })
+		return
+	}
+	w.s.check.completed(t)
+	if spec := w.s.jobs[t.job].spec.Job; spec.Kind == 1 {
+		for k := range spec.Tasks { // when one task of a gang is done, all are
+			w.s.check.completed(task{t.job, k})
+		}
+	}
+	w.finish(t, workers.Completed)
+}
+
+// gather lets a gang run once all of its tasks wait, and gives up after a
+// while.
+func (w *worker) gather(t task, x *run) {
+	j := w.s.jobs[t.job]
+	x.state = workers.Gathering
+	w.soon()
+	var all []func()
+	found := map[int]bool{}
+	for _, o := range w.s.cloud.machines {
+		for ot, ox := range o.tasks {
+			if ot.job == t.job && ox.attempt == x.attempt && ox.state == workers.Gathering {
+				found[ot.k] = true
+				all = append(all, func() {
+					ox.state = workers.Running
+					o.soon()
+					w.s.after(j.run, func() { o.complete(ot, ox) })
+				})
+			}
+		}
+	}
+	if len(found) == j.spec.Job.Tasks {
+		for _, f := range all {
+			f()
+		}
+		return
+	}
+	w.s.after(settingsSeconds(w.s.cfg.Deployment.Workers.GangWaitS), func() {
+		if w.tasks[t] == x && x.state == workers.Gathering {
+			w.finish(t, workers.Alone)
+		}
+	})
+}
+
+// finish ends a task that stays in the reports until it is reaped.
+func (w *worker) finish(t task, why workers.Reason) {
+	x := w.tasks[t]
+	delete(w.tasks, t)
+	ended := *x
+	ended.state, ended.reason = workers.Ended, why
+	w.ended = append(w.ended, endedRun{t, ended})
+	w.s.check.left(t, w)
+	if j := w.s.jobs[t.job]; why != workers.Completed && x.state == workers.Running && j.spec.Job.Kind == 1 {
+		w.peers(t, x.attempt)
+	}
+	w.soon()
+}
+
+// end takes a task away without a word.
+func (w *worker) end(t task, _ workers.Reason) {
+	x := w.tasks[t]
+	delete(w.tasks, t)
+	w.s.check.left(t, w)
+	if w.s.jobs[t.job].spec.Job.Kind == 1 && x.state == workers.Running {
+		w.peers(t, x.attempt)
+	}
+}
+
+// peers tells the other tasks of a running gang that one is gone.
+func (w *worker) peers(t task, attempt uint64) {
+	w.s.after(settingsSeconds(w.s.cfg.Deployment.Workers.GangPeerS), func() {
+		for _, o := range w.s.cloud.machines {
+			for ot, ox := range o.tasks {
+				if ot.job == t.job && ox.attempt == attempt && ox.state == workers.Running {
+					o.finish(ot, workers.PeersLost)
+				}
+			}
+		}
+	})
+}
