Ordinary machines by each class's tightest aim, for what spot ones leave undone

Cause: one backlog for all classes suited one site only, and running tasks counted full, so ordinary machines were rented for room about to come free.

--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -142,8 +142,8 @@
 			open = append(open, j)
 		}
 	}
-	cheap := t.demand(open, t.cfg.Tunables.DrainBacklogS)
-	dear := t.demand(open, t.cfg.Tunables.DearBacklogS)
+	cheap := t.demand(open, t.cfg.Tunables.DrainBacklogS, true)
+	dear := t.demand(open, 0, false)
 	t.dearPeak.add(now, settings.Seconds(t.cfg.Tunables.IdleReturnS), cheap)
 	t.spotPeak.add(now, settings.Seconds(t.cfg.Tunables.SpotReturnS), cheap)
 	var have, ordinary float64
@@ -175,7 +175,7 @@
 	}
 	// Ordinary machines: what spot ones could not bring, and jobs that may
 	// not use spot machines at all.
-	missing := max(dear-have, min(cheap-have, t.demand(bound, t.cfg.Tunables.DrainBacklogS)-ordinary))
+	missing := max(dear-have, min(cheap-have, t.demand(bound, t.cfg.Tunables.DrainBacklogS, true)-ordinary))
 	if len(requests) == 0 && missing > 0 {
 		requests = t.buyer.Rent(now, t.types, t.wanted(missing, false, open))
 	}
@@ -248,14 +248,20 @@
 }
 
 // demand is how many processors would have the open jobs' work done within
-// the horizon, team limits considered.
-func (t *Term) demand(open []*jobs.Job, horizon float64) float64 {
+// the horizon, team limits considered. With keep, what runs now counts full,
+// so that machines stay as long as they are in use; without, it counts the
+// half that is left of it on average.
+func (t *Term) demand(open []*jobs.Job, horizon float64, keep bool) float64 {
 	perTeam := make([]float64, len(t.plan.Limits))
 	for _, j := range open {
 		left := float64(len(j.Tasks) - j.Finished)
 		tasks := left
-		if j.Rec.Kind == jobs.Array {
+		switch {
+		case j.Rec.Kind != jobs.Array:
+		case keep:
 			tasks = max(float64(j.Placed), min(left, math.Ceil(left*j.Mean()/horizon)))
+		default:
+			tasks = min(left, (left-float64(j.Placed)/2)*j.Mean()/t.horizon(j))
 		}
 		perTeam[j.Team] += tasks * j.Share
 	}
@@ -269,6 +275,33 @@
 	return sum
 }
 
+// horizon is the time in which a job's work should be done if need be by
+// ordinary machines: a share of what its class's aims leave it.
+func (t *Term) horizon(j *jobs.Job) float64 {
+	best := 0.0
+	for _, o := range t.cfg.Deployment.Objectives {
+		if o.Class != j.Rec.Class {
+			continue
+		}
+		var h float64
+		switch o.Kind {
+		case settings.AimWait:
+			h = o.WithinS
+		case settings.AimFinished:
+			h = o.WithinS - j.Mean()
+		case settings.AimDeadline:
+			h = j.Rec.DeadlineS - j.Mean()
+		}
+		if h > 0 && (best == 0 || h < best) {
+			best = h
+		}
+	}
+	if best == 0 {
+		return t.cfg.Tunables.DearBacklogS
+	}
+	return max(t.cfg.Tunables.AimShare*best, t.cfg.Tunables.DrainBacklogS)
+}
+
 // peak is the highest demand of the last while, kept in two halves.
 type peak struct {
 	since          time.Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,7 +32,11 @@
 }
 
 // Kinds of aims that code acts upon.
-const AimWait = "wait"
+const (
+	AimWait     = "wait"
+	AimFinished = "finished"
+	AimDeadline = "deadline"
+)
 
 // Objective is one aim that users stated for a class of jobs.
 type Objective struct {
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -18,7 +18,8 @@
 	SizesEveryS     float64 // how often virtual sizes are written down
 	LeaderHoldS     float64 // life of the leader's hold
 	DrainBacklogS   float64 // waiting work should be gone within this time, by cheap machines
-	DearBacklogS    float64 // the same by dear ones, rented only when cheap ones do not get there
+	DearBacklogS    float64 // the same by dear ones, rented only when cheap ones do not get there; for classes without aims
+	AimShare        float64 // for classes with aims: the share of the tightest one that takes its place
 	IdleReturnS     float64 // room of ordinary machines that was not wanted for this time is returned
 	SpotReturnS     float64 // the same of spot machines
 	UsualStayS      float64 // how long a rented machine is usually kept, against which its boot is weighed
@@ -76,7 +77,8 @@
 	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
 	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
-	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 150, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
+	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
+	amount("fleet", "aim_share", "share", "dear_backlog of a class with aims: this share of the tightest one", 1.1, 0.1, 10, func(t *Tunables) *float64 { return &t.AimShare }),
 	amount("fleet", "idle_return", "s", "room of ordinary machines that was not wanted for this time is returned", 15, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
 	amount("fleet", "spot_return", "s", "room of spot machines that was not wanted for this time is returned", 40, 0, 86400, func(t *Tunables) *float64 { return &t.SpotReturnS }),
 	amount("fleet", "usual_stay", "s", "how long a rented machine is usually kept; its boot is weighed against it", 120, 1, 86400, func(t *Tunables) *float64 { return &t.UsualStayS }),
