--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -25,6 +25,7 @@
 	// UrgentFirst is an exception to the size order: urgent and critical jobs
 	// go ahead of it, in size order among themselves.
 	UrgentFirst bool
+	Locality    time.Duration // for how long a job waits for machines with its image
 }
 
 // New makes a planner for the teams with these limits.
@@ -75,6 +76,7 @@
 	Unresolved amounts.Amounts // of machines of an earlier term
 	Zone       func(string) int32
 	Place      func(j *jobs.Job, k int, m *workers.Machine)
+	local      bool                     // jobs that have not waited long leave machines without their image
 	Unplace    func(j *jobs.Job, k int) // takes back a plan that was not sent
 }
 
@@ -133,6 +135,11 @@
 			training++
 		}
 	}
+	if p.Locality > 0 {
+		w.local = true
+		held = p.inOrder(w, order[ahead:], machines, held)
+		w.local = false
+	}
 	p.inOrder(w, order[ahead:], machines, held)
 }
 
@@ -168,7 +175,7 @@
 			} else if p.give(w, j, k, machines) {
 				continue
 			}
-			if !held && p.ready(w, j) && p.Within(j.Team, j.Need, w.Unresolved) {
+			if !held && !w.local && p.ready(w, j) && p.Within(j.Team, j.Need, w.Unresolved) {
 				held = p.hold(w, j)
 			}
 			break
@@ -267,6 +274,16 @@
 	if best == nil {
 		return false
 	}
+	if w.local && j.Rec.Kind == jobs.Array && !best.HasImage(j.Image) {
+		if j.Passed == 0 {
+			j.Passed = w.Now
+		}
+		if w.Now-j.Passed < p.Locality {
+			return false
+		}
+	} else if best.HasImage(j.Image) {
+		j.Passed = 0
+	}
 	p.Charge(j.Team, j.Need)
 	w.Place(j, k, best)
 	return true
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -100,6 +100,7 @@
 		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
 	}
 	t.plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
+	t.plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
 	t.plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
 	return t
 }
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -14,6 +14,7 @@
 	Eagerness       float64 // ξ: weight of a size not yet trained
 	TrainingLimitS  float64 // Δ: longest wait for a training task
 	FirstSizeS      float64 // size of a job while there is no history
+	LocalityS       float64 // how long a job leaves room on machines without its image to others
 	BlockLeaseS     float64 // how long a block of machines is leased
 	SizesEveryS     float64 // how often virtual sizes are written down
 	LeaderHoldS     float64 // life of the leader's hold
@@ -71,6 +72,7 @@
 	amount("sizing", "training_limit", "s", "longest wait for a training task (Δ)", 60, 1, 86400, func(t *Tunables) *float64 { return &t.TrainingLimitS }),
 	amount("sizing", "first_size", "s", "size of a job while no job has finished", 30, 0.1, 1e6, func(t *Tunables) *float64 { return &t.FirstSizeS }),
 	amount("sizing", "write_every", "s", "how often virtual sizes are written down", 5, 0.5, 3600, func(t *Tunables) *float64 { return &t.SizesEveryS }),
+	amount("blocks", "locality_delay", "s", "how long a job leaves room on machines without its image to jobs that have theirs there", 2, 0, 60, func(t *Tunables) *float64 { return &t.LocalityS }),
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
