Blocks: controllers hold machines under a lease, answer their workers, pick machines

A controller hands each report to the leader, which takes it in, and answers with offers of (task, attempt) for the block; the controller starts them on the machine it answers or leaves them for another. An offer counts as started wherever it was made until a newer report settles it. Workers of other blocks are sent to their holder; without a leader they are kept alive for the lease.

--- /dev/null
+++ b/internal/blocks/holder.go
@@ -0,0 +1,91 @@
+package blocks
+
+import (
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/workers"
+)
+
+// Holder is a controller's side of its block: the machines whose workers it
+// answers, under a lease from the leader, and the offers it has taken up.
+//
+// The leader hands the block (task, attempt) as offers with its answer to
+// each report; the holder picks the machine: it starts them on the machine
+// whose report it answers, or leaves them for another. A start travels only
+// in the answer to the very report for which the leader made the offer, and
+// one offer is started once.
+type Holder struct {
+	held  map[string]lease
+	taken map[uint64]time.Duration
+}
+
+type lease struct {
+	token uint64
+	until time.Duration
+}
+
+// takenFor is how long a taken offer is remembered: far longer than the
+// leader keeps offering it.
+const takenFor = 30 * time.Minute
+
+// NewHolder makes a holder of an empty block.
+func NewHolder() *Holder {
+	return &Holder{held: map[string]lease{}, taken: map[uint64]time.Duration{}}
+}
+
+// Renew notes that the leader answered a report of a machine: it is ours
+// until then, under this token.
+func (h *Holder) Renew(machine string, token uint64, until time.Duration) {
+	h.held[machine] = lease{token, until}
+}
+
+// Release notes that a machine is in another block.
+func (h *Holder) Release(machine string) { delete(h.held, machine) }
+
+// KeepAlive is the token with which a worker may be answered while the
+// leader cannot be asked, so that its tasks outlive the leader. A worker that
+// has seen a higher token belongs to somebody else.
+func (h *Holder) KeepAlive(now time.Duration, r *workers.Report) (uint64, bool) {
+	l, ok := h.held[r.Machine]
+	return l.token, ok && now < l.until && r.Token <= l.token
+}
+
+// Pick takes up offers for the machine whose report is answered: those with
+// room kept there, then such that fit into the room left.
+func (h *Holder) Pick(now time.Duration, offers []workers.Offer, room amounts.Amounts) []workers.Offer {
+	var out []workers.Offer
+	for _, here := range []bool{true, false} {
+		for _, o := range offers {
+			if o.Here != here {
+				continue
+			}
+			if _, taken := h.taken[o.Serial]; taken {
+				continue
+			}
+			if !here {
+				if !o.Need.Fits(room) {
+					continue
+				}
+				room = room.Minus(o.Need)
+			}
+			h.taken[o.Serial] = now
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Tick forgets what is long over.
+func (h *Holder) Tick(now time.Duration) {
+	for s, at := range h.taken {
+		if now-at > takenFor {
+			delete(h.taken, s)
+		}
+	}
+	for m, l := range h.held {
+		if now > l.until {
+			delete(h.held, m)
+		}
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
@@ -19,14 +20,17 @@
 	zero int64 // time of day at time 0, in milliseconds; off by a known bound
 	lead *leadership.Core
 	term *Term
+	hold *blocks.Holder
 	out  []Effect
+
+	relayed map[Asker]*workers.Report // reports with the leader
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -75,6 +79,7 @@
 // Tick is called several times a second.
 func (c *Core) Tick(now time.Duration) {
 	c.orders(c.lead.Tick(now))
+	c.hold.Tick(now)
 	if c.term != nil {
 		c.term.tick(now, c.lead.Sure(now))
 	}
@@ -111,24 +116,89 @@
 	c.after(now)
 }
 
-// Report takes a worker's report. A leader unsure of its term still answers
-// with its token, so that tasks outlive an outage of the state service; it
-// starts nothing. A node that does not lead sends the worker to the one that
-// does.
+// Report takes a worker's report. The leader answers for its own block; any
+// other node hands the report to the leader and answers as that says.
 func (c *Core) Report(now time.Duration, to Asker, r *workers.Report) {
-	if epoch := r.Token >> tokenBits; epoch > c.lead.Epoch() {
+	c.met(now, r)
+	in := Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
+	if c.term != nil {
+		a := c.term.report(now, c.lead.Sure(now), in)
+		if a.Status == 200 {
+			a.Commands = append(a.Commands, c.pick(now, r, a)...)
+		}
+		c.out = append(c.out, ReplyReport{to, a})
+		c.after(now)
+		return
+	}
+	if leader := c.lead.LeaderName(); leader != "" {
+		c.relayed[to] = r
+		c.out = append(c.out, Relay{to, leader, in})
+		return
+	}
+	c.out = append(c.out, ReplyReport{to, c.alone(now, r)})
+}
+
+// met ends the term when a worker has seen a token of a later one.
+func (c *Core) met(now time.Duration, r *workers.Report) {
+	if epoch := r.Token >> tokenBits; epoch > c.lead.Epoch() && c.term != nil {
 		c.lead.Superseded(now, epoch)
 		c.after(now)
 	}
+}
+
+// pick has the node's block take up what it is offered for the machine.
+func (c *Core) pick(now time.Duration, r *workers.Report, a ReportAnswer) []workers.Command {
+	c.hold.Renew(r.Machine, a.Token, now+settings.Seconds(a.LeaseS))
+	picked := c.hold.Pick(now, a.Offers, a.Room)
+	if c.term != nil {
+		c.term.started(r.Machine, picked)
+	}
+	var starts []workers.Command
+	for _, o := range picked {
+		starts = append(starts, o.Start)
+	}
+	return starts
+}
+
+// alone answers a worker while the leader cannot be asked: with the last
+// token, so that tasks outlive the leader and outages, and with no command.
+func (c *Core) alone(now time.Duration, r *workers.Report) ReportAnswer {
+	if token, ok := c.hold.KeepAlive(now, r); ok {
+		return ReportAnswer{Status: 200, Token: token}
+	}
+	return ReportAnswer{Status: 503}
+}
+
+// RelayAnswered takes the leader's word on a report that was handed to it.
+func (c *Core) RelayAnswered(now time.Duration, to Asker, a ReportAnswer, ok bool) {
+	r := c.relayed[to]
+	delete(c.relayed, to)
+	if r == nil {
+		return
+	}
+	switch {
+	case !ok || a.Status == 503:
+		a = c.alone(now, r)
+	case a.Status == 200:
+		a.Commands = append(a.Commands, c.pick(now, r, a)...)
+	case a.Node == c.cfg.Node || a.Node == "":
+		a = c.alone(now, r)
+	default:
+		c.hold.Release(r.Machine)
+	}
+	c.out = append(c.out, ReplyReport{to, a})
+	c.after(now)
+}
+
+// Relayed serves a report that another controller handed on. It goes no
+// further.
+func (c *Core) Relayed(now time.Duration, to Asker, in Relayed) {
+	c.met(now, &in.Report)
 	if c.term == nil {
-		a := ReportAnswer{Status: 421, Node: c.lead.LeaderName()}
-		if a.Node == "" {
-			a.Status = 503
-		}
-		c.out = append(c.out, ReplyReport{to, a})
+		c.out = append(c.out, ReplyReport{to, ReportAnswer{Status: 503}})
 		return
 	}
-	c.out = append(c.out, ReplyReport{to, c.term.report(now, c.lead.Sure(now), r)})
+	c.out = append(c.out, ReplyReport{to, c.term.report(now, c.lead.Sure(now), in)})
 	c.after(now)
 }
 
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -73,7 +73,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	a, err := n.askReport(rep)
+	a, err := n.askReport(func(now time.Duration, to Asker) { n.core.Report(now, to, rep) })
 	switch {
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -28,13 +28,18 @@
 		return
 	}
 	m.Leaving, m.Why = true, why
-	for ref, p := range m.Tasks {
+	t.takeBackAll(m)
+	t.dirty = true
+	t.note(Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+}
+
+// takeBackAll takes back all that is planned on a machine.
+func (t *Term) takeBackAll(m *workers.Machine) {
+	for _, p := range m.Tasks {
 		if p.Planned {
-			t.unplan(m, ref)
+			t.takeBack(p)
 		}
 	}
-	t.dirty = true
-	t.note(Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
 }
 
 // watch looks after every machine: silent ones, boots that take too long,
@@ -62,11 +67,7 @@
 		}
 		heard := max(m.Heard, t.began)
 		if now-heard > t.quiet() {
-			for ref, p := range m.Tasks {
-				if p.Planned {
-					t.unplan(m, ref)
-				}
-			}
+			t.takeBackAll(m)
 		}
 		switch {
 		case sure && (m.Up || m.Durable) && now-heard > limit:
@@ -119,11 +120,7 @@
 	}
 	for k := range j.Tasks {
 		ref := workers.Ref{Job: j.Index, Task: int32(k)}
-		m := t.where[ref]
-		if m == nil {
-			continue
-		}
-		if q := m.Tasks[ref]; q != nil && !q.Planned && !q.Stopping {
+		if q := t.where[ref]; q != nil && !q.Planned && !q.Stopping {
 			q.Stopping, q.GraceS = true, grace
 		}
 	}
@@ -345,11 +342,7 @@
 		if have-m.Cap.CPUs() >= wanted {
 			have -= m.Cap.CPUs()
 			m.Draining = true
-			for ref, p := range m.Tasks {
-				if p.Planned {
-					t.unplan(m, ref)
-				}
-			}
+			t.takeBackAll(m)
 		}
 	}
 	for _, m := range t.yard.All() {
@@ -440,12 +433,17 @@
 		if m == nil {
 			continue
 		}
+		for _, p := range m.CloseOffers() {
+			t.event(now, m, workers.Event{Kind: workers.EvOfferOver, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Placement: p})
+		}
 		for ref, p := range m.Tasks {
-			if p.Seen && p.State == workers.Running {
-				t.table.At(ref.Job).Running--
+			if p.Planned && p.Rehome() {
+				p.Withdrawn = true // it may yet turn out to be on a machine it was offered to
+				continue
 			}
+			ev := workers.Event{Kind: workers.EvGone, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Reason: workers.Vanished, Ran: -1, Running: p.Seen && p.State == workers.Running}
 			m.Take(ref)
-			t.lift(ref)
+			t.event(now, m, ev)
 		}
 		t.yard.Remove(name)
 	}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/wire"
@@ -28,6 +29,19 @@
 	Token    uint64
 	Commands []workers.Command
 	Node     string
+	// For the controller that holds the machine's block:
+	Offers []workers.Offer
+	Room   amounts.Amounts
+	LeaseS float64
+}
+
+// Relayed is a report that a controller hands to the leader. Life tells the
+// controller's processes apart: one that began anew has forgotten which
+// offers it took up.
+type Relayed struct {
+	Via    string
+	Life   int64
+	Report workers.Report
 }
 
 // Effect is something the core wants done.
@@ -43,6 +57,11 @@
 		To     Asker
 		Answer ReportAnswer
 	}
+	Relay struct {
+		To     Asker
+		Leader string
+		Report Relayed
+	}
 	Lead    struct{ Order leadership.Order }
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
@@ -70,6 +89,7 @@
 
 func (Reply) effect()       {}
 func (ReplyReport) effect() {}
+func (Relay) effect()       {}
 func (Lead) effect()        {}
 func (Load) effect()        {}
 func (Commit) effect()      {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,6 @@
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
-	"bitternmoor/internal/workers"
 )
 
 const (
@@ -140,6 +139,19 @@
 			ch <- e.Answer
 			delete(n.reports, e.To)
 		}
+	case Relay:
+		p := n.peers[e.Leader]
+		go func() {
+			var a ReportAnswer
+			ok := p != nil
+			if ok {
+				if err := p.call("Controller.Relay", e.Report, &a); err != nil {
+					n.log.Debug("leader not reached", "leader", e.Leader, "error", err)
+					ok = false
+				}
+			}
+			n.post(func(now time.Duration) { n.core.RelayAnswered(now, e.To, a, ok) })
+		}()
 	case Lead:
 		go n.lead(e.Order)
 	case Load:
@@ -328,12 +340,12 @@
 	}
 }
 
-func (n *Node) askReport(r *workers.Report) (ReportAnswer, error) {
+func (n *Node) askReport(f func(now time.Duration, to Asker)) (ReportAnswer, error) {
 	ch := make(chan ReportAnswer, 1)
 	if err := n.try(func(now time.Duration) {
 		n.nextAsker++
 		n.reports[n.nextAsker] = ch
-		n.core.Report(now, n.nextAsker, r)
+		f(now, n.nextAsker)
 	}); err != nil {
 		return ReportAnswer{}, err
 	}
@@ -408,6 +420,14 @@
 	return nil
 }
 
+// Relay serves a report that another controller received. It is never handed
+// on a second time.
+func (c *Controller) Relay(in Relayed, out *ReportAnswer) error {
+	a, err := c.n.askReport(func(now time.Duration, to Asker) { c.n.core.Relayed(now, to, in) })
+	*out = a
+	return err
+}
+
 func (n *Node) servePeers(l net.Listener) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Controller", &Controller{n}); err != nil {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -49,7 +49,10 @@
 	typesAt              time.Duration
 	typesAsked           bool
 
-	where map[workers.Ref]*workers.Machine
+	where           map[workers.Ref]*workers.Placement // what counts as being somewhere
+	lives           map[string]int64                   // of the controllers that hold blocks
+	seen            map[string]time.Duration           // when they were last heard
+	grants, serials uint64
 	// tasks completed but not yet handed to the log, by job id
 	completed map[uint64]*ledger.Tasks
 
@@ -88,7 +91,7 @@
 		book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks, AtOnce: cfg.Tunables.TrainingAtOnce,
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
 		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
-		where: map[workers.Ref]*workers.Machine{}, completed: map[uint64]*ledger.Tasks{},
+		where: map[workers.Ref]*workers.Placement{}, lives: map[string]int64{}, seen: map[string]time.Duration{}, completed: map[uint64]*ledger.Tasks{},
 		accepting: map[uint64][]Asker{}, ending: map[uint64][]Asker{},
 		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{}, deleting: map[string]bool{},
 		cloudAt: now, listAt: now, sizesAt: now,
@@ -284,7 +287,7 @@
 	}
 	ty := t.types[i]
 	return t.yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: t.zones.Index(m.Zone), Spot: m.Spot,
-		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), RentedAt: now, Heard: now})
+		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), Token: t.token, RentedAt: now, Heard: now})
 }
 
 // submit takes a submission.
@@ -449,9 +452,9 @@
 			t.book.Remove(j.Index, false, 0, 0)
 			for k, s := range j.Tasks {
 				ref := workers.Ref{Job: j.Index, Task: int32(k)}
-				if m := t.where[ref]; s == jobs.Placed && m != nil {
-					if p := m.Tasks[ref]; p.Planned {
-						t.unplan(m, ref)
+				if p := t.where[ref]; s == jobs.Placed && p != nil {
+					if p.Planned {
+						t.takeBack(p)
 					} else {
 						p.Stopping, p.GraceS = true, 0
 					}
@@ -511,21 +514,26 @@
 	}
 }
 
-// unplan takes back a plan that was never sent.
-func (t *Term) unplan(m *workers.Machine, ref workers.Ref) {
-	m.Take(ref)
-	t.lift(ref)
+// takeBack takes back a plan. One that is on offer may have been taken up
+// already: it counts until no offer is open.
+func (t *Term) takeBack(p *workers.Placement) {
+	if len(p.Offered) > 0 {
+		p.Withdrawn = true
+		return
+	}
+	p.Home.Take(p.Ref)
+	t.lift(p.Ref)
 }
 
 // lift takes a task off its machine in the books of jobs, teams and sizes.
 func (t *Term) lift(ref workers.Ref) {
-	m := t.where[ref]
-	if m == nil {
+	p := t.where[ref]
+	if p == nil {
 		return
 	}
 	delete(t.where, ref)
 	j := t.table.At(ref.Job)
-	j.MoveZone(m.Zone, -1)
+	j.MoveZone(p.Home.Zone, -1)
 	t.plan.Refund(j.Team, j.Need)
 	j.Release(int(ref.Task))
 	t.gangEnds(j)
@@ -565,8 +573,52 @@
 	return settings.Seconds(max(4*w.ReportS+2, 0.6*w.LeaseS))
 }
 
-// report takes in a worker's report and answers it.
-func (t *Term) report(now time.Duration, sure bool, r *workers.Report) ReportAnswer {
+// moveAfter is how long a machine's own controller must not have heard it
+// before another one gets it.
+const moveAfter = 2 * time.Second
+
+// hold settles in whose block the machine is that has reported by way of a
+// controller. It returns the holder to which the worker must go instead.
+func (t *Term) hold(now time.Duration, m *workers.Machine, in Relayed) string {
+	if life, ok := t.lives[in.Via]; ok && life != in.Life {
+		// The controller began anew and has forgotten what it took up: what is
+		// on offer by way of it must be settled before it is offered again.
+		for _, o := range t.yard.All() {
+			if o.Holder == in.Via {
+				t.freeze(o)
+			}
+		}
+	}
+	t.lives[in.Via] = in.Life
+	t.seen[in.Via] = now
+	switch {
+	case m.Holder == in.Via:
+		return ""
+	case m.Holder != "" && now-m.Heard < moveAfter && now-t.seen[m.Holder] < moveAfter:
+		return m.Holder
+	case m.Holder != "":
+		t.freeze(m)
+		t.grants++
+		m.Token = t.token + t.grants // the worker turns the former holder away
+	}
+	m.Holder = in.Via
+	return ""
+}
+
+// freeze keeps the tasks planned on a machine from being offered anew while
+// an offer of them is open.
+func (t *Term) freeze(m *workers.Machine) {
+	for _, p := range m.Tasks {
+		if p.Planned && len(p.Offered) > 0 {
+			p.Frozen = true
+		}
+	}
+}
+
+// report takes in a worker's report, received by a controller, and says how
+// that controller may answer it.
+func (t *Term) report(now time.Duration, sure bool, in Relayed) ReportAnswer {
+	r := &in.Report
 	answer := ReportAnswer{Status: 200, Token: t.token}
 	if !t.loaded {
 		return answer
@@ -587,14 +639,19 @@
 		}
 	}
 	if !m.Fresh(r) {
+		answer.Token = m.Token
 		return answer // a late report: its answer goes nowhere
 	}
+	elsewhere := t.hold(now, m, in)
+	answer.Token, answer.LeaseS = m.Token, t.cfg.Tunables.BlockLeaseS
 	if !m.Up {
 		m.UpSince = now
 		t.dirty = true
 	}
 	resolved := m.Resolved
-	events, cmds := m.Absorb(now, r, t.token, func(job uint64, task int) (workers.Known, bool) { return t.known(m, job, task) })
+	events, cmds := m.Absorb(now, r, m.Token, func(job uint64, task int, here bool) (workers.Known, bool) {
+		return t.known(m, job, task, here)
+	})
 	if m.Resolved != resolved {
 		t.dirty = true
 	}
@@ -602,32 +659,52 @@
 		t.event(now, m, e)
 	}
 	t.settle(now)
+	if elsewhere != "" {
+		return ReportAnswer{Status: 421, Node: elsewhere}
+	}
 	if t.dirty && sure {
 		t.pass(now)
 	}
-	answer.Commands = append(cmds, m.Orders(sure, t.attempt)...)
+	answer.Commands = append(cmds, m.Stops()...)
+	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
+		answer.Offers = m.Offer(t.yard.All(), func() uint64 { t.serials++; return t.token + t.serials }, t.attempt)
+		answer.Room = m.Free
+	}
 	return answer
 }
 
-func (t *Term) attempt() uint64 {
-	t.attempts++
-	return t.attempts
+// started notes offers that the leader's own block has taken up.
+func (t *Term) started(machine string, offers []workers.Offer) {
+	m := t.yard.Find(machine)
+	for _, o := range offers {
+		if j := t.table.Find(o.Start.Job); j != nil && m != nil {
+			m.Started(workers.Ref{Job: j.Index, Task: int32(o.Start.Task)})
+		}
+	}
 }
 
-func (t *Term) known(m *workers.Machine, id uint64, task int) (workers.Known, bool) {
+// known tells what the leader knows of a task that a report shows. When it is
+// really there, a mere plan for it gives way.
+func (t *Term) known(m *workers.Machine, id uint64, task int, here bool) (workers.Known, bool) {
 	j := t.table.Find(id)
 	if j == nil || task >= len(j.Tasks) || j.Phase == jobs.Accepting {
 		return workers.Known{}, false
 	}
 	ref := workers.Ref{Job: j.Index, Task: int32(task)}
-	if at := t.where[ref]; at != nil && at != m && at.Tasks[ref].Planned {
-		t.unplan(at, ref)
+	if p := t.where[ref]; here && p != nil && p.Planned && len(p.Offered) == 0 && j.Phase != jobs.Cancelled {
+		t.takeBack(p)
 	}
-	at := t.where[ref]
+	p := t.where[ref]
+	elsewhere := p != nil && (p.Home != m || p.Planned)
 	s := j.Tasks[task]
 	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
-		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && (at == nil || at == m),
-		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Elsewhere: at != nil && at != m}, true
+		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && !elsewhere,
+		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Elsewhere: elsewhere}, true
+}
+
+func (t *Term) attempt() uint64 {
+	t.attempts++
+	return t.attempts
 }
 
 func (t *Term) event(now time.Duration, m *workers.Machine, e workers.Event) {
@@ -635,12 +712,10 @@
 	k := int(e.Ref.Task)
 	switch e.Kind {
 	case workers.EvAdopted:
-		if t.where[e.Ref] == nil {
-			j.Place(k)
-			t.plan.Charge(j.Team, j.Need)
-			j.MoveZone(m.Zone, 1)
-		}
-		t.where[e.Ref] = m
+		j.Place(k)
+		t.plan.Charge(j.Team, j.Need)
+		j.MoveZone(m.Zone, 1)
+		t.where[e.Ref] = e.Placement
 		if j.Rec.Kind == jobs.Gang {
 			if j.Launch == 0 {
 				j.Launch = e.Attempt
@@ -650,6 +725,18 @@
 				t.breakGang(j)
 			}
 		}
+	case workers.EvPlaced:
+		p := e.Placement
+		p.Withdrawn = false
+		if j.Phase == jobs.Cancelled || (j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt)) {
+			p.Stopping, p.GraceS = true, 0
+		}
+	case workers.EvOfferOver:
+		p := e.Placement
+		if p.Frozen = false; p.Withdrawn {
+			p.Withdrawn = false
+			t.takeBack(p)
+		}
 	case workers.EvBegan:
 		j.Running++
 		j.Began = j.Began || j.Rec.Kind == jobs.Gang
@@ -664,7 +751,7 @@
 			j.SumS += took
 			j.SumN++
 		}
-		if t.where[e.Ref] == m {
+		if t.where[e.Ref] != nil {
 			delete(t.where, e.Ref)
 			t.plan.Refund(j.Team, j.Need)
 			j.MoveZone(m.Zone, -1)
@@ -714,15 +801,13 @@
 	j.Broken = true
 	for k, s := range j.Tasks {
 		ref := workers.Ref{Job: j.Index, Task: int32(k)}
-		m := t.where[ref]
-		if s != jobs.Placed || m == nil {
+		p := t.where[ref]
+		if s != jobs.Placed || p == nil {
 			continue
 		}
-		p := m.Tasks[ref]
 		switch {
-		case p == nil: // its end is told by the report being taken in
 		case p.Planned:
-			t.unplan(m, ref)
+			t.takeBack(p)
 		case !p.Stopping:
 			p.Stopping, p.GraceS = true, 0
 		}
@@ -773,8 +858,8 @@
 			ref := workers.Ref{Job: j.Index, Task: int32(k)}
 			j.Place(k)
 			j.MoveZone(m.Zone, 1)
-			t.where[ref] = m
-			p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need}
+			p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule()}
+			t.where[ref] = p
 			if j.Rec.Kind == jobs.Gang {
 				if j.Launch == 0 {
 					j.Launch = t.attempt()
@@ -785,8 +870,7 @@
 			m.UseImage(j.Image, j.Rec.ImageGB, now)
 		},
 		Unplace: func(j *jobs.Job, k int) {
-			ref := workers.Ref{Job: j.Index, Task: int32(k)}
-			t.unplan(t.where[ref], ref)
+			t.takeBack(t.where[workers.Ref{Job: j.Index, Task: int32(k)}])
 		}})
 }
 
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -230,6 +230,26 @@
 			delete(c.reports, e.To)
 			f(e.Answer)
 		}
+	case node.Relay:
+		life := c.life
+		for _, o := range s.nodes {
+			if o.name != e.Leader {
+				continue
+			}
+			call(s, c.name, o.name, wait, func(reply func(node.ReportAnswer)) {
+				if !o.up {
+					return
+				}
+				o.asker++
+				o.reports[o.asker] = reply
+				o.core.Relayed(o.clock(), o.asker, e.Report)
+				o.drain()
+			}, func(a node.ReportAnswer, ok bool) {
+				if c.life == life {
+					c.into(func(now time.Duration) { c.core.RelayAnswered(now, e.To, a, ok) })()
+				}
+			})
+		}
 	case node.Lead:
 		s.state.lead(c, e.Order)
 	case node.Load:
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -7,6 +7,7 @@
 package workers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -85,18 +86,29 @@
 
 // Placement is a task that counts as being on a machine.
 type Placement struct {
-	Ref      Ref
-	JobID    uint64
-	Image    int32
-	Need     amounts.Amounts
-	Attempt  uint64
-	Planned  bool // not yet sent: nothing has to be proved to take it back
-	seq      uint64
-	State    TaskState
-	Seen     bool
-	RanAt    time.Duration
-	Stopping bool
-	GraceS   float64
+	Ref     Ref
+	JobID   uint64
+	Image   int32
+	Need    amounts.Amounts
+	Attempt uint64
+	Planned bool // not known to be anywhere yet: Home's room is kept for it
+	Home    *Machine
+	// A planned task is offered to the controller that holds Home's block,
+	// with the answers to reports of machines of that block. The controller
+	// starts it on one of them. Until a newer report of a machine it was
+	// offered to has come, it may be there.
+	Offered   map[*Machine]bool
+	past      map[*Machine]bool // machines it was offered to under this serial
+	Serial    uint64            // of the offer; a controller starts a serial once
+	Once      bool              // bound to Home: tasks of gangs and of jobs with rules on zones
+	Frozen    bool              // not offered again before no offer is open
+	Withdrawn bool              // to be taken back once no offer is open
+	seq       uint64
+	State     TaskState
+	Seen      bool
+	RanAt     time.Duration
+	Stopping  bool
+	GraceS    float64
 }
 
 type image struct {
@@ -131,7 +143,10 @@
 	UpSince        time.Duration
 	Errors         int
 	ShunUntil      time.Duration
-	Held           bool // room is held here for the first job in order
+	Token          uint64             // raised when the machine goes to another controller
+	Holder         string             // the controller whose block it is in
+	Offers         map[Ref]*Placement // open offers: what a newer report does not show was not started
+	Held           bool               // room is held here for the first job in order
 	images         []image
 	registryQueued bool
 }
@@ -173,7 +188,7 @@
 
 // Plan gives a task to the machine, to be sent with its next answer.
 func (m *Machine) Plan(p *Placement) {
-	p.Planned = true
+	p.Planned, p.Home = true, m
 	m.Tasks[p.Ref] = p
 	m.Free = m.Free.Minus(p.Need)
 }
@@ -186,6 +201,137 @@
 	}
 }
 
+// Offer is a planned task that a controller may start on the machine whose
+// report it answers. Here says that room is kept on that machine.
+type Offer struct {
+	Start  Command
+	Serial uint64
+	Need   amounts.Amounts
+	Here   bool
+}
+
+// offersAtOnce bounds the offers for other machines' tasks in one answer.
+const offersAtOnce = 8
+
+// Offer makes the offers for an answer to the machine's last report: the
+// tasks planned here, and such planned on machines of the same block, type,
+// zone and kind as would fit here with their image at hand. serial gives
+// numbers to offers, attempt to tasks that have none.
+func (m *Machine) Offer(block []*Machine, serial, attempt func() uint64) []Offer {
+	var out []Offer
+	add := func(p *Placement, here bool) {
+		if p.Frozen || p.Withdrawn || (len(p.Offered) > 0 && p.past[m]) {
+			return
+		}
+		if len(p.Offered) == 0 {
+			p.Serial, p.past = serial(), map[*Machine]bool{}
+			p.Offered = map[*Machine]bool{}
+			if p.Attempt == 0 {
+				p.Attempt = attempt()
+			}
+		}
+		p.Offered[m], p.past[m] = true, true
+		if m.Offers == nil {
+			m.Offers = map[Ref]*Placement{}
+		}
+		m.Offers[p.Ref] = p
+		out = append(out, Offer{Command{Op: Start, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt}, p.Serial, p.Need, here})
+	}
+	for _, p := range m.Tasks {
+		if p.Planned {
+			add(p, true)
+		}
+	}
+	here := len(out)
+	for _, o := range block {
+		if o == m || o.Holder != m.Holder || o.Type != m.Type || o.Zone != m.Zone || o.Spot != m.Spot || m.Held {
+			continue
+		}
+		for _, p := range o.Tasks {
+			if len(out)-here >= offersAtOnce {
+				break
+			}
+			if p.Planned && !p.Once && p.Need.Fits(m.Free) && m.HasImage(p.Image) {
+				add(p, false)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Offer) int { return cmp.Compare(a.Serial, b.Serial) })
+	return out
+}
+
+// moveIn makes a planned task one that is on the machine.
+func (m *Machine) moveIn(p *Placement) {
+	p.Home.Take(p.Ref)
+	p.Planned, p.Home = false, m
+	m.Tasks[p.Ref] = p
+	m.Free = m.Free.Minus(p.Need)
+}
+
+// Started notes that an offered task was sent with the answer to the
+// machine's last report.
+func (m *Machine) Started(ref Ref) bool {
+	p := m.Offers[ref]
+	if p == nil || !p.Planned {
+		return false
+	}
+	delete(m.Offers, ref)
+	delete(p.Offered, m)
+	m.moveIn(p)
+	p.seq = m.Seq
+	return true
+}
+
+// settleOffers closes the machine's open offers by a newer report.
+func (m *Machine) settleOffers(r *Report) []Event {
+	var events []Event
+	for ref, p := range m.Offers {
+		delete(m.Offers, ref)
+		delete(p.Offered, m)
+		if !p.Planned {
+			continue
+		}
+		shown := slices.ContainsFunc(r.Tasks, func(t TaskReport) bool {
+			return t.Job == p.JobID && t.Task == int(ref.Task) && t.Attempt == p.Attempt
+		})
+		switch {
+		case shown:
+			m.moveIn(p)
+			events = append(events, Event{Kind: EvPlaced, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Placement: p})
+		case len(p.Offered) == 0:
+			events = append(events, Event{Kind: EvOfferOver, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Placement: p})
+		}
+	}
+	return events
+}
+
+// CloseOffers ends the open offers of a machine that is gone, and returns
+// the plans that have no other one.
+func (m *Machine) CloseOffers() []*Placement {
+	var over []*Placement
+	for ref, p := range m.Offers {
+		delete(m.Offers, ref)
+		delete(p.Offered, m)
+		if p.Planned && len(p.Offered) == 0 {
+			over = append(over, p)
+		}
+	}
+	return over
+}
+
+// Rehome moves a plan from a machine that is gone to one that it is on offer
+// to, if there is any.
+func (p *Placement) Rehome() bool {
+	for m := range p.Offered {
+		p.Home.Take(p.Ref)
+		p.Home = m
+		m.Tasks[p.Ref] = p
+		m.Free = m.Free.Minus(p.Need)
+		return true
+	}
+	return false
+}
+
 // Yard holds all machines.
 type Yard struct {
 	byName map[string]*Machine
@@ -254,19 +400,22 @@
 const (
 	EvBegan EventKind = iota // began to run
 	EvAdopted
+	EvPlaced    // an offered task turned out to be on the machine
+	EvOfferOver // no offer of a planned task is open any more
 	EvCompleted
 	EvGone
 )
 
 // Event is something a report told.
 type Event struct {
-	Kind    EventKind
-	Ref     Ref
-	JobID   uint64
-	Attempt uint64
-	Reason  Reason
-	Ran     time.Duration // how long it ran; negative: not known
-	Running bool          // it was running
+	Kind      EventKind
+	Ref       Ref
+	JobID     uint64
+	Attempt   uint64
+	Reason    Reason
+	Ran       time.Duration // how long it ran; negative: not known
+	Running   bool          // it was running
+	Placement *Placement    // of EvAdopted, EvPlaced and EvOfferOver
 }
 
 // Fresh says whether a report is newer than all that were taken in.
@@ -275,9 +424,9 @@
 }
 
 // Absorb takes in a fresh report. known tells what the leader knows of a
-// task. It returns the events and the commands that follow from the report
+// task that is here, or whose result is. It returns the events and the commands that follow from the report
 // alone: reaps and the stops of tasks that should not be there.
-func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, known func(job uint64, task int) (Known, bool)) ([]Event, []Command) {
+func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, known func(job uint64, task int, here bool) (Known, bool)) ([]Event, []Command) {
 	var events []Event
 	var cmds []Command
 	gone := func(p *Placement, why Reason) {
@@ -297,6 +446,7 @@
 		}
 		m.images = nil
 	}
+	events = append(events, m.settleOffers(r)...)
 	m.Session, m.Seq = r.Session, r.Seq
 	m.Up, m.Heard = true, now
 	if r.Notice {
@@ -309,7 +459,7 @@
 	m.Resolved = m.Resolved || current
 	strays := 0
 	for _, t := range r.Tasks {
-		k, ok := known(t.Job, t.Task)
+		k, ok := known(t.Job, t.Task, t.State != Ended || t.Reason == Completed)
 		reap := Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt}
 		if !ok {
 			if t.State == Ended {
@@ -353,11 +503,10 @@
 				continue
 			}
 			// A task of an earlier term: it counts here from now on.
-			m.Take(k.Ref)
-			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, State: Fetching}
+			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, Home: m, State: Fetching}
 			m.Tasks[k.Ref] = p
 			m.Free = m.Free.Minus(p.Need)
-			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt})
+			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Placement: p})
 		}
 		if p.Attempt != t.Attempt {
 			strays++
@@ -386,36 +535,19 @@
 	return events, cmds
 }
 
-// Orders returns the stops due on the machine and, when sure of the term and
-// of the machine, the starts that were planned. A start is marked with the
-// report that it answers.
-func (m *Machine) Orders(sure bool, attempt func() uint64) []Command {
+// Stops returns the stops due on the machine.
+func (m *Machine) Stops() []Command {
 	var cmds []Command
 	for _, p := range m.Tasks {
 		if p.Stopping && !p.Planned && (p.State != Saving || p.GraceS == 0) {
 			cmds = append(cmds, Command{Op: Stop, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt, GraceS: p.GraceS})
 		}
 	}
-	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
-		for _, p := range m.Tasks {
-			if p.Planned {
-				p.Planned = false
-				if p.Attempt == 0 {
-					p.Attempt = attempt()
-				}
-				p.seq = m.Seq
-				cmds = append(cmds, Command{Op: Start, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt})
-			}
-		}
-	}
 	slices.SortFunc(cmds, func(a, b Command) int {
-		if a.Op != b.Op {
-			return int(b.Op) - int(a.Op) // stops before starts
-		}
-		if a.Job != b.Job {
-			return int(int64(a.Job) - int64(b.Job))
+		if c := cmp.Compare(a.Job, b.Job); c != 0 {
+			return c
 		}
-		return a.Task - b.Task
+		return cmp.Compare(a.Task, b.Task)
 	})
 	return cmds
 }
