Operators: status, explain, metrics, graceful end, checked tunables with an example

An endpoint on the internal address, next to the peers' calls, tells leader, blocks, machines, the queue in order and what a job waits for; any node asks the leader.

--- /dev/null
+++ b/cmd/bitternmoor/operate.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+const operatorTimeout = 5 * time.Second
+
+// operator holds the flags of the commands that ask a running node.
+type operator struct {
+	config, address string
+	json            bool
+}
+
+func (o *operator) flags(c *cobra.Command) *cobra.Command {
+	c.Flags().StringVar(&o.address, "address", "", "a node's internal address, host:port")
+	c.Flags().StringVar(&o.config, "config", "", "take the address from this settings file")
+	c.Flags().BoolVar(&o.json, "json", false, "print JSON")
+	return c
+}
+
+// ask reads a path of the operators' endpoint. With --json the body is
+// copied as it is and done is not called.
+func (o *operator) ask(out io.Writer, path string, into any, done func()) error {
+	addr := o.address
+	if addr == "" && o.config != "" {
+		cfg, err := settings.Load(o.config, "")
+		if err != nil {
+			return err
+		}
+		addr = cfg.InternalAddr
+	}
+	if addr == "" {
+		return errors.New("--address or --config is needed")
+	}
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("--address: not host:port: %q", addr)
+	}
+	client := &http.Client{Timeout: operatorTimeout}
+	resp, err := client.Get("http://" + addr + path)
+	if err != nil {
+		return failure{fmt.Errorf("node %s cannot be reached: %w", addr, err)}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	if err != nil {
+		return failure{fmt.Errorf("node %s: %w", addr, err)}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return failure{fmt.Errorf("node %s answers %d: %s", addr, resp.StatusCode, body)}
+	}
+	if o.json {
+		_, err := fmt.Fprintf(out, "%s\n", body)
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return failure{fmt.Errorf("node %s: %w", addr, err)}
+	}
+	done()
+	return nil
+}
+
+func statusCommand() *cobra.Command {
+	var o operator
+	return o.flags(&cobra.Command{
+		Use: "status", Short: "Show leader, blocks, machines and the queue", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s node.Status
+			return o.ask(cmd.OutOrStdout(), node.PathStatus, &s, func() { printStatus(cmd.OutOrStdout(), s) })
+		},
+	})
+}
+
+func printStatus(out io.Writer, s node.Status) {
+	leader := s.Leader
+	if leader == "" {
+		leader = "nobody"
+	}
+	fmt.Fprintf(out, "%s leads, epoch %d, sure of it: %v, entries not yet durable: %d\n", leader, s.Epoch, s.Sure, s.Unsaved)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "\nBLOCK\tMACHINES\tCPUS")
+	for _, b := range s.Blocks {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\n", b.Holder, b.Machines, b.CPUs)
+	}
+	fmt.Fprintln(w, "\nMACHINE\tTYPE\tZONE\tSPOT\tBLOCK\tFREE CPUS\tTASKS\tSTATE")
+	for _, m := range s.Machines {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\t%.1f\t%d\t%s\n", m.Name, m.Type, m.Zone, m.Spot, m.Holder, m.FreeCPUs, m.Tasks, m.State)
+	}
+	fmt.Fprintln(w, "\nJOB\tCLASS\tTEAM\tVIRTUAL SIZE\tSIZE\tFINAL\tWAITING\tPLACED\tDONE")
+	for _, j := range s.Queue {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f s\t%.0f s\t%v\t%d\t%d\t%d\n", j.ID, j.Class, j.Team, j.Virtual, j.Size, j.Final, j.Waiting, j.Placed, j.Finished)
+	}
+}
+
+func explainCommand() *cobra.Command {
+	var o operator
+	return o.flags(&cobra.Command{
+		Use: "explain JOB", Short: "Say where a job stands and what it waits for", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, ok := wire.ParseID(args[0]); !ok {
+				return fmt.Errorf("not a job id: %q", args[0])
+			}
+			var e node.Explanation
+			return o.ask(cmd.OutOrStdout(), node.PathExplain+args[0], &e, func() {
+				for _, w := range e.Words {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", e.ID, w)
+				}
+			})
+		},
+	})
+}
--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -109,8 +109,7 @@
 	if !waiting || len(machines) == 0 {
 		return
 	}
-	order = slices.Clone(order)
-	slices.SortStableFunc(order, func(a, b int32) int { return p.rank(w, b) - p.rank(w, a) })
+	order = p.Order(w)
 	ahead, behind := 0, len(order)
 	for ahead < len(order) && p.rank(w, order[ahead]) > 0 {
 		ahead++
@@ -143,6 +142,54 @@
 	p.inOrder(w, order[ahead:], machines, held)
 }
 
+// Order lists the jobs in the order in which they get room: HFSP's, with the
+// exceptions before and behind it. Services are not in it.
+func (p *Planner) Order(w World) []int32 {
+	order := slices.Clone(w.Book.Order())
+	slices.SortStableFunc(order, func(a, b int32) int { return p.rank(w, b) - p.rank(w, a) })
+	return order
+}
+
+// Why says in plain words what a job's waiting tasks wait for.
+func (p *Planner) Why(w World, j *jobs.Job) []string {
+	if j.Waiting == 0 {
+		return nil
+	}
+	var out []string
+	if w.Now < j.NotBefore {
+		out = append(out, "its tasks failed wherever they were: the next try is in "+(j.NotBefore-w.Now).Round(time.Second).String())
+	}
+	if j.Earlier && w.Unresolved != (amounts.Amounts{}) {
+		out = append(out, "a leader before this one may have started its tasks on machines that have not reported yet")
+	}
+	if !p.Within(j.Team, j.Need, w.Unresolved) {
+		out = append(out, "its team is at its limit")
+	}
+	fits, free := false, false
+	for _, m := range w.Yard.All() {
+		if Allowed(j, m, w.Zone) && j.Need.Fits(m.Cap) && m.Usable(w.Now, w.Quiet) && j.ZoneAllows(m.Zone) {
+			fits = true
+			free = free || j.Need.Fits(m.Free)
+		}
+	}
+	switch {
+	case !fits:
+		out = append(out, "no machine that it may use is up")
+	case !free:
+		out = append(out, "no machine that it may use has room; it gets the next that comes free in its order")
+	}
+	switch r := p.rank(w, j.Index); {
+	case j.Rec.Kind == jobs.Service:
+	case r >= 2:
+		out = append(out, "it is urgent and goes ahead of the size order (exception urgent_first)")
+	case r == 1:
+		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_risk)")
+	case r < 0:
+		out = append(out, "it is best-effort and goes behind the size order for now (exception low_patience)")
+	}
+	return out
+}
+
 // rank is 0 for jobs on the ordinary path, above it for those that an
 // exception puts ahead of the order and below for those it puts behind.
 func (p *Planner) rank(w World, i int32) int {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -123,7 +123,7 @@
 	return ""
 }
 
-// Seen gives the highest epoch known.
+// Highest gives the highest epoch known.
 func (c *Core) Highest() uint64 { return max(c.epoch, c.view.Epoch) }
 
 func (c *Core) order(a Action) Order {
@@ -273,6 +273,18 @@
 	}
 }
 
+// Resign gives leadership up.
+func (c *Core) Resign(now time.Duration) []Order {
+	if c.role != Leader {
+		return nil
+	}
+	o := c.order(Drop)
+	c.stepDown(now)
+	c.nextRead = now + c.life // it is for the others to lead
+	c.nextTry = c.nextRead
+	return []Order{o}
+}
+
 func (c *Core) extend(sent time.Duration) {
 	until := sent + time.Duration(float64(c.life)*(1-drift)) - margin
 	c.sure = max(c.sure, until)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -23,6 +23,7 @@
 	hold *blocks.Holder
 	out  []Effect
 
+	counts  Counts
 	relayed map[Asker]*workers.Report // reports with the leader
 }
 
@@ -36,6 +37,15 @@
 // Take returns the effects since the last call.
 func (c *Core) Take() []Effect {
 	out := c.out
+	for _, e := range out {
+		if r, ok := e.(Reply); ok {
+			if r.Answer.Status == 429 || r.Answer.Status >= 500 {
+				c.counts.Refused++
+			} else {
+				c.counts.Answered++
+			}
+		}
+	}
 	c.out = nil
 	return out
 }
@@ -56,7 +66,9 @@
 		c.term = nil
 	}
 	if c.term == nil && leading {
+		c.counts.Terms++
 		c.term = newTerm(c.cfg, c.zero, c.lead.Epoch(), now)
+		c.term.counts = &c.counts
 		c.out = append(c.out, Note{Info, "leading", []any{"epoch", c.term.epoch}}, Load{c.term.epoch})
 	}
 	if c.term != nil {
@@ -119,6 +131,7 @@
 // Report takes a worker's report. The leader answers for its own block; any
 // other node hands the report to the leader and answers as that says.
 func (c *Core) Report(now time.Duration, to Asker, r *workers.Report) {
+	c.counts.Reports++
 	c.met(now, r)
 	in := Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
 	if c.term != nil {
@@ -292,3 +305,10 @@
 
 // Epoch is the epoch of this node's last term.
 func (c *Core) Epoch() uint64 { return c.lead.Epoch() }
+
+// Stop gives up leadership, so that the next leader need not wait for the
+// hold to end. Nothing depends on it.
+func (c *Core) Stop(now time.Duration) {
+	c.orders(c.lead.Resign(now))
+	c.after(now)
+}
--- /dev/null
+++ b/internal/node/inside.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"bitternmoor/internal/wire"
+)
+
+// Paths on the internal address: peers' calls, and the operators' read-only
+// endpoint.
+const (
+	PathPeers   = "/peers"
+	PathStatus  = "/status"
+	PathExplain = "/explain/"
+	PathMetrics = "/metrics"
+)
+
+const peerGreeting = "200 Connected to Go RPC"
+
+func formatID(id uint64) string { return wire.FormatID(id) }
+
+// inside is what the internal address serves.
+func (n *Node) inside() (http.Handler, error) {
+	peers := rpc.NewServer()
+	if err := peers.RegisterName("Controller", &Controller{n}); err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), &statusCollector{n})
+	r := chi.NewRouter()
+	r.Method(http.MethodConnect, PathPeers, peers)
+	r.Method(http.MethodGet, PathMetrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	r.Get(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		var s Status
+		if err := n.whole("Controller.Status", &s, func(now time.Duration) bool { s = n.core.Status(now); return s.Leader == s.Node }); err != nil {
+			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
+			return
+		}
+		sendJSON(w, s)
+	})
+	r.Get(PathExplain+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		id, ok := wire.ParseID(chi.URLParam(r, "id"))
+		if !ok {
+			send(w, http.StatusNotFound, wire.Problem("not a job id"))
+			return
+		}
+		var e Explanation
+		in := id
+		if err := n.wholeOf("Controller.Explain", in, &e, func(now time.Duration) bool { var ok bool; e, ok = n.core.Explain(now, id); return ok }); err != nil {
+			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
+			return
+		}
+		sendJSON(w, e)
+	})
+	return r, nil
+}
+
+func sendJSON(w http.ResponseWriter, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		send(w, http.StatusInternalServerError, wire.Problem(err.Error()))
+		return
+	}
+	send(w, http.StatusOK, b)
+}
+
+var errLeaderUnknown = errors.New("no leader is known at present")
+
+// here runs f in the loop and waits for it.
+func (n *Node) here(f func(now time.Duration)) error {
+	done := make(chan struct{})
+	if err := n.try(func(now time.Duration) { f(now); close(done) }); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-time.After(askLimit):
+		return errBusy
+	}
+}
+
+// wholeOf asks this node and, if it cannot tell, the leader.
+func (n *Node) wholeOf(method string, in, out any, local func(now time.Duration) bool) error {
+	var told bool
+	if err := n.here(func(now time.Duration) { told = local(now) }); err != nil {
+		return err
+	}
+	if told {
+		return nil
+	}
+	p := n.peers[n.now.Load().leader]
+	if p == nil {
+		return errLeaderUnknown
+	}
+	return p.call(method, in, out)
+}
+
+func (n *Node) whole(method string, out any, local func(now time.Duration) bool) error {
+	return n.wholeOf(method, struct{}{}, out, local)
+}
+
+// Status tells a peer what its operator asked.
+func (c *Controller) Status(_ struct{}, out *Status) error {
+	return c.n.here(func(now time.Duration) { *out = c.n.core.Status(now) })
+}
+
+// Explain tells a peer what its operator asked.
+func (c *Controller) Explain(id uint64, out *Explanation) error {
+	ok := false
+	if err := c.n.here(func(now time.Duration) { *out, ok = c.n.core.Explain(now, id) }); err != nil {
+		return err
+	}
+	if !ok {
+		return errLeaderUnknown
+	}
+	return nil
+}
+
+// dial opens a connection to a peer for calls, with a deadline.
+func dial(addr string) (*rpc.Client, error) {
+	conn, err := net.DialTimeout("tcp4", addr, 500*time.Millisecond)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(peerTimeout))
+	if _, err := io.WriteString(conn, "CONNECT "+PathPeers+" HTTP/1.0\n\n"); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err == nil && resp.Status != peerGreeting {
+		err = errors.New("not a controller: " + resp.Status)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("node: %s: %w", addr, err)
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return rpc.NewClient(conn), nil
+}
+
+// statusCollector turns the status into metrics; labels are bounded by the
+// number of controllers.
+type statusCollector struct{ n *Node }
+
+var (
+	descLeading  = prometheus.NewDesc("bitternmoor_leading", "1 on the node that leads.", nil, nil)
+	descEpoch    = prometheus.NewDesc("bitternmoor_epoch", "Highest epoch known.", nil, nil)
+	descUnsaved  = prometheus.NewDesc("bitternmoor_entries_not_durable", "Entries not yet written to the state service.", nil, nil)
+	descJobs     = prometheus.NewDesc("bitternmoor_jobs_open", "Unfinished jobs in the order.", nil, nil)
+	descTasks    = prometheus.NewDesc("bitternmoor_tasks", "Tasks of unfinished jobs.", []string{"state"}, nil)
+	descMachines = prometheus.NewDesc("bitternmoor_block_machines", "Machines in each controller's block.", []string{"holder"}, nil)
+	descEvents   = prometheus.NewDesc("bitternmoor_events_total", "What has happened since the process began.", []string{"event"}, nil)
+)
+
+func (s *statusCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descLeading, descEpoch, descUnsaved, descJobs, descTasks, descMachines, descEvents} {
+		ch <- d
+	}
+}
+
+func (s *statusCollector) Collect(ch chan<- prometheus.Metric) {
+	var st Status
+	if err := s.n.here(func(now time.Duration) { st = s.n.core.Status(now) }); err != nil {
+		ch <- prometheus.NewInvalidMetric(descLeading, err)
+		return
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	leading := 0.0
+	if st.Leader == st.Node {
+		leading = 1
+	}
+	gauge(descLeading, leading)
+	gauge(descEpoch, float64(st.Epoch))
+	gauge(descUnsaved, float64(st.Unsaved))
+	gauge(descJobs, float64(len(st.Queue)))
+	var waiting, placed int
+	for _, j := range st.Queue {
+		waiting += j.Waiting
+		placed += j.Placed
+	}
+	gauge(descTasks, float64(waiting), "waiting")
+	gauge(descTasks, float64(placed), "placed")
+	for _, b := range st.Blocks {
+		gauge(descMachines, float64(b.Machines), b.Holder)
+	}
+	for _, e := range []struct {
+		name string
+		n    uint64
+	}{
+		{"term_begun", st.Counts.Terms}, {"report", st.Counts.Reports}, {"user_request_answered", st.Counts.Answered},
+		{"user_request_refused", st.Counts.Refused}, {"machine_lost", st.Counts.MachinesLost}, {"rental_refused", st.Counts.RentalsRefused},
+		{"task_done", st.Counts.TasksDone}, {"task_rerun", st.Counts.TasksRerun},
+	} {
+		ch <- prometheus.MustNewConstMetric(descEvents, prometheus.CounterValue, float64(e.n), e.name)
+	}
+}
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -30,6 +30,9 @@
 	m.Leaving, m.Why = true, why
 	t.takeBackAll(m)
 	t.dirty = true
+	if len(m.Tasks) > 0 {
+		t.counts.MachinesLost++
+	}
 	t.note(Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
 }
 
@@ -469,6 +472,9 @@
 		}
 	}
 	t.log.Append(ledger.Entry{Answered: &ledger.Answered{Name: name, Machines: machines}}, nil)
+	if len(machines) == 0 {
+		t.counts.RentalsRefused++
+	}
 	t.note(Info, "rental answered", "request", name, "asked", r.Count, "got", len(machines))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,13 @@
 		IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	failed := make(chan error, 2)
 	go func() { failed <- srv.Serve(netutil.LimitListener(public, room)) }()
-	go func() { failed <- n.servePeers(netutil.LimitListener(internal, 32)) }()
+	inside, err := n.inside()
+	if err != nil {
+		return err
+	}
+	internalSrv := &http.Server{Handler: inside, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10, IdleTimeout: 60 * time.Second,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	go func() { failed <- internalSrv.Serve(netutil.LimitListener(internal, 32)) }()
 	done := make(chan struct{})
 	go func() { n.loop(ctx); close(done) }()
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "public", n.cfg.PublicAddr, "internal", n.cfg.InternalAddr)
@@ -95,7 +101,7 @@
 	case <-ctx.Done():
 	}
 	_ = srv.Close()
-	_ = internal.Close()
+	_ = internalSrv.Close()
 	if ctx.Err() != nil {
 		<-done
 		return nil
@@ -110,6 +116,15 @@
 	for {
 		select {
 		case <-ctx.Done():
+			n.core.Stop(time.Since(n.start))
+			for _, e := range n.core.Take() {
+				if o, ok := e.(Lead); ok && o.Order.Action == leadership.Drop {
+					n.lead(o.Order)
+				} else if r, ok := e.(Reply); ok {
+					n.do(r)
+				}
+			}
+			n.log.Info("ended", "node", n.cfg.Node)
 			return
 		case f := <-n.in:
 			f(time.Since(n.start))
@@ -367,11 +382,10 @@
 	defer deadline.Stop()
 	c := p.client.Load()
 	if c == nil {
-		conn, err := net.DialTimeout("tcp4", p.addr, 500*time.Millisecond)
+		fresh, err := dial(p.addr)
 		if err != nil {
-			return fmt.Errorf("node: %w", err)
+			return err
 		}
-		fresh := rpc.NewClient(conn)
 		if p.client.CompareAndSwap(nil, fresh) {
 			c = fresh
 		} else {
@@ -428,20 +442,6 @@
 	return err
 }
 
-func (n *Node) servePeers(l net.Listener) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName("Controller", &Controller{n}); err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return fmt.Errorf("node: internal_addr: %w", err)
-		}
-		go srv.ServeConn(conn)
-	}
-}
-
 const askLimit = time.Second
 
 // serve answers a request here, whoever leads.
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,199 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/workers"
+)
+
+// Status is what operators may see of the service.
+type Status struct {
+	Node     string          `json:"node"`
+	Leader   string          `json:"leader"`
+	Epoch    uint64          `json:"epoch"`
+	Sure     bool            `json:"sure"`
+	Loaded   bool            `json:"loaded"`
+	Unsaved  int             `json:"entries_not_yet_durable"`
+	Blocks   []BlockStatus   `json:"blocks,omitempty"`
+	Machines []MachineStatus `json:"machines,omitempty"`
+	Queue    []JobStatus     `json:"queue,omitempty"`
+	Counts   Counts          `json:"counts"`
+}
+
+// BlockStatus is one controller's block.
+type BlockStatus struct {
+	Holder   string  `json:"holder"`
+	Machines int     `json:"machines"`
+	CPUs     float64 `json:"cpus"`
+}
+
+// MachineStatus is one machine.
+type MachineStatus struct {
+	Name     string  `json:"name"`
+	Type     string  `json:"type"`
+	Zone     string  `json:"zone"`
+	Spot     bool    `json:"spot"`
+	State    string  `json:"state"`
+	Holder   string  `json:"holder,omitempty"`
+	FreeCPUs float64 `json:"free_cpus"`
+	Tasks    int     `json:"tasks"`
+}
+
+// JobStatus is one unfinished job, in the order in which room is given.
+type JobStatus struct {
+	ID       string  `json:"id"`
+	Class    string  `json:"class"`
+	Team     string  `json:"team"`
+	Virtual  float64 `json:"virtual_size_s"`
+	Size     float64 `json:"size_s"`
+	Final    bool    `json:"size_is_final"`
+	Waiting  int     `json:"waiting"`
+	Placed   int     `json:"placed"`
+	Finished int     `json:"finished"`
+}
+
+// Counts add up since the process began.
+type Counts struct {
+	Terms          uint64 `json:"terms"`
+	Reports        uint64 `json:"reports"`
+	Answered       uint64 `json:"user_requests_answered"`
+	Refused        uint64 `json:"user_requests_refused"`
+	MachinesLost   uint64 `json:"machines_lost"`
+	RentalsRefused uint64 `json:"rentals_refused"`
+	TasksDone      uint64 `json:"tasks_done"`
+	TasksRerun     uint64 `json:"tasks_rerun"`
+}
+
+func machineState(m *workers.Machine) string {
+	switch {
+	case m.Leaving:
+		return "leaving: " + m.Why
+	case m.Notice:
+		return "to be taken by the cloud"
+	case !m.Up && m.Durable:
+		return "not heard in this term"
+	case !m.Up:
+		return "booting"
+	case !m.Resolved:
+		return "not resolved"
+	case m.Draining:
+		return "draining"
+	case m.Held:
+		return "room held"
+	}
+	return "up"
+}
+
+// Status gives a picture of the node and, on the leader, of everything.
+func (c *Core) Status(now time.Duration) Status {
+	s := Status{Node: c.cfg.Node, Leader: c.lead.LeaderName(), Epoch: c.lead.Highest(), Sure: c.lead.Sure(now), Counts: c.counts}
+	t := c.term
+	if t == nil || !t.loaded {
+		return s
+	}
+	s.Loaded, s.Unsaved = true, t.log.Pending()
+	byHolder := map[string]*BlockStatus{}
+	for _, m := range t.yard.All() {
+		s.Machines = append(s.Machines, MachineStatus{Name: m.Name, Type: t.typeNames.Name(m.Type), Zone: t.zones.Name(m.Zone), Spot: m.Spot,
+			State: machineState(m), Holder: m.Holder, FreeCPUs: m.Free.CPUs(), Tasks: len(m.Tasks)})
+		if m.Holder == "" {
+			continue
+		}
+		b := byHolder[m.Holder]
+		if b == nil {
+			b = &BlockStatus{Holder: m.Holder}
+			byHolder[m.Holder] = b
+		}
+		b.Machines++
+		b.CPUs += m.Cap.CPUs()
+	}
+	for _, b := range byHolder {
+		s.Blocks = append(s.Blocks, *b)
+	}
+	slices.SortFunc(s.Blocks, func(a, b BlockStatus) int { return compare(a.Holder, b.Holder) })
+	slices.SortFunc(s.Machines, func(a, b MachineStatus) int { return compare(a.Name, b.Name) })
+	for _, i := range t.plan.Order(t.world(now)) {
+		s.Queue = append(s.Queue, t.jobStatus(t.table.At(i)))
+	}
+	return s
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (t *Term) jobStatus(j *jobs.Job) JobStatus {
+	size, final := t.book.Size(j.Index)
+	return JobStatus{ID: formatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Virtual: t.book.Virtual(j.Index), Size: size, Final: final,
+		Waiting: j.Waiting, Placed: j.Placed, Finished: j.Finished}
+}
+
+// Explanation says in plain words where a job stands and what it waits for.
+type Explanation struct {
+	ID    string     `json:"id"`
+	Job   *JobStatus `json:"job,omitempty"`
+	Place int        `json:"place,omitempty"`
+	Words []string   `json:"words"`
+}
+
+// Explain explains a job; ok is false on a node that cannot tell.
+func (c *Core) Explain(now time.Duration, id uint64) (e Explanation, ok bool) {
+	t := c.term
+	if t == nil || !t.loaded {
+		return Explanation{}, false
+	}
+	e.ID = formatID(id)
+	say := func(f string, a ...any) { e.Words = append(e.Words, fmt.Sprintf(f, a...)) }
+	if p, over := t.table.Final(id); over {
+		say("it is %s", map[jobs.Phase]string{jobs.Done: "done", jobs.Cancelled: "cancelled"}[p])
+		return e, true
+	}
+	j := t.table.Find(id)
+	if j == nil {
+		say("no such job was accepted")
+		return e, true
+	}
+	js := t.jobStatus(j)
+	e.Job = &js
+	w := t.world(now)
+	for n, i := range t.plan.Order(w) {
+		if i == j.Index {
+			e.Place = n + 1
+		}
+	}
+	say("%d of its %d tasks are done, %d have a place, %d wait", j.Finished, len(j.Tasks), j.Placed, j.Waiting)
+	switch {
+	case j.Rec.Kind == jobs.Service:
+		say("it is a service: it gets room first, outside the order")
+	case j.Rec.Kind == jobs.Gang:
+		say("it is a gang: it starts when all of its tasks fit; its size is an estimate of %.0f s of work", js.Size)
+	case js.Final && js.Size == 0 && j.Finished == 0:
+		say("it has fewer tasks than train a size: it counts as tiny, with size 0")
+	case js.Final:
+		say("its size was set by its training tasks: %.0f s of work, of which %.0f s are left in the virtual cluster", js.Size, js.Virtual)
+	default:
+		say("its training tasks have not told its size yet: it starts at %.0f s of work", js.Size)
+	}
+	if e.Place > 0 {
+		say("it is number %d in the order", e.Place)
+	}
+	for _, why := range t.plan.Why(w, j) {
+		say("%s", why)
+	}
+	return e, true
+}
+
+// world is what the planner looks at.
+func (t *Term) world(now time.Duration) blocks.World {
+	return blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: t.unresolved(), Zone: t.zones.Index}
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -73,7 +73,8 @@
 	cloudRoom  float64
 	cloudAt    time.Duration
 
-	out []Effect
+	counts *Counts
+	out    []Effect
 }
 
 type (
@@ -756,6 +757,7 @@
 			t.plan.Refund(j.Team, j.Need)
 			j.MoveZone(m.Zone, -1)
 		}
+		t.counts.TasksDone++
 		j.Complete(k)
 		t.gangEnds(j)
 		j.Errors, m.Errors = 0, 0
@@ -766,6 +768,10 @@
 		if e.Running {
 			j.Running--
 		}
+		if j.Phase == jobs.Open && e.Reason != workers.Stopped {
+			t.counts.TasksRerun++
+			t.note(Debug, "task to run again", "job", e.JobID, "task", k, "machine", m.Name, "why", e.Reason.String())
+		}
 		t.lift(e.Ref)
 		if j.Rec.Kind == jobs.Gang && (j.Began || e.Reason == workers.Alone || e.Reason == workers.PeersLost || e.Reason == workers.Failed || e.Reason == workers.Stopped) {
 			t.breakGang(j)
@@ -853,25 +859,26 @@
 
 func (t *Term) pass(now time.Duration) {
 	t.dirty = false
-	t.plan.Pass(blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: t.unresolved(), Zone: t.zones.Index,
-		Place: func(j *jobs.Job, k int, m *workers.Machine) {
-			ref := workers.Ref{Job: j.Index, Task: int32(k)}
-			j.Place(k)
-			j.MoveZone(m.Zone, 1)
-			p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule()}
-			t.where[ref] = p
-			if j.Rec.Kind == jobs.Gang {
-				if j.Launch == 0 {
-					j.Launch = t.attempt()
-				}
-				p.Attempt = j.Launch
+	w := t.world(now)
+	w.Place = func(j *jobs.Job, k int, m *workers.Machine) {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		j.Place(k)
+		j.MoveZone(m.Zone, 1)
+		p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule()}
+		t.where[ref] = p
+		if j.Rec.Kind == jobs.Gang {
+			if j.Launch == 0 {
+				j.Launch = t.attempt()
 			}
-			m.Plan(p)
-			m.UseImage(j.Image, j.Rec.ImageGB, now)
-		},
-		Unplace: func(j *jobs.Job, k int) {
-			t.takeBack(t.where[workers.Ref{Job: j.Index, Task: int32(k)}])
-		}})
+			p.Attempt = j.Launch
+		}
+		m.Plan(p)
+		m.UseImage(j.Image, j.Rec.ImageGB, now)
+	}
+	w.Unplace = func(j *jobs.Job, k int) {
+		t.takeBack(t.where[workers.Ref{Job: j.Index, Task: int32(k)}])
+	}
+	t.plan.Pass(w)
 }
 
 // pump hands what has gathered to the log and sends what the log allows.
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,144 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gopkg.in/ini.v1"
+)
+
+const good = `
+node = "n0"
+domain = "a"
+public_addr = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+something_new = 7
+[[others]]
+node = "n1"
+domain = "b"
+endpoint = "10.0.0.2:8081"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+count = 2
+[[deployment.teams]]
+name = "team"
+cpus = 4.0
+cpus_max = 8.0
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[deployment.state]
+rps = 200.0
+write_rps = 15.0
+value_kb = 8.0
+txn_ops = 12
+[deployment.cloud]
+rps = 2.0
+[deployment.machine_limits]
+ram_mb = 98.0
+fd_limit = 900
+`
+
+func load(t *testing.T, toml, iniText string) (*Settings, error) {
+	t.Helper()
+	dir := t.TempDir()
+	path, iniPath := filepath.Join(dir, "s.toml"), ""
+	if err := os.WriteFile(path, []byte(toml), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if iniText != "" {
+		iniPath = filepath.Join(dir, "t.ini")
+		if err := os.WriteFile(iniPath, []byte(iniText), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return Load(path, iniPath)
+}
+
+func TestGood(t *testing.T) {
+	s, err := load(t, good, "[sizing]\ntraining_tasks = 7\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Tunables.TrainingTasks != 7 || s.Tunables.TrainingAtOnce != 10 || s.Peers[0].Endpoint != "10.0.0.2:8081" {
+		t.Errorf("read as %+v", s)
+	}
+}
+
+// A wrong setting is named, in one line.
+func TestWrong(t *testing.T) {
+	cases := []struct{ from, to, ini, field string }{
+		{`node = "n0"`, "", "", "node"},
+		{`"10.0.0.1:8081"`, `"10.0.0.1"`, "", "internal_addr"},
+		{`"10.0.0.1:8081"`, `"10.0.0.1:8080"`, "", "internal_addr"},
+		{`node = "n1"`, `node = "n0"`, "", "others[0].node"},
+		{"write_rps = 15.0", "write_rps = -1.0", "", "deployment.state.write_rps"},
+		{"txn_ops = 12", "txn_ops = 1", "", "deployment.state.txn_ops"},
+		{"lease_s = 10.0", "lease_s = 0.5", "", "deployment.workers.lease_s"},
+		{"cpus = 4.0", "cpus = 9.0", "", "deployment.teams[0].cpus"},
+		{"", "", "[sizing]\ntraining_tasks = 0\n", "sizing.training_tasks"},
+		{"", "", "[sizing]\ntraining_tasks = 1.5\n", "sizing.training_tasks"},
+		{"", "", "[sizing]\nno_such = 1\n", "sizing.no_such"},
+		{"", "", "[leadership]\nhold = soon\n", "leadership.hold"},
+	}
+	for _, c := range cases {
+		_, err := load(t, strings.Replace(good, c.from, c.to, 1), c.ini)
+		var fe *FieldError
+		if !errors.As(err, &fe) || fe.Field != c.field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q, %q: %v, want the field %s named", c.to, c.from, c.ini, err, c.field)
+		}
+	}
+}
+
+// The example file lists every tunable at its default.
+func TestExample(t *testing.T) {
+	f, err := ini.Load("../../deploy/bitternmoor.ini.example")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Defaults()
+	n := 0
+	for _, k := range Known() {
+		if got := f.Section(k.Section).Key(k.Key).String(); got != fmt.Sprint(k.get(&d)) {
+			t.Errorf("%s.%s is %q in the example, %v by default", k.Section, k.Key, got, k.get(&d))
+		}
+		n++
+	}
+	for _, s := range f.Sections() {
+		n -= len(s.Keys())
+	}
+	if n != 0 {
+		t.Errorf("the example has %d keys too many", -n)
+	}
+	if err := d.read(f); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestWriteExample prints the example file; set WRITE_EXAMPLE to renew it.
+func TestWriteExample(t *testing.T) {
+	if os.Getenv("WRITE_EXAMPLE") == "" {
+		t.Skip("only to renew the example file")
+	}
+	d := Defaults()
+	var b strings.Builder
+	b.WriteString("# The operators' settings, each at its default. Give the file with --tunables.\n")
+	section := ""
+	for _, k := range Known() {
+		if k.Section != section {
+			section = k.Section
+			fmt.Fprintf(&b, "\n[%s]\n", section)
+		}
+		fmt.Fprintf(&b, "# %s (%s, %v to %v)\n%s = %v\n", k.Help, k.Unit, k.Min, k.Max, k.Key, k.get(&d))
+	}
+	if err := os.WriteFile("../../deploy/bitternmoor.ini.example", []byte(b.String()), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -42,6 +42,10 @@
 	UnknownTask
 )
 
+var reasonWords = [...]string{"vanished", "done", "stopped", "a peer was lost", "gang not complete", "failed", "no room", "busy", "unknown task"}
+
+func (r Reason) String() string { return reasonWords[r] }
+
 // Report is a worker's report.
 type Report struct {
 	Machine, Address, Type, Zone string
