--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -25,7 +25,11 @@
 	// UrgentFirst is an exception to the size order: urgent and critical jobs
 	// go ahead of it, in size order among themselves.
 	UrgentFirst bool
-	Locality    time.Duration // for how long a job waits for machines with its image
+	// Guarantees, by team, put jobs that fit into their team's guarantee
+	// together with its earlier unfinished jobs ahead of the order; empty
+	// switches this exception off.
+	Guarantees []Limit
+	Locality   time.Duration // for how long a job waits for machines with its image
 }
 
 // New makes a planner for the teams with these limits.
@@ -146,10 +150,30 @@
 // exceptions before and behind it. Services are not in it.
 func (p *Planner) Order(w World) []int32 {
 	order := slices.Clone(w.Book.Order())
+	if p.Guarantees != nil {
+		p.markGuaranteed(w, order)
+	}
 	slices.SortStableFunc(order, func(a, b int32) int { return p.rank(w, b) - p.rank(w, a) })
 	return order
 }
 
+func (p *Planner) markGuaranteed(w World, order []int32) {
+	byArrival := slices.Clone(order)
+	slices.SortFunc(byArrival, func(a, b int32) int { return cmp.Compare(w.Jobs.At(a).AcceptedAt, w.Jobs.At(b).AcceptedAt) })
+	sum := make([]amounts.Amounts, len(p.Guarantees))
+	for _, i := range byArrival {
+		j := w.Jobs.At(i)
+		j.Guaranteed = false
+		if int(j.Team) >= len(sum) {
+			continue
+		}
+		g := p.Guarantees[j.Team]
+		sum[j.Team] = sum[j.Team].Plus(j.Need.Times(len(j.Tasks) - j.Finished))
+		s := sum[j.Team]
+		j.Guaranteed = s.CPU <= g.CPU && s.GPU <= g.GPU
+	}
+}
+
 // Why says in plain words what a job's waiting tasks wait for.
 func (p *Planner) Why(w World, j *jobs.Job) []string {
 	if j.Waiting == 0 {
@@ -182,6 +206,8 @@
 	case j.Rec.Kind == jobs.Service:
 	case r >= 2:
 		out = append(out, "it is urgent and goes ahead of the size order (exception urgent_first)")
+	case j.Guaranteed:
+		out = append(out, "it fits into its team's guarantee and goes ahead of the size order (exception guarantee_first)")
 	case r == 1:
 		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_risk)")
 	case r < 0:
@@ -199,6 +225,8 @@
 		return int(j.Rec.Priority)
 	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
 		return 1
+	case j.Guaranteed:
+		return 1
 	case w.Now < j.BehindUntil:
 		return -1
 	}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -104,6 +104,12 @@
 		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
 	}
 	t.plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
+	if cfg.Tunables.GuaranteeFirst == 1 {
+		for _, team := range cfg.Deployment.Teams {
+			g := amounts.Room(team.CPUs, team.GPUs, 0)
+			t.plan.Guarantees = append(t.plan.Guarantees, blocks.Limit{CPU: g.CPU, GPU: g.GPU})
+		}
+	}
 	t.plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
 	t.plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
 	return t
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -26,6 +26,7 @@
 	UsualStayS      float64 // how long a rented machine is usually kept, against which its boot is weighed
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
+	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitRisk        float64 // exception: share of a class's wait aim after which waiting tasks go ahead; 1 is never
 	LowPatience     float64 // exception: share of its tightest aim that best-effort work waits behind the order
 }
@@ -76,6 +77,7 @@
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
+	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
 	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
 	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
