--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -266,6 +266,25 @@
 	return nil
 }
 
+// Hailed takes a leader's word, from the leader itself, that it leads: a node
+// that the state service does not serve learns so where to send users and
+// workers. It is a hint for routing; nothing else depends on it.
+func (c *Core) Hailed(now time.Duration, node string, epoch uint64) {
+	if epoch < c.Highest() || node == c.node {
+		return
+	}
+	if c.role == Leader {
+		if epoch == c.epoch {
+			return
+		}
+		c.stepDown(now)
+	}
+	if c.role == Follower {
+		c.view.Epoch = epoch
+		c.view.Holder = &Holder{node, epoch}
+	}
+}
+
 // Superseded tells the core that a higher epoch was met.
 func (c *Core) Superseded(now time.Duration, epoch uint64) {
 	if epoch > c.epoch && c.role == Leader {
@@ -273,15 +292,14 @@
 	}
 }
 
-// Resign gives leadership up.
-func (c *Core) Resign(now time.Duration) []Order {
+// Resign gives leadership up, for as long at least.
+func (c *Core) Resign(now, pause time.Duration) []Order {
 	if c.role != Leader {
 		return nil
 	}
 	o := c.order(Drop)
 	c.stepDown(now)
-	c.nextRead = now + c.life // it is for the others to lead
-	c.nextTry = c.nextRead
+	c.nextTry = now + pause // it is for the others to lead
 	return []Order{o}
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -24,6 +24,8 @@
 	out  []Effect
 
 	counts  Counts
+	hailAt  time.Duration
+	peerAt  map[string]time.Duration  // when a peer last answered a hail
 	relayed map[Asker]*workers.Report // reports with the leader
 }
 
@@ -31,7 +33,7 @@
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -94,10 +96,50 @@
 	c.hold.Tick(now)
 	if c.term != nil {
 		c.term.tick(now, c.lead.Sure(now))
+		c.hail(now)
 	}
 	c.after(now)
 }
 
+const (
+	hailEvery   = time.Second
+	cutOffAfter = 4 * time.Second  // without a peer's answer
+	resignFor   = 10 * time.Second // for others to take over
+)
+
+// hail tells the peers who leads. A leader that no peer answers and that
+// hears few of its machines is cut off itself: it makes room for one that is
+// not, rather than delete machines that it merely cannot hear.
+func (c *Core) hail(now time.Duration) {
+	if now-c.hailAt >= hailEvery {
+		c.hailAt = now
+		for _, p := range c.cfg.Peers {
+			c.out = append(c.out, Hail{p.Node, c.term.epoch})
+		}
+	}
+	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || !c.term.deaf(now) || now-c.term.began < cutOffAfter {
+		return
+	}
+	for _, at := range c.peerAt {
+		if now-at < cutOffAfter {
+			return
+		}
+	}
+	c.out = append(c.out, Note{Warn, "cut off from peers and machines: leadership given up", nil})
+	c.orders(c.lead.Resign(now, resignFor))
+}
+
+// HailAnswered takes a peer's answer to a hail.
+func (c *Core) HailAnswered(now time.Duration, peer string) {
+	c.peerAt[peer] = now
+}
+
+// Hailed takes a hail of the leader.
+func (c *Core) Hailed(now time.Duration, node string, epoch uint64) {
+	c.lead.Hailed(now, node, epoch)
+	c.after(now)
+}
+
 // Submit takes a submission.
 func (c *Core) Submit(now time.Duration, to Asker, s wire.Submission) {
 	if !c.ready(now) {
@@ -309,6 +351,6 @@
 // Stop gives up leadership, so that the next leader need not wait for the
 // hold to end. Nothing depends on it.
 func (c *Core) Stop(now time.Duration) {
-	c.orders(c.lead.Resign(now))
+	c.orders(c.lead.Resign(now, resignFor))
 	c.after(now)
 }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -45,10 +45,8 @@
 	}
 }
 
-// watch looks after every machine: silent ones, boots that take too long,
-// spot notices, tasks that were to be stopped and are still there.
-func (t *Term) watch(now time.Duration, sure bool) {
-	w := t.cfg.Deployment.Workers
+// deaf says whether most machines are silent at once.
+func (t *Term) deaf(now time.Duration) bool {
 	up, silent := 0, 0
 	for _, m := range t.yard.All() {
 		if m.Up || m.Durable {
@@ -58,8 +56,15 @@
 			}
 		}
 	}
+	return silent > 3 && silent*2 > up
+}
+
+// watch looks after every machine: silent ones, boots that take too long,
+// spot notices, tasks that were to be stopped and are still there.
+func (t *Term) watch(now time.Duration, sure bool) {
+	w := t.cfg.Deployment.Workers
 	limit := t.silence()
-	if silent > 3 && silent*2 > up {
+	if t.deaf(now) {
 		// Most of them at once: the fault is more likely on our side.
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
 	}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -62,6 +62,10 @@
 		Leader string
 		Report Relayed
 	}
+	Hail struct {
+		Peer  string
+		Epoch uint64
+	}
 	Lead    struct{ Order leadership.Order }
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
@@ -90,6 +94,7 @@
 func (Reply) effect()       {}
 func (ReplyReport) effect() {}
 func (Relay) effect()       {}
+func (Hail) effect()        {}
 func (Lead) effect()        {}
 func (Load) effect()        {}
 func (Commit) effect()      {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,14 @@
 			}
 			n.post(func(now time.Duration) { n.core.RelayAnswered(now, e.To, a, ok) })
 		}()
+	case Hail:
+		if p := n.peers[e.Peer]; p != nil {
+			go func() {
+				if err := p.call("Controller.Hail", HailMessage{n.cfg.Node, e.Epoch}, new(bool)); err == nil {
+					n.post(func(now time.Duration) { n.core.HailAnswered(now, e.Peer) })
+				}
+			}()
+		}
 	case Lead:
 		go n.lead(e.Order)
 	case Load:
@@ -434,6 +442,17 @@
 	return nil
 }
 
+// HailMessage says who leads, and in which epoch.
+type HailMessage struct {
+	Node  string
+	Epoch uint64
+}
+
+// Hail takes the leader's word that it leads.
+func (c *Controller) Hail(in HailMessage, _ *bool) error {
+	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch) })
+}
+
 // Relay serves a report that another controller received. It is never handed
 // on a second time.
 func (c *Controller) Relay(in Relayed, out *ReportAnswer) error {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -179,6 +179,16 @@
 		for _, h := range p.hosts(t, d) {
 			s.cuts = append(s.cuts, &cut{host: h, with: arg(t, d, "from", ""), hold: d.HasArg("hold")})
 		}
+	case "deafen": // the leader hears neither machines nor peers
+		l := s.leader()
+		for _, c := range s.nodes {
+			if c != l {
+				s.cuts = append(s.cuts, &cut{host: l.name, with: c.name})
+			}
+		}
+		for m := range s.cloud.machines {
+			s.cuts = append(s.cuts, &cut{host: l.name, with: m})
+		}
 	case "heal":
 		for _, c := range slices.Clone(s.cuts) {
 			s.heal(c.host)
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -66,6 +66,12 @@
 	for i := range count {
 		c := cfg
 		c.Node = fmt.Sprintf("n%d", i)
+		c.Peers = nil
+		for k := range count {
+			if k != i {
+				c.Peers = append(c.Peers, settings.Peer{Node: fmt.Sprintf("n%d", k)})
+			}
+		}
 		s.nodes = append(s.nodes, &controller{s: s, index: i, name: c.Node, cfg: &c})
 	}
 	for _, n := range s.nodes {
@@ -250,6 +256,22 @@
 				}
 			})
 		}
+	case node.Hail:
+		for _, o := range s.nodes {
+			if o.name == e.Peer {
+				call(s, c.name, o.name, wait, func(reply func(bool)) {
+					if o.up {
+						o.core.Hailed(o.clock(), c.name, e.Epoch)
+						o.drain()
+						reply(true)
+					}
+				}, func(_, ok bool) {
+					if ok {
+						c.into(func(now time.Duration) { c.core.HailAnswered(now, o.name) })()
+					}
+				})
+			}
+		}
 	case node.Lead:
 		s.state.lead(c, e.Order)
 	case node.Load:
