--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -211,7 +211,7 @@
 	case r == 1:
 		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_risk)")
 	case r < 0:
-		out = append(out, "it is best-effort and goes behind the size order for now (exception low_patience)")
+		out = append(out, "it goes behind the size order for now: best-effort work, or all its aims are missed already (exceptions low_patience, lost_behind)")
 	}
 	return out
 }
@@ -227,7 +227,7 @@
 		return 1
 	case j.Guaranteed:
 		return 1
-	case w.Now < j.BehindUntil:
+	case w.Now < j.BehindUntil, j.LastAim > 0 && w.Now < j.LostUntil && w.Now+time.Duration(j.Mean()*float64(time.Second)) > j.LastAim:
 		return -1
 	}
 	return 0
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -76,6 +76,8 @@
 	NotBefore   time.Duration
 	AcceptedAt  time.Duration
 	BehindUntil time.Duration      // best-effort work goes behind the order until then
+	LastAim     time.Duration      // by when the job should have ended at the latest; 0: no such aim
+	LostUntil   time.Duration      // having missed it, it goes behind the order until then
 	Guaranteed  bool               // fits into its team's guarantee with its earlier jobs
 	Passed      time.Duration      // since when it has left room to jobs with their image there; 0: not
 	Ahead       [][2]time.Duration // spans in which waiting tasks go ahead of the order
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -241,7 +241,14 @@
 	j.Image = t.images.Index(rec.Image)
 	j.BehindUntil = at + t.patience(rec)
 	for _, o := range t.cfg.Deployment.Objectives {
-		if o.Class == rec.Class && o.Kind == settings.AimWait {
+		if o.Class != rec.Class {
+			continue
+		}
+		if o.Kind == settings.AimFinished {
+			j.LastAim = max(j.LastAim, at+settings.Seconds(o.WithinS))
+			j.LostUntil = max(j.LostUntil, at+settings.Seconds(o.WithinS*t.cfg.Tunables.LostBehind))
+		}
+		if o.Kind == settings.AimWait {
 			within := settings.Seconds(o.WithinS)
 			j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS*t.cfg.Tunables.WaitRisk), at + within})
 		}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -28,6 +28,7 @@
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitRisk        float64 // exception: share of a class's wait aim after which waiting tasks go ahead; 1 is never
+	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	LowPatience     float64 // exception: share of its tightest aim that best-effort work waits behind the order
 }
 
@@ -79,6 +80,7 @@
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
 	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
+	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
 	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
