A late commit could undo a newer segment: new segments must not exist; log cleaned

Cause: a commit that left the full open segment as it was and wrote only the next one met its conditions again when a copy of it, given up on, came late, and took that segment back: accepted jobs forgotten, done ones open. TestLateCopyDoesNotTakeBack fails without the condition.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// Finals is the number of jobs that are over.
+func (t *Table) Finals() int { return len(t.finals) }
+
 // Leave takes a job out of the table; its index will be used again. A job
 // that has left already stays as it is: freeing its index twice would give
 // it to two jobs at once.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -13,6 +13,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -33,6 +35,13 @@
 	Rental   *Rental   `json:"r,omitempty"`
 	Answered *Answered `json:"a,omitempty"`
 	Types    []Type    `json:"y,omitempty"`
+	Over     *Over     `json:"f,omitempty"`
+}
+
+// Over keeps the final states of jobs once their own entries are gone.
+type Over struct {
+	Done      []uint64 `json:"d,omitempty"`
+	Cancelled []uint64 `json:"c,omitempty"`
 }
 
 // Job is an accepted job, by names.
@@ -190,6 +199,7 @@
 
 	sizes     []Op
 	sizeCount int
+	drops     []string // segments whose live entries have been written anew
 }
 
 type pend struct {
@@ -201,6 +211,7 @@
 	txn      Txn
 	segments []segment
 	count    int // pending entries in it
+	drops    []string
 	sent     bool
 	unsure   bool // a try of it had no answer
 }
@@ -218,6 +229,15 @@
 // Key is the key of a segment.
 func Key(n int) string { return fmt.Sprintf("%s%08d", Prefix, n) }
 
+// Number is the number of the segment with a key.
+func Number(key string) (int, error) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, Prefix))
+	if err != nil {
+		return 0, fmt.Errorf("ledger: key %q: %w", key, err)
+	}
+	return n, nil
+}
+
 // Append queues an entry; tag comes back from Result once it is durable.
 // Entries become durable in the order they were appended.
 func (l *Log) Append(e Entry, tag any) {
@@ -236,6 +256,15 @@
 
 func (l *Log) room() int { return l.lim.ValueBytes - 64 }
 
+// Last is the number of the open segment.
+func (l *Log) Last() int { return l.segment }
+
+// Drop removes a segment whose live entries are durable elsewhere.
+func (l *Log) Drop(n int) { l.drops = append(l.drops, Key(n)) }
+
+// Room is how large an entry may be.
+func (l *Log) Room() int { return l.room() }
+
 // Pending is the number of entries not known to be durable.
 func (l *Log) Pending() int { return len(l.pending) }
 
@@ -285,7 +314,7 @@
 		l.tokens -= float64(len(f.txn.Writes))
 		return &f.txn
 	}
-	if len(l.pending) == 0 && len(l.sizes) == 0 {
+	if len(l.pending) == 0 && len(l.sizes) == 0 && len(l.drops) == 0 {
 		return nil
 	}
 	f := &flight{}
@@ -319,6 +348,12 @@
 			if i == 0 && len(s.body) == len(l.body) {
 				continue // the open segment was full: it stays as it is
 			}
+			if i > 0 {
+				// A new segment must not be there yet. Without this a late copy of
+				// a transaction that left the open segment as it was would still
+				// meet its conditions and undo what was written since.
+				txn.Conds = append(txn.Conds, Cond{Key(s.number), 0})
+			}
 			txn.Writes = append(txn.Writes, Op{Key: Key(s.number), Value: wrap(s.body)})
 		}
 	}
@@ -336,6 +371,14 @@
 			return nil
 		}
 	}
+	for len(l.drops) > 0 && len(txn.Writes) < l.lim.TxnOps {
+		f.drops = append(f.drops, l.drops[0])
+		txn.Writes = append(txn.Writes, Op{Key: l.drops[0], Remove: true})
+		l.drops = l.drops[1:]
+	}
+	if len(txn.Writes) == 0 {
+		return nil
+	}
 	l.tokens -= float64(len(txn.Writes))
 	f.txn = txn
 	f.sent = true
@@ -384,7 +427,10 @@
 		return nil, Reread
 	case Unknown:
 		if f.count == 0 {
-			l.inflight = nil // only sizes: the next ones replace them
+			// Only sizes, which the next ones replace, and segments to remove,
+			// which can be removed twice.
+			l.drops = append(l.drops, f.drops...)
+			l.inflight = nil
 			return nil, Carry
 		}
 		f.unsure = true
@@ -394,6 +440,7 @@
 		l.fails++
 		l.wait = now + time.Duration(min(l.fails, 8))*60*time.Millisecond
 		if !f.unsure {
+			l.drops = append(l.drops, f.drops...)
 			l.inflight = nil
 		}
 		return nil, Carry
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -104,6 +104,41 @@
 	}
 }
 
+// Found by a random day: the open segment is full, so a commit writes only the
+// next one. Its first copy, given up on, comes after further commits: it must
+// not take the segment back.
+func TestLateCopyDoesNotTakeBack(t *testing.T) {
+	s, l := newStore(), newLog()
+	now := time.Second
+	step := func() {
+		now += time.Second
+		if txn := l.Next(now); txn != nil {
+			out, mark, failed := s.apply(*txn)
+			l.Result(now, txn.Seq, out, mark, failed)
+		}
+	}
+	for n := uint64(0); l.Last() == 1 && len(l.body) < lim.ValueBytes-64-10; n++ {
+		l.Append(cancel(100+n), nil)
+		step()
+	}
+	l.Append(cancel(7_000_000_000_000), nil) // does not fit into the open segment any more
+	now += time.Second
+	late := *l.Next(now)
+	if len(late.Writes) != 1 || late.Writes[0].Key != Key(2) {
+		t.Fatalf("the case is not met: %d writes, the first to %s", len(late.Writes), late.Writes[0].Key)
+	}
+	l.Result(now, late.Seq, Unknown, 0, nil)
+	l.ReadBack(now, true, 0, nil)
+	step()
+	l.Append(cancel(8), nil)
+	step()
+	before := len(s.ids(t))
+	s.apply(late)
+	if after := len(s.ids(t)); after != before {
+		t.Errorf("%d entries, %d after the late copy", before, after)
+	}
+}
+
 // A transaction of an earlier term that comes late fails its condition.
 func TestLateCommitOfEarlierTerm(t *testing.T) {
 	s, l := newStore(), newLog()
--- /dev/null
+++ b/internal/node/clean.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"time"
+
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+)
+
+// The log is cleaned from its old end, one segment at a time: what is still
+// live of it is appended anew, and once that is durable the segment is
+// removed. Entries may then be there twice for a while, which replaying them
+// bears. Cleaning the oldest first keeps the order of what concerns one job.
+
+const (
+	cleanEvery   = 2 * time.Second
+	fewSegments  = 24  // not worth cleaning
+	jobBytes     = 400 // rough sizes, to tell how much of the log is live
+	overBytes    = 9
+	machineBytes = 100
+)
+
+type tagClean int
+
+// clean asks for the oldest segment when the log has grown to a few times
+// what is live of it.
+func (t *Term) clean(now time.Duration) {
+	if t.cleaning || t.log.Pending() > 0 || now-t.cleanAt < cleanEvery {
+		return
+	}
+	live := len(t.book.Order())*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
+	most := max(fewSegments, 3*live/int(t.cfg.Deployment.State.ValueKB*1024))
+	if t.log.Last()-t.first < most {
+		return
+	}
+	t.cleaning, t.cleanAt = true, now
+	t.emit(Clean{t.first})
+}
+
+// cleaned takes the oldest segment, read back. A key that is missing has been
+// removed already.
+func (t *Term) cleaned(n int, read bool, mark uint64, entries []ledger.Entry) {
+	// An entry still on its way to the log would stand before what is appended
+	// here and be replayed without the job that it speaks of.
+	if !read || n != t.first || t.log.Pending() > 0 || len(t.completed) > 0 {
+		t.cleaning = false
+		return
+	}
+	if mark == 0 {
+		t.first++
+		t.cleaning = false
+		return
+	}
+	var over ledger.Over
+	flush := func(most int) {
+		if len(over.Done)+len(over.Cancelled) >= most {
+			o := over
+			t.log.Append(ledger.Entry{Over: &o}, nil)
+			over = ledger.Over{}
+		}
+	}
+	end := func(id uint64) {
+		switch p, _ := t.table.Final(id); p {
+		case jobs.Done:
+			over.Done = append(over.Done, id)
+		case jobs.Cancelled:
+			over.Cancelled = append(over.Cancelled, id)
+		}
+		flush(max(1, t.log.Room()/idBytes-2))
+	}
+	for _, e := range entries {
+		switch {
+		case e.Job != nil:
+			if _, ended := t.table.Final(e.Job.ID); ended {
+				end(e.Job.ID)
+			} else if j := t.table.Find(e.Job.ID); j != nil {
+				t.again(j)
+			}
+		case e.Over != nil:
+			for _, id := range e.Over.Done {
+				end(id)
+			}
+			for _, id := range e.Over.Cancelled {
+				end(id)
+			}
+		case e.Machine != nil:
+			if m := t.yard.Find(e.Machine.Name); m != nil {
+				t.log.Append(ledger.Entry{Machine: e.Machine}, nil)
+			}
+		case e.Types != nil:
+			for i := range t.types {
+				t.log.Append(ledger.Entry{Types: t.types[i : i+1]}, nil)
+			}
+		case e.Rental != nil:
+			if r, open := t.rentals[e.Rental.Name]; open {
+				t.log.Append(ledger.Entry{Rental: &r}, nil)
+			}
+		}
+	}
+	flush(1)
+	// This entry says nothing by itself; when it is durable all before it is.
+	t.log.Append(ledger.Entry{Over: &ledger.Over{}}, tagClean(n))
+}
+
+// again appends what is durable of an open job. What is not yet durable of it
+// is queued behind or follows later.
+func (t *Term) again(j *jobs.Job) {
+	t.log.Append(ledger.Entry{Job: &j.Rec}, nil)
+	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
+	for k, s := range j.Tasks {
+		if s != jobs.Noted {
+			continue
+		}
+		if n := len(noted.Ranges); n > 0 && noted.Ranges[n-1][1] == k {
+			noted.Ranges[n-1][1] = k + 1
+		} else {
+			noted.Ranges = append(noted.Ranges, [2]int{k, k + 1})
+		}
+	}
+	if len(noted.Ranges) > 0 {
+		t.appendTasks(noted)
+	}
+	if size, final := t.book.Size(j.Index); final && size > 0 {
+		t.log.Append(ledger.Entry{Size: &ledger.Size{ID: j.Rec.ID, Size: size}}, nil)
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -288,9 +288,9 @@
 }
 
 // Loaded takes the whole log, read after the term began.
-func (c *Core) Loaded(now time.Duration, epoch uint64, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+func (c *Core) Loaded(now time.Duration, epoch uint64, first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
 	if c.term != nil && c.term.epoch == epoch && !c.term.loaded {
-		c.term.load(now, c.lead.Mark(), last, entries, sizes)
+		c.term.load(now, c.lead.Mark(), first, last, entries, sizes)
 	}
 	c.after(now)
 }
@@ -313,6 +313,14 @@
 	c.after(now)
 }
 
+// Cleaned takes the log's oldest segment, read back.
+func (c *Core) Cleaned(now time.Duration, epoch uint64, n int, read bool, mark uint64, entries []ledger.Entry) {
+	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
+		c.term.cleaned(n, read, mark, entries)
+	}
+	c.after(now)
+}
+
 // Deleted takes the result of a deletion.
 func (c *Core) Deleted(now time.Duration, epoch uint64, list []string, ok bool) {
 	if c.term != nil && c.term.epoch == epoch {
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -455,7 +455,9 @@
 		}
 		t.yard.Remove(name)
 	}
-	t.log.Append(ledger.Entry{Gone: list}, nil)
+	for part := range slices.Chunk(list, max(1, t.log.Room()/idBytes-2)) {
+		t.log.Append(ledger.Entry{Gone: part}, nil)
+	}
 	t.dirty = true
 }
 
@@ -501,7 +503,9 @@
 	}
 	t.setTypes(list)
 	if changed {
-		t.log.Append(ledger.Entry{Types: list}, nil)
+		for i := range list {
+			t.log.Append(ledger.Entry{Types: list[i : i+1]}, nil)
+		}
 	}
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -70,6 +70,7 @@
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
 	Recheck struct{ Key string }
+	Clean   struct{ Segment int }
 	Rent    struct{ Rental ledger.Rental }
 	Delete  struct{ Machines []string }
 	List    struct{}
@@ -99,6 +100,7 @@
 func (Load) effect()        {}
 func (Commit) effect()      {}
 func (Recheck) effect()     {}
+func (Clean) effect()       {}
 func (Rent) effect()        {}
 func (Delete) effect()      {}
 func (List) effect()        {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,18 @@
 			it, err := n.state.Get(ctx, e.Key)
 			n.post(func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) })
 		}()
+	case Clean:
+		epoch := n.core.Epoch()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+			defer cancel()
+			it, err := n.state.Get(ctx, ledger.Key(e.Segment))
+			var entries []ledger.Entry
+			if err == nil && it.Mark != 0 {
+				entries, err = ledger.Decode(it.Value)
+			}
+			n.post(func(now time.Duration) { n.core.Cleaned(now, epoch, e.Segment, err == nil, it.Mark, entries) })
+		}()
 	case Rent:
 		epoch := n.core.Epoch()
 		go func() {
@@ -267,9 +279,9 @@
 // term is over.
 func (n *Node) load(epoch uint64) {
 	for {
-		last, entries, sizes, err := n.readAll()
+		first, last, entries, sizes, err := n.readAll()
 		if err == nil {
-			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, last, entries, sizes) })
+			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, first, last, entries, sizes) })
 			return
 		}
 		n.log.Warn("durable state not read", "epoch", epoch, "error", err)
@@ -282,18 +294,21 @@
 	}
 }
 
-func (n *Node) readAll() (last int, entries []ledger.Entry, sizes []ledger.VirtualSize, err error) {
+func (n *Node) readAll() (first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize, err error) {
 	err = n.readPrefix(ledger.Prefix, func(it wire.Item) error {
 		list, err := ledger.Decode(it.Value)
 		if err != nil {
 			return fmt.Errorf("%s: %w", it.Key, err)
 		}
 		entries = append(entries, list...)
-		_, err = fmt.Sscanf(it.Key, ledger.Prefix+"%d", &last)
+		last, err = ledger.Number(it.Key)
+		if first == 0 {
+			first = last
+		}
 		return err
 	})
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, 0, nil, nil, err
 	}
 	err = n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error {
 		var v ledger.VirtualSizes
@@ -303,7 +318,7 @@
 		sizes = append(sizes, v.Sizes...)
 		return nil
 	})
-	return last, entries, sizes, err
+	return first, last, entries, sizes, err
 }
 
 func (n *Node) readPrefix(prefix string, each func(wire.Item) error) error {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -25,6 +25,12 @@
 	attemptBits = 24
 )
 
+// Upper bounds for what one item takes in an entry of the log.
+const (
+	rangeBytes = 16
+	idBytes    = 21
+)
+
 // Term is what a leader knows and does from its election to its end. It
 // composes the slices; it has no clock and does nothing by itself.
 type Term struct {
@@ -73,6 +79,10 @@
 	cloudRoom  float64
 	cloudAt    time.Duration
 
+	first    int // number of the log's oldest segment
+	cleaning bool
+	cleanAt  time.Duration
+
 	counts *Counts
 	out    []Effect
 }
@@ -119,8 +129,8 @@
 
 func (t *Term) note(l Level, text string, args ...any) { t.emit(Note{l, text, args}) }
 
-// load replays the whole log. last is the number of its last segment.
-func (t *Term) load(now time.Duration, mark uint64, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+// load replays the whole log, whose segments are numbered first to last.
+func (t *Term) load(now time.Duration, mark uint64, first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
 	finals := map[uint64]float64{}
 	registry := map[string]ledger.Machine{}
 	booting := map[string]ledger.Machine{}
@@ -129,8 +139,15 @@
 		switch {
 		case e.Types != nil:
 			t.setTypes(e.Types)
+		case e.Over != nil:
+			for _, id := range e.Over.Done {
+				t.over(id, jobs.Done)
+			}
+			for _, id := range e.Over.Cancelled {
+				t.over(id, jobs.Cancelled)
+			}
 		case e.Job != nil:
-			if t.table.Find(e.Job.ID) == nil {
+			if _, over := t.table.Final(e.Job.ID); !over && t.table.Find(e.Job.ID) == nil {
 				t.enter(*e.Job, now)
 			}
 		case e.Cancel != nil:
@@ -223,12 +240,21 @@
 	}
 	t.log = ledger.NewLog(ledger.Limits{WriteRPS: t.cfg.Deployment.State.WriteRPS, ValueBytes: int(t.cfg.Deployment.State.ValueKB * 1024),
 		TxnOps: t.cfg.Deployment.State.TxnOps}, leadership.EpochKey, mark, last)
+	t.first = max(first, 1)
 	t.loaded = true
 	t.book.Age(now.Seconds(), 0)
 	t.dirty = true
 	t.note(Info, "term begun", "epoch", t.epoch, "jobs", len(t.book.Order()), "machines", len(registry), "booting", len(booting), "segments", last)
 }
 
+// over notes a final state while replaying, whatever stood before it.
+func (t *Term) over(id uint64, p jobs.Phase) {
+	t.table.Finish(id, p)
+	if j := t.table.Find(id); j != nil {
+		t.table.Leave(j)
+	}
+}
+
 func (t *Term) enter(rec ledger.Job, now time.Duration) *jobs.Job {
 	j := t.table.Add(rec)
 	at := min(now, time.Duration(rec.AtMS-t.zero)*time.Millisecond)
@@ -500,6 +526,10 @@
 			m.Durable = true
 			t.dirty = true
 		}
+	case tagClean:
+		t.log.Drop(int(tag))
+		t.first = int(tag) + 1
+		t.cleaning = false
 	case tagRental:
 		r := ledger.Rental(tag)
 		t.rentals[r.Name] = r
@@ -900,7 +930,7 @@
 		return
 	}
 	for id, b := range t.completed {
-		t.log.Append(ledger.Entry{Tasks: b}, tagTasks(*b))
+		t.appendTasks(*b)
 		delete(t.completed, id)
 	}
 	if txn := t.log.Next(now); txn != nil {
@@ -908,6 +938,17 @@
 	}
 }
 
+// appendTasks appends completed tasks, in as many entries as they need.
+func (t *Term) appendTasks(b ledger.Tasks) {
+	most := max(1, t.log.Room()/rangeBytes-4)
+	for len(b.Ranges) > most {
+		part := ledger.Tasks{ID: b.ID, Ranges: b.Ranges[:most]}
+		t.log.Append(ledger.Entry{Tasks: &part}, tagTasks(part))
+		b.Ranges = b.Ranges[most:]
+	}
+	t.log.Append(ledger.Entry{Tasks: &b}, tagTasks(b))
+}
+
 func (t *Term) committed(now time.Duration, sure bool, seq uint64, out ledger.Outcome, mark uint64, failed []string) ledger.Step {
 	tags, step := t.log.Result(now, seq, out, mark, failed)
 	for _, tag := range tags {
@@ -959,6 +1000,9 @@
 		t.sizesAt = now
 		t.writeSizes()
 	}
+	if sure {
+		t.clean(now)
+	}
 	t.callCloud(now, sure)
 }
 
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -35,6 +35,9 @@
 	r := rand.New(rand.NewPCG(seed, 99))
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(8 + r.IntN(40))
+	if seed%3 == 0 {
+		c.Deployment.State.ValueKB = 0.8 // so that the log is cleaned all the time
+	}
 	s := newSim(c, seed, 3)
 	var log []string
 	say := func(f string, a ...any) {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -69,6 +69,9 @@
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(arg(t, d, "limit", 0))
 	c.Deployment.State.WriteRPS = float64(arg(t, d, "write-rps", 20))
+	if v := arg(t, d, "value-bytes", 0); v > 0 {
+		c.Deployment.State.ValueKB = float64(v) / 1024
+	}
 	p := &player{newSim(c, uint64(arg(t, d, "seed", 1)), arg(t, d, "nodes", 3))}
 	p.s.cloud.capacity = arg(t, d, "capacity", 40)
 	var poll func()
@@ -215,6 +218,8 @@
 			w.soon()
 			s.after(in, w.vanish)
 		}
+	case "cleaned":
+		return fmt.Sprintf("%v", s.state.cleaned > 3)
 	case "machines":
 		return fmt.Sprintf("%d", len(s.cloud.machines))
 	case "deleted":
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -27,6 +27,7 @@
 	delayed time.Duration   // the next transaction is given up on, and applied this much later
 	watches []func()
 	writes  int
+	cleaned int
 }
 
 type item struct {
@@ -105,6 +106,11 @@
 		}
 	}
 	st.writes += len(writes)
+	for _, w := range writes {
+		if most := int(st.s.cfg.Deployment.State.ValueKB * 1024); len(w.Value) > most {
+			st.s.check.fail("state limits", "a value of %d bytes for %s", len(w.Value), w.Key)
+		}
+	}
 	if failed != nil {
 		return txnResult{out: ledger.Conflict, failed: failed}
 	}
@@ -177,7 +183,27 @@
 	})
 }
 
+func (st *stateService) clean(c *controller, n int) {
+	epoch, life := epochOf(c), c.life
+	call(st.s, c.name, "state", wait, func(reply func(item)) {
+		if !st.down(c) {
+			reply(st.items[ledger.Key(n)])
+		}
+	}, func(it item, ok bool) {
+		if c.life != life {
+			return
+		}
+		var list []ledger.Entry
+		if ok && it.mark != 0 {
+			list, _ = ledger.Decode(it.value)
+			st.cleaned++
+		}
+		c.into(func(now time.Duration) { c.core.Cleaned(now, epoch, n, ok, it.mark, list) })()
+	})
+}
+
 type loadResult struct {
+	first   int
 	last    int
 	entries []ledger.Entry
 	sizes   []ledger.VirtualSize
@@ -190,16 +216,23 @@
 			return
 		}
 		var r loadResult
-		for n := 1; ; n++ {
-			it, ok := st.items[ledger.Key(n)]
-			if !ok {
-				break
+		var keys []string
+		for k := range st.items {
+			if strings.HasPrefix(k, ledger.Prefix) {
+				keys = append(keys, k)
 			}
-			list, err := ledger.Decode(it.value)
+		}
+		slices.Sort(keys)
+		for _, k := range keys {
+			list, err := ledger.Decode(st.items[k].value)
 			if err != nil {
 				panic(err)
 			}
-			r.last, r.entries = n, append(r.entries, list...)
+			r.last, _ = ledger.Number(k)
+			if r.first == 0 {
+				r.first = r.last
+			}
+			r.entries = append(r.entries, list...)
 		}
 		for k, it := range st.items {
 			var v ledger.VirtualSizes
@@ -220,7 +253,7 @@
 			}))
 			return
 		}
-		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r.last, r.entries, r.sizes) })()
+		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r.first, r.last, r.entries, r.sizes) })()
 	})
 }
 
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -280,6 +280,8 @@
 		s.state.commit(c, e.Txn)
 	case node.Recheck:
 		s.state.recheck(c, e.Key)
+	case node.Clean:
+		s.state.clean(c, e.Segment)
 	case node.Rent:
 		s.cloud.rent(c, e.Rental)
 	case node.Delete:
