Preemption as the protocol permits, and stops sent directly to workers

Cause: borrowed room came back only as tasks ended, and a cancelled job's tasks ran on until the next report.

--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -71,11 +71,19 @@
 	Commit  struct{ Txn ledger.Txn }
 	Recheck struct{ Key string }
 	Clean   struct{ Segment int }
-	Rent    struct{ Rental ledger.Rental }
-	Delete  struct{ Machines []string }
-	List    struct{}
-	Types   struct{}
-	Note    struct {
+	// Direct sends stops straight to a worker, besides the answer to its next
+	// report. It has no result: nothing is concluded from it. Starts never go
+	// this way, for they could be carried out late.
+	Direct struct {
+		Address        string
+		Token, Session uint64
+		Stops          []workers.Command
+	}
+	Rent   struct{ Rental ledger.Rental }
+	Delete struct{ Machines []string }
+	List   struct{}
+	Types  struct{}
+	Note   struct {
 		Level Level
 		Text  string
 		Args  []any
@@ -101,6 +109,7 @@
 func (Commit) effect()      {}
 func (Recheck) effect()     {}
 func (Clean) effect()       {}
+func (Direct) effect()      {}
 func (Rent) effect()        {}
 func (Delete) effect()      {}
 func (List) effect()        {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	watchFor     = 10 * time.Second
 	cloudTimeout = 5 * time.Second
 	queueLength  = 512
+	directAtOnce = 8
 )
 
 // standing is what the doors need to know between turns of the loop.
@@ -40,15 +41,17 @@
 
 // Node runs one controller.
 type Node struct {
-	cfg   *settings.Settings
-	log   *slog.Logger
-	core  *Core
-	in    chan func(now time.Duration)
-	start time.Time
-	state *wire.State
-	cloud *wire.Cloud
-	peers map[string]*peer
-	now   atomic.Pointer[standing]
+	cfg     *settings.Settings
+	log     *slog.Logger
+	core    *Core
+	in      chan func(now time.Duration)
+	start   time.Time
+	state   *wire.State
+	cloud   *wire.Cloud
+	peers   map[string]*peer
+	workers *wire.Workers
+	direct  chan struct{} // bounds the direct calls under way
+	now     atomic.Pointer[standing]
 
 	nextAsker Asker
 	users     map[Asker]chan Answer
@@ -60,7 +63,7 @@
 	start := time.Now()
 	n := &Node{
 		cfg: cfg, log: log, core: NewCore(cfg, start.UnixMilli()), in: make(chan func(time.Duration), queueLength), start: start,
-		state: wire.NewState(cfg.External.State), cloud: wire.NewCloud(cfg.External.Cloud), peers: map[string]*peer{},
+		state: wire.NewState(cfg.External.State), cloud: wire.NewCloud(cfg.External.Cloud), workers: wire.NewWorkers(), direct: make(chan struct{}, directAtOnce), peers: map[string]*peer{},
 		users: map[Asker]chan Answer{}, reports: map[Asker]chan ReportAnswer{},
 	}
 	for _, p := range cfg.Peers {
@@ -207,6 +210,19 @@
 			}
 			n.post(func(now time.Duration) { n.core.Cleaned(now, epoch, e.Segment, err == nil, it.Mark, entries) })
 		}()
+	case Direct:
+		select {
+		case n.direct <- struct{}{}:
+			go func() {
+				defer func() { <-n.direct }()
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				if err := n.workers.Do(ctx, e.Address, wire.Direct(e.Token, e.Session, e.Stops)); err != nil {
+					n.log.Debug("worker not reached", "address", e.Address, "error", err)
+				}
+			}()
+		default: // enough are under way; the answer to the next report has the stops too
+		}
 	case Rent:
 		epoch := n.core.Epoch()
 		go func() {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -490,6 +490,7 @@
 			j.Phase, j.CancelledAt = jobs.Cancelled, now
 			t.table.Finish(id, jobs.Cancelled)
 			t.book.Remove(j.Index, false, 0, 0)
+			on := map[*workers.Machine]bool{}
 			for k, s := range j.Tasks {
 				ref := workers.Ref{Job: j.Index, Task: int32(k)}
 				if p := t.where[ref]; s == jobs.Placed && p != nil {
@@ -497,9 +498,13 @@
 						t.takeBack(p)
 					} else {
 						p.Stopping, p.GraceS = true, 0
+						on[p.Home] = true
 					}
 				}
 			}
+			for m := range on {
+				t.stopNow(m)
+			}
 			t.leaveIfEmpty(j)
 			t.dirty = true
 		}
@@ -537,6 +542,13 @@
 	}
 }
 
+// stopNow sends a machine's stops without waiting for its next report.
+func (t *Term) stopNow(m *workers.Machine) {
+	if m.Address != "" && m.Up && !m.Leaving {
+		t.emit(Direct{m.Address, m.Token, m.Session, m.Stops()})
+	}
+}
+
 func (t *Term) tell(sure bool, to Asker, a Answer) {
 	if !sure {
 		a = unavailable("leadership is in doubt")
@@ -675,8 +687,8 @@
 		}
 		t.note(Info, "machine appeared unasked", "machine", r.Machine)
 	}
+	m.Address = r.Address
 	if !m.Durable && !m.Leaving {
-		m.Address = r.Address
 		m.Resolved = true // no task is ever started on a machine before it is registered
 		if m.QueueRegistry() {
 			t.log.Append(ledger.Entry{Machine: &ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}, tagMachine(r.Machine))
@@ -924,6 +936,21 @@
 	t.plan.Pass(w)
 }
 
+// preempt stops tasks so that others get the room they may have.
+func (t *Term) preempt(now time.Duration) {
+	on := map[*workers.Machine]bool{}
+	defer func() {
+		for m := range on {
+			t.stopNow(m)
+		}
+	}()
+	for _, p := range t.plan.Preempt(t.world(now)) {
+		t.saveAndStop(t.table.At(p.Ref.Job), p)
+		on[p.Home] = true
+		t.note(Debug, "task stopped for another job", "job", p.JobID, "task", p.Ref.Task, "machine", p.Home.Name)
+	}
+}
+
 // pump hands what has gathered to the log and sends what the log allows.
 func (t *Term) pump(now time.Duration) {
 	if !t.loaded {
@@ -995,6 +1022,9 @@
 	}
 	if sure && t.dirty {
 		t.pass(now)
+		if t.cfg.Tunables.Preempt == 1 {
+			t.preempt(now)
+		}
 	}
 	if sure && now-t.sizesAt >= settings.Seconds(t.cfg.Tunables.SizesEveryS) {
 		t.sizesAt = now
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -68,6 +68,9 @@
 func newPlayer(t *testing.T, d *datadriven.TestData) *player {
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(arg(t, d, "limit", 0))
+	if d.HasArg("guaranteed") {
+		c.Deployment.Teams = append(c.Deployment.Teams, settings.Team{Name: "other", CPUs: float64(arg(t, d, "guaranteed", 0))})
+	}
 	c.Deployment.State.WriteRPS = float64(arg(t, d, "write-rps", 20))
 	if v := arg(t, d, "value-bytes", 0); v > 0 {
 		c.Deployment.State.ValueKB = float64(v) / 1024
@@ -240,7 +243,7 @@
 func (p *player) submit(t *testing.T, d *datadriven.TestData, id uint64) {
 	kinds := map[string]uint8{"array": 0, "gang": 1, "service": 2}
 	runS := span(t, d, "run")
-	job := &ledger.Job{ID: id, Class: "class", Team: arg(t, d, "team", "team"), Kind: kinds[arg(t, d, "kind", "array")], Priority: 1,
+	job := &ledger.Job{ID: id, Class: "class", Team: arg(t, d, "team", "team"), Kind: kinds[arg(t, d, "kind", "array")], Priority: uint8(arg(t, d, "priority", 1)), Checkpoint: float64(arg(t, d, "checkpoint", 0)),
 		Tasks: arg(t, d, "tasks", 1), CPUs: float64(arg(t, d, "cpus", 1)), MemoryGB: 1, Image: "image", ImageGB: 0.3,
 		OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: !d.HasArg("no-spot"), EstimateS: max(1, runS.Seconds())}
 	j := &userJob{id: id, run: runS, spec: wire.Submission{ID: id, HasID: true, Job: job}}
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -10,6 +10,7 @@
 	"bitternmoor/internal/node"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
 )
 
 // event is something due at a time; seq keeps the order of equal times.
@@ -280,6 +281,22 @@
 		s.state.commit(c, e.Txn)
 	case node.Recheck:
 		s.state.recheck(c, e.Key)
+	case node.Direct:
+		if w := s.cloud.machines[e.Address]; w != nil {
+			s.send(c.name, w.name, func() {
+				if w.up && !w.hung && e.Token >= w.token && e.Session == w.session {
+					w.seq++ // of the response
+					for _, cmd := range e.Stops {
+						if cmd.Op != workers.Stop {
+							s.check.fail("starts", "a direct command that is no stop")
+						}
+						if w.execute(cmd) {
+							w.soon()
+						}
+					}
+				}
+			})
+		}
 	case node.Clean:
 		s.state.clean(c, e.Segment)
 	case node.Rent:
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -26,6 +26,7 @@
 	UsualStayS      float64 // how long a rented machine is usually kept, against which its boot is weighed
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
+	Preempt         int     // exception: tasks are stopped for jobs that may have their room
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitRisk        float64 // exception: share of a class's wait aim after which waiting tasks go ahead; 1 is never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
@@ -79,6 +80,7 @@
 	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
+	whole("exceptions", "preempt", "0 or 1", "tasks that save, or have hardly begun, are stopped for jobs of higher priority and within their team's guarantee", 1, 0, 1, func(t *Tunables) *int { return &t.Preempt }),
 	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
 	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
 	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -392,8 +392,19 @@
 	}
 }
 
-// Do sends direct commands to a worker. It is used for stops alone.
-func (c *Client) Do(ctx context.Context, body []byte) error {
-	_, _, err := c.raw(ctx, "POST", PathCommands, json.RawMessage(body))
+// Workers reaches workers directly.
+type Workers struct{ c *http.Client }
+
+// NewWorkers makes a client for workers. Connections are not kept: a worker
+// is called this way rarely.
+func NewWorkers() *Workers {
+	dial := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	return &Workers{&http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
+}
+
+// Do sends direct commands to the worker at addr. They may be carried out
+// late, which is why only stops go this way.
+func (w *Workers) Do(ctx context.Context, addr string, body []byte) error {
+	_, _, err := (&Client{"http://" + addr, w.c}).raw(ctx, "POST", PathCommands, json.RawMessage(body))
 	return err
 }
