--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -41,10 +41,7 @@
 		Use: "bitternmoor", Short: "Cluster scheduler with size-based scheduling", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if config == "" {
-				return errors.New("--config FILE is needed")
-			}
-			cfg, err := settings.Load(config, tunables)
+			cfg, err := load(config, tunables)
 			if err != nil {
 				return err
 			}
@@ -59,10 +56,7 @@
 	check := &cobra.Command{
 		Use: "check-config", Short: "Check settings and say what is wrong", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if config == "" {
-				return errors.New("--config FILE is needed")
-			}
-			cfg, err := settings.Load(config, tunables)
+			cfg, err := load(config, tunables)
 			if err != nil {
 				return err
 			}
@@ -88,6 +82,13 @@
 	}
 }
 
+func load(config, tunables string) (*settings.Settings, error) {
+	if config == "" {
+		return nil, errors.New("--config FILE is needed")
+	}
+	return settings.Load(config, tunables)
+}
+
 func serve(ctx context.Context, cfg *settings.Settings) error {
 	level, known := slog.LevelInfo, true
 	word := os.Getenv("LOG_LEVEL")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -186,7 +186,6 @@
 	segment  int    // number of the open segment
 	mark     uint64 // its version; 0 while it does not exist
 	body     []byte // its entries, comma separated, as committed or in flight
-	inBody   int    // how many bytes of body are committed
 	pending  []pend
 	inflight *flight
 	readBack bool
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -99,7 +99,7 @@
 	t := &Term{
 		cfg: cfg, zero: zero, epoch: epoch, token: epoch << tokenBits, attempts: epoch << attemptBits, began: now,
 		table: jobs.NewTable(), yard: workers.NewYard(),
-		book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks, AtOnce: cfg.Tunables.TrainingAtOnce,
+		book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks,
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
 		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
 		where: map[workers.Ref]*workers.Placement{}, lives: map[string]int64{}, seen: map[string]time.Duration{}, completed: map[uint64]*ledger.Tasks{},
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -346,7 +346,6 @@
 	spec     wire.Submission
 	run      time.Duration
 	accepted bool
-	told     wire.JobState
 	toldDone bool
 	gone     bool // told cancelled
 	asked    bool // its user asked to cancel it
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -12,11 +12,10 @@
 
 // Params are the letters of the design document.
 type Params struct {
-	Train  int     // t
-	AtOnce int     // T
-	Xi     float64 // ξ
-	Delta  float64 // Δ in seconds
-	First  float64 // size of a job without any history, in seconds
+	Train int     // t
+	Xi    float64 // ξ
+	Delta float64 // Δ in seconds
+	First float64 // size of a job without any history, in seconds
 }
 
 // Job is what HFSP knows of one job.
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-var doc = Params{Train: 5, AtOnce: 10, Xi: 1, Delta: 60, First: 30}
+var doc = Params{Train: 5, Xi: 1, Delta: 60, First: 30}
 
 func near(t *testing.T, what string, got, want float64) {
 	t.Helper()
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -32,34 +32,19 @@
 	}}}
 }
 
-// call returns the status, or an error when there was no whole response.
-func (c *Client) call(ctx context.Context, method, path string, in, out any, limit int64) (int, error) {
-	var body io.Reader
-	if in != nil {
-		body = bytes.NewReader(encode(in))
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
-	if err != nil {
-		return 0, fmt.Errorf("wire: %w", err)
-	}
-	if in != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := c.http.Do(req)
+// call decodes the answer into out and returns the status, or an error when
+// there was no whole response.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	status, data, err := c.raw(ctx, method, path, in)
 	if err != nil {
-		return 0, fmt.Errorf("wire: %w", err)
+		return 0, err
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	if err != nil {
-		return 0, fmt.Errorf("wire: %w", err)
-	}
-	if out != nil && len(data) > 0 && (resp.StatusCode == 200 || resp.StatusCode == 409 || resp.StatusCode == 404) {
+	if out != nil && len(data) > 0 && (status == 200 || status == 409 || status == 404) {
 		if err := json.Unmarshal(data, out); err != nil {
 			return 0, fmt.Errorf("wire: %s %s: %w", method, path, err)
 		}
 	}
-	return resp.StatusCode, nil
+	return status, nil
 }
 
 const bigBody = 4 << 20
@@ -86,7 +71,7 @@
 // Get reads a key; a missing one has mark 0.
 func (s *State) Get(ctx context.Context, key string) (Item, error) {
 	var it item
-	status, err := s.c.call(ctx, "GET", "/keys/"+key, nil, &it, bigBody)
+	status, err := s.c.call(ctx, "GET", "/keys/"+key, nil, &it)
 	if err != nil {
 		return Item{}, err
 	}
@@ -110,7 +95,7 @@
 		More bool   `json:"has_next"`
 		Rev  uint64 `json:"ledger_mark"`
 	}
-	status, err := s.c.call(ctx, "GET", "/keys?"+q.Encode(), nil, &out, bigBody)
+	status, err := s.c.call(ctx, "GET", "/keys?"+q.Encode(), nil, &out)
 	if err != nil {
 		return nil, false, 0, err
 	}
@@ -147,7 +132,7 @@
 
 func (s *State) multi(ctx context.Context, t txn) (ledger.Outcome, uint64, []string) {
 	var out txnAnswer
-	status, err := s.c.call(ctx, "POST", "/multi", t, &out, bigBody)
+	status, err := s.c.call(ctx, "POST", "/multi", t, &out)
 	switch {
 	case err != nil:
 		return ledger.Unknown, 0, nil
@@ -213,7 +198,7 @@
 // or saw one rather than failing.
 func (s *State) Follow(ctx context.Context, prefix string, since uint64, wait time.Duration) bool {
 	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)}, "hold_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	status, err := s.c.call(ctx, "GET", "/follow?"+q.Encode(), nil, nil, bigBody)
+	status, err := s.c.call(ctx, "GET", "/follow?"+q.Encode(), nil, nil)
 	return err == nil && (status == 200 || status == 410)
 }
 
@@ -222,19 +207,19 @@
 	var out struct {
 		ID uint64 `json:"tether"`
 	}
-	status, err := s.c.call(ctx, "POST", "/holds", map[string]int64{"life_ms": life.Milliseconds()}, &out, bigBody)
+	status, err := s.c.call(ctx, "POST", "/holds", map[string]int64{"life_ms": life.Milliseconds()}, &out)
 	return out.ID, err == nil && status == 200
 }
 
 // Renew renews a hold; gone says that it has ended.
 func (s *State) Renew(ctx context.Context, id uint64) (ok, gone bool) {
-	status, err := s.c.call(ctx, "POST", "/holds/"+strconv.FormatUint(id, 10)+"/renew", struct{}{}, nil, bigBody)
+	status, err := s.c.call(ctx, "POST", "/holds/"+strconv.FormatUint(id, 10)+"/renew", struct{}{}, nil)
 	return err == nil && status == 200, err == nil && status == 404
 }
 
 // Release ends a hold.
 func (s *State) Release(ctx context.Context, id uint64) {
-	_, _ = s.c.call(ctx, "DELETE", "/holds/"+strconv.FormatUint(id, 10), nil, nil, bigBody) // it ends by itself otherwise
+	_, _ = s.c.call(ctx, "DELETE", "/holds/"+strconv.FormatUint(id, 10), nil, nil) // it ends by itself otherwise
 }
 
 // Cloud is the cloud that rents machines.
@@ -259,7 +244,7 @@
 			Zones     []string `json:"pastures"`
 		} `json:"breeds"`
 	}
-	status, err := c.c.call(ctx, "GET", "/machine_types", nil, &out, bigBody)
+	status, err := c.c.call(ctx, "GET", "/machine_types", nil, &out)
 	if err != nil {
 		return nil, err
 	}
@@ -324,26 +309,32 @@
 }
 
 func (c *Client) raw(ctx context.Context, method, path string, in any) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(encode(in)))
+	var body io.Reader
+	if in != nil {
+		body = bytes.NewReader(encode(in))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return 0, nil, fmt.Errorf("wire: %w", err)
 	}
-	req.Header.Set("Content-Type", "application/json")
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("wire: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bigBody))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, bigBody))
 	if err != nil {
 		return 0, nil, fmt.Errorf("wire: %w", err)
 	}
-	return resp.StatusCode, body, nil
+	return resp.StatusCode, data, nil
 }
 
 // Delete returns machines; true means that they are gone.
 func (c *Cloud) Delete(ctx context.Context, names []string) bool {
-	status, err := c.c.call(ctx, "POST", "/rentals/delete", map[string][]string{"stalls": names}, nil, bigBody)
+	status, err := c.c.call(ctx, "POST", "/rentals/delete", map[string][]string{"stalls": names}, nil)
 	return err == nil && status == 200
 }
 
@@ -375,7 +366,7 @@
 			} `json:"stalls"`
 			More bool `json:"has_next"`
 		}
-		status, err := c.c.call(ctx, "GET", "/rentals?"+q.Encode(), nil, &out, bigBody)
+		status, err := c.c.call(ctx, "GET", "/rentals?"+q.Encode(), nil, &out)
 		if err != nil {
 			return nil, err
 		}
