--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -77,7 +77,7 @@
 	amount("sizing", "write_every", "s", "how often virtual sizes are written down", 5, 0.5, 3600, func(t *Tunables) *float64 { return &t.SizesEveryS }),
 	amount("blocks", "locality_delay", "s", "how long a job leaves room on machines without its image to jobs that have theirs there", 2, 0, 60, func(t *Tunables) *float64 { return &t.LocalityS }),
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
-	amount("leadership", "hold", "s", "life of the leader's hold", 3, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
+	amount("leadership", "hold", "s", "life of the leader's hold", 2, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
 	whole("exceptions", "preempt", "0 or 1", "tasks that save, or have hardly begun, are stopped for jobs of higher priority and within their team's guarantee", 1, 0, 1, func(t *Tunables) *int { return &t.Preempt }),
