Zones share rentals at equal price, long tasks that save nothing stay off spot

Cause: of equal offers the first zone got all machines, and nothing bounded what a sudden loss of spot machines costs. Retries to the state service are jittered in the adapter.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -64,7 +64,7 @@
 	if j.Types != nil && (int(m.Type) >= len(j.Types) || !j.Types[m.Type]) {
 		return false
 	}
-	if m.Spot && !j.Rec.Spot {
+	if m.Spot && !j.Spot {
 		return false
 	}
 	return j.Rec.Zone == "" || zones(j.Rec.Zone) == m.Zone
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,10 +44,11 @@
 
 // Want is what is missing.
 type Want struct {
-	CPUs float64
-	Spot bool    // spot machines, else ordinary ones
-	Stay float64 // seconds that a machine is usually kept; its boot is paid too
-	Fits func(t ledger.Type, zone string, spot bool) bool
+	CPUs  float64
+	Spot  bool               // spot machines, else ordinary ones
+	Zones map[string]float64 // processors there are in each zone
+	Stay  float64            // seconds that a machine is usually kept; its boot is paid too
+	Fits  func(t ledger.Type, zone string, spot bool) bool
 }
 
 // Rent chooses requests that cover what is wanted.
@@ -84,7 +85,13 @@
 		if len(offers) == 0 {
 			return out
 		}
-		best := slices.MinFunc(offers, func(a, c offer) int { return cmp.Compare(a.cost, c.cost) })
+		best := slices.MinFunc(offers, func(a, c offer) int {
+			// Of offers that cost the same the zone with least: a zone may be lost.
+			if o := cmp.Compare(a.cost, c.cost); o != 0 {
+				return o
+			}
+			return cmp.Compare(w.Zones[a.zone], w.Zones[c.zone])
+		})
 		b.n++
 		r := ledger.Rental{Name: fmt.Sprintf("%s-%d", b.prefix, b.n), Type: best.typ, Zone: best.zone, Spot: best.spot, Count: best.count}
 		b.asked[r.Name] = r
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+)
+
+var small = ledger.Type{Name: "small", CPUs: 4, Price: 0.16, SpotPrice: 0.04, BootS: 50, Zones: []string{"a", "b"}}
+var large = ledger.Type{Name: "large", CPUs: 16, Price: 0.69, SpotPrice: 0.18, BootS: 20, Zones: []string{"b"}}
+
+func want(cpus float64, spot bool) Want {
+	return Want{CPUs: cpus, Spot: spot, Stay: 120, Zones: map[string]float64{"a": 8}, Fits: func(ledger.Type, string, bool) bool { return true }}
+}
+
+// The boot is paid as well: the type that boots faster wins for much work,
+// the smaller one where the large one would stay mostly empty; of two zones
+// the one with less.
+func TestChoice(t *testing.T) {
+	b := New("r-1")
+	got := b.Rent(0, []ledger.Type{small, large}, want(32, false))
+	if len(got) != 1 || got[0].Type != "large" || got[0].Count != 2 {
+		t.Errorf("32 processors: %+v", got)
+	}
+	got = New("r-1").Rent(0, []ledger.Type{small, large}, want(4, false))
+	if len(got) != 1 || got[0].Type != "small" || got[0].Zone != "b" || got[0].Count != 1 {
+		t.Errorf("4 processors: %+v", got)
+	}
+}
+
+// An offer that was refused is left out for a while, then tried again; a name
+// is never used twice.
+func TestRefusal(t *testing.T) {
+	b := New("r-1")
+	types := []ledger.Type{large}
+	first := b.Rent(0, types, want(16, true))
+	if again := b.Rent(0, types, want(16, true)); len(again) != 0 {
+		t.Errorf("asked twice at once: %+v", again)
+	}
+	b.Answered(0, first[0].Name, 0)
+	if got := b.Rent(time.Second, types, want(16, true)); len(got) != 0 {
+		t.Errorf("asked again at once after a refusal: %+v", got)
+	}
+	got := b.Rent(20*time.Second, types, want(16, true))
+	if len(got) != 1 || got[0].Name == first[0].Name {
+		t.Errorf("later: %+v", got)
+	}
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -50,6 +50,7 @@
 	Phase   Phase
 	Earlier bool // accepted in an earlier term: unseen tasks may be running
 	Types   []bool
+	Spot    bool // may and should use spot machines
 
 	Tasks    []TaskState
 	Waiting  int
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -173,7 +173,7 @@
 			t.dirty = true
 		}
 	}
-	bound := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Rec.Spot })
+	bound := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Spot })
 	var requests []ledger.Rental
 	if len(bound) < len(open) && cheap > have {
 		requests = t.buyer.Rent(now, t.types, t.wanted(cheap-have, true, open))
@@ -195,7 +195,7 @@
 		for _, j := range stuck {
 			cpus += float64(j.Waiting) * j.Share
 		}
-		spotless := slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return !j.Rec.Spot })
+		spotless := slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return !j.Spot })
 		requests = t.buyer.Rent(now, t.types, t.wanted(cpus, !spotless, stuck))
 		if len(requests) == 0 {
 			requests = t.buyer.Rent(now, t.types, t.wanted(cpus, false, stuck))
@@ -361,6 +361,10 @@
 }
 
 func (t *Term) wanted(cpus float64, spot bool, open []*jobs.Job) (w fleet.Want) {
+	w.Zones = map[string]float64{}
+	for _, m := range t.yard.All() {
+		w.Zones[t.zones.Name(m.Zone)] += m.Cap.CPUs()
+	}
 	w.CPUs, w.Spot, w.Stay = cpus, spot, t.cfg.Tunables.UsualStayS
 	w.Fits = func(ty ledger.Type, zone string, spot bool) bool {
 		i, ok := t.typeNames.Find(ty.Name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 			defer cancel()
 			out, mark, failed := n.state.Commit(ctx, e.Txn)
+			backOff(out == ledger.Applied || out == ledger.Conflict)
 			n.post(func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) })
 		}()
 	case Recheck:
@@ -273,15 +274,18 @@
 	switch o.Action {
 	case leadership.Read:
 		v, err := n.state.ReadLeadership(ctx)
+		backOff(err == nil)
 		n.post(func(now time.Duration) { n.core.Seen(now, o.Seq, err == nil, v) })
 	case leadership.Watch:
 		ok := n.state.Follow(ctx, leadership.Prefix, o.Revision, watchFor)
 		n.post(func(now time.Duration) { n.core.Changed(now, o.Seq, ok) })
 	case leadership.Hold:
 		id, ok := n.state.Hold(ctx, settings.Seconds(n.cfg.Tunables.LeaderHoldS))
+		backOff(ok)
 		n.post(func(now time.Duration) { n.core.Held(now, o.Seq, ok, id) })
 	case leadership.Claim:
 		ok, mark := n.state.Claim(ctx, n.cfg.Node, o.View, o.Hold)
+		backOff(ok)
 		n.post(func(now time.Duration) { n.core.Claimed(now, o.Seq, ok, mark) })
 	case leadership.Renew:
 		ok, gone := n.state.Renew(ctx, o.Hold)
@@ -291,6 +295,14 @@
 	}
 }
 
+// backOff spreads what is tried again after a failure: the core has no
+// randomness of its own, so nodes would otherwise try in step.
+func backOff(ok bool) {
+	if !ok {
+		time.Sleep(rand.N(60 * time.Millisecond))
+	}
+}
+
 // load reads the whole log and the sizes, trying until it succeeds or the
 // term is over.
 func (n *Node) load(epoch uint64) {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -265,6 +265,7 @@
 		t.plan.AddTeam()
 	}
 	j.Image = t.images.Index(rec.Image)
+	j.Spot = rec.Spot && (rec.Checkpoint > 0 || rec.EstimateS <= t.cfg.Tunables.SpotTaskS)
 	j.BehindUntil = at + t.patience(rec)
 	for _, o := range t.cfg.Deployment.Objectives {
 		if o.Class != rec.Class {
