--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -138,6 +138,11 @@
 		if !s.until(span(t, d, "within"), func() bool { return s.running(id) >= n }) {
 			return fmt.Sprintf("only %d run", s.running(id))
 		}
+	case "await-gathering":
+		n := arg(t, d, "tasks", 1)
+		if !s.until(span(t, d, "within"), func() bool { return s.inState(id, workers.Gathering) >= n }) {
+			return "it never gathers"
+		}
 	case "await-leader":
 		if !s.until(span(t, d, "within"), func() bool { return s.leader() != nil }) {
 			return "no leader"
@@ -299,11 +304,13 @@
 	return out[:n]
 }
 
-func (s *sim) running(id uint64) int {
+func (s *sim) running(id uint64) int { return s.inState(id, workers.Running) }
+
+func (s *sim) inState(id uint64, state workers.TaskState) int {
 	n := 0
 	for _, w := range s.cloud.machines {
 		for k, x := range w.tasks {
-			if k.job == id && x.state == workers.Running {
+			if k.job == id && x.state == state {
 				n++
 			}
 		}
