A job's machine types are settled once the whole log is read

Cause: cleaning moves the machine types to the log's end, so a replay met jobs bound to some types before it knew any, and they could never run after a takeover. TestTypesAfterJobsInTheLog fails without it. What a task takes up is settled in the same place.

--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		j.Phase, j.Earlier = jobs.Open, true
-		j.Share = t.share(j)
+		t.suit(j)
 		if j.Rec.Kind == jobs.Service {
 			continue
 		}
@@ -280,15 +280,22 @@
 			j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS*t.cfg.Tunables.WaitRisk), at + within})
 		}
 	}
-	if rec.Types != nil {
+	return j
+}
+
+// suit settles which machine types a job may use and what a task takes up on
+// them. It is called once the types are known: while the log is replayed they
+// may come after the job.
+func (t *Term) suit(j *jobs.Job) {
+	if j.Rec.Types != nil {
 		j.Types = make([]bool, max(t.typeNames.Len(), 1))
-		for _, n := range rec.Types {
+		for _, n := range j.Rec.Types {
 			if i, ok := t.typeNames.Find(n); ok {
 				j.Types[i] = true
 			}
 		}
 	}
-	return j
+	j.Share = t.share(j)
 }
 
 // patience is how long a job goes behind the order: best-effort work for a
@@ -362,8 +369,7 @@
 		return
 	}
 	s.Job.AtMS = t.zero + now.Milliseconds()
-	j := t.enter(*s.Job, now)
-	j.Share = t.share(j)
+	t.suit(t.enter(*s.Job, now))
 	t.accepting[s.ID] = append(t.accepting[s.ID], to)
 	t.log.Append(ledger.Entry{Job: s.Job}, tagAccept(s.ID))
 }
--- /dev/null
+++ b/internal/node/term_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// Cleaning moves the machine types to the log's end, behind jobs that are
+// bound to some of them: what a job may use is settled once all is read.
+func TestTypesAfterJobsInTheLog(t *testing.T) {
+	c := &settings.Settings{Tunables: settings.Defaults()}
+	c.Deployment.Teams = []settings.Team{{Name: "team"}}
+	c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps = 10, 8, 12
+	term := newTerm(c, 0, 2, 0)
+	term.counts = &Counts{}
+	job := &ledger.Job{ID: 1, Team: "team", Tasks: 2, CPUs: 1, MemoryGB: 8, Types: []string{"large"}}
+	term.load(0, 1, 1, 2, []ledger.Entry{
+		{Job: job},
+		{Types: []ledger.Type{{Name: "small", CPUs: 4, MemoryGB: 8}}},
+		{Types: []ledger.Type{{Name: "large", CPUs: 16, MemoryGB: 64}}},
+	}, nil)
+	j := term.table.Find(1)
+	if len(j.Types) != 2 || j.Types[0] || !j.Types[1] {
+		t.Errorf("the job may use %v, want only the second type", j.Types)
+	}
+	if j.Share != 2 { // 8 of the 64 GB leave 8 tasks for 16 processors
+		t.Errorf("a task takes up %v processors, want 2", j.Share)
+	}
+}
