Duplicates merged: outside calls, rental requests, the operators' endpoint, zone bound

Seven adapters share one way to make a call with a deadline and bring its result back; rentals are noted in one place; the bound for spread jobs has a name; a dead field is gone; the simulation looks controllers up in one place.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -187,6 +187,9 @@
 // ZoneRule says whether the job restricts where its tasks may be together.
 func (j *Job) ZoneRule() bool { return j.Rec.OneZone || j.Rec.Spread }
 
+// MostInZone is how many tasks of a spread job may be in one zone.
+func (j *Job) MostInZone() int { return (len(j.Tasks) + 1) / 2 }
+
 // ZoneAllows says whether one more task may be in a zone, given where the
 // placed ones are.
 func (j *Job) ZoneAllows(zone int32) bool {
@@ -197,7 +200,7 @@
 			}
 		}
 	}
-	return !j.Rec.Spread || j.Zones[zone] < (len(j.Tasks)+1)/2
+	return !j.Rec.Spread || j.Zones[zone] < j.MostInZone()
 }
 
 // MoveZone counts a task in or out of a zone.
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -45,7 +45,7 @@
 	r.Method(http.MethodGet, PathMetrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	r.Get(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		var s Status
-		if err := n.whole("Controller.Status", &s, func(now time.Duration) bool { s = n.core.Status(now); return s.Leader == s.Node }); err != nil {
+		if err := n.whole("Controller.Status", struct{}{}, &s, func(now time.Duration) bool { s = n.core.Status(now); return s.Leader == s.Node }); err != nil {
 			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
 			return
 		}
@@ -58,8 +58,7 @@
 			return
 		}
 		var e Explanation
-		in := id
-		if err := n.wholeOf("Controller.Explain", in, &e, func(now time.Duration) bool { var ok bool; e, ok = n.core.Explain(now, id); return ok }); err != nil {
+		if err := n.whole("Controller.Explain", id, &e, func(now time.Duration) bool { var ok bool; e, ok = n.core.Explain(now, id); return ok }); err != nil {
 			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
 			return
 		}
@@ -93,8 +92,8 @@
 	}
 }
 
-// wholeOf asks this node and, if it cannot tell, the leader.
-func (n *Node) wholeOf(method string, in, out any, local func(now time.Duration) bool) error {
+// whole asks this node and, if it cannot tell, the leader.
+func (n *Node) whole(method string, in, out any, local func(now time.Duration) bool) error {
 	var told bool
 	if err := n.here(func(now time.Duration) { told = local(now) }); err != nil {
 		return err
@@ -109,10 +108,6 @@
 	return p.call(method, in, out)
 }
 
-func (n *Node) whole(method string, out any, local func(now time.Duration) bool) error {
-	return n.wholeOf(method, struct{}{}, out, local)
-}
-
 // Status tells a peer what its operator asked.
 func (c *Controller) Status(_ struct{}, out *Status) error {
 	return c.n.here(func(now time.Duration) { *out = c.n.core.Status(now) })
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -184,10 +184,7 @@
 	if len(requests) == 0 && missing > 0 {
 		requests = t.buyer.Rent(now, t.types, t.wanted(missing, false, open))
 	}
-	for _, r := range requests {
-		t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
-		t.note(Info, "renting", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
-	}
+	t.request("renting", requests)
 	stuck := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Waiting == 0 || t.couldRun(j) })
 	if len(requests) == 0 && len(stuck) > 0 {
 		// Jobs that would not fit if all machines were free.
@@ -200,16 +197,21 @@
 		if len(requests) == 0 {
 			requests = t.buyer.Rent(now, t.types, t.wanted(cpus, false, stuck))
 		}
-		for _, r := range requests {
-			t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
-			t.note(Info, "renting for jobs that fit nowhere", "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
-		}
+		t.request("renting for jobs that fit nowhere", requests)
 	}
 	if cheap <= have && len(stuck) == 0 {
 		t.shrink(now, have)
 	}
 }
 
+// request notes rentals durably; they are sent once that is done.
+func (t *Term) request(text string, requests []ledger.Rental) {
+	for _, r := range requests {
+		t.log.Append(ledger.Entry{Rental: &r}, tagRental(r))
+		t.note(Info, text, "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+	}
+}
+
 // couldRun says whether the machines there are or are coming have a place
 // for a job: for one task, or for all of a gang.
 func (t *Term) couldRun(j *jobs.Job) bool {
@@ -234,7 +236,7 @@
 	if j.Rec.Spread {
 		total = 0
 		for _, n := range zones {
-			total += min(n, (len(j.Tasks)+1)/2)
+			total += min(n, j.MostInZone())
 		}
 	}
 	return total >= need
@@ -377,7 +379,7 @@
 				return false
 			}
 			// A zone that has its share of a spread job's tasks brings it no further.
-			return !j.ZoneRule() || (j.ZoneAllows(m.Zone) && (!j.Rec.Spread || t.slots(j)[m.Zone] < (len(j.Tasks)+1)/2))
+			return !j.ZoneRule() || (j.ZoneAllows(m.Zone) && (!j.Rec.Spread || t.slots(j)[m.Zone] < j.MostInZone()))
 		})
 	}
 	return w
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 
 // do carries out an effect. Calls go to goroutines and come back as inputs.
 func (n *Node) do(e Effect) {
+	epoch := n.core.Epoch() // results of an earlier term are dropped
 	switch e := e.(type) {
 	case Reply:
 		if ch := n.users[e.To]; ch != nil {
@@ -183,34 +184,25 @@
 	case Load:
 		go n.load(e.Epoch)
 	case Commit:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-			defer cancel()
+		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			out, mark, failed := n.state.Commit(ctx, e.Txn)
 			backOff(out == ledger.Applied || out == ledger.Conflict)
-			n.post(func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) })
-		}()
+			return func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) }
+		})
 	case Recheck:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-			defer cancel()
+		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			it, err := n.state.Get(ctx, e.Key)
-			n.post(func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) })
-		}()
+			return func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) }
+		})
 	case Clean:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-			defer cancel()
+		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			it, err := n.state.Get(ctx, ledger.Key(e.Segment))
 			var entries []ledger.Entry
 			if err == nil && it.Mark != 0 {
 				entries, err = ledger.Decode(it.Value)
 			}
-			n.post(func(now time.Duration) { n.core.Cleaned(now, epoch, e.Segment, err == nil, it.Mark, entries) })
-		}()
+			return func(now time.Duration) { n.core.Cleaned(now, epoch, e.Segment, err == nil, it.Mark, entries) }
+		})
 	case Direct:
 		select {
 		case n.direct <- struct{}{}:
@@ -225,45 +217,43 @@
 		default: // enough are under way; the answer to the next report has the stops too
 		}
 	case Rent:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
-			defer cancel()
+		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			names, res := n.cloud.Rent(ctx, e.Rental)
-			n.post(func(now time.Duration) { n.core.Rented(now, epoch, e.Rental.Name, names, res) })
-		}()
+			return func(now time.Duration) { n.core.Rented(now, epoch, e.Rental.Name, names, res) }
+		})
 	case Delete:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
-			defer cancel()
+		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			ok := n.cloud.Delete(ctx, e.Machines)
-			n.post(func(now time.Duration) { n.core.Deleted(now, epoch, e.Machines, ok) })
-		}()
+			return func(now time.Duration) { n.core.Deleted(now, epoch, e.Machines, ok) }
+		})
 	case List:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
-			defer cancel()
+		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			list, err := n.cloud.List(ctx)
-			n.post(func(now time.Duration) { n.core.Listed(now, epoch, list, err == nil) })
-		}()
+			return func(now time.Duration) { n.core.Listed(now, epoch, list, err == nil) }
+		})
 	case Types:
-		epoch := n.core.Epoch()
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), cloudTimeout)
-			defer cancel()
+		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			list, err := n.cloud.Types(ctx)
 			if err != nil {
 				n.log.Debug("machine types not read", "error", err)
 			}
-			n.post(func(now time.Duration) { n.core.GotTypes(now, epoch, list) })
-		}()
+			return func(now time.Duration) { n.core.GotTypes(now, epoch, list) }
+		})
 	case Note:
 		n.log.Log(context.Background(), []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn}[e.Level], e.Text, e.Args...)
 	}
 }
 
+// outside makes a call with a deadline; what it returns is the input that
+// brings its result to the core.
+func (n *Node) outside(limit time.Duration, call func(ctx context.Context) func(now time.Duration)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		n.post(call(ctx))
+	}()
+}
+
 func (n *Node) lead(o leadership.Order) {
 	limit := stateTimeout
 	if o.Action == leadership.Watch {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -68,7 +68,6 @@
 	dirty      bool
 	rentals    map[string]ledger.Rental // sent or to be sent
 	rentDue    map[string]time.Duration
-	deleting   map[string]bool
 	deleteBusy bool
 	listBusy   bool
 	listAt     time.Duration
@@ -104,7 +103,7 @@
 		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
 		where: map[workers.Ref]*workers.Placement{}, lives: map[string]int64{}, seen: map[string]time.Duration{}, completed: map[uint64]*ledger.Tasks{},
 		accepting: map[uint64][]Asker{}, ending: map[uint64][]Asker{},
-		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{}, deleting: map[string]bool{},
+		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
 		cloudAt: now, listAt: now, sizesAt: now,
 	}
 	var limits []blocks.Limit
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -239,10 +239,7 @@
 		}
 	case node.Relay:
 		life := c.life
-		for _, o := range s.nodes {
-			if o.name != e.Leader {
-				continue
-			}
+		if o := s.node(e.Leader); o != nil {
 			call(s, c.name, o.name, wait, func(reply func(node.ReportAnswer)) {
 				if !o.up {
 					return
@@ -258,20 +255,18 @@
 			})
 		}
 	case node.Hail:
-		for _, o := range s.nodes {
-			if o.name == e.Peer {
-				call(s, c.name, o.name, wait, func(reply func(bool)) {
-					if o.up {
-						o.core.Hailed(o.clock(), c.name, e.Epoch)
-						o.drain()
-						reply(true)
-					}
-				}, func(_, ok bool) {
-					if ok {
-						c.into(func(now time.Duration) { c.core.HailAnswered(now, o.name) })()
-					}
-				})
-			}
+		if o := s.node(e.Peer); o != nil {
+			call(s, c.name, o.name, wait, func(reply func(bool)) {
+				if o.up {
+					o.core.Hailed(o.clock(), c.name, e.Epoch)
+					o.drain()
+					reply(true)
+				}
+			}, func(_, ok bool) {
+				if ok {
+					c.into(func(now time.Duration) { c.core.HailAnswered(now, o.name) })()
+				}
+			})
 		}
 	case node.Lead:
 		s.state.lead(c, e.Order)
@@ -404,6 +399,16 @@
 	})
 }
 
+// node is the controller with a name, or nil.
+func (s *sim) node(name string) *controller {
+	for _, c := range s.nodes {
+		if c.name == name {
+			return c
+		}
+	}
+	return nil
+}
+
 // leader is the node that leads with the highest epoch, or nil.
 func (s *sim) leader() *controller {
 	for _, c := range s.nodes {
