--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -309,21 +309,30 @@
 	return max(t.cfg.Tunables.AimShare*best, t.cfg.Tunables.DrainBacklogS)
 }
 
-// peak is the highest demand of the last while, kept in two halves.
+// peak is the highest demand of the last while: a sample is kept as long as
+// no later one is as high.
 type peak struct {
-	since          time.Duration
-	before, during float64
+	at     []time.Duration
+	demand []float64
 }
 
 func (p *peak) add(now, window time.Duration, demand float64) {
-	if now-p.since > window {
-		p.since = now
-		p.before, p.during = p.during, 0
+	n := len(p.demand)
+	for n > 0 && p.demand[n-1] <= demand {
+		n--
+	}
+	p.at, p.demand = append(p.at[:n], now), append(p.demand[:n], demand)
+	for now-p.at[0] > window {
+		p.at, p.demand = p.at[1:], p.demand[1:]
 	}
-	p.during = max(p.during, demand)
 }
 
-func (p *peak) value() float64 { return max(p.before, p.during) }
+func (p *peak) value() float64 {
+	if len(p.demand) == 0 {
+		return 0
+	}
+	return p.demand[0]
+}
 
 func (t *Term) shrink(now time.Duration, have float64) {
 	list := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
