Team limits hold in the virtual cluster; passes remember refusals; long best-effort tasks in time

Now a team gets no more than its limit there either. A pass sorts once, leaves out machines without room for any waiting task and finds a refusal once a need; a test holds it against the plain way.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -30,6 +30,40 @@
 	// switches this exception off.
 	Guarantees []Limit
 	Locality   time.Duration // for how long a job waits for machines with its image
+	// LimitBound is an exception: jobs of a team whose open work would keep it
+	// at its limit for longer than this go ahead of the order. Room that such a
+	// team leaves unused now cannot be made up for later. 0 switches it off.
+	LimitBound time.Duration
+
+	work     []float64 // by team, processor seconds of open work, as of the last call of Order
+	ranks    []int8    // by job index, as of the last call of Order
+	scratch  []int32
+	refusals []refusal // of this pass
+	plain    bool      // tests hold the quick path against one that remembers nothing
+}
+
+// refusal is a need that found no machine in this pass. Room only shrinks
+// while a pass goes on, so whatever needs as much of the same machines, or of
+// fewer, finds none either.
+type refusal struct {
+	need  amounts.Amounts
+	spot  bool
+	types []bool
+	zone  string
+}
+
+func (r *refusal) covers(j *jobs.Job) bool {
+	return r.need.Fits(j.Need) && (r.spot || !j.Spot) && (r.types == nil || slices.Equal(r.types, j.Types)) && (r.zone == "" || r.zone == j.Rec.Zone)
+}
+
+// refused says whether a job's need has found no machine already.
+func (p *Planner) refused(j *jobs.Job) bool {
+	for i := range p.refusals {
+		if p.refusals[i].covers(j) {
+			return true
+		}
+	}
+	return false
 }
 
 // New makes a planner for the teams with these limits.
@@ -86,19 +120,22 @@
 
 // Pass gives out all room that the order lets it give.
 func (p *Planner) Pass(w World) {
-	machines := make([]*workers.Machine, 0, len(w.Yard.All()))
-	for _, m := range w.Yard.All() {
-		m.Held = false
-		if m.Usable(w.Now, w.Quiet) && (m.Free.CPU > 0 || m.Free.GPU > 0) {
-			machines = append(machines, m)
+	p.refusals = p.refusals[:0]
+	order := p.Order(&w)
+	least, training := int64(-1), 0
+	wants := func(j *jobs.Job) {
+		if j.Waiting > 0 && (least < 0 || j.Need.CPU < least) {
+			least = j.Need.CPU
+		}
+	}
+	for _, j := range w.Jobs.All() {
+		if j != nil && j.Rec.Kind == jobs.Service {
+			wants(j)
 		}
 	}
-	order := w.Book.Order()
-	training := 0
-	waiting := p.services(w, machines)
 	for _, i := range order {
 		j := w.Jobs.At(i)
-		waiting = waiting || j.Waiting > 0
+		wants(j)
 		if w.Book.InTraining(i) {
 			for k := range j.Tasks {
 				if !w.Book.Training(i, k) {
@@ -110,18 +147,25 @@
 			}
 		}
 	}
-	if !waiting || len(machines) == 0 {
+	machines := make([]*workers.Machine, 0, 64)
+	for _, m := range w.Yard.All() {
+		m.Held = false
+		if least >= 0 && (p.plain || m.Free.CPU >= least) && (m.Free.CPU > 0 || m.Free.GPU > 0) && m.Usable(w.Now, w.Quiet) {
+			machines = append(machines, m)
+		}
+	}
+	if least < 0 {
 		return
 	}
-	order = p.Order(w)
+	p.services(&w, machines)
 	ahead, behind := 0, len(order)
-	for ahead < len(order) && p.rank(w, order[ahead]) > 0 {
+	for ahead < len(order) && p.ranks[order[ahead]] > 0 {
 		ahead++
 	}
-	for behind > 0 && p.rank(w, order[behind-1]) < 0 {
+	for behind > 0 && p.ranks[order[behind-1]] < 0 {
 		behind--
 	}
-	held := p.inOrder(w, order[:ahead], machines, false)
+	held := p.inOrder(&w, order[:ahead], machines, false)
 	for _, i := range order[ahead:behind] {
 		if training >= p.AtOnce {
 			break
@@ -132,7 +176,7 @@
 		j := w.Jobs.At(i)
 		for training < p.AtOnce {
 			k := j.NextWaiting(len(j.Tasks))
-			if k < 0 || !w.Book.Training(i, k) || !p.give(w, j, k, machines) {
+			if k < 0 || !w.Book.Training(i, k) || !p.give(&w, j, k, machines) {
 				break
 			}
 			training++
@@ -140,25 +184,43 @@
 	}
 	if p.Locality > 0 {
 		w.local = true
-		held = p.inOrder(w, order[ahead:], machines, held)
+		held = p.inOrder(&w, order[ahead:], machines, held)
 		w.local = false
 	}
-	p.inOrder(w, order[ahead:], machines, held)
+	p.inOrder(&w, order[ahead:], machines, held)
 }
 
 // Order lists the jobs in the order in which they get room: HFSP's, with the
-// exceptions before and behind it. Services are not in it.
-func (p *Planner) Order(w World) []int32 {
-	order := slices.Clone(w.Book.Order())
+// exceptions before and behind it. Services are not in it. The slice is valid
+// until the next call.
+func (p *Planner) Order(w *World) []int32 {
+	order := w.Book.Order()
 	if p.Guarantees != nil {
 		p.markGuaranteed(w, order)
 	}
-	slices.SortStableFunc(order, func(a, b int32) int { return p.rank(w, b) - p.rank(w, a) })
-	return order
+	for len(p.ranks) < len(w.Jobs.All()) {
+		p.ranks = append(p.ranks, 0)
+	}
+	lowest, highest := int8(0), int8(0)
+	for _, i := range order {
+		r := int8(p.rank(w, i))
+		p.ranks[i] = r
+		lowest, highest = min(lowest, r), max(highest, r)
+	}
+	p.scratch = p.scratch[:0]
+	for r := highest; r >= lowest; r-- {
+		for _, i := range order {
+			if p.ranks[i] == r {
+				p.scratch = append(p.scratch, i)
+			}
+		}
+	}
+	return p.scratch
 }
 
-func (p *Planner) markGuaranteed(w World, order []int32) {
-	byArrival := slices.Clone(order)
+func (p *Planner) markGuaranteed(w *World, order []int32) {
+	p.scratch = append(p.scratch[:0], order...)
+	byArrival := p.scratch
 	slices.SortFunc(byArrival, func(a, b int32) int { return cmp.Compare(w.Jobs.At(a).AcceptedAt, w.Jobs.At(b).AcceptedAt) })
 	sum := make([]amounts.Amounts, len(p.Guarantees))
 	for _, i := range byArrival {
@@ -202,7 +264,7 @@
 	case !free:
 		out = append(out, "no machine that it may use has room; it gets the next that comes free in its order")
 	}
-	switch r := p.rank(w, j.Index); {
+	switch r := p.rank(&w, j.Index); {
 	case j.Rec.Kind == jobs.Service:
 	case r >= 2:
 		out = append(out, "it is urgent and goes ahead of the size order (exception urgent_first)")
@@ -218,7 +280,7 @@
 
 // rank is 0 for jobs on the ordinary path, above it for those that an
 // exception puts ahead of the order and below for those it puts behind.
-func (p *Planner) rank(w World, i int32) int {
+func (p *Planner) rank(w *World, i int32) int {
 	j := w.Jobs.At(i)
 	switch {
 	case p.UrgentFirst && j.Rec.Priority >= 2:
@@ -235,7 +297,7 @@
 
 // inOrder gives room to the jobs in their order; room is held for the first
 // that does not fit, unless it is held already.
-func (p *Planner) inOrder(w World, order []int32, machines []*workers.Machine, held bool) bool {
+func (p *Planner) inOrder(w *World, order []int32, machines []*workers.Machine, held bool) bool {
 	for _, i := range order {
 		j := w.Jobs.At(i)
 		for {
@@ -259,9 +321,8 @@
 	return held
 }
 
-// services get room first, outside the order. It says whether any waits.
-func (p *Planner) services(w World, machines []*workers.Machine) bool {
-	waiting := false
+// services get room first, outside the order.
+func (p *Planner) services(w *World, machines []*workers.Machine) {
 	for _, j := range w.Jobs.All() {
 		if j == nil || j.Rec.Kind != jobs.Service {
 			continue
@@ -269,17 +330,15 @@
 		for {
 			k := j.NextWaiting(len(j.Tasks))
 			if k < 0 || !p.give(w, j, k, machines) {
-				waiting = waiting || k >= 0
 				break
 			}
 		}
 	}
-	return waiting
 }
 
 // launch places all waiting tasks of a gang or none. While the gang still
 // gathers, lost tasks are replaced under the attempt it has.
-func (p *Planner) launch(w World, j *jobs.Job, machines []*workers.Machine) bool {
+func (p *Planner) launch(w *World, j *jobs.Job, machines []*workers.Machine) bool {
 	if j.Broken || (j.Began && j.Placed > 0) || !p.Within(j.Team, j.Need.Times(j.Waiting), w.Unresolved) {
 		return false
 	}
@@ -296,6 +355,7 @@
 			if p.all(w, j, slices.DeleteFunc(slices.Clone(machines), func(m *workers.Machine) bool { return m.Zone != zone })) {
 				return true
 			}
+			p.refusals = p.refusals[:0] // that was about one zone
 		}
 		return false
 	}
@@ -303,7 +363,7 @@
 }
 
 // all places all waiting tasks of a job or none.
-func (p *Planner) all(w World, j *jobs.Job, machines []*workers.Machine) bool {
+func (p *Planner) all(w *World, j *jobs.Job, machines []*workers.Machine) bool {
 	var placed []int
 	for {
 		k := j.NextWaiting(len(j.Tasks))
@@ -317,17 +377,18 @@
 	}
 	for _, k := range placed {
 		w.Unplace(j, k)
+		p.refusals = p.refusals[:0] // there is more room again
 	}
 	return false
 }
 
-func (p *Planner) ready(w World, j *jobs.Job) bool {
+func (p *Planner) ready(w *World, j *jobs.Job) bool {
 	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && w.Unresolved != amounts.Amounts{})
 }
 
 // give places one task on the best machine, if there is one.
-func (p *Planner) give(w World, j *jobs.Job, k int, machines []*workers.Machine) bool {
-	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.Unresolved) {
+func (p *Planner) give(w *World, j *jobs.Job, k int, machines []*workers.Machine) bool {
+	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.Unresolved) || p.refused(j) {
 		return false
 	}
 	var best *workers.Machine
@@ -347,6 +408,9 @@
 		}
 	}
 	if best == nil {
+		if !j.ZoneRule() && !p.plain {
+			p.refusals = append(p.refusals, refusal{j.Need, j.Spot, j.Types, j.Rec.Zone})
+		}
 		return false
 	}
 	if w.local && j.Rec.Kind == jobs.Array && !best.HasImage(j.Image) {
@@ -369,7 +433,7 @@
 // tasks fill and its team may use. For a job bound to one zone they are of
 // one zone; for a gang nothing is held unless all of it would fit, for then
 // waiting would bring nothing.
-func (p *Planner) hold(w World, j *jobs.Job) bool {
+func (p *Planner) hold(w *World, j *jobs.Job) bool {
 	var fit []*workers.Machine
 	slots := map[int32]int{}
 	total := 0
--- /dev/null
+++ b/internal/blocks/blocks_test.go
@@ -0,0 +1,119 @@
+package blocks
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/sizing"
+	"bitternmoor/internal/workers"
+)
+
+// randomWorld makes jobs of all kinds and machines of which many are full.
+func randomWorld(r *rand.Rand, machines, count int) (World, *[]string, *Planner) {
+	given := new([]string)
+	p := New([]Limit{{CPU: int64(1+r.IntN(machines)) * 4000}, {}}, 1+r.IntN(20))
+	p.UrgentFirst = true
+	p.Locality = 2 * time.Second
+	w := World{Now: time.Minute, Quiet: time.Hour, Jobs: jobs.NewTable(), Yard: workers.NewYard(),
+		Book: sizing.New(sizing.Params{Train: 5, Xi: 1, Delta: 60, First: 30}), Zone: func(string) int32 { return 1 }}
+	for i := range machines {
+		size := []float64{4, 16}[r.IntN(2)]
+		m := w.Yard.Add(&workers.Machine{Name: fmt.Sprint("m", i), Type: int32(r.IntN(2)), Zone: int32(r.IntN(3)), Spot: r.IntN(2) == 0,
+			Cap: amounts.Room(size, 0, 2*size), CacheGB: 40, FetchGBPS: 0.5, Durable: true, Up: true, Resolved: true, Heard: w.Now, Draining: r.IntN(20) == 0})
+		m.Free.CPU = int64(r.IntN(int(size)+1)) * 1000
+		m.Free.Mem = int64(r.IntN(int(2*size)+1)) * 1000
+		for range r.IntN(4) {
+			m.UseImage(int32(r.IntN(6)), 1, w.Now)
+		}
+	}
+	for i := range count {
+		rec := ledger.Job{ID: uint64(i + 1), Kind: uint8(r.IntN(12) / 10), Priority: uint8(r.IntN(4)), Tasks: 1 + r.IntN(30),
+			CPUs: float64(1 + r.IntN(4)), MemoryGB: float64(1 + r.IntN(6)), ImageGB: 1, Spot: r.IntN(4) > 0, EstimateS: 10,
+			OneZone: r.IntN(8) == 0, Spread: r.IntN(16) == 0}
+		if r.IntN(6) == 0 {
+			rec.Zone = "only"
+		}
+		j := w.Jobs.Add(rec)
+		j.Phase, j.Spot, j.Image, j.Team = jobs.Open, rec.Spot, int32(r.IntN(6)), int32(r.IntN(2))
+		if r.IntN(6) == 0 {
+			j.Types = []bool{true, false}
+		}
+		if r.IntN(2) == 0 {
+			j.Passed = w.Now - 3*time.Second
+		}
+		w.Book.Add(j.Index, j.Team, rec.Tasks, rec.CPUs, rec.Kind == jobs.Gang)
+	}
+	w.Place = func(j *jobs.Job, k int, m *workers.Machine) {
+		*given = append(*given, fmt.Sprintf("%d/%d on %s", j.Rec.ID, k, m.Name))
+		j.Place(k)
+		j.MoveZone(m.Zone, 1)
+		m.Plan(&workers.Placement{Ref: workers.Ref{Job: j.Index, Task: int32(k)}, JobID: j.Rec.ID, Image: j.Image, Need: j.Need})
+		m.UseImage(j.Image, 1, w.Now)
+	}
+	w.Unplace = func(j *jobs.Job, k int) {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		for _, m := range w.Yard.All() {
+			if m.Tasks[ref] != nil {
+				m.Take(ref)
+				j.MoveZone(m.Zone, -1)
+			}
+		}
+		p.Refund(j.Team, j.Need)
+		j.Release(k)
+		*given = append(*given, fmt.Sprintf("%d/%d taken back", j.Rec.ID, k))
+	}
+	return w, given, p
+}
+
+// The quick pass remembers refusals and leaves out machines without room for
+// any waiting task. What it gives must be what a pass without both gives.
+func TestQuickPassDecidesAlike(t *testing.T) {
+	total := 0
+	for seed := range uint64(300) {
+		var got [2][]string
+		for i, plain := range []bool{true, false} {
+			w, given, p := randomWorld(rand.New(rand.NewPCG(seed, 1)), 40, 25)
+			p.plain = plain
+			p.Pass(w)
+			w.Now += time.Second
+			p.Pass(w)
+			got[i] = *given
+		}
+		if !slices.Equal(got[0], got[1]) {
+			t.Fatalf("seed %d: plain gives %d: %v\nquick gives %d: %v", seed, len(got[0]), got[0], len(got[1]), got[1])
+		}
+		total += len(got[0])
+	}
+	if total < 3000 {
+		t.Errorf("only %d tasks were given: the worlds are too full to tell the two apart", total)
+	}
+}
+
+// A pass at full size: a thousand machines, of which most are full, and a
+// hundred jobs with thousands of waiting tasks.
+func BenchmarkPass(b *testing.B) {
+	w, _, p := randomWorld(rand.New(rand.NewPCG(1, 1)), 1000, 100)
+	p.Pass(w)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Pass(w)
+	}
+}
+
+// Looked at is what a full cluster costs: refusals are found once a need, not
+// once a job, and machines without room are not looked at for each.
+func TestFullClusterLooksOnce(t *testing.T) {
+	w, _, p := randomWorld(rand.New(rand.NewPCG(2, 1)), 200, 100)
+	p.Locality = 0
+	p.Pass(w)
+	p.Pass(w)
+	if n := len(p.refusals); n == 0 || n > 40 {
+		t.Errorf("%d refusals were found for 100 jobs", n)
+	}
+}
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -24,13 +24,23 @@
 // services never are.
 func (p *Planner) Preempt(w World) []*workers.Placement {
 	var out []*workers.Placement
-	for _, i := range p.Order(w) {
+	var pool []*workers.Placement
+	lowest := int8(0)
+	for n, i := range p.Order(&w) {
+		if n == 0 {
+			if pool, lowest = p.pool(&w); len(pool) == 0 {
+				return nil
+			}
+		}
+		if p.ranks[i] <= lowest {
+			break // nobody ranks below this job or those after it
+		}
 		j := w.Jobs.At(i)
-		if j.Waiting == 0 || j.Rec.Kind == jobs.Gang || !p.ready(w, j) || !p.Within(j.Team, j.Need, w.Unresolved) ||
+		if j.Waiting == 0 || j.Rec.Kind == jobs.Gang || !p.ready(&w, j) || !p.Within(j.Team, j.Need, w.Unresolved) ||
 			w.Now-j.AcceptedAt < preemptAfter || (j.PreemptedAt > 0 && w.Now-j.PreemptedAt < preemptPause) {
 			continue
 		}
-		if victims := p.victims(w, j); len(victims) > 0 {
+		if victims := p.victims(&w, j, pool); len(victims) > 0 {
 			j.PreemptedAt = w.Now
 			out = append(out, victims...)
 		}
@@ -38,19 +48,42 @@
 	return out
 }
 
-func (p *Planner) victims(w World, j *jobs.Job) []*workers.Placement {
-	var list []*workers.Placement
+// pool lists the tasks that may be stopped for somebody, and the lowest rank
+// of their jobs.
+func (p *Planner) pool(w *World) (pool []*workers.Placement, lowest int8) {
+	lowest = 127
 	for _, m := range w.Yard.All() {
-		if !m.Usable(w.Now, w.Quiet) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) || !j.Need.Fits(m.Cap) {
+		if !m.Usable(w.Now, w.Quiet) {
 			continue
 		}
-		if j.Need.Fits(m.Free) {
-			return nil // there is room: it only has to be given
-		}
 		for _, v := range m.Tasks {
-			if p.mayStop(w, j, v) {
-				list = append(list, v)
+			if v.Planned || v.Stopping || !v.Seen || v.State != workers.Running {
+				continue
 			}
+			o := w.Jobs.At(v.Ref.Job)
+			if o.Rec.Kind != jobs.Array || o.Phase != jobs.Open || (o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost) {
+				continue
+			}
+			pool = append(pool, v)
+			lowest = min(lowest, p.ranks[v.Ref.Job])
+		}
+	}
+	return pool, lowest
+}
+
+func (p *Planner) victims(w *World, j *jobs.Job, pool []*workers.Placement) []*workers.Placement {
+	suits := func(m *workers.Machine) bool {
+		return Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone) && j.Need.Fits(m.Cap)
+	}
+	for _, m := range w.Yard.All() {
+		if j.Need.Fits(m.Free) && m.Usable(w.Now, w.Quiet) && suits(m) {
+			return nil // there is room: it only has to be given
+		}
+	}
+	var list []*workers.Placement
+	for _, v := range pool {
+		if !v.Stopping && suits(v.Home) && p.mayStop(w, j, v) {
+			list = append(list, v)
 		}
 	}
 	loss := func(v *workers.Placement) time.Duration {
@@ -85,19 +118,11 @@
 	return out
 }
 
-// mayStop says whether a task may be stopped to make room for a job.
-func (p *Planner) mayStop(w World, j *jobs.Job, v *workers.Placement) bool {
-	if v.Planned || v.Stopping || !v.Seen || v.State != workers.Running {
-		return false
-	}
+// mayStop says whether a task of the pool may be stopped to make room for a
+// job.
+func (p *Planner) mayStop(w *World, j *jobs.Job, v *workers.Placement) bool {
 	o := w.Jobs.At(v.Ref.Job)
-	if o.Rec.Kind != jobs.Array || o.Phase != jobs.Open {
-		return false
-	}
-	if o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost {
-		return false
-	}
-	if p.rank(w, j.Index) <= p.rank(w, o.Index) {
+	if p.ranks[j.Index] <= p.ranks[o.Index] {
 		return false // the room would go back to the task that was stopped
 	}
 	if o.Rec.Priority < j.Rec.Priority && !o.Guaranteed {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -76,6 +76,8 @@
 	Errors      int
 	NotBefore   time.Duration
 	AcceptedAt  time.Duration
+	FirstAt     time.Duration      // when its first task was seen running in this term
+	LastAt      time.Duration      // and the last to begin so far
 	BehindUntil time.Duration      // best-effort work goes behind the order until then
 	LastAim     time.Duration      // by when the job should have ended at the latest; 0: no such aim
 	LostUntil   time.Duration      // having missed it, it goes behind the order until then
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -116,7 +116,8 @@
 	}
 	slices.SortFunc(s.Blocks, func(a, b BlockStatus) int { return compare(a.Holder, b.Holder) })
 	slices.SortFunc(s.Machines, func(a, b MachineStatus) int { return compare(a.Name, b.Name) })
-	for _, i := range t.plan.Order(t.world(now)) {
+	w := t.world(now)
+	for _, i := range t.plan.Order(&w) {
 		s.Queue = append(s.Queue, t.jobStatus(t.table.At(i)))
 	}
 	return s
@@ -166,7 +167,7 @@
 	js := t.jobStatus(j)
 	e.Job = &js
 	w := t.world(now)
-	for n, i := range t.plan.Order(w) {
+	for n, i := range t.plan.Order(&w) {
 		if i == j.Index {
 			e.Place = n + 1
 		}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -110,6 +110,7 @@
 	for _, team := range cfg.Deployment.Teams {
 		t.teams.Index(team.Name)
 		l := amounts.Room(team.CPUsMax, team.GPUsMax, 0)
+		t.book.Limits = append(t.book.Limits, team.CPUsMax)
 		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
 	}
 	t.plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
@@ -203,7 +204,7 @@
 		if j.Rec.Kind == jobs.Service {
 			continue
 		}
-		t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
 		took := -1.0
 		if j.SumN > 0 {
 			took = j.SumS / float64(j.SumN)
@@ -271,6 +272,7 @@
 			continue
 		}
 		if o.Kind == settings.AimFinished {
+			t.startBy(j, at, o.WithinS)
 			j.LastAim = max(j.LastAim, at+settings.Seconds(o.WithinS))
 			j.LostUntil = max(j.LostUntil, at+settings.Seconds(o.WithinS*t.cfg.Tunables.LostBehind))
 		}
@@ -282,6 +284,31 @@
 	return j
 }
 
+// startBy has a best-effort job, which goes behind the order at first, go
+// ahead of it in time for an aim for its end: tasks that run long must begin
+// earlier than a share of the aim alone tells.
+func (t *Term) startBy(j *jobs.Job, at time.Duration, within float64) {
+	if j.Rec.Priority > 0 || t.cfg.Tunables.WaitRisk >= 1 {
+		return
+	}
+	latest := within - longRun*j.Rec.EstimateS - placing
+	if latest <= 0 {
+		j.Ahead = append(j.Ahead, [2]time.Duration{at, at + settings.Seconds(within)})
+		j.BehindUntil = 0
+		return
+	}
+	from := at + settings.Seconds(latest*t.cfg.Tunables.WaitRisk)
+	j.Ahead = append(j.Ahead, [2]time.Duration{from, at + settings.Seconds(latest)})
+	j.BehindUntil = min(j.BehindUntil, from)
+}
+
+// What startBy leaves for tasks that run longer than estimated, and for
+// placing all of a job.
+const (
+	longRun = 1.2
+	placing = 10
+)
+
 // suit settles which machine types a job may use and what a task takes up on
 // them. It is called once the types are known: while the log is replayed they
 // may come after the job.
@@ -479,7 +506,7 @@
 		}
 		t.book.Age(now.Seconds(), t.cpus())
 		if j.Rec.Kind != jobs.Service {
-			t.book.Add(j.Index, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+			t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
 		}
 		t.dirty = true
 		for i, to := range t.accepting[id] {
@@ -529,6 +556,8 @@
 			j.Phase = jobs.Done
 			t.table.Finish(tag.ID, jobs.Done)
 			t.book.Remove(j.Index, true, j.SumS, j.SumN)
+			t.note(Debug, "job done", "job", j.Rec.ID, "class", j.Rec.Class, "tasks", len(j.Tasks), "mean", j.Mean(), "estimate", j.Rec.EstimateS,
+				"first_start", (j.FirstAt - j.AcceptedAt).Round(100*time.Millisecond), "last_start", (j.LastAt - j.AcceptedAt).Round(100*time.Millisecond), "after", (now - j.AcceptedAt).Round(100*time.Millisecond))
 			t.leaveIfEmpty(j)
 			t.tellEnd(sure, tag.ID)
 		}
@@ -801,6 +830,10 @@
 		}
 	case workers.EvBegan:
 		j.Running++
+		if j.FirstAt == 0 {
+			j.FirstAt = now
+		}
+		j.LastAt = now
 		j.Began = j.Began || j.Rec.Kind == jobs.Gang
 		t.book.Began(e.Ref.Job, k, now.Seconds())
 	case workers.EvCompleted:
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -20,6 +20,7 @@
 
 // Job is what HFSP knows of one job.
 type Job struct {
+	team    int32
 	tasks   int
 	cpus    float64
 	left    int // tasks not completed
@@ -39,8 +40,10 @@
 // Book holds the sizes of all unfinished jobs, by dense job index.
 type Book struct {
 	p       Params
-	jobs    map[int32]*Job
+	Limits  []float64 // processors that a team may use at once, by team; 0 or missing: no limit
+	jobs    []*Job    // nil where there is none
 	order   []int32
+	sorted  bool    // order is as it must be: no virtual size has changed since
 	sumS    float64 // run time of the tasks of finished jobs
 	sumN    float64
 	nextSeq uint64
@@ -48,7 +51,18 @@
 }
 
 // New makes an empty book.
-func New(p Params) *Book { return &Book{p: p, jobs: map[int32]*Job{}} }
+func New(p Params) *Book { return &Book{p: p} }
+
+// job returns the job with an index, or nil.
+func (b *Book) job(j int32) *Job {
+	if int(j) >= len(b.jobs) {
+		return nil
+	}
+	return b.jobs[j]
+}
+
+// Len is the number of unfinished jobs.
+func (b *Book) Len() int { return len(b.order) }
 
 // Mean is s̄, the mean task time of finished jobs, and whether there is one.
 func (b *Book) Mean() (float64, bool) {
@@ -58,11 +72,11 @@
 	return b.sumS / b.sumN, true
 }
 
-// Add enters a job of n tasks, each taking cpus. A job under t tasks is tiny
+// Add enters a team's job of n tasks, each taking cpus. A job under t tasks is tiny
 // and gets size zero; a gang has no training and keeps its initial size.
-func (b *Book) Add(j int32, n int, cpus float64, gang bool) {
+func (b *Book) Add(j, team int32, n int, cpus float64, gang bool) {
 	b.nextSeq++
-	job := &Job{tasks: n, left: n, cpus: max(cpus, 0.001), seq: b.nextSeq}
+	job := &Job{team: team, tasks: n, left: n, cpus: max(cpus, 0.001), seq: b.nextSeq}
 	switch {
 	case n < b.p.Train && !gang:
 		job.final = true
@@ -78,13 +92,18 @@
 			job.trained[k] = sample{-1, -1}
 		}
 	}
+	for int(j) >= len(b.jobs) {
+		b.jobs = append(b.jobs, nil)
+	}
 	b.jobs[j] = job
 	b.order = append(b.order, j)
+	b.sorted = false
 }
 
 // Restore puts back what an earlier term had written down.
 func (b *Book) Restore(j int32, final bool, size, virtual float64) {
-	if job := b.jobs[j]; job != nil {
+	if job := b.job(j); job != nil {
+		b.sorted = false
 		job.final = job.final || final
 		job.size = size
 		job.aged = max(0, size-virtual)
@@ -100,19 +119,19 @@
 // Remove takes out a job; seconds and tasks are what its completed tasks
 // took, counted into s̄ when it finished rather than being cancelled.
 func (b *Book) Remove(j int32, finished bool, seconds float64, tasks int) {
-	if b.jobs[j] == nil {
+	if b.job(j) == nil {
 		return
 	}
 	if finished {
 		b.RestoreHistory(seconds, tasks)
 	}
-	delete(b.jobs, j)
+	b.jobs[j] = nil
 	b.order = slices.DeleteFunc(b.order, func(o int32) bool { return o == j })
 }
 
 // Training says whether task k of job j is one that trains its size.
 func (b *Book) Training(j int32, k int) bool {
-	job := b.jobs[j]
+	job := b.job(j)
 	return job != nil && !job.final && !job.skip && k < len(job.trained)
 }
 
@@ -136,7 +155,7 @@
 // Completed notes that a task completed after took seconds of running. A
 // negative time is unknown, and the mean of the known ones stands in for it.
 func (b *Book) Completed(j int32, k int, took float64) {
-	job := b.jobs[j]
+	job := b.job(j)
 	if job == nil {
 		return
 	}
@@ -158,7 +177,7 @@
 // (workers report no progress, so p is taken as one half). It returns the
 // size and true when it was set by this call; it is set only once.
 func (b *Book) Settle(j int32, now float64) (float64, bool) {
-	job := b.jobs[j]
+	job := b.job(j)
 	if job == nil || job.final || job.skip {
 		return 0, false
 	}
@@ -177,12 +196,13 @@
 	mean := sum / float64(len(job.trained))
 	job.size = mean * (float64(job.tasks-len(job.trained)) + open)
 	job.final = true
+	b.sorted = false
 	return job.size, true
 }
 
 // Virtual is what is left of a job in the virtual cluster.
 func (b *Book) Virtual(j int32) float64 {
-	job := b.jobs[j]
+	job := b.job(j)
 	if job == nil {
 		return 0
 	}
@@ -191,7 +211,7 @@
 
 // Size is the job's present estimate and whether it is final.
 func (b *Book) Size(j int32) (float64, bool) {
-	job := b.jobs[j]
+	job := b.job(j)
 	if job == nil {
 		return 0, false
 	}
@@ -200,7 +220,10 @@
 
 // Age lets the virtual cluster of cpus processors work until now. Its
 // processors are shared max-min fairly: no job gets more than its tasks can
-// use, and what small jobs leave goes to the others.
+// use, and what small jobs leave goes to the others. A team gets no more than
+// its limit in all, as in the real cluster: otherwise all jobs of a team at its
+// limit would be worked off in the virtual cluster long before the real one,
+// and would stand in the order of their arrival instead of their size.
 func (b *Book) Age(now, cpus float64) {
 	dt := now - b.at
 	b.at = now
@@ -213,17 +236,37 @@
 	}
 	claims := make([]claim, 0, len(b.order))
 	for _, j := range b.order {
-		job := b.jobs[j]
+		job := b.job(j)
 		if rest := job.size - job.aged; rest > 0 {
 			parallel := min(float64(job.left), math.Ceil(rest/dt))
 			claims = append(claims, claim{job, max(parallel, 1) * job.cpus})
 		}
 	}
 	slices.SortFunc(claims, func(a, c claim) int { return cmp.Compare(a.demand, c.demand) })
-	room := cpus
+	b.sorted = b.sorted && len(claims) == 0
+	level := make([]float64, len(b.Limits)) // the most that one job of the team may get
+	open, room := make([]int, len(b.Limits)), slices.Clone(b.Limits)
+	for _, c := range claims {
+		if t := c.job.team; int(t) < len(open) {
+			open[t]++
+		}
+	}
+	for _, c := range claims {
+		if t := c.job.team; int(t) < len(open) {
+			level[t] = max(level[t], room[t]/float64(open[t]))
+			room[t] -= min(c.demand, room[t]/float64(open[t]))
+			open[t]--
+		}
+	}
+	for i, c := range claims {
+		if t := c.job.team; int(t) < len(level) && b.Limits[t] > 0 {
+			claims[i].demand = min(c.demand, level[t])
+		}
+	}
+	slices.SortFunc(claims, func(a, c claim) int { return cmp.Compare(a.demand, c.demand) })
 	for i, c := range claims {
-		got := min(c.demand, room/float64(len(claims)-i))
-		room -= got
+		got := min(c.demand, cpus/float64(len(claims)-i))
+		cpus -= got
 		c.job.aged = min(c.job.size, c.job.aged+got/c.job.cpus*dt)
 	}
 }
@@ -231,6 +274,10 @@
 // Order lists the jobs, smallest virtual size first, then by arrival. The
 // slice is valid until the next call.
 func (b *Book) Order() []int32 {
+	if b.sorted {
+		return b.order
+	}
+	b.sorted = true
 	slices.SortFunc(b.order, func(x, y int32) int {
 		jx, jy := b.jobs[x], b.jobs[y]
 		if c := cmp.Compare(max(0, jx.size-jx.aged), max(0, jy.size-jy.aged)); c != 0 {
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -21,14 +21,14 @@
 func TestFigure3(t *testing.T) {
 	b := New(doc)
 	for j, size := range []float64{3, 4} {
-		b.Add(int32(j+1), 100, 1, false)
+		b.Add(int32(j+1), 0, 100, 1, false)
 		b.Restore(int32(j+1), true, size, size)
 	}
 	b.Age(3, 1)
 	near(t, "job 1 at 3", b.Virtual(1), 1.5)
 	near(t, "job 2 at 3", b.Virtual(2), 2.5)
 	b.Remove(1, true, 3, 1)
-	b.Add(3, 100, 1, false)
+	b.Add(3, 0, 100, 1, false)
 	b.Restore(3, true, 3, 3)
 	if got := b.Order(); !slices.Equal(got, []int32{2, 3}) {
 		t.Errorf("order is %v, want job 2 before job 3", got)
@@ -37,12 +37,12 @@
 
 func TestSizes(t *testing.T) {
 	b := New(doc)
-	b.Add(0, 4, 1, false)
+	b.Add(0, 0, 4, 1, false)
 	near(t, "tiny job", b.Virtual(0), 0)
-	b.Add(1, 8, 1, false)
+	b.Add(1, 0, 8, 1, false)
 	near(t, "no history", b.Virtual(1), 30)
 	b.Remove(0, true, 40, 4)
-	b.Add(2, 8, 1, false)
+	b.Add(2, 0, 8, 1, false)
 	near(t, "n·ξ·s̄", b.Virtual(2), 80)
 	for k := range 4 {
 		b.Began(2, k, 0)
@@ -66,9 +66,9 @@
 
 func TestMaxMin(t *testing.T) {
 	b := New(doc)
-	b.Add(0, 10, 1, false)
-	b.Add(1, 10, 4, false)
-	b.Add(2, 10, 1, false)
+	b.Add(0, 0, 10, 1, false)
+	b.Add(1, 0, 10, 4, false)
+	b.Add(2, 0, 10, 1, false)
 	for j := range int32(3) {
 		b.Restore(j, true, 1000, 1000)
 	}
@@ -84,11 +84,11 @@
 
 func TestTraining(t *testing.T) {
 	b := New(doc)
-	b.Add(0, 20, 1, true)
+	b.Add(0, 0, 20, 1, true)
 	if b.Training(0, 0) {
 		t.Error("a gang trains")
 	}
-	b.Add(1, 20, 1, false)
+	b.Add(1, 0, 20, 1, false)
 	if !b.Training(1, 4) || b.Training(1, 5) {
 		t.Error("the first t tasks train, no others")
 	}
@@ -101,3 +101,19 @@
 		t.Error("a lost training task counted as running")
 	}
 }
+
+// A team at its limit gets no more than that in the virtual cluster either,
+// and its jobs share it max-min; the rest goes to the others.
+func TestAgingWithinTeamLimits(t *testing.T) {
+	b := New(doc)
+	b.Limits = []float64{4, 0}
+	for j, tasks := range []int{100, 100, 1, 100} {
+		b.Add(int32(j), int32(j/3), tasks, 1, true)
+		b.Restore(int32(j), true, 100, 100)
+	}
+	b.Age(1, 20)
+	near(t, "first of the limited team", b.Virtual(0), 98.5)
+	near(t, "second of the limited team", b.Virtual(1), 98.5)
+	near(t, "its one-task job", b.Virtual(2), 99)
+	near(t, "job of the other team", b.Virtual(3), 84)
+}
