Saved tasks move off machines being returned; unwanted room goes after 3 and 7 s

Draining takes those first that will be empty first; tasks that save move off a draining machine as a whole where that costs less than waiting.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -69,6 +69,8 @@
 	Began  bool    // the gang has run in this launch
 	Share  float64 // processors of a machine that a task takes up, counting what it makes unusable
 
+	Saved map[int32]time.Duration // by task: how long it ran before it was stopped with time to save
+
 	SumS float64 // run time of completed tasks
 	SumN int
 
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -104,7 +104,7 @@
 			case j.Rec.Kind == jobs.Service && (m.Notice || m.Draining):
 				p.Stopping, p.GraceS = true, j.Rec.SaveS // replaced elsewhere once it is gone
 			case m.Notice && j.Rec.Checkpoint > 0 && p.State == workers.Running && left < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS+t.peerTime(j)):
-				t.saveAndStop(j, p)
+				t.saveAndStop(now, j, p)
 			}
 		}
 	}
@@ -120,10 +120,16 @@
 
 // saveAndStop stops a task with time to save; a gang is stopped as a whole,
 // for its progress is safe only when all of it is told in time.
-func (t *Term) saveAndStop(j *jobs.Job, p *workers.Placement) {
+func (t *Term) saveAndStop(now time.Duration, j *jobs.Job, p *workers.Placement) {
 	grace := j.Rec.SaveS + 5 + t.peerTime(j)
 	if j.Rec.Kind != jobs.Gang {
 		p.Stopping, p.GraceS = true, grace
+		if j.Rec.Checkpoint > 0 && p.Seen && p.State == workers.Running {
+			if j.Saved == nil {
+				j.Saved = map[int32]time.Duration{}
+			}
+			j.Saved[p.Ref.Task] += now - p.RanAt
+		}
 		return
 	}
 	for k := range j.Tasks {
@@ -338,6 +344,10 @@
 	list := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
 		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
 	})
+	ends := map[*workers.Machine]time.Duration{}
+	for _, m := range list {
+		ends[m] = t.busyUntil(now, m)
+	}
 	slices.SortFunc(list, func(a, b *workers.Machine) int {
 		if a.Spot != b.Spot {
 			if b.Spot {
@@ -345,7 +355,9 @@
 			}
 			return 1
 		}
-		if c := cmp.Compare(len(a.Tasks), len(b.Tasks)); c != 0 {
+		// The one that is empty first: until then the room it has left is paid
+		// for and of no use.
+		if c := cmp.Compare(ends[a], ends[b]); c != 0 {
 			return c
 		}
 		if c := cmp.Compare(t.pricePerCPU(b), t.pricePerCPU(a)); c != 0 {
@@ -369,6 +381,21 @@
 			t.leave(m, "not needed")
 		}
 	}
+	if t.cfg.Tunables.MoveSaved == 1 {
+		t.stopAll(now, t.plan.Moves(t.world(now)), "task moved off a machine that is returned")
+	}
+}
+
+// busyUntil is when the last of a machine's tasks will probably have ended.
+func (t *Term) busyUntil(now time.Duration, m *workers.Machine) time.Duration {
+	end := now
+	for _, p := range m.Tasks {
+		if p.Planned {
+			continue // it can still go elsewhere
+		}
+		end = max(end, now+blocks.Left(now, t.table.At(p.Ref.Job), p))
+	}
+	return end.Round(time.Second)
 }
 
 func (t *Term) wanted(cpus float64, spot bool, open []*jobs.Job) (w fleet.Want) {
@@ -469,6 +496,9 @@
 			t.event(now, m, ev)
 		}
 		t.yard.Remove(name)
+		if m.Durable && !m.Resolved && t.unresolved() == (amounts.Amounts{}) {
+			t.allResolved(now)
+		}
 	}
 	for part := range slices.Chunk(list, max(1, t.log.Room()/idBytes-2)) {
 		t.log.Append(ledger.Entry{Gone: part}, nil)
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -745,6 +745,9 @@
 	})
 	if m.Resolved != resolved {
 		t.dirty = true
+		if t.unresolved() == (amounts.Amounts{}) {
+			t.allResolved(now)
+		}
 	}
 	for _, e := range events {
 		t.event(now, m, e)
@@ -764,6 +767,11 @@
 	return answer
 }
 
+// allResolved notes that nothing of an earlier term is unknown any more.
+func (t *Term) allResolved(now time.Duration) {
+	t.note(Info, "all machines resolved", "epoch", t.epoch, "after", (now - t.began).Round(10*time.Millisecond))
+}
+
 // started notes offers that the leader's own block has taken up.
 func (t *Term) started(machine string, offers []workers.Offer) {
 	m := t.yard.Find(machine)
@@ -975,18 +983,16 @@
 	t.plan.Pass(w)
 }
 
-// preempt stops tasks so that others get the room they may have.
-func (t *Term) preempt(now time.Duration) {
+// stopAll stops tasks with time to save, and says why.
+func (t *Term) stopAll(now time.Duration, list []*workers.Placement, why string) {
 	on := map[*workers.Machine]bool{}
-	defer func() {
-		for m := range on {
-			t.stopNow(m)
-		}
-	}()
-	for _, p := range t.plan.Preempt(t.world(now)) {
-		t.saveAndStop(t.table.At(p.Ref.Job), p)
+	for _, p := range list {
+		t.saveAndStop(now, t.table.At(p.Ref.Job), p)
 		on[p.Home] = true
-		t.note(Debug, "task stopped for another job", "job", p.JobID, "task", p.Ref.Task, "machine", p.Home.Name)
+		t.note(Debug, why, "job", p.JobID, "task", p.Ref.Task, "machine", p.Home.Name)
+	}
+	for m := range on {
+		t.stopNow(m)
 	}
 }
 
@@ -1062,7 +1068,7 @@
 	if sure && t.dirty {
 		t.pass(now)
 		if t.cfg.Tunables.Preempt == 1 {
-			t.preempt(now)
+			t.stopAll(now, t.plan.Preempt(t.world(now)), "task stopped for another job")
 		}
 	}
 	if sure && now-t.sizesAt >= settings.Seconds(t.cfg.Tunables.SizesEveryS) {
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -23,6 +23,7 @@
 	AimShare        float64 // for classes with aims: the share of the tightest one that takes its place
 	IdleReturnS     float64 // room of ordinary machines that was not wanted for this time is returned
 	SpotReturnS     float64 // the same of spot machines
+	MoveSaved       int     // tasks that save are moved off machines that are to be returned
 	SpotTaskS       float64 // tasks that run longer and cannot save stay off spot machines
 	UsualStayS      float64 // how long a rented machine is usually kept, against which its boot is weighed
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
@@ -88,8 +89,9 @@
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
 	amount("fleet", "aim_share", "share", "dear_backlog of a class with aims: this share of the tightest one", 1.1, 0.1, 10, func(t *Tunables) *float64 { return &t.AimShare }),
-	amount("fleet", "idle_return", "s", "room of ordinary machines that was not wanted for this time is returned", 5, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
-	amount("fleet", "spot_return", "s", "room of spot machines that was not wanted for this time is returned", 15, 0, 86400, func(t *Tunables) *float64 { return &t.SpotReturnS }),
+	amount("fleet", "idle_return", "s", "room of ordinary machines that was not wanted for this time is returned", 3, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
+	amount("fleet", "spot_return", "s", "room of spot machines that was not wanted for this time is returned", 7, 0, 86400, func(t *Tunables) *float64 { return &t.SpotReturnS }),
+	whole("fleet", "move_saved", "0 or 1", "tasks that save their progress are moved off machines that are to be returned, where that costs less than waiting for their end", 1, 0, 1, func(t *Tunables) *int { return &t.MoveSaved }),
 	amount("fleet", "spot_task", "s", "tasks that run longer than this and save nothing stay off spot machines: a sudden loss would cost too much", 600, 0, 1e9, func(t *Tunables) *float64 { return &t.SpotTaskS }),
 	amount("fleet", "usual_stay", "s", "how long a rented machine is usually kept; its boot is weighed against it", 120, 1, 86400, func(t *Tunables) *float64 { return &t.UsualStayS }),
 	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
