Grants noted before starts: a takeover holds back only what a silent machine may have

Now the first start of a job on a machine waits until that it may be there is durable, so the answer to a report may wait for a commit and the pass for a tick. Ruled out: asking living controllers (the dead leader held a third of the machines), and leaving out machines that were silent (proves nothing).

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -112,6 +112,7 @@
 	Yard       *workers.Yard
 	Book       *sizing.Book
 	Unresolved amounts.Amounts // of machines of an earlier term
+	Blind      bool            // one of them may have tasks of any job
 	Zone       func(string) int32
 	Place      func(j *jobs.Job, k int, m *workers.Machine)
 	local      bool                     // jobs that have not waited long leave machines without their image
@@ -245,7 +246,7 @@
 	if w.Now < j.NotBefore {
 		out = append(out, "its tasks failed wherever they were: the next try is in "+(j.NotBefore-w.Now).Round(time.Second).String())
 	}
-	if j.Earlier && w.Unresolved != (amounts.Amounts{}) {
+	if j.Earlier && (j.Unsettled > 0 || w.Blind) {
 		out = append(out, "a leader before this one may have started its tasks on machines that have not reported yet")
 	}
 	if !p.Within(j.Team, j.Need, w.Unresolved) {
@@ -383,7 +384,7 @@
 }
 
 func (p *Planner) ready(w *World, j *jobs.Job) bool {
-	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && w.Unresolved != amounts.Amounts{})
+	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && (j.Unsettled > 0 || w.Blind))
 }
 
 // give places one task on the best machine, if there is one.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -49,8 +49,11 @@
 	Need    amounts.Amounts
 	Phase   Phase
 	Earlier bool // accepted in an earlier term: unseen tasks may be running
-	Types   []bool
-	Spot    bool // may and should use spot machines
+	// Unsettled counts the machines that may have tasks of an earlier term and
+	// are not resolved yet: until there are none, what is unseen may run there.
+	Unsettled int
+	Types     []bool
+	Spot      bool // may and should use spot machines
 
 	Tasks    []TaskState
 	Waiting  int
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,6 +36,14 @@
 	Answered *Answered `json:"a,omitempty"`
 	Types    []Type    `json:"y,omitempty"`
 	Over     *Over     `json:"f,omitempty"`
+	Grant    *Grant    `json:"g,omitempty"`
+}
+
+// Grant notes, before the first start, that machines may have tasks of a job.
+// A successor knows from it whose tasks a machine that it cannot hear may have.
+type Grant struct {
+	Job      uint64 `json:"i"`
+	Machines []int  `json:"m"` // their numbers
 }
 
 // Over keeps the final states of jobs once their own entries are gone.
@@ -91,6 +99,7 @@
 	Type    string `json:"t"`
 	Zone    string `json:"z"`
 	Spot    bool   `json:"s,omitempty"`
+	Number  int    `json:"i,omitempty"` // stands for it in grants; never given twice
 }
 
 // Rental notes a request's name, before it is sent.
@@ -264,6 +273,10 @@
 // Room is how large an entry may be.
 func (l *Log) Room() int { return l.room() }
 
+// Idle says whether nothing is on its way: what is appended now goes with the
+// next commit.
+func (l *Log) Idle() bool { return l.inflight == nil }
+
 // Pending is the number of entries not known to be durable.
 func (l *Log) Pending() int { return len(l.pending) }
 
--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -5,6 +5,7 @@
 
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
 )
 
 // The log is cleaned from its old end, one segment at a time: what is still
@@ -18,6 +19,7 @@
 	jobBytes     = 400 // rough sizes, to tell how much of the log is live
 	overBytes    = 9
 	machineBytes = 100
+	grantBytes   = 5
 )
 
 type tagClean int
@@ -28,7 +30,10 @@
 	if t.cleaning || t.log.Pending() > 0 || now-t.cleanAt < cleanEvery {
 		return
 	}
-	live := len(t.book.Order())*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
+	live := t.book.Len()*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
+	for _, list := range t.granted {
+		live += len(list) * grantBytes
+	}
 	most := max(fewSegments, 3*live/int(t.cfg.Deployment.State.ValueKB*1024))
 	if t.log.Last()-t.first < most {
 		return
@@ -68,8 +73,22 @@
 		}
 		flush(max(1, t.log.Room()/idBytes-2))
 	}
+	byNumber := map[int]*workers.Machine{}
+	for _, m := range t.yard.All() {
+		byNumber[m.Number] = m
+	}
 	for _, e := range entries {
 		switch {
+		case e.Grant != nil:
+			g := ledger.Grant{Job: e.Grant.Job}
+			for _, number := range e.Grant.Machines {
+				if m := byNumber[number]; m != nil && m.Grants[g.Job] {
+					g.Machines = append(g.Machines, number)
+				}
+			}
+			if len(g.Machines) > 0 {
+				t.log.Append(ledger.Entry{Grant: &g}, nil)
+			}
 		case e.Job != nil:
 			if _, ended := t.table.Final(e.Job.ID); ended {
 				end(e.Job.ID)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -27,13 +27,14 @@
 	hailAt  time.Duration
 	peerAt  map[string]time.Duration  // when a peer last answered a hail
 	relayed map[Asker]*workers.Report // reports with the leader
+	local   map[Asker]*workers.Report // reports of the leader's own block
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, local: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -63,7 +64,7 @@
 	leading := c.lead.Role() == leadership.Leader
 	if c.term != nil && (!leading || c.term.epoch != c.lead.Epoch()) {
 		c.term.end()
-		c.out = append(c.out, c.term.out...)
+		c.gather(now)
 		c.out = append(c.out, Note{Info, "term ended", []any{"epoch", c.term.epoch}})
 		c.term = nil
 	}
@@ -75,11 +76,30 @@
 	}
 	if c.term != nil {
 		c.term.pump(now)
-		c.out = append(c.out, c.term.out...)
-		c.term.out = nil
+		c.gather(now)
 	}
 }
 
+// gather takes the term's effects. Answers to reports of this node's own
+// block get what the block takes up.
+func (c *Core) gather(now time.Duration) {
+	for _, e := range c.term.out {
+		if a, ok := e.(ReplyReport); ok {
+			if r := c.local[a.To]; r != nil {
+				delete(c.local, a.To)
+				if a.Answer.Status == 200 {
+					a.Answer.Commands = append(a.Answer.Commands, c.pick(now, r, a.Answer)...)
+				} else if a.Answer.Status == 503 {
+					a.Answer = c.alone(now, r)
+				}
+				e = a
+			}
+		}
+		c.out = append(c.out, e)
+	}
+	c.term.out = nil
+}
+
 // Leading says whether this node leads, and otherwise who does, if known.
 func (c *Core) Leading() (bool, string) {
 	return c.term != nil, c.lead.LeaderName()
@@ -177,11 +197,8 @@
 	c.met(now, r)
 	in := Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
 	if c.term != nil {
-		a := c.term.report(now, c.lead.Sure(now), in)
-		if a.Status == 200 {
-			a.Commands = append(a.Commands, c.pick(now, r, a)...)
-		}
-		c.out = append(c.out, ReplyReport{to, a})
+		c.local[to] = r
+		c.term.report(now, c.lead.Sure(now), to, in)
 		c.after(now)
 		return
 	}
@@ -253,7 +270,7 @@
 		c.out = append(c.out, ReplyReport{to, ReportAnswer{Status: 503}})
 		return
 	}
-	c.out = append(c.out, ReplyReport{to, c.term.report(now, c.lead.Sure(now), in)})
+	c.term.report(now, c.lead.Sure(now), to, in)
 	c.after(now)
 }
 
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -496,8 +496,8 @@
 			t.event(now, m, ev)
 		}
 		t.yard.Remove(name)
-		if m.Durable && !m.Resolved && t.unresolved() == (amounts.Amounts{}) {
-			t.allResolved(now)
+		if m.Durable && !m.Resolved {
+			t.resolved(now, m)
 		}
 	}
 	for part := range slices.Chunk(list, max(1, t.log.Room()/idBytes-2)) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	tickEvery    = 100 * time.Millisecond
+	tickEvery    = 50 * time.Millisecond
 	stateTimeout = 1200 * time.Millisecond
 	watchFor     = 10 * time.Second
 	cloudTimeout = 5 * time.Second
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,13 @@
 const (
 	rangeBytes = 16
 	idBytes    = 21
+
+	numberBytes = 10
+)
+
+const (
+	passPause    = 20 * time.Millisecond // between a pass and one that a commit asks for
+	preemptEvery = 500 * time.Millisecond
 )
 
 // Term is what a leader knows and does from its election to its end. It
@@ -59,6 +67,13 @@
 	lives           map[string]int64                   // of the controllers that hold blocks
 	seen            map[string]time.Duration           // when they were last heard
 	grants, serials uint64
+	numbers         int                           // last one given to a machine
+	granting        map[uint64][]*workers.Machine // grants to be noted, by job id
+	granted         map[uint64][]*workers.Machine // grants noted or being noted
+	planned         []*workers.Placement          // by the pass under way
+	waiting         []waitingReport               // reports not answered yet
+	passAt          time.Duration
+	preemptAt       time.Duration
 	// tasks completed but not yet handed to the log, by job id
 	completed map[uint64]*ledger.Tasks
 
@@ -92,8 +107,25 @@
 	tagTasks   ledger.Tasks
 	tagMachine string
 	tagRental  ledger.Rental
+	tagGrant   struct {
+		job      uint64
+		machines []*workers.Machine
+	}
 )
 
+// waitingReport is a report taken in whose answer waits for a pass, or for
+// what must be durable before the machine may start its tasks.
+type waitingReport struct {
+	to    Asker
+	m     *workers.Machine
+	cmds  []workers.Command
+	since time.Duration
+}
+
+// grantWait is how long an answer waits at most: the machine's next report
+// gets what this one did not.
+const grantWait = 500 * time.Millisecond
+
 func newTerm(cfg *settings.Settings, zero int64, epoch uint64, now time.Duration) *Term {
 	t := &Term{
 		cfg: cfg, zero: zero, epoch: epoch, token: epoch << tokenBits, attempts: epoch << attemptBits, began: now,
@@ -102,6 +134,7 @@
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
 		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
 		where: map[workers.Ref]*workers.Placement{}, lives: map[string]int64{}, seen: map[string]time.Duration{}, completed: map[uint64]*ledger.Tasks{},
+		granting: map[uint64][]*workers.Machine{}, granted: map[uint64][]*workers.Machine{},
 		accepting: map[uint64][]Asker{}, ending: map[uint64][]Asker{},
 		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
 		cloudAt: now, listAt: now, sizesAt: now,
@@ -135,6 +168,7 @@
 	registry := map[string]ledger.Machine{}
 	booting := map[string]ledger.Machine{}
 	asked := map[string]ledger.Rental{}
+	grants := map[uint64][]int{}
 	for _, e := range entries {
 		switch {
 		case e.Types != nil:
@@ -177,6 +211,8 @@
 		case e.Machine != nil:
 			registry[e.Machine.Name] = *e.Machine
 			delete(booting, e.Machine.Name)
+		case e.Grant != nil:
+			grants[e.Grant.Job] = append(grants[e.Grant.Job], e.Grant.Machines...)
 		case e.Gone != nil:
 			for _, n := range e.Gone {
 				t.yard.Remove(n)
@@ -224,9 +260,23 @@
 			t.book.Restore(j.Index, final, v.Size, v.Virtual)
 		}
 	}
+	byNumber := map[int]*workers.Machine{}
 	for _, m := range registry {
 		if x := t.addMachine(now, m); x != nil {
-			x.Durable = true
+			x.Durable, x.Number = true, m.Number
+			byNumber[m.Number] = x
+			t.numbers = max(t.numbers, m.Number)
+		}
+	}
+	for id, list := range grants {
+		j := t.table.Find(id)
+		for _, n := range list {
+			t.numbers = max(t.numbers, n)
+			if m := byNumber[n]; j != nil && m != nil && n != 0 && !m.Grants[id] {
+				m.Grants[id] = true
+				t.granted[id] = append(t.granted[id], m)
+				j.Unsettled++
+			}
 		}
 	}
 	for _, m := range booting {
@@ -561,6 +611,12 @@
 			t.leaveIfEmpty(j)
 			t.tellEnd(sure, tag.ID)
 		}
+	case tagGrant:
+		if t.table.Find(tag.job) != nil {
+			for _, m := range tag.machines {
+				m.Grants[tag.job] = true
+			}
+		}
 	case tagMachine:
 		if m := t.yard.Find(string(tag)); m != nil {
 			m.Durable = true
@@ -601,8 +657,18 @@
 
 func (t *Term) leaveIfEmpty(j *jobs.Job) {
 	if j.Placed == 0 && (j.Phase == jobs.Cancelled || j.Phase == jobs.Done) {
-		t.table.Leave(j)
+		t.forget(j)
+	}
+}
+
+// forget takes a job out of the table, and out of what machines may have.
+func (t *Term) forget(j *jobs.Job) {
+	t.table.Leave(j)
+	for _, m := range t.granted[j.Rec.ID] {
+		delete(m.Grants, j.Rec.ID)
 	}
+	delete(t.granted, j.Rec.ID)
+	delete(t.granting, j.Rec.ID)
 }
 
 // takeBack takes back a plan. One that is on offer may have been taken up
@@ -653,6 +719,25 @@
 	return sum
 }
 
+// blind says whether a machine that is not resolved may have tasks of any
+// job, since no grants were noted for it.
+func (t *Term) blind() bool {
+	return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return m.Durable && !m.Resolved && m.Number == 0 })
+}
+
+// resolved notes that what an earlier term left on a machine is known.
+func (t *Term) resolved(now time.Duration, m *workers.Machine) {
+	t.dirty = true
+	for id := range m.Grants {
+		if j := t.table.Find(id); j != nil && j.Unsettled > 0 {
+			j.Unsettled--
+		}
+	}
+	if t.unresolved() == (amounts.Amounts{}) {
+		t.note(Info, "all machines resolved", "epoch", t.epoch, "after", (now - t.began).Round(10*time.Millisecond))
+	}
+}
+
 // quiet is how long a worker may be silent before it gets no new tasks, and
 // silence how long before its machine is given up.
 func (t *Term) quiet() time.Duration {
@@ -706,19 +791,22 @@
 	}
 }
 
-// report takes in a worker's report, received by a controller, and says how
-// that controller may answer it.
-func (t *Term) report(now time.Duration, sure bool, in Relayed) ReportAnswer {
+// report takes in a worker's report, received by a controller. The answer,
+// which says how that controller may answer the worker, comes at once or with
+// the pass that follows.
+func (t *Term) report(now time.Duration, sure bool, to Asker, in Relayed) {
 	r := &in.Report
 	answer := ReportAnswer{Status: 200, Token: t.token}
 	if !t.loaded {
-		return answer
+		t.emit(ReplyReport{to, answer})
+		return
 	}
 	m := t.yard.Find(r.Machine)
 	if m == nil {
 		m = t.addMachine(now, ledger.Machine{Name: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot})
 		if m == nil {
-			return answer
+			t.emit(ReplyReport{to, answer})
+			return
 		}
 		t.note(Info, "machine appeared unasked", "machine", r.Machine)
 	}
@@ -726,50 +814,75 @@
 	if !m.Durable && !m.Leaving {
 		m.Resolved = true // no task is ever started on a machine before it is registered
 		if m.QueueRegistry() {
-			t.log.Append(ledger.Entry{Machine: &ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}}, tagMachine(r.Machine))
+			t.numbers++
+			m.Number = t.numbers
+			t.log.Append(ledger.Entry{Machine: &ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Number: m.Number}}, tagMachine(r.Machine))
 		}
 	}
 	if !m.Fresh(r) {
 		answer.Token = m.Token
-		return answer // a late report: its answer goes nowhere
+		t.emit(ReplyReport{to, answer}) // a late report: its answer goes nowhere
+		return
+	}
+	for i, w := range t.waiting {
+		if w.m == m {
+			// The worker has given that one up: nothing may be started by it.
+			t.emit(ReplyReport{w.to, ReportAnswer{Status: 200, Token: m.Token}})
+			t.waiting = slices.Delete(t.waiting, i, i+1)
+			break
+		}
 	}
 	elsewhere := t.hold(now, m, in)
-	answer.Token, answer.LeaseS = m.Token, t.cfg.Tunables.BlockLeaseS
 	if !m.Up {
 		m.UpSince = now
 		t.dirty = true
 	}
-	resolved := m.Resolved
+	before := m.Resolved
 	events, cmds := m.Absorb(now, r, m.Token, func(job uint64, task int, here bool) (workers.Known, bool) {
 		return t.known(m, job, task, here)
 	})
-	if m.Resolved != resolved {
-		t.dirty = true
-		if t.unresolved() == (amounts.Amounts{}) {
-			t.allResolved(now)
-		}
+	if m.Resolved != before {
+		t.resolved(now, m)
 	}
 	for _, e := range events {
 		t.event(now, m, e)
 	}
-	t.settle(now)
 	if elsewhere != "" {
-		return ReportAnswer{Status: 421, Node: elsewhere}
+		t.emit(ReplyReport{to, ReportAnswer{Status: 421, Node: elsewhere}})
+		return
 	}
-	if t.dirty && sure {
-		t.pass(now)
+	w := waitingReport{to, m, cmds, now}
+	if sure && !m.Leaving && !m.Notice && (t.dirty || m.Awaits()) {
+		t.waiting = append(t.waiting, w)
+		return
 	}
-	answer.Commands = append(cmds, m.Stops()...)
+	t.reply(sure, w)
+}
+
+// reply answers a report: with what follows from it, the stops that are due
+// and the offers.
+func (t *Term) reply(sure bool, w waitingReport) {
+	m := w.m
+	answer := ReportAnswer{Status: 200, Token: m.Token, LeaseS: t.cfg.Tunables.BlockLeaseS, Commands: append(w.cmds, m.Stops()...)}
 	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
 		answer.Offers = m.Offer(t.yard.All(), func() uint64 { t.serials++; return t.token + t.serials }, t.attempt)
 		answer.Room = m.Free
 	}
-	return answer
+	t.emit(ReplyReport{w.to, answer})
 }
 
-// allResolved notes that nothing of an earlier term is unknown any more.
-func (t *Term) allResolved(now time.Duration) {
-	t.note(Info, "all machines resolved", "epoch", t.epoch, "after", (now - t.began).Round(10*time.Millisecond))
+// release answers the reports that wait for nothing any more.
+func (t *Term) release(now time.Duration, sure bool) {
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if sure && w.m.Awaits() && now-w.since < grantWait && !w.m.Leaving {
+			kept = append(kept, w)
+			continue
+		}
+		t.reply(sure, w)
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
 }
 
 // started notes offers that the leader's own block has taken up.
@@ -961,6 +1074,8 @@
 
 func (t *Term) pass(now time.Duration) {
 	t.dirty = false
+	t.passAt = now
+	t.planned = t.planned[:0]
 	w := t.world(now)
 	w.Place = func(j *jobs.Job, k int, m *workers.Machine) {
 		ref := workers.Ref{Job: j.Index, Task: int32(k)}
@@ -975,12 +1090,36 @@
 			p.Attempt = j.Launch
 		}
 		m.Plan(p)
+		t.planned = append(t.planned, p)
 		m.UseImage(j.Image, j.Rec.ImageGB, now)
 	}
 	w.Unplace = func(j *jobs.Job, k int) {
 		t.takeBack(t.where[workers.Ref{Job: j.Index, Task: int32(k)}])
 	}
 	t.plan.Pass(w)
+	for _, p := range t.planned {
+		if m := p.Home; t.where[p.Ref] == p {
+			if _, noted := m.Grants[p.JobID]; !noted {
+				m.Grants[p.JobID] = false
+				t.granting[p.JobID] = append(t.granting[p.JobID], m)
+				t.granted[p.JobID] = append(t.granted[p.JobID], m)
+			}
+		}
+	}
+}
+
+// grant hands new grants to the log.
+func (t *Term) grant() {
+	for _, id := range slices.Sorted(maps.Keys(t.granting)) {
+		for part := range slices.Chunk(t.granting[id], max(1, t.log.Room()/numberBytes-4)) {
+			g := ledger.Grant{Job: id}
+			for _, m := range part {
+				g.Machines = append(g.Machines, m.Number)
+			}
+			t.log.Append(ledger.Entry{Grant: &g}, tagGrant{id, part})
+		}
+	}
+	clear(t.granting)
 }
 
 // stopAll stops tasks with time to save, and says why.
@@ -1001,9 +1140,13 @@
 	if !t.loaded {
 		return
 	}
-	for id, b := range t.completed {
-		t.appendTasks(*b)
-		delete(t.completed, id)
+	if t.log.Idle() {
+		// Not before: so the entries of a job between two commits become one.
+		t.grant()
+		for _, id := range slices.Sorted(maps.Keys(t.completed)) {
+			t.appendTasks(*t.completed[id])
+		}
+		clear(t.completed)
 	}
 	if txn := t.log.Next(now); txn != nil {
 		t.emit(Commit{*txn})
@@ -1029,6 +1172,10 @@
 	if step == ledger.Reread {
 		t.emit(Recheck{t.log.Open()})
 	}
+	if sure && t.dirty && now-t.passAt >= passPause {
+		t.pass(now)
+	}
+	t.release(now, sure)
 	return step
 }
 
@@ -1048,6 +1195,10 @@
 		}
 	}
 	t.accepting, t.ending = nil, nil
+	for _, w := range t.waiting {
+		t.emit(ReplyReport{w.to, ReportAnswer{Status: 503}})
+	}
+	t.waiting = nil
 }
 
 // tick does what is due by time.
@@ -1058,16 +1209,17 @@
 	if now-t.fleetAt >= 500*time.Millisecond {
 		t.fleetAt = now
 		t.book.Age(now.Seconds(), t.cpus())
-		t.settle(now)
 		t.watch(now, sure)
 		if sure {
 			t.rent(now)
 		}
 		t.dirty = true
 	}
+	t.settle(now)
 	if sure && t.dirty {
 		t.pass(now)
-		if t.cfg.Tunables.Preempt == 1 {
+		if t.cfg.Tunables.Preempt == 1 && now-t.preemptAt >= preemptEvery {
+			t.preemptAt = now
 			t.stopAll(now, t.plan.Preempt(t.world(now)), "task stopped for another job")
 		}
 	}
@@ -1079,6 +1231,7 @@
 		t.clean(now)
 	}
 	t.callCloud(now, sure)
+	t.release(now, sure)
 }
 
 func (t *Term) writeSizes() {
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -191,7 +191,7 @@
 		}
 		c.core.Tick(c.clock())
 		c.drain()
-		c.s.after(100*time.Millisecond, tick)
+		c.s.after(50*time.Millisecond, tick)
 	}
 	c.s.after(time.Duration(c.index)*7*time.Millisecond, tick)
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -130,9 +130,11 @@
 	Cap, Free      amounts.Amounts
 	CacheGB        float64
 	FetchGBPS      float64
-	Durable        bool // in the registry: tasks may be started
-	Up             bool // has reported in this term
-	Resolved       bool // what an earlier term left on it is known
+	Number         int             // in the registry
+	Grants         map[uint64]bool // jobs, by id, that may have tasks here; true once that is durable
+	Durable        bool            // in the registry: tasks may be started
+	Up             bool            // has reported in this term
+	Resolved       bool            // what an earlier term left on it is known
 	Session, Seq   uint64
 	Heard          time.Duration
 	RentedAt       time.Duration
@@ -224,6 +226,9 @@
 func (m *Machine) Offer(block []*Machine, serial, attempt func() uint64) []Offer {
 	var out []Offer
 	add := func(p *Placement, here bool) {
+		if !m.Grants[p.JobID] {
+			return // a successor must be able to know first
+		}
 		if p.Frozen || p.Withdrawn || (len(p.Offered) > 0 && p.past[m]) {
 			return
 		}
@@ -357,6 +362,7 @@
 	m.Index = int32(len(y.all))
 	m.Free = m.Cap
 	m.Tasks = map[Ref]*Placement{}
+	m.Grants = map[uint64]bool{}
 	y.all = append(y.all, m)
 	y.byName[m.Name] = m
 	return m
@@ -539,6 +545,30 @@
 	return events, cmds
 }
 
+// Awaits says whether something must become durable before the machine can be
+// told to start what is planned on it.
+func (m *Machine) Awaits() bool {
+	if !m.Durable {
+		return m.registryQueued
+	}
+	for _, p := range m.Tasks {
+		if p.Planned && !m.Grants[p.JobID] {
+			return true
+		}
+	}
+	return false
+}
+
+// Plans says whether tasks are planned on the machine.
+func (m *Machine) Plans() bool {
+	for _, p := range m.Tasks {
+		if p.Planned {
+			return true
+		}
+	}
+	return false
+}
+
 // Stops returns the stops due on the machine.
 func (m *Machine) Stops() []Command {
 	var cmds []Command
