--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -272,9 +272,9 @@
 	case j.Guaranteed:
 		out = append(out, "it fits into its team's guarantee and goes ahead of the size order (exception guarantee_first)")
 	case r == 1:
-		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_risk)")
+		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_lead)")
 	case r < 0:
-		out = append(out, "it goes behind the size order for now: best-effort work, or all its aims are missed already (exceptions low_patience, lost_behind)")
+		out = append(out, "it goes behind the size order for now: best-effort work, or all its aims are missed already (exceptions low_lead, lost_behind)")
 	}
 	return out
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -328,7 +328,9 @@
 		}
 		if o.Kind == settings.AimWait {
 			within := settings.Seconds(o.WithinS)
-			j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS*t.cfg.Tunables.WaitRisk), at + within})
+			if lead := t.cfg.Tunables.WaitLeadS; lead > 0 {
+				j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS-min(lead, mostLead*o.WithinS)), at + within})
+			}
 		}
 	}
 	return j
@@ -338,7 +340,7 @@
 // ahead of it in time for an aim for its end: tasks that run long must begin
 // earlier than a share of the aim alone tells.
 func (t *Term) startBy(j *jobs.Job, at time.Duration, within float64) {
-	if j.Rec.Priority > 0 || t.cfg.Tunables.WaitRisk >= 1 {
+	if j.Rec.Priority > 0 || t.cfg.Tunables.WaitLeadS == 0 {
 		return
 	}
 	latest := within - longRun*j.Rec.EstimateS - placing
@@ -347,7 +349,7 @@
 		j.BehindUntil = 0
 		return
 	}
-	from := at + settings.Seconds(latest*t.cfg.Tunables.WaitRisk)
+	from := at + settings.Seconds(latest-min(t.cfg.Tunables.WaitLeadS, mostLead*latest))
 	j.Ahead = append(j.Ahead, [2]time.Duration{from, at + settings.Seconds(latest)})
 	j.BehindUntil = min(j.BehindUntil, from)
 }
@@ -357,6 +359,8 @@
 const (
 	longRun = 1.2
 	placing = 10
+
+	mostLead = 0.7 // of an aim that is short: not all of its class goes ahead from the start
 )
 
 // suit settles which machine types a job may use and what a task takes up on
@@ -374,8 +378,8 @@
 	j.Share = t.share(j)
 }
 
-// patience is how long a job goes behind the order: best-effort work for a
-// share of its class's tightest aim, so that small jobs of it do not jump the
+// patience is how long a job goes behind the order: best-effort work until
+// some time before its class's tightest aim, so that small jobs of it do not jump the
 // queue of those that are in more of a hurry.
 func (t *Term) patience(rec ledger.Job) time.Duration {
 	if rec.Priority > 0 {
@@ -387,7 +391,10 @@
 			tightest = o.WithinS
 		}
 	}
-	return settings.Seconds(t.cfg.Tunables.LowPatience * tightest)
+	if t.cfg.Tunables.LowLeadS == 0 {
+		return 0
+	}
+	return settings.Seconds(max(0, tightest-t.cfg.Tunables.LowLeadS))
 }
 
 func (t *Term) setTypes(list []ledger.Type) {
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -30,9 +30,9 @@
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
 	Preempt         int     // exception: tasks are stopped for jobs that may have their room
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
-	WaitRisk        float64 // exception: share of a class's wait aim after which waiting tasks go ahead; 1 is never
+	WaitLeadS       float64 // exception: how long before their class's wait aim waiting tasks go ahead; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
-	LowPatience     float64 // exception: share of its tightest aim that best-effort work waits behind the order
+	LowLeadS        float64 // exception: how long before its tightest aim best-effort work no longer goes behind the order; 0: it never does
 }
 
 // Tunable describes one key of the operators' file.
@@ -83,9 +83,9 @@
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
 	whole("exceptions", "preempt", "0 or 1", "tasks that save, or have hardly begun, are stopped for jobs of higher priority and within their team's guarantee", 1, 0, 1, func(t *Tunables) *int { return &t.Preempt }),
-	amount("exceptions", "wait_risk", "share", "tasks still waiting after this share of their class's wait aim go ahead of the order until it is missed; 1: never", 0.5, 0, 1, func(t *Tunables) *float64 { return &t.WaitRisk }),
+	amount("exceptions", "wait_lead", "s", "tasks still waiting this long before their class's wait aim go ahead of the order until it is missed, and long best-effort ones before their aim for the end; 0: never", 85, 0, 86400, func(t *Tunables) *float64 { return &t.WaitLeadS }),
 	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
-	amount("exceptions", "low_patience", "share", "best-effort jobs go behind the order for this share of their class's tightest aim", 0.4, 0, 1, func(t *Tunables) *float64 { return &t.LowPatience }),
+	amount("exceptions", "low_lead", "s", "best-effort jobs go behind the order until this long before their class's tightest aim; 0: never", 110, 0, 86400, func(t *Tunables) *float64 { return &t.LowLeadS }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
 	amount("fleet", "aim_share", "share", "dear_backlog of a class with aims: this share of the tightest one", 1.1, 0.1, 10, func(t *Tunables) *float64 { return &t.AimShare }),
