--- a/internal/blocks/move.go
+++ b/internal/blocks/move.go
@@ -28,7 +28,8 @@
 // Moves returns the tasks to be stopped, with time to save, so that draining
 // machines can be returned: a large machine on which one long task is left
 // costs as much as a full one. A machine is emptied only as a whole, only when
-// all its tasks save their progress and have a place elsewhere that nobody
+// all its tasks save their progress, were not
+// moved before (they could go back and forth for ever), and have a place elsewhere that nobody
 // else of their team waits for, and when what its unused room would cost until
 // the end is more than what moving loses.
 func (p *Planner) Moves(w World) []*workers.Placement {
@@ -87,7 +88,7 @@
 			j := w.Jobs.At(t.Ref.Job)
 			left := Left(w.Now, j, t)
 			if t.Stopping || t.Planned || !t.Seen || t.State != workers.Running || j.Rec.Kind != jobs.Array || j.Phase != jobs.Open || j.ZoneRule() ||
-				j.Rec.Checkpoint <= 0 || w.Now-t.RanAt < moveAfter || left < moveTakes || waits[j.Team] || !place(j) {
+				j.Rec.Checkpoint <= 0 || j.Saved[t.Ref.Task] > 0 || w.Now-t.RanAt < moveAfter || left < moveTakes || waits[j.Team] || !place(j) {
 				all = false
 				break
 			}
