--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,14 +34,22 @@
 	n       int
 	refused map[key]*refusal
 	asked   map[string]ledger.Rental // requests without an answer yet
+	avoided map[string]time.Duration // zones that seem cut off, until when
 }
 
 // New makes a buyer whose request names begin with a prefix used by no
 // other term.
 func New(prefix string) *Buyer {
-	return &Buyer{prefix: prefix, refused: map[key]*refusal{}, asked: map[string]ledger.Rental{}}
+	return &Buyer{prefix: prefix, refused: map[key]*refusal{}, asked: map[string]ledger.Rental{}, avoided: map[string]time.Duration{}}
 }
 
+// Avoid leaves out a zone whose machines have fallen silent together: what is
+// rented there would boot, cost money and not be heard either.
+func (b *Buyer) Avoid(zone string, until time.Duration) { b.avoided[zone] = until }
+
+// Avoided says whether a zone is left out now.
+func (b *Buyer) Avoided(now time.Duration, zone string) bool { return now < b.avoided[zone] }
+
 // Want is what is missing.
 type Want struct {
 	CPUs  float64
@@ -69,7 +77,7 @@
 				if r := b.refused[k]; r != nil && now < r.until {
 					continue
 				}
-				if b.outstanding(k) || !w.Fits(t, z, w.Spot) {
+				if b.Avoided(now, z) || b.outstanding(k) || !w.Fits(t, z, w.Spot) {
 					continue
 				}
 				price := t.Price
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -47,3 +47,17 @@
 		t.Errorf("later: %+v", got)
 	}
 }
+
+// A zone that seems cut off is left out until the time has passed.
+func TestAvoidedZone(t *testing.T) {
+	types := []ledger.Type{{Name: "t", CPUs: 4, Price: 1, SpotPrice: 1, Zones: []string{"a", "b"}}}
+	b := New("r")
+	w := Want{CPUs: 4, Stay: 100, Zones: map[string]float64{"a": 1, "b": 9}, Fits: func(ledger.Type, string, bool) bool { return true }}
+	b.Avoid("a", 10*time.Second)
+	if got := b.Rent(5*time.Second, types, w); len(got) != 1 || got[0].Zone != "b" {
+		t.Errorf("rented %v while zone a is avoided", got)
+	}
+	if got := b.Rent(11*time.Second, types, w); len(got) != 1 || got[0].Zone != "a" {
+		t.Errorf("rented %v after that", got)
+	}
+}
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -20,6 +20,8 @@
 	listEvery  = 12 * time.Second
 	typesEvery = 60 * time.Second
 	bootSlack  = 20 * time.Second
+	avoidFor   = 45 * time.Second // a zone whose machines were silent together
+	fewSilent  = 4                // no sign of anything about their zone
 )
 
 // leave decides, for good, that a machine is to be deleted.
@@ -59,6 +61,29 @@
 	return silent > 3 && silent*2 > up
 }
 
+// avoidSilentZones has nothing rented for a while where most machines are
+// silent while others are heard.
+func (t *Term) avoidSilentZones(now time.Duration) {
+	up, silent := make([]int, t.zones.Len()), make([]int, t.zones.Len())
+	for _, m := range t.yard.All() {
+		if m.Up || m.Durable {
+			up[m.Zone]++
+			if now-max(m.Heard, t.began) > t.quiet() {
+				silent[m.Zone]++
+			}
+		}
+	}
+	for z, n := range silent {
+		if n >= fewSilent && n*2 > up[z] {
+			name := t.zones.Name(int32(z))
+			if !t.buyer.Avoided(now, name) {
+				t.note(Warn, "most machines of a zone are silent: nothing is rented there for now", "zone", name, "silent", n, "of", up[z])
+			}
+			t.buyer.Avoid(name, now+avoidFor)
+		}
+	}
+}
+
 // watch looks after every machine: silent ones, boots that take too long,
 // spot notices, tasks that were to be stopped and are still there.
 func (t *Term) watch(now time.Duration, sure bool) {
@@ -67,6 +92,8 @@
 	if t.deaf(now) {
 		// Most of them at once: the fault is more likely on our side.
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
+	} else {
+		t.avoidSilentZones(now)
 	}
 	overdue := settings.Seconds(0.5 * w.CancelS)
 	for _, m := range slices.Clone(t.yard.All()) {
@@ -159,7 +186,7 @@
 	t.spotPeak.add(now, settings.Seconds(t.cfg.Tunables.SpotReturnS), cheap)
 	var have, ordinary float64
 	for _, m := range t.yard.All() {
-		if !m.Leaving && !m.Notice && !m.Draining {
+		if !m.Leaving && !m.Notice && !m.Draining && (m.Up || !t.buyer.Avoided(now, t.zones.Name(m.Zone))) {
 			have += m.Cap.CPUs()
 			if !m.Spot {
 				ordinary += m.Cap.CPUs()
