--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -251,10 +251,10 @@
 	if len(t.rentals) > 0 {
 		return true // more may be on the way
 	}
-	need := 1
-	if j.Rec.Kind != jobs.Array {
-		need = len(j.Tasks) - j.Finished
+	if j.Rec.Kind == jobs.Array {
+		return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return t.mayTake(j, m) && j.Need.Fits(m.Cap) })
 	}
+	need := len(j.Tasks) - j.Finished
 	zones := t.slots(j)
 	total := 0
 	for _, n := range zones {
@@ -275,12 +275,17 @@
 	return total >= need
 }
 
+// mayTake says whether a machine may have tasks of a job.
+func (t *Term) mayTake(j *jobs.Job, m *workers.Machine) bool {
+	return !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone))
+}
+
 // slots is how many tasks of a job each zone's machines could take if they
 // were free.
 func (t *Term) slots(j *jobs.Job) map[int32]int {
 	zones := map[int32]int{}
 	for _, m := range t.yard.All() {
-		if !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone)) {
+		if t.mayTake(j, m) {
 			zones[m.Zone] += blocks.Slots(j.Need, m.Cap)
 		}
 	}
@@ -515,6 +520,7 @@
 		}
 		for ref, p := range m.Tasks {
 			if p.Planned && p.Rehome() {
+				t.list(p.Home)
 				p.Withdrawn = true // it may yet turn out to be on a machine it was offered to
 				continue
 			}
--- /dev/null
+++ b/internal/node/report_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// fullTerm is a term with a thousand machines that report eight running tasks
+// each and a hundred jobs with waiting ones. It returns the reports.
+func fullTerm(machines, count int) (*Term, []Relayed) {
+	c := &settings.Settings{Tunables: settings.Defaults()}
+	c.Deployment.Teams = []settings.Team{{Name: "team"}}
+	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 4, 22, 47
+	c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps = 80, 16, 16
+	c.Deployment.Cloud.RPS = 8
+	entries := []ledger.Entry{{Types: []ledger.Type{{Name: "t", CPUs: 8, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a"}}}}}
+	for i := range count {
+		entries = append(entries, ledger.Entry{Job: &ledger.Job{ID: uint64(i + 1), Class: "class", Team: "team", Tasks: 200, CPUs: 1, MemoryGB: 1,
+			Image: fmt.Sprint(i % 10), ImageGB: 1, Spot: true, EstimateS: 60}})
+	}
+	var reports []Relayed
+	for i := range machines {
+		m := ledger.Machine{Name: fmt.Sprintf("m%04d", i), Address: "x", Type: "t", Zone: "a", Number: i + 1}
+		entries = append(entries, ledger.Entry{Machine: &m})
+		r := workers.Report{Machine: m.Name, Address: "x", Type: "t", Zone: "a", Session: 1, Token: 2 << tokenBits}
+		for k := range 8 {
+			n := i*8 + k
+			r.Tasks = append(r.Tasks, workers.TaskReport{Job: uint64(n%count + 1), Task: n / count, Attempt: 1, State: workers.Running})
+		}
+		reports = append(reports, Relayed{Via: "n", Life: 1, Report: r})
+	}
+	t := newTerm(c, 0, 2, 0)
+	t.counts = &Counts{}
+	t.load(0, 1, 1, 2, entries, nil)
+	return t, reports
+}
+
+func (t *Term) take(now time.Duration, in *Relayed) {
+	in.Report.Seq++
+	t.report(now, true, 1, *in)
+	t.pump(now)
+	t.out = t.out[:0]
+}
+
+// What a report that brings nothing new costs must not grow with the number
+// of machines, jobs and tasks elsewhere.
+func TestReportCostsLittle(t *testing.T) {
+	cost := func(machines int) float64 {
+		term, reports := fullTerm(machines, 100)
+		now := time.Second
+		for i := range reports {
+			term.take(now, &reports[i])
+		}
+		term.tick(now, true)
+		term.take(now, &reports[0])
+		return testing.AllocsPerRun(50, func() { term.take(now, &reports[0]) })
+	}
+	small, large := cost(50), cost(1000)
+	if large > small+5 || large > 60 {
+		t.Errorf("a report takes %v allocations with 1000 machines, %v with 50", large, small)
+	}
+}
+
+// A round of reports of all machines, with a tick after each twentieth.
+func BenchmarkReports(b *testing.B) {
+	term, reports := fullTerm(1000, 100)
+	now := time.Second
+	for b.Loop() {
+		for i := range reports {
+			term.take(now, &reports[i])
+			if i%20 == 0 {
+				now += 70 * time.Millisecond
+				term.tick(now, true)
+				term.out = term.out[:0]
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(reports)), "µs/report")
+}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -71,6 +71,7 @@
 	granting        map[uint64][]*workers.Machine // grants to be noted, by job id
 	granted         map[uint64][]*workers.Machine // grants noted or being noted
 	planned         []*workers.Placement          // by the pass under way
+	plannedOn       []*workers.Machine            // all on which tasks may be planned
 	waiting         []waitingReport               // reports not answered yet
 	passAt          time.Duration
 	preemptAt       time.Duration
@@ -872,7 +873,7 @@
 	m := w.m
 	answer := ReportAnswer{Status: 200, Token: m.Token, LeaseS: t.cfg.Tunables.BlockLeaseS, Commands: append(w.cmds, m.Stops()...)}
 	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
-		answer.Offers = m.Offer(t.yard.All(), func() uint64 { t.serials++; return t.token + t.serials }, t.attempt)
+		answer.Offers = m.Offer(t.plannedOn, func() uint64 { t.serials++; return t.token + t.serials }, t.attempt)
 		answer.Room = m.Free
 	}
 	t.emit(ReplyReport{w.to, answer})
@@ -1104,8 +1105,13 @@
 		t.takeBack(t.where[workers.Ref{Job: j.Index, Task: int32(k)}])
 	}
 	t.plan.Pass(w)
+	t.plannedOn = slices.DeleteFunc(t.plannedOn, func(m *workers.Machine) bool {
+		m.Listed = m.Plans()
+		return !m.Listed
+	})
 	for _, p := range t.planned {
 		if m := p.Home; t.where[p.Ref] == p {
+			t.list(m)
 			if _, noted := m.Grants[p.JobID]; !noted {
 				m.Grants[p.JobID] = false
 				t.granting[p.JobID] = append(t.granting[p.JobID], m)
@@ -1115,6 +1121,14 @@
 	}
 }
 
+// list keeps a machine among those whose plans are offered.
+func (t *Term) list(m *workers.Machine) {
+	if !m.Listed {
+		m.Listed = true
+		t.plannedOn = append(t.plannedOn, m)
+	}
+}
+
 // grant hands new grants to the log.
 func (t *Term) grant() {
 	for _, id := range slices.Sorted(maps.Keys(t.granting)) {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -152,6 +152,7 @@
 	Token          uint64             // raised when the machine goes to another controller
 	Holder         string             // the controller whose block it is in
 	Offers         map[Ref]*Placement // open offers: what a newer report does not show was not started
+	Listed         bool               // among the machines whose plans are offered
 	Held           bool               // room is held here for the first job in order
 	images         []image
 	registryQueued bool
@@ -223,7 +224,7 @@
 // tasks planned here, and such planned on machines of the same block, type,
 // zone and kind as would fit here with their image at hand. serial gives
 // numbers to offers, attempt to tasks that have none.
-func (m *Machine) Offer(block []*Machine, serial, attempt func() uint64) []Offer {
+func (m *Machine) Offer(planned []*Machine, serial, attempt func() uint64) []Offer {
 	var out []Offer
 	add := func(p *Placement, here bool) {
 		if !m.Grants[p.JobID] {
@@ -252,7 +253,7 @@
 		}
 	}
 	here := len(out)
-	for _, o := range block {
+	for _, o := range planned {
 		if o == m || o.Holder != m.Holder || o.Type != m.Type || o.Zone != m.Zone || o.Spot != m.Spot || m.Held {
 			continue
 		}
