Grants are taken back, silence counts sooner, returns look at what is up

Cause: a job that once had a task on a machine was held back by it in each takeover, long after it had left; on GY a dead machine has grants of tens of jobs. A report at the current token that shows nothing of a job for 8 s, with nothing planned or on offer, takes the grant back. Returns are now reckoned against what is up. Silent machines are given up after 3 report intervals + 2 s (GY 18 -> 14 s).

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -41,9 +41,12 @@
 
 // Grant notes, before the first start, that machines may have tasks of a job.
 // A successor knows from it whose tasks a machine that it cannot hear may have.
+// Back takes such a grant back, once no task of the job is on the machine any
+// more and none is on offer to it; the next start there needs a new grant.
 type Grant struct {
 	Job      uint64 `json:"i"`
 	Machines []int  `json:"m"` // their numbers
+	Back     bool   `json:"x,omitempty"`
 }
 
 // Over keeps the final states of jobs once their own entries are gone.
--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -79,7 +79,7 @@
 	}
 	for _, e := range entries {
 		switch {
-		case e.Grant != nil:
+		case e.Grant != nil && !e.Grant.Back:
 			g := ledger.Grant{Job: e.Grant.Job}
 			for _, number := range e.Grant.Machines {
 				if m := byNumber[number]; m != nil && m.Grants[g.Job] {
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -184,10 +184,13 @@
 	dear := t.demand(open, 0, false)
 	t.dearPeak.add(now, settings.Seconds(t.cfg.Tunables.IdleReturnS), cheap)
 	t.spotPeak.add(now, settings.Seconds(t.cfg.Tunables.SpotReturnS), cheap)
-	var have, ordinary float64
+	var have, up, ordinary float64
 	for _, m := range t.yard.All() {
 		if !m.Leaving && !m.Notice && !m.Draining && (m.Up || !t.buyer.Avoided(now, t.zones.Name(m.Zone))) {
 			have += m.Cap.CPUs()
+			if m.Up {
+				up += m.Cap.CPUs()
+			}
 			if !m.Spot {
 				ordinary += m.Cap.CPUs()
 			}
@@ -203,6 +206,7 @@
 		if cheap > have && m.Draining && !m.Leaving {
 			m.Draining = false
 			have += m.Cap.CPUs()
+			up += m.Cap.CPUs()
 			t.dirty = true
 		}
 	}
@@ -233,7 +237,9 @@
 		t.request("renting for jobs that fit nowhere", requests)
 	}
 	if cheap <= have && len(stuck) == 0 {
-		t.shrink(now, have)
+		// Against what is up: what is only asked for or boots may never come,
+		// while the cloud is out for instance.
+		t.shrink(now, up)
 	}
 }
 
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -19,7 +19,7 @@
 	registry := map[string]ledger.Machine{}
 	booting := map[string]ledger.Machine{}
 	asked := map[string]ledger.Rental{}
-	grants := map[uint64][]int{}
+	grants := map[uint64]map[int]bool{}
 	for _, e := range entries {
 		switch {
 		case e.Types != nil:
@@ -63,7 +63,14 @@
 			registry[e.Machine.Name] = *e.Machine
 			delete(booting, e.Machine.Name)
 		case e.Grant != nil:
-			grants[e.Grant.Job] = append(grants[e.Grant.Job], e.Grant.Machines...)
+			g := grants[e.Grant.Job]
+			if g == nil {
+				g = map[int]bool{}
+				grants[e.Grant.Job] = g
+			}
+			for _, n := range e.Grant.Machines {
+				g[n] = !e.Grant.Back
+			}
 		case e.Gone != nil:
 			for _, n := range e.Gone {
 				t.yard.Remove(n)
@@ -121,9 +128,9 @@
 	}
 	for id, list := range grants {
 		j := t.table.Find(id)
-		for _, n := range list {
+		for n, open := range list {
 			t.numbers = max(t.numbers, n)
-			if m := byNumber[n]; j != nil && m != nil && n != 0 && !m.Grants[id] {
+			if m := byNumber[n]; open && j != nil && m != nil && n != 0 {
 				m.Grants[id] = true
 				t.granted[id] = append(t.granted[id], m)
 				j.Unsettled++
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -47,7 +47,7 @@
 
 func (t *Term) silence() time.Duration {
 	w := t.cfg.Deployment.Workers
-	return settings.Seconds(max(4*w.ReportS+2, 0.6*w.LeaseS))
+	return settings.Seconds(max(3*w.ReportS+2, 0.6*w.LeaseS))
 }
 
 // moveAfter is how long a machine's own controller must not have heard it
@@ -161,6 +161,9 @@
 	for _, e := range events {
 		t.event(now, m, e)
 	}
+	if r.Token == m.Token {
+		t.withdraw(now, m, r)
+	}
 	if elsewhere != "" {
 		t.emit(ReplyReport{to, ReportAnswer{Status: 421, Node: elsewhere}})
 		return
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -36,6 +36,7 @@
 const (
 	passPause    = 20 * time.Millisecond // between a pass and one that a commit asks for
 	preemptEvery = 500 * time.Millisecond
+	grantIdle    = 8 * time.Second // a job with nothing on a machine for so long has its grant taken back
 )
 
 // Term is what a leader knows and does from its election to its end. It
@@ -69,6 +70,7 @@
 	numbers         int                           // last one given to a machine
 	granting        map[uint64][]*workers.Machine // grants to be noted, by job id
 	granted         map[uint64][]*workers.Machine // grants noted or being noted
+	withdrawn       map[uint64][]int              // grants to be taken back, by job id: numbers of machines
 	planned         []*workers.Placement          // by the pass under way
 	plannedOn       []*workers.Machine            // all on which tasks may be planned
 	waiting         []waitingReport               // reports not answered yet
@@ -121,7 +123,7 @@
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
 		buyer: fleet.New(fmt.Sprintf("r-%d", epoch)),
 		where: map[workers.Ref]*workers.Placement{}, lives: map[string]int64{}, seen: map[string]time.Duration{}, completed: map[uint64]*ledger.Tasks{},
-		granting: map[uint64][]*workers.Machine{}, granted: map[uint64][]*workers.Machine{},
+		granting: map[uint64][]*workers.Machine{}, granted: map[uint64][]*workers.Machine{}, withdrawn: map[uint64][]int{},
 		accepting: map[uint64][]Asker{}, ending: map[uint64][]Asker{},
 		rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
 		cloudAt: now, listAt: now, sizesAt: now,
@@ -248,8 +250,9 @@
 func (t *Term) forget(j *jobs.Job) {
 	t.table.Leave(j)
 	for _, m := range t.granted[j.Rec.ID] {
-		delete(m.Grants, j.Rec.ID)
+		m.Withdraw(j.Rec.ID)
 	}
+	delete(t.withdrawn, j.Rec.ID)
 	delete(t.granted, j.Rec.ID)
 	delete(t.granting, j.Rec.ID)
 }
@@ -363,8 +366,16 @@
 
 // grant hands new grants to the log.
 func (t *Term) grant() {
+	most := max(1, t.log.Room()/numberBytes-6)
+	// First what is taken back: the same machine may have been granted anew.
+	for _, id := range slices.Sorted(maps.Keys(t.withdrawn)) {
+		for part := range slices.Chunk(t.withdrawn[id], most) {
+			t.log.Append(ledger.Entry{Grant: &ledger.Grant{Job: id, Machines: part, Back: true}}, nil)
+		}
+	}
+	clear(t.withdrawn)
 	for _, id := range slices.Sorted(maps.Keys(t.granting)) {
-		for part := range slices.Chunk(t.granting[id], max(1, t.log.Room()/numberBytes-4)) {
+		for part := range slices.Chunk(t.granting[id], most) {
 			g := ledger.Grant{Job: id}
 			for _, m := range part {
 				g.Machines = append(g.Machines, m.Number)
@@ -375,6 +386,17 @@
 	clear(t.granting)
 }
 
+// withdraw takes back the grants of jobs that have had nothing on a machine for
+// a while, so that a successor that cannot hear it holds back only those that
+// have.
+func (t *Term) withdraw(now time.Duration, m *workers.Machine, r *workers.Report) {
+	for _, id := range m.Unused(now, grantIdle, r) {
+		m.Withdraw(id)
+		t.granted[id] = slices.DeleteFunc(t.granted[id], func(o *workers.Machine) bool { return o == m })
+		t.withdrawn[id] = append(t.withdrawn[id], m.Number)
+	}
+}
+
 // stopAll stops tasks with time to save, and says why.
 func (t *Term) stopAll(now time.Duration, list []*workers.Placement, why string) {
 	on := map[*workers.Machine]bool{}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -155,6 +155,7 @@
 	Listed         bool               // among the machines whose plans are offered
 	Held           bool               // room is held here for the first job in order
 	images         []image
+	idle           map[uint64]time.Duration // since when a job with a grant has had nothing here
 	registryQueued bool
 }
 
@@ -560,6 +561,48 @@
 	return false
 }
 
+// Unused returns the jobs whose grants may be taken back: for a while now
+// neither a task of theirs counts as being here, nor is one planned or on offer
+// here, nor does the report just taken in, which is at the current token, show
+// any, wanted or not.
+func (m *Machine) Unused(now, after time.Duration, r *Report) []uint64 {
+	var used, out []uint64
+	for _, p := range m.Tasks {
+		used = append(used, p.JobID)
+	}
+	for _, p := range m.Offers {
+		used = append(used, p.JobID)
+	}
+	for _, t := range r.Tasks {
+		used = append(used, t.Job)
+	}
+	slices.Sort(used)
+	for id, durable := range m.Grants {
+		if _, found := slices.BinarySearch(used, id); found || !durable {
+			delete(m.idle, id)
+			continue
+		}
+		since, known := m.idle[id]
+		switch {
+		case !known:
+			if m.idle == nil {
+				m.idle = map[uint64]time.Duration{}
+			}
+			m.idle[id] = now
+		case now-since >= after:
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Withdraw forgets that a job may have tasks here.
+func (m *Machine) Withdraw(job uint64) {
+	delete(m.Grants, job)
+	delete(m.idle, job)
+}
+
 // Plans says whether tasks are planned on the machine.
 func (m *Machine) Plans() bool {
 	for _, p := range m.Tasks {
