--- a/internal/blocks/blocks_test.go
+++ b/internal/blocks/blocks_test.go
@@ -117,3 +117,41 @@
 		t.Errorf("%d refusals were found for 100 jobs", n)
 	}
 }
+
+// A draining machine is emptied when all its tasks save, have run for a while,
+// were not moved before, and fit elsewhere; not while their team waits.
+func TestMoves(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(j *jobs.Job, task *workers.Placement, other *workers.Machine)
+		moves  int
+	}{
+		{"all is well", func(*jobs.Job, *workers.Placement, *workers.Machine) {}, 1},
+		{"it does not save", func(j *jobs.Job, _ *workers.Placement, _ *workers.Machine) { j.Rec.Checkpoint = 0 }, 0},
+		{"it has just begun", func(_ *jobs.Job, p *workers.Placement, _ *workers.Machine) { p.RanAt = 90 * time.Second }, 0},
+		{"it was moved before", func(j *jobs.Job, _ *workers.Placement, _ *workers.Machine) {
+			j.Saved = map[int32]time.Duration{0: time.Second}
+		}, 0},
+		{"no room elsewhere", func(_ *jobs.Job, _ *workers.Placement, m *workers.Machine) { m.Free.CPU = 1000 }, 0},
+		{"its team waits", func(j *jobs.Job, _ *workers.Placement, _ *workers.Machine) { j.Waiting = 1 }, 0},
+		{"it is nearly done", func(j *jobs.Job, _ *workers.Placement, _ *workers.Machine) { j.Rec.EstimateS = 65 }, 0},
+	} {
+		w := World{Now: 100 * time.Second, Quiet: time.Hour, Jobs: jobs.NewTable(), Yard: workers.NewYard(),
+			Book: sizing.New(sizing.Params{Train: 5, Xi: 1, Delta: 60, First: 30}), Zone: func(string) int32 { return 0 }}
+		add := func(name string, draining bool) *workers.Machine {
+			return w.Yard.Add(&workers.Machine{Name: name, Cap: amounts.Room(32, 0, 64), Durable: true, Up: true, Resolved: true, Heard: w.Now, Draining: draining, CacheGB: 1, FetchGBPS: 1})
+		}
+		from, other := add("from", true), add("other", false)
+		j := w.Jobs.Add(ledger.Job{ID: 1, Tasks: 1, CPUs: 4, MemoryGB: 4, Checkpoint: 15, SaveS: 4, EstimateS: 300})
+		j.Phase = jobs.Open
+		w.Book.Add(j.Index, 0, 1, 4, false)
+		j.Place(0)
+		task := &workers.Placement{Ref: workers.Ref{Job: j.Index}, JobID: 1, Need: j.Need}
+		from.Plan(task)
+		task.Planned, task.Seen, task.State, task.RanAt = false, true, workers.Running, 40*time.Second
+		c.change(j, task, other)
+		if got := New([]Limit{{}}, 10).Moves(w); len(got) != c.moves {
+			t.Errorf("%s: %d moves, want %d", c.name, len(got), c.moves)
+		}
+	}
+}
--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,110 @@
+package workers
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/amounts"
+)
+
+const token = 7
+
+func machine() (*Yard, *Machine) {
+	y := NewYard()
+	m := y.Add(&Machine{Name: "m", Cap: amounts.Room(4, 0, 8), CacheGB: 10, FetchGBPS: 1, Durable: true})
+	return y, m
+}
+
+func place(m *Machine, job uint64, task int32) *Placement {
+	p := &Placement{Ref: Ref{Job: int32(job), Task: task}, JobID: job, Need: amounts.Need(1, 0, 1), Attempt: 1}
+	m.Plan(p)
+	m.moveIn(p)
+	p.seq = m.Seq
+	return p
+}
+
+func absorb(m *Machine, r Report) []Event {
+	events, _ := m.Absorb(time.Second, &r, token, func(job uint64, task int, _ bool) (Known, bool) {
+		return Known{Ref: Ref{Job: int32(job), Task: int32(task)}, Need: amounts.Need(1, 0, 1), Open: true}, true
+	})
+	return events
+}
+
+// A task counts as being on its machine until a newer report at the current
+// token does not show it, or a later session begins.
+func TestWhatProvesATaskGone(t *testing.T) {
+	cases := []struct {
+		name   string
+		report Report
+		gone   bool
+	}{
+		{"an older token proves nothing", Report{Session: 1, Seq: 5, Token: token - 1}, false},
+		{"the current token without it", Report{Session: 1, Seq: 5, Token: token}, true},
+		{"the current token with it", Report{Session: 1, Seq: 5, Token: token, Tasks: []TaskReport{{Job: 3, Task: 0, Attempt: 1, State: Running}}}, false},
+		{"ended", Report{Session: 1, Seq: 5, Token: token, Tasks: []TaskReport{{Job: 3, Task: 0, Attempt: 1, State: Ended, Reason: Failed}}}, true},
+		{"a later session, whatever the token", Report{Session: 2, Seq: 1, Token: token - 1}, true},
+	}
+	for _, c := range cases {
+		_, m := machine()
+		m.Session, m.Seq = 1, 4
+		place(m, 3, 0)
+		events := absorb(m, c.report)
+		gone := slices.ContainsFunc(events, func(e Event) bool { return e.Kind == EvGone })
+		if gone != c.gone || (len(m.Tasks) == 0) != c.gone || (m.Free == m.Cap) != c.gone {
+			t.Errorf("%s: gone %v, %d tasks, %v free", c.name, gone, len(m.Tasks), m.Free)
+		}
+	}
+}
+
+func TestLateReportsAreNotFresh(t *testing.T) {
+	_, m := machine()
+	m.Session, m.Seq = 2, 10
+	for _, c := range []struct {
+		session, seq uint64
+		fresh        bool
+	}{{1, 99, false}, {2, 10, false}, {2, 11, true}, {3, 1, true}} {
+		if got := m.Fresh(&Report{Session: c.session, Seq: c.seq}); got != c.fresh {
+			t.Errorf("session %d, number %d: fresh is %v", c.session, c.seq, got)
+		}
+	}
+}
+
+// Nothing is offered to a machine before its grant is durable.
+func TestOffersWaitForGrants(t *testing.T) {
+	_, m := machine()
+	p := &Placement{Ref: Ref{Job: 3}, JobID: 3, Need: amounts.Need(1, 0, 1)}
+	m.Plan(p)
+	n := uint64(0)
+	next := func() uint64 { n++; return n }
+	m.Grants[3] = false
+	if got := m.Offer([]*Machine{m}, next, next); len(got) != 0 || !m.Awaits() {
+		t.Errorf("offered %v before the grant is durable", got)
+	}
+	m.Grants[3] = true
+	if got := m.Offer([]*Machine{m}, next, next); len(got) != 1 || m.Awaits() {
+		t.Errorf("offered %v once it is", got)
+	}
+}
+
+// A grant is unused only after a while in which no task of the job counted as
+// being here, was planned or on offer here, or was shown, wanted or not.
+func TestUnusedGrants(t *testing.T) {
+	_, m := machine()
+	m.Grants = map[uint64]bool{1: true, 2: true, 3: true, 4: true, 5: false}
+	place(m, 1, 0)
+	m.Plan(&Placement{Ref: Ref{Job: 2}, JobID: 2, Need: amounts.Need(1, 0, 1)})
+	stray := Report{Tasks: []TaskReport{{Job: 3, State: Running}}}
+	if got := m.Unused(0, 8*time.Second, &stray); len(got) != 0 {
+		t.Errorf("%v at once", got)
+	}
+	if got := m.Unused(9*time.Second, 8*time.Second, &stray); !slices.Equal(got, []uint64{4}) {
+		t.Errorf("%v after a while, want only job 4", got)
+	}
+	if got := m.Unused(9*time.Second, 8*time.Second, &Report{}); !slices.Equal(got, []uint64{4}) {
+		t.Errorf("%v when the stray has just gone, want only job 4", got)
+	}
+	if got := m.Unused(18*time.Second, 8*time.Second, &Report{}); !slices.Equal(got, []uint64{3, 4}) {
+		t.Errorf("%v later, want jobs 3 and 4", got)
+	}
+}
