One piece of code where the change had twins; what it left dead is gone

Twins: runs of task numbers (ledger.Tasks.Add), counts of silent machines by zone and in all, a machine that suits a job, a task that may be stopped, a task that runs, spans ahead of an aim, the max-min filling within a team and over all, the answer to a report of the node's own worker, a job that is over while replaying, users' requests in the scenarios. Unresolved machines are summed in one walk.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -30,13 +30,8 @@
 	// switches this exception off.
 	Guarantees []Limit
 	Locality   time.Duration // for how long a job waits for machines with its image
-	// LimitBound is an exception: jobs of a team whose open work would keep it
-	// at its limit for longer than this go ahead of the order. Room that such a
-	// team leaves unused now cannot be made up for later. 0 switches it off.
-	LimitBound time.Duration
 
-	work     []float64 // by team, processor seconds of open work, as of the last call of Order
-	ranks    []int8    // by job index, as of the last call of Order
+	ranks    []int8 // by job index, as of the last call of Order
 	scratch  []int32
 	refusals []refusal // of this pass
 	plain    bool      // tests hold the quick path against one that remembers nothing
@@ -119,6 +114,16 @@
 	Unplace    func(j *jobs.Job, k int) // takes back a plan that was not sent
 }
 
+// unsettled says whether tasks of a job that are not seen may run on machines
+// of an earlier term.
+func (w *World) unsettled(j *jobs.Job) bool { return j.Earlier && (j.Unsettled > 0 || w.Blind) }
+
+// suits says whether one more task of a job could be on a machine if that
+// were free.
+func (w *World) suits(j *jobs.Job, m *workers.Machine) bool {
+	return j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone)
+}
+
 // Pass gives out all room that the order lets it give.
 func (p *Planner) Pass(w World) {
 	p.refusals = p.refusals[:0]
@@ -246,7 +251,7 @@
 	if w.Now < j.NotBefore {
 		out = append(out, "its tasks failed wherever they were: the next try is in "+(j.NotBefore-w.Now).Round(time.Second).String())
 	}
-	if j.Earlier && (j.Unsettled > 0 || w.Blind) {
+	if w.unsettled(j) {
 		out = append(out, "a leader before this one may have started its tasks on machines that have not reported yet")
 	}
 	if !p.Within(j.Team, j.Need, w.Unresolved) {
@@ -254,7 +259,7 @@
 	}
 	fits, free := false, false
 	for _, m := range w.Yard.All() {
-		if Allowed(j, m, w.Zone) && j.Need.Fits(m.Cap) && m.Usable(w.Now, w.Quiet) && j.ZoneAllows(m.Zone) {
+		if w.suits(j, m) && m.Usable(w.Now, w.Quiet) {
 			fits = true
 			free = free || j.Need.Fits(m.Free)
 		}
@@ -384,7 +389,7 @@
 }
 
 func (p *Planner) ready(w *World, j *jobs.Job) bool {
-	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !(j.Earlier && (j.Unsettled > 0 || w.Blind))
+	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !w.unsettled(j)
 }
 
 // give places one task on the best machine, if there is one.
@@ -439,7 +444,7 @@
 	slots := map[int32]int{}
 	total := 0
 	for _, m := range w.Yard.All() {
-		if m.Usable(w.Now, w.Quiet) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone) {
+		if m.Usable(w.Now, w.Quiet) && w.suits(j, m) {
 			fit = append(fit, m)
 			n := Slots(j.Need, m.Cap)
 			slots[m.Zone] += n
--- a/internal/blocks/move.go
+++ b/internal/blocks/move.go
@@ -19,7 +19,7 @@
 // Left is how long a placed task will probably still run.
 func Left(now time.Duration, j *jobs.Job, p *workers.Placement) time.Duration {
 	left := time.Duration(j.Mean()*float64(time.Second)) - j.Saved[p.Ref.Task]
-	if p.Seen && p.State == workers.Running {
+	if p.Runs() {
 		left -= now - p.RanAt
 	}
 	return max(left, 0)
@@ -87,8 +87,7 @@
 		for _, t := range m.Tasks {
 			j := w.Jobs.At(t.Ref.Job)
 			left := Left(w.Now, j, t)
-			if t.Stopping || t.Planned || !t.Seen || t.State != workers.Running || j.Rec.Kind != jobs.Array || j.Phase != jobs.Open || j.ZoneRule() ||
-				j.Rec.Checkpoint <= 0 || j.Saved[t.Ref.Task] > 0 || w.Now-t.RanAt < moveAfter || left < moveTakes || waits[j.Team] || !place(j) {
+			if !stoppable(j, t) || j.ZoneRule() || j.Rec.Checkpoint <= 0 || j.Saved[t.Ref.Task] > 0 || w.Now-t.RanAt < moveAfter || left < moveTakes || waits[j.Team] || !place(j) {
 				all = false
 				break
 			}
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -57,11 +57,8 @@
 			continue
 		}
 		for _, v := range m.Tasks {
-			if v.Planned || v.Stopping || !v.Seen || v.State != workers.Running {
-				continue
-			}
 			o := w.Jobs.At(v.Ref.Job)
-			if o.Rec.Kind != jobs.Array || o.Phase != jobs.Open || (o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost) {
+			if !stoppable(o, v) || (o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost) {
 				continue
 			}
 			pool = append(pool, v)
@@ -71,18 +68,21 @@
 	return pool, lowest
 }
 
+// stoppable says whether a task runs that may be stopped and run again
+// elsewhere: gangs and services never are.
+func stoppable(j *jobs.Job, t *workers.Placement) bool {
+	return !t.Planned && !t.Stopping && t.Runs() && j.Rec.Kind == jobs.Array && j.Phase == jobs.Open
+}
+
 func (p *Planner) victims(w *World, j *jobs.Job, pool []*workers.Placement) []*workers.Placement {
-	suits := func(m *workers.Machine) bool {
-		return Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone) && j.Need.Fits(m.Cap)
-	}
 	for _, m := range w.Yard.All() {
-		if j.Need.Fits(m.Free) && m.Usable(w.Now, w.Quiet) && suits(m) {
+		if j.Need.Fits(m.Free) && m.Usable(w.Now, w.Quiet) && w.suits(j, m) {
 			return nil // there is room: it only has to be given
 		}
 	}
 	var list []*workers.Placement
 	for _, v := range pool {
-		if !v.Stopping && suits(v.Home) && p.mayStop(w, j, v) {
+		if !v.Stopping && w.suits(j, v.Home) && p.mayStop(w, j, v) {
 			list = append(list, v)
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,15 @@
 	Known   int      `json:"n,omitempty"`
 }
 
+// Add adds a task to the ranges; tasks in ascending order make few of them.
+func (t *Tasks) Add(k int) {
+	if n := len(t.Ranges); n > 0 && t.Ranges[n-1][1] == k {
+		t.Ranges[n-1][1] = k + 1
+	} else {
+		t.Ranges = append(t.Ranges, [2]int{k, k + 1})
+	}
+}
+
 // Size notes a job's final size.
 type Size struct {
 	ID   uint64  `json:"i"`
--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -127,13 +127,8 @@
 	t.log.Append(ledger.Entry{Job: &j.Rec}, nil)
 	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
 	for k, s := range j.Tasks {
-		if s != jobs.Noted {
-			continue
-		}
-		if n := len(noted.Ranges); n > 0 && noted.Ranges[n-1][1] == k {
-			noted.Ranges[n-1][1] = k + 1
-		} else {
-			noted.Ranges = append(noted.Ranges, [2]int{k, k + 1})
+		if s == jobs.Noted {
+			noted.Add(k)
 		}
 	}
 	if len(noted.Ranges) > 0 {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -23,18 +23,17 @@
 	hold *blocks.Holder
 	out  []Effect
 
-	counts  Counts
-	hailAt  time.Duration
-	peerAt  map[string]time.Duration  // when a peer last answered a hail
-	relayed map[Asker]*workers.Report // reports with the leader
-	local   map[Asker]*workers.Report // reports of the leader's own block
+	counts Counts
+	hailAt time.Duration
+	peerAt map[string]time.Duration  // when a peer last answered a hail
+	open   map[Asker]*workers.Report // reports of this node's workers without an answer yet
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), relayed: map[Asker]*workers.Report{}, local: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -85,14 +84,9 @@
 func (c *Core) gather(now time.Duration) {
 	for _, e := range c.term.out {
 		if a, ok := e.(ReplyReport); ok {
-			if r := c.local[a.To]; r != nil {
-				delete(c.local, a.To)
-				if a.Answer.Status == 200 {
-					a.Answer.Commands = append(a.Answer.Commands, c.pick(now, r, a.Answer)...)
-				} else if a.Answer.Status == 503 {
-					a.Answer = c.alone(now, r)
-				}
-				e = a
+			if r := c.open[a.To]; r != nil {
+				delete(c.open, a.To)
+				e = ReplyReport{a.To, c.finish(now, r, a.Answer)}
 			}
 		}
 		c.out = append(c.out, e)
@@ -197,13 +191,13 @@
 	c.met(now, r)
 	in := Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
 	if c.term != nil {
-		c.local[to] = r
+		c.open[to] = r
 		c.term.report(now, c.lead.Sure(now), to, in)
 		c.after(now)
 		return
 	}
 	if leader := c.lead.LeaderName(); leader != "" {
-		c.relayed[to] = r
+		c.open[to] = r
 		c.out = append(c.out, Relay{to, leader, in})
 		return
 	}
@@ -241,24 +235,32 @@
 	return ReportAnswer{Status: 503}
 }
 
+// finish makes of the leader's word on a report what its worker is told: with
+// what the block takes up, or without the leader.
+func (c *Core) finish(now time.Duration, r *workers.Report, a ReportAnswer) ReportAnswer {
+	switch a.Status {
+	case 200:
+		a.Commands = append(a.Commands, c.pick(now, r, a)...)
+	case 503:
+		a = c.alone(now, r)
+	}
+	return a
+}
+
 // RelayAnswered takes the leader's word on a report that was handed to it.
 func (c *Core) RelayAnswered(now time.Duration, to Asker, a ReportAnswer, ok bool) {
-	r := c.relayed[to]
-	delete(c.relayed, to)
+	r := c.open[to]
+	delete(c.open, to)
 	if r == nil {
 		return
 	}
 	switch {
-	case !ok || a.Status == 503:
-		a = c.alone(now, r)
-	case a.Status == 200:
-		a.Commands = append(a.Commands, c.pick(now, r, a)...)
-	case a.Node == c.cfg.Node || a.Node == "":
-		a = c.alone(now, r)
-	default:
+	case !ok, a.Status == 421 && (a.Node == c.cfg.Node || a.Node == ""):
+		a = ReportAnswer{Status: 503}
+	case a.Status == 421:
 		c.hold.Release(r.Machine)
 	}
-	c.out = append(c.out, ReplyReport{to, a})
+	c.out = append(c.out, ReplyReport{to, c.finish(now, r, a)})
 	c.after(now)
 }
 
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -21,7 +21,7 @@
 	typesEvery = 60 * time.Second
 	bootSlack  = 20 * time.Second
 	avoidFor   = 45 * time.Second // a zone whose machines were silent together
-	fewSilent  = 4                // no sign of anything about their zone
+	fewSilent  = 4                // fewer of them are no sign of anything but themselves
 )
 
 // leave decides, for good, that a machine is to be deleted.
@@ -47,34 +47,42 @@
 	}
 }
 
-// deaf says whether most machines are silent at once.
-func (t *Term) deaf(now time.Duration) bool {
-	up, silent := 0, 0
+// heard counts the machines that should be heard, and those of them that are
+// silent, by zone.
+func (t *Term) heard(now time.Duration) (up, silent []int) {
+	up, silent = make([]int, t.zones.Len()), make([]int, t.zones.Len())
 	for _, m := range t.yard.All() {
 		if m.Up || m.Durable {
-			up++
+			up[m.Zone]++
 			if now-max(m.Heard, t.began) > t.quiet() {
-				silent++
+				silent[m.Zone]++
 			}
 		}
 	}
-	return silent > 3 && silent*2 > up
+	return up, silent
+}
+
+// most says whether so many of so many machines are silent that the fault is
+// not theirs.
+func most(silent, up int) bool { return silent >= fewSilent && silent*2 > up }
+
+// deaf says whether most machines are silent at once.
+func (t *Term) deaf(now time.Duration) bool {
+	up, silent := 0, 0
+	byZone, silentIn := t.heard(now)
+	for z := range byZone {
+		up += byZone[z]
+		silent += silentIn[z]
+	}
+	return most(silent, up)
 }
 
 // avoidSilentZones has nothing rented for a while where most machines are
 // silent while others are heard.
 func (t *Term) avoidSilentZones(now time.Duration) {
-	up, silent := make([]int, t.zones.Len()), make([]int, t.zones.Len())
-	for _, m := range t.yard.All() {
-		if m.Up || m.Durable {
-			up[m.Zone]++
-			if now-max(m.Heard, t.began) > t.quiet() {
-				silent[m.Zone]++
-			}
-		}
-	}
+	up, silent := t.heard(now)
 	for z, n := range silent {
-		if n >= fewSilent && n*2 > up[z] {
+		if most(n, up[z]) {
 			name := t.zones.Name(int32(z))
 			if !t.buyer.Avoided(now, name) {
 				t.note(Warn, "most machines of a zone are silent: nothing is rented there for now", "zone", name, "silent", n, "of", up[z])
@@ -151,7 +159,7 @@
 	grace := j.Rec.SaveS + 5 + t.peerTime(j)
 	if j.Rec.Kind != jobs.Gang {
 		p.Stopping, p.GraceS = true, grace
-		if j.Rec.Checkpoint > 0 && p.Seen && p.State == workers.Running {
+		if j.Rec.Checkpoint > 0 && p.Runs() {
 			if j.Saved == nil {
 				j.Saved = map[int32]time.Duration{}
 			}
@@ -530,7 +538,7 @@
 				p.Withdrawn = true // it may yet turn out to be on a machine it was offered to
 				continue
 			}
-			ev := workers.Event{Kind: workers.EvGone, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Reason: workers.Vanished, Ran: -1, Running: p.Seen && p.State == workers.Running}
+			ev := workers.Event{Kind: workers.EvGone, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Reason: workers.Vanished, Ran: -1, Running: p.Runs()}
 			m.Take(ref)
 			t.event(now, m, ev)
 		}
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -37,8 +37,7 @@
 			}
 		case e.Cancel != nil:
 			if j := t.table.Find(*e.Cancel); j != nil {
-				t.table.Finish(j.Rec.ID, jobs.Cancelled)
-				t.table.Leave(j)
+				t.over(j.Rec.ID, jobs.Cancelled)
 			}
 		case e.Tasks != nil:
 			j := t.table.Find(e.Tasks.ID)
@@ -54,8 +53,7 @@
 			j.SumN += e.Tasks.Known
 			if j.NotedN == len(j.Tasks) {
 				t.book.RestoreHistory(j.SumS, j.SumN)
-				t.table.Finish(j.Rec.ID, jobs.Done)
-				t.table.Leave(j)
+				t.over(j.Rec.ID, jobs.Done)
 			}
 		case e.Size != nil:
 			finals[e.Size.ID] = e.Size.Size
@@ -152,7 +150,7 @@
 	t.loaded = true
 	t.book.Age(now.Seconds(), 0)
 	t.dirty = true
-	t.note(Info, "term begun", "epoch", t.epoch, "jobs", len(t.book.Order()), "machines", len(registry), "booting", len(booting), "segments", last)
+	t.note(Info, "term begun", "epoch", t.epoch, "jobs", t.book.Len(), "machines", len(registry), "booting", len(booting), "segments", last)
 }
 
 // over notes a final state while replaying, whatever stood before it.
@@ -184,19 +182,16 @@
 			j.LastAim = max(j.LastAim, at+settings.Seconds(o.WithinS))
 			j.LostUntil = max(j.LostUntil, at+settings.Seconds(o.WithinS*t.cfg.Tunables.LostBehind))
 		}
-		if o.Kind == settings.AimWait {
-			within := settings.Seconds(o.WithinS)
-			if lead := t.cfg.Tunables.WaitLeadS; lead > 0 {
-				j.Ahead = append(j.Ahead, [2]time.Duration{at + settings.Seconds(o.WithinS-min(lead, mostLead*o.WithinS)), at + within})
-			}
+		if o.Kind == settings.AimWait && t.cfg.Tunables.WaitLeadS > 0 {
+			t.goAhead(j, at, o.WithinS)
 		}
 	}
 	return j
 }
 
 // startBy has a best-effort job, which goes behind the order at first, go
-// ahead of it in time for an aim for its end: tasks that run long must begin
-// earlier than a share of the aim alone tells.
+// ahead of it in time for an aim for its end, and at once where that cannot be
+// made: such jobs set the end of the day.
 func (t *Term) startBy(j *jobs.Job, at time.Duration, within float64) {
 	if j.Rec.Priority > 0 || t.cfg.Tunables.WaitLeadS == 0 {
 		return
@@ -207,9 +202,15 @@
 		j.BehindUntil = 0
 		return
 	}
+	j.BehindUntil = min(j.BehindUntil, t.goAhead(j, at, latest))
+}
+
+// goAhead has a job's waiting tasks go ahead of the order for a while before
+// the latest time at which they should start, and says from when on.
+func (t *Term) goAhead(j *jobs.Job, at time.Duration, latest float64) time.Duration {
 	from := at + settings.Seconds(latest-min(t.cfg.Tunables.WaitLeadS, mostLead*latest))
 	j.Ahead = append(j.Ahead, [2]time.Duration{from, at + settings.Seconds(latest)})
-	j.BehindUntil = min(j.BehindUntil, from)
+	return from
 }
 
 // What startBy leaves for tasks that run longer than estimated, and for
@@ -237,8 +238,8 @@
 }
 
 // patience is how long a job goes behind the order: best-effort work until
-// some time before its class's tightest aim, so that small jobs of it do not jump the
-// queue of those that are in more of a hurry.
+// some time before its class's tightest aim, so that small jobs of it do not
+// jump the queue of those that are in more of a hurry.
 func (t *Term) patience(rec ledger.Job) time.Duration {
 	if rec.Priority > 0 {
 		return 0
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -20,12 +20,6 @@
 	}
 }
 
-// blind says whether a machine that is not resolved may have tasks of any
-// job, since no grants were noted for it.
-func (t *Term) blind() bool {
-	return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return m.Durable && !m.Resolved && m.Number == 0 })
-}
-
 // resolved notes that what an earlier term left on a machine is known.
 func (t *Term) resolved(now time.Duration, m *workers.Machine) {
 	t.dirty = true
@@ -34,7 +28,7 @@
 			j.Unsettled--
 		}
 	}
-	if t.unresolved() == (amounts.Amounts{}) {
+	if room, _ := t.unresolved(); room == (amounts.Amounts{}) {
 		t.note(Info, "all machines resolved", "epoch", t.epoch, "after", (now - t.began).Round(10*time.Millisecond))
 	}
 }
@@ -115,10 +109,10 @@
 		t.emit(ReplyReport{to, answer})
 		return
 	}
+	rec := ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
 	m := t.yard.Find(r.Machine)
 	if m == nil {
-		m = t.addMachine(now, ledger.Machine{Name: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot})
-		if m == nil {
+		if m = t.addMachine(now, rec); m == nil {
 			t.emit(ReplyReport{to, answer})
 			return
 		}
@@ -129,8 +123,8 @@
 		m.Resolved = true // no task is ever started on a machine before it is registered
 		if m.QueueRegistry() {
 			t.numbers++
-			m.Number = t.numbers
-			t.log.Append(ledger.Entry{Machine: &ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Number: m.Number}}, tagMachine(r.Machine))
+			m.Number, rec.Number = t.numbers, t.numbers
+			t.log.Append(ledger.Entry{Machine: &rec}, tagMachine(r.Machine))
 		}
 	}
 	if !m.Fresh(r) {
@@ -368,11 +362,7 @@
 		b = &ledger.Tasks{ID: id}
 		t.completed[id] = b
 	}
-	if n := len(b.Ranges); n > 0 && b.Ranges[n-1][1] == k {
-		b.Ranges[n-1][1] = k + 1
-	} else {
-		b.Ranges = append(b.Ranges, [2]int{k, k + 1})
-	}
+	b.Add(k)
 	if took >= 0 {
 		b.Seconds = float64(int64((b.Seconds+took)*100)) / 100
 		b.Known++
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -196,5 +196,6 @@
 
 // world is what the planner looks at.
 func (t *Term) world(now time.Duration) blocks.World {
-	return blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: t.unresolved(), Blind: t.blind(), Zone: t.zones.Index}
+	room, blind := t.unresolved()
+	return blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: room, Blind: blind, Zone: t.zones.Index}
 }
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -295,14 +295,17 @@
 	return sum
 }
 
-func (t *Term) unresolved() amounts.Amounts {
-	var sum amounts.Amounts
+// unresolved sums up the machines of which it is not known what an earlier
+// term left on them, and says whether one of them may have tasks of any job,
+// since no grants were noted for it.
+func (t *Term) unresolved() (room amounts.Amounts, blind bool) {
 	for _, m := range t.yard.All() {
 		if m.Durable && !m.Resolved {
-			sum = sum.Plus(m.Cap)
+			room = room.Plus(m.Cap)
+			blind = blind || m.Number == 0
 		}
 	}
-	return sum
+	return room, blind
 }
 
 // settle sets final sizes that are due; each is written once.
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -348,12 +348,15 @@
 	state    string
 }
 
+// request carries a user's request to a node.
+func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to node.Asker), done func(a node.Answer, ok bool)) {
+	c := s.nodes[at%len(s.nodes)]
+	call(s, "users", c.name, limit, func(reply func(node.Answer)) { c.ask(false, f, reply) }, done)
+}
+
 func (s *sim) submit(j *userJob, at int, again func() bool) {
 	sent := s.now
-	c := s.nodes[at%len(s.nodes)]
-	call(s, "users", c.name, 5*time.Second, func(reply func(node.Answer)) {
-		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Submit(now, to, j.spec) }, reply)
-	}, func(a node.Answer, ok bool) {
+	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to node.Asker) { c.core.Submit(now, to, j.spec) }, func(a node.Answer, ok bool) {
 		if ok && (a.Status == 200 || a.Status == 201) {
 			j.accepted = true
 			s.check.told(j, a, sent)
@@ -374,10 +377,7 @@
 
 func (s *sim) poll(j *userJob, at int) {
 	sent := s.now
-	c := s.nodes[at%len(s.nodes)]
-	call(s, "users", c.name, 2*time.Second, func(reply func(node.Answer)) {
-		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Query(now, to, j.id) }, reply)
-	}, func(a node.Answer, ok bool) {
+	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to node.Asker) { c.core.Query(now, to, j.id) }, func(a node.Answer, ok bool) {
 		if ok {
 			s.check.told(j, a, sent)
 		}
@@ -387,10 +387,7 @@
 func (s *sim) abort(j *userJob, at int) {
 	sent := s.now
 	j.asked = true
-	c := s.nodes[at%len(s.nodes)]
-	call(s, "users", c.name, 5*time.Second, func(reply func(node.Answer)) {
-		c.ask(false, func(c *controller, now time.Duration, to node.Asker) { c.core.Abort(now, to, j.id) }, reply)
-	}, func(a node.Answer, ok bool) {
+	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to node.Asker) { c.core.Abort(now, to, j.id) }, func(a node.Answer, ok bool) {
 		if ok && a.Status == 200 {
 			s.check.told(j, a, sent)
 			return
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -230,10 +230,6 @@
 	if dt <= 0 || cpus <= 0 {
 		return
 	}
-	type claim struct {
-		job    *Job
-		demand float64
-	}
 	claims := make([]claim, 0, len(b.order))
 	for _, j := range b.order {
 		job := b.job(j)
@@ -242,33 +238,53 @@
 			claims = append(claims, claim{job, max(parallel, 1) * job.cpus})
 		}
 	}
-	slices.SortFunc(claims, func(a, c claim) int { return cmp.Compare(a.demand, c.demand) })
+	slices.SortFunc(claims, byDemand)
 	b.sorted = b.sorted && len(claims) == 0
-	level := make([]float64, len(b.Limits)) // the most that one job of the team may get
-	open, room := make([]int, len(b.Limits)), slices.Clone(b.Limits)
-	for _, c := range claims {
-		if t := c.job.team; int(t) < len(open) {
-			open[t]++
+	for team, limit := range b.Limits {
+		if limit <= 0 {
+			continue
+		}
+		most := level(claims, limit, func(j *Job) bool { return int(j.team) == team })
+		for i, c := range claims {
+			if int(c.job.team) == team {
+				claims[i].demand = min(c.demand, most)
+			}
 		}
 	}
+	slices.SortFunc(claims, byDemand)
+	most := level(claims, cpus, func(*Job) bool { return true })
 	for _, c := range claims {
-		if t := c.job.team; int(t) < len(open) {
-			level[t] = max(level[t], room[t]/float64(open[t]))
-			room[t] -= min(c.demand, room[t]/float64(open[t]))
-			open[t]--
-		}
+		c.job.aged = min(c.job.size, c.job.aged+min(c.demand, most)/c.job.cpus*dt)
 	}
-	for i, c := range claims {
-		if t := c.job.team; int(t) < len(level) && b.Limits[t] > 0 {
-			claims[i].demand = min(c.demand, level[t])
+}
+
+// claim is how many processors a job could use in the virtual cluster.
+type claim struct {
+	job    *Job
+	demand float64
+}
+
+func byDemand(a, b claim) int { return cmp.Compare(a.demand, b.demand) }
+
+// level is the most that one of the jobs may get where cpus processors are
+// shared max-min fairly among them. The claims come smallest first.
+func level(claims []claim, cpus float64, of func(*Job) bool) float64 {
+	n := 0
+	for _, c := range claims {
+		if of(c.job) {
+			n++
 		}
 	}
-	slices.SortFunc(claims, func(a, c claim) int { return cmp.Compare(a.demand, c.demand) })
-	for i, c := range claims {
-		got := min(c.demand, cpus/float64(len(claims)-i))
-		cpus -= got
-		c.job.aged = min(c.job.size, c.job.aged+got/c.job.cpus*dt)
+	most := 0.0
+	for _, c := range claims {
+		if of(c.job) {
+			share := cpus / float64(n)
+			most = max(most, share)
+			cpus -= min(c.demand, share)
+			n--
+		}
 	}
+	return most
 }
 
 // Order lists the jobs, smallest virtual size first, then by arrival. The
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -115,6 +115,9 @@
 	GraceS    float64
 }
 
+// Runs says whether the task was running when it was last reported.
+func (p *Placement) Runs() bool { return p.Seen && p.State == Running }
+
 type image struct {
 	id   int32
 	gb   float64
@@ -443,10 +446,10 @@
 	var cmds []Command
 	gone := func(p *Placement, why Reason) {
 		ran := time.Duration(-1)
-		if p.Seen && p.State == Running {
+		if p.Runs() {
 			ran = now - p.RanAt
 		}
-		events = append(events, Event{Kind: EvGone, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Reason: why, Ran: ran, Running: p.Seen && p.State == Running})
+		events = append(events, Event{Kind: EvGone, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Reason: why, Ran: ran, Running: p.Runs()})
 		m.Take(p.Ref)
 	}
 	if r.Session > m.Session && m.Session != 0 {
@@ -493,7 +496,7 @@
 			mine := p != nil && p.Attempt == t.Attempt
 			if t.Reason == Completed && k.Open {
 				ev := Event{Kind: EvCompleted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Ran: -1}
-				if mine && p.Seen && p.State == Running {
+				if mine && p.Runs() {
 					ev.Ran, ev.Running = now-p.RanAt, true
 				}
 				m.Take(k.Ref)
