--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -289,8 +289,8 @@
 func (p *Planner) rank(w *World, i int32) int {
 	j := w.Jobs.At(i)
 	switch {
-	case p.UrgentFirst && j.Rec.Priority >= 2:
-		return int(j.Rec.Priority)
+	case p.UrgentFirst && j.Priority >= 2:
+		return int(j.Priority)
 	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
 		return 1
 	case j.Guaranteed:
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -125,7 +125,7 @@
 	if p.ranks[j.Index] <= p.ranks[o.Index] {
 		return false // the room would go back to the task that was stopped
 	}
-	if o.Rec.Priority < j.Rec.Priority && !o.Guaranteed {
+	if o.Priority < j.Priority && !o.Guaranteed {
 		return true
 	}
 	if !j.Guaranteed || o.Team == j.Team || int(o.Team) >= len(p.Guarantees) {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -30,10 +30,12 @@
 // Phase is a job's place in its life.
 type Phase uint8
 
-// Phases. A job is Accepting until its acceptance is durable, and Cancelling
-// until its cancellation is.
+// Phases. A job is Accepting until its acceptance is durable, Held until all
+// jobs that it follows are durably done, and Cancelling until its cancellation
+// is durable.
 const (
 	Accepting Phase = iota
+	Held
 	Open
 	Cancelling
 	Cancelled
@@ -55,6 +57,12 @@
 	Types     []bool
 	Spot      bool // may and should use spot machines
 
+	After     []int32 // open jobs that it waits for
+	Followers []int32 // open jobs that wait for it
+	// Priority is the highest of its own and those of the jobs that need it,
+	// directly or not.
+	Priority uint8
+
 	Tasks    []TaskState
 	Waiting  int
 	Placed   int
@@ -80,7 +88,7 @@
 	CancelledAt time.Duration // when its user was told
 	Errors      int
 	NotBefore   time.Duration
-	AcceptedAt  time.Duration
+	AcceptedAt  time.Duration      // or released, if it waited for others: its times count from then
 	FirstAt     time.Duration      // when its first task was seen running in this term
 	LastAt      time.Duration      // and the last to begin so far
 	BehindUntil time.Duration      // best-effort work goes behind the order until then
@@ -107,7 +115,7 @@
 
 // Add enters a job.
 func (t *Table) Add(rec ledger.Job) *Job {
-	j := &Job{Rec: rec, Need: amounts.Need(rec.CPUs, rec.GPUs, rec.MemoryGB), Tasks: make([]TaskState, rec.Tasks), Waiting: rec.Tasks}
+	j := &Job{Rec: rec, Need: amounts.Need(rec.CPUs, rec.GPUs, rec.MemoryGB), Priority: rec.Priority, Tasks: make([]TaskState, rec.Tasks), Waiting: rec.Tasks}
 	if n := len(t.free); n > 0 {
 		j.Index = t.free[n-1]
 		t.free = t.free[:n-1]
@@ -150,6 +158,9 @@
 // Finals is the number of jobs that are over.
 func (t *Table) Finals() int { return len(t.finals) }
 
+// Len is the number of jobs in the table.
+func (t *Table) Len() int { return len(t.byID) }
+
 // Leave takes a job out of the table; its index will be used again. A job
 // that has left already stays as it is: freeing its index twice would give
 // it to two jobs at once.
--- /dev/null
+++ b/internal/jobs/links.go
@@ -0,0 +1,63 @@
+package jobs
+
+import "slices"
+
+// Links between jobs: which follow which. They are kept between open jobs
+// only; a job that is over has none. So whatever happens to a job costs work
+// for its own neighbours alone.
+
+// Follow notes that a job waits for another, open one.
+func (t *Table) Follow(j, before *Job) {
+	j.After = append(j.After, before.Index)
+	before.Followers = append(before.Followers, j.Index)
+}
+
+// Unlink takes a job that is over out of all links. It returns the jobs that
+// waited for it.
+func (t *Table) Unlink(j *Job) []*Job {
+	var waited []*Job
+	for _, i := range j.Followers {
+		f := t.jobs[i]
+		f.After = without(f.After, j.Index)
+		waited = append(waited, f)
+	}
+	for _, i := range j.After {
+		b := t.jobs[i]
+		b.Followers = without(b.Followers, j.Index)
+	}
+	j.After, j.Followers = nil, nil
+	return waited
+}
+
+func without(list []int32, i int32) []int32 {
+	return slices.DeleteFunc(list, func(o int32) bool { return o == i })
+}
+
+// Needing lists the open jobs that need a job, directly or through others,
+// each once.
+func (t *Table) Needing(j *Job) []*Job {
+	return t.reach(j, func(x *Job) []int32 { return x.Followers })
+}
+
+// Needed lists the open jobs that a job needs, directly or through others,
+// each once.
+func (t *Table) Needed(j *Job) []*Job {
+	return t.reach(j, func(x *Job) []int32 { return x.After })
+}
+
+func (t *Table) reach(j *Job, next func(*Job) []int32) []*Job {
+	var out []*Job
+	seen := map[int32]bool{j.Index: true}
+	for todo := []*Job{j}; len(todo) > 0; {
+		x := todo[len(todo)-1]
+		todo = todo[:len(todo)-1]
+		for _, i := range next(x) {
+			if !seen[i] {
+				seen[i] = true
+				out = append(out, t.jobs[i])
+				todo = append(todo, t.jobs[i])
+			}
+		}
+	}
+	return out
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,6 +37,15 @@
 	Types    []Type    `json:"y,omitempty"`
 	Over     *Over     `json:"f,omitempty"`
 	Grant    *Grant    `json:"g,omitempty"`
+	After    *After    `json:"v,omitempty"`
+}
+
+// After lists jobs that a job follows, where they are too many for its own
+// entry. It belongs to the job's entry of the same time of acceptance.
+type After struct {
+	ID   uint64   `json:"i"`
+	AtMS int64    `json:"a"`
+	Jobs []uint64 `json:"f"`
 }
 
 // Grant notes, before the first start, that machines may have tasks of a job.
@@ -78,15 +87,21 @@
 	SaveS      float64  `json:"s,omitempty"`
 	DeadlineS  float64  `json:"d,omitempty"`
 	AtMS       int64    `json:"a"` // time of day of the acceptance
+
+	Follows    []uint64 `json:"f,omitempty"` // jobs to be done before any task of this one starts
+	Rest       int      `json:"q,omitempty"` // so many of them stand in entries of their own
+	ReleasedMS int64    `json:"r,omitempty"` // time of day when the last of them was done; then they are left out
 }
 
 // Tasks notes completed tasks of a job as ranges [from, to), and the run
-// time of those whose time is known.
+// time of those whose time is known. For a job that others wait for it has the
+// time of day, from which theirs counts.
 type Tasks struct {
 	ID      uint64   `json:"i"`
 	Ranges  [][2]int `json:"r"`
 	Seconds float64  `json:"s,omitempty"`
 	Known   int      `json:"n,omitempty"`
+	AtMS    int64    `json:"a,omitempty"`
 }
 
 // Add adds a task to the ranges; tasks in ascending order make few of them.
@@ -141,6 +156,7 @@
 	SpotPrice float64  `json:"q"`
 	BootS     float64  `json:"b"`
 	Zones     []string `json:"z"`
+	More      bool     `json:"w,omitempty"` // these zones are further ones of the type
 }
 
 // VirtualSizes is what one sizes value holds.
@@ -184,6 +200,7 @@
 	Conflict                // 409
 	Refused                 // 429, 503: not executed
 	Unknown                 // no response: may be executed, now or later
+	Invalid                 // 400: not executed, and never will be in this form
 )
 
 // Limits are those of the state service.
@@ -194,8 +211,9 @@
 }
 
 const (
-	txnBytes  = 56 << 10 // below the service's 64 KiB, which counts keys and conditions too
-	openShare = 0.7      // share of write_rps that commits may use; elections and sizes use the rest
+	txnBytes   = 56 << 10 // below the service's 64 KiB, which counts keys and conditions too
+	openShare  = 0.7      // share of write_rps that commits may use; elections use the rest
+	leastBytes = 512      // values are not made smaller than this
 )
 
 // Log is the write side, held by the leader during its term.
@@ -208,6 +226,7 @@
 	mark     uint64 // its version; 0 while it does not exist
 	body     []byte // its entries, comma separated, as committed or in flight
 	pending  []pend
+	queued   int // bytes of the pending entries
 	inflight *flight
 	readBack bool
 	seq      uint64
@@ -216,9 +235,11 @@
 	at     time.Duration
 	wait   time.Duration // no commit before this
 	fails  int
+	sealed bool // the open segment is larger than what may be written: it stays as it is
 
-	sizes     []Op
-	sizeCount int
+	sizes     []Op     // pieces of the last list of virtual sizes that are not written yet
+	sizeCount int      // pieces that may be there
+	sizeWant  int      // pieces of the last list
 	drops     []string // segments whose live entries have been written anew
 }
 
@@ -231,6 +252,7 @@
 	txn      Txn
 	segments []segment
 	count    int // pending entries in it
+	sizes    []Op
 	drops    []string
 	sent     bool
 	unsure   bool // a try of it had no answer
@@ -241,9 +263,11 @@
 	body   []byte
 }
 
-// NewLog starts the log of a term after the last segment that was read.
-func NewLog(lim Limits, epochKey string, epochMark uint64, last int) *Log {
-	return &Log{lim: lim, epochKey: epochKey, epochMark: epochMark, segment: last + 1, tokens: 1}
+// NewLog starts the log of a term after the last segment that was read. sizes
+// is how many pieces of virtual sizes were found: those that its own lists do
+// not reach are removed with the first of them.
+func NewLog(lim Limits, epochKey string, epochMark uint64, last, sizes int) *Log {
+	return &Log{lim: lim, epochKey: epochKey, epochMark: epochMark, segment: last + 1, tokens: 1, sizeCount: sizes}
 }
 
 // Key is the key of a segment.
@@ -266,6 +290,7 @@
 		panic(fmt.Sprintf("ledger: an entry that cannot be written: %v", err)) // no entry holds such a value
 	}
 	l.pending = append(l.pending, pend{raw, tag})
+	l.queued += len(raw) + 1
 }
 
 // Fits says whether an entry can be stored at all.
@@ -292,18 +317,22 @@
 // Pending is the number of entries not known to be durable.
 func (l *Log) Pending() int { return len(l.pending) }
 
-// SetSizes queues the virtual sizes of all jobs; they go with the next
-// commit that has room, and a newer list replaces one still waiting.
+// SetSizes queues the virtual sizes of all jobs, in pieces: each commit takes
+// along as many as it has room for, and a newer list replaces what is left of
+// one. Jobs should come in a steady order, so that few change their piece:
+// until all pieces are written, some are of the list before.
 func (l *Log) SetSizes(all []VirtualSize) {
-	l.sizes = l.sizes[:0]
+	l.sizes = nil
 	var list []VirtualSize
 	used := 16
+	n := 0
 	flush := func() {
 		raw, err := json.Marshal(VirtualSizes{list})
 		if err != nil {
 			panic(fmt.Sprintf("ledger: sizes that cannot be written: %v", err))
 		}
-		l.sizes = append(l.sizes, Op{Key: fmt.Sprintf("%s%04d", SizesPrefix, len(l.sizes)), Value: raw})
+		l.sizes = append(l.sizes, Op{Key: sizesKey(n), Value: raw})
+		n++
 		list, used = nil, 16
 	}
 	for _, s := range all {
@@ -315,11 +344,23 @@
 		list = append(list, s)
 	}
 	flush()
-	for n := len(l.sizes); n < l.sizeCount; n++ {
-		l.sizes = append(l.sizes, Op{Key: fmt.Sprintf("%s%04d", SizesPrefix, n), Remove: true})
+	l.sizeWant = n
+	for l.sizeCount = max(l.sizeCount, n); n < l.sizeCount; n++ {
+		l.sizes = append(l.sizes, Op{Key: sizesKey(n), Remove: true})
 	}
 }
 
+func sizesKey(n int) string { return fmt.Sprintf("%s%04d", SizesPrefix, n) }
+
+// SizesNumber is the number of the piece of virtual sizes with a key.
+func SizesNumber(key string) (int, error) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, SizesPrefix))
+	if err != nil {
+		return 0, fmt.Errorf("ledger: key %q: %w", key, err)
+	}
+	return n, nil
+}
+
 // Next returns the transaction to send now, if any.
 func (l *Log) Next(now time.Duration) *Txn {
 	rate := l.lim.WriteRPS * openShare
@@ -345,15 +386,22 @@
 	cur := segment{l.segment, bytes.Clone(l.body)}
 	total := len(cur.body)
 	ops := 1
+	// Where a single change can be spent and not all goes into the open segment,
+	// a new one takes more than what is left of one that is nearly full.
+	fresh := l.sealed || (l.tokens < 2 && len(l.body) > l.room()/2 && len(l.body)+l.queued > l.room())
 	for _, p := range l.pending {
 		if total+len(p.raw) > txnBytes {
 			break
 		}
-		if len(cur.body) > 0 && len(cur.body)+1+len(p.raw) > l.room() {
-			if ops+1 > l.lim.TxnOps || float64(ops+1) > l.tokens {
-				break
+		full := len(cur.body) > 0 && len(cur.body)+1+len(p.raw) > l.room()
+		if full || (fresh && cur.number == l.segment) {
+			// A segment that stays as it is costs no change.
+			if cur.number != l.segment || len(cur.body) != len(l.body) {
+				if ops+1 > l.lim.TxnOps || float64(ops+1) > l.tokens {
+					break
+				}
+				ops++
 			}
-			ops++
 			f.segments = append(f.segments, cur)
 			cur = segment{number: cur.number + 1}
 		}
@@ -381,21 +429,16 @@
 			txn.Writes = append(txn.Writes, Op{Key: Key(s.number), Value: wrap(s.body)})
 		}
 	}
-	if len(l.sizes) > 0 {
-		size := total
-		for _, o := range l.sizes {
-			size += len(o.Value)
-		}
-		if len(txn.Writes)+len(l.sizes) <= l.lim.TxnOps && size <= txnBytes {
-			txn.Writes = append(txn.Writes, l.sizes...)
-			l.sizeCount = len(l.sizes)
-			l.sizes = nil
-		} else if f.count == 0 {
-			l.sizes = nil // more jobs than fit: aging of this round is not kept
-			return nil
-		}
+	spare := func() bool {
+		return len(txn.Writes) < l.lim.TxnOps && float64(len(txn.Writes)+1) <= max(1, l.tokens)
+	}
+	for len(l.sizes) > 0 && spare() && total+len(l.sizes[0].Value) <= txnBytes {
+		total += len(l.sizes[0].Value)
+		f.sizes = append(f.sizes, l.sizes[0])
+		txn.Writes = append(txn.Writes, l.sizes[0])
+		l.sizes = l.sizes[1:]
 	}
-	for len(l.drops) > 0 && len(txn.Writes) < l.lim.TxnOps {
+	for len(l.drops) > 0 && spare() {
 		f.drops = append(f.drops, l.drops[0])
 		txn.Writes = append(txn.Writes, Op{Key: l.drops[0], Remove: true})
 		l.drops = l.drops[1:]
@@ -451,37 +494,63 @@
 		return nil, Reread
 	case Unknown:
 		if f.count == 0 {
-			// Only sizes, which the next ones replace, and segments to remove,
-			// which can be removed twice.
-			l.drops = append(l.drops, f.drops...)
-			l.inflight = nil
+			// Only sizes and segments to remove: both can be done twice.
+			l.giveUp(f)
 			return nil, Carry
 		}
 		f.unsure = true
 		l.readBack = true
 		return nil, Reread
+	case Invalid:
+		// Larger than the service now takes. This must never be met; if it is,
+		// smaller values are tried in further segments. What may have been
+		// executed already, or is as small as can be, ends the term instead: the
+		// next one begins with what is really there.
+		if f.unsure || l.lim.ValueBytes <= leastBytes {
+			return nil, Lost
+		}
+		l.lim.ValueBytes = max(leastBytes, l.lim.ValueBytes/2)
+		l.lim.TxnOps = max(2, l.lim.TxnOps/2)
+		l.sealed = len(l.body) > 0
+		l.sizes, f.sizes = nil, nil // the next list comes in smaller pieces
+		l.giveUp(f)
+		return nil, Carry
 	default:
 		l.fails++
 		l.wait = now + time.Duration(min(l.fails, 8))*60*time.Millisecond
 		if !f.unsure {
-			l.drops = append(l.drops, f.drops...)
-			l.inflight = nil
+			l.giveUp(f)
 		}
 		return nil, Carry
 	}
 }
 
+// giveUp takes back a transaction that was not executed, or may be executed a
+// second time: its entries are still pending.
+func (l *Log) giveUp(f *flight) {
+	l.drops = append(l.drops, f.drops...)
+	if len(l.sizes) == 0 { // otherwise a newer list has come
+		l.sizes = f.sizes
+	}
+	l.inflight = nil
+}
+
 func (l *Log) applied(f *flight, mark uint64) []any {
 	l.fails = 0
 	l.inflight = nil
+	if len(f.sizes) > 0 && len(l.sizes) == 0 {
+		l.sizeCount = l.sizeWant // all that was there beyond is removed
+	}
 	if f.count == 0 {
 		return nil
 	}
 	last := f.segments[len(f.segments)-1]
+	l.sealed = l.sealed && last.number == l.segment
 	l.segment, l.body, l.mark = last.number, last.body, mark
 	tags := make([]any, f.count)
 	for i := range tags {
 		tags[i] = l.pending[i].tag
+		l.queued -= len(l.pending[i].raw) + 1
 	}
 	l.pending = l.pending[f.count:]
 	return tags
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -55,7 +55,7 @@
 
 var lim = Limits{WriteRPS: 1000, ValueBytes: 200, TxnOps: 4}
 
-func newLog() *Log { return NewLog(lim, "lead/epoch", 1, 0) }
+func newLog() *Log { return NewLog(lim, "lead/epoch", 1, 0, 0) }
 
 // An unanswered commit is applied late, after it has been sent again: the
 // second try fails, the value shows that the first did, nothing is doubled.
--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -8,51 +8,50 @@
 	"bitternmoor/internal/workers"
 )
 
-// The log is cleaned from its old end, one segment at a time: what is still
-// live of it is appended anew, and once that is durable the segment is
+// The log is cleaned from its old end, a few segments at a time: what is still
+// live of them is appended anew, and once that is durable they are
 // removed. Entries may then be there twice for a while, which replaying them
 // bears. Cleaning the oldest first keeps the order of what concerns one job.
 
 const (
 	cleanEvery   = 2 * time.Second
-	fewSegments  = 24  // not worth cleaning
-	jobBytes     = 400 // rough sizes, to tell how much of the log is live
+	cleanBytes   = 12 << 10 // taken at once, in whole segments
+	cleanMost    = 8        // segments at once: each costs a change to remove
+	fewSegments  = 24       // not worth cleaning
+	jobBytes     = 400      // rough sizes, to tell how much of the log is live
 	overBytes    = 9
 	machineBytes = 100
 	grantBytes   = 5
 )
 
+// tagClean is the number of the first segment that stays.
 type tagClean int
 
-// clean asks for the oldest segment when the log has grown to a few times
+// clean asks for the oldest segments when the log has grown to a few times
 // what is live of it.
 func (t *Term) clean(now time.Duration) {
 	if t.cleaning || t.log.Pending() > 0 || now-t.cleanAt < cleanEvery {
 		return
 	}
-	live := t.book.Len()*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
+	live := t.table.Len()*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
 	for _, list := range t.granted {
 		live += len(list) * grantBytes
 	}
-	most := max(fewSegments, 3*live/int(t.cfg.Deployment.State.ValueKB*1024))
-	if t.log.Last()-t.first < most {
+	value := int(t.cfg.Writes().ValueKB * 1024)
+	spare := t.log.Last() - t.first - max(fewSegments, 3*live/value)
+	if spare < 0 {
 		return
 	}
 	t.cleaning, t.cleanAt = true, now
-	t.emit(Clean{t.first})
+	t.emit(Clean{t.first, min(spare+1, max(1, min(cleanBytes/value, cleanMost)), t.log.Last()-t.first)})
 }
 
-// cleaned takes the oldest segment, read back. A key that is missing has been
-// removed already.
-func (t *Term) cleaned(n int, read bool, mark uint64, entries []ledger.Entry) {
+// cleaned takes the segments numbered first to end-1, read back. A key that is
+// missing has been removed already.
+func (t *Term) cleaned(first, end int, read bool, entries []ledger.Entry) {
 	// An entry still on its way to the log would stand before what is appended
 	// here and be replayed without the job that it speaks of.
-	if !read || n != t.first || t.log.Pending() > 0 || len(t.completed) > 0 {
-		t.cleaning = false
-		return
-	}
-	if mark == 0 {
-		t.first++
+	if !read || first != t.first || t.log.Pending() > 0 || len(t.completed) > 0 || !t.canKeep(entries) {
 		t.cleaning = false
 		return
 	}
@@ -64,7 +63,7 @@
 			over = ledger.Over{}
 		}
 	}
-	end := func(id uint64) {
+	ended := func(id uint64) {
 		switch p, _ := t.table.Final(id); p {
 		case jobs.Done:
 			over.Done = append(over.Done, id)
@@ -73,6 +72,7 @@
 		}
 		flush(max(1, t.log.Room()/idBytes-2))
 	}
+	typed := false
 	byNumber := map[int]*workers.Machine{}
 	for _, m := range t.yard.All() {
 		byNumber[m.Number] = m
@@ -89,26 +89,33 @@
 			if len(g.Machines) > 0 {
 				t.log.Append(ledger.Entry{Grant: &g}, nil)
 			}
+		case e.After != nil:
+			// One for one, beside the job's own entry: the two may be in different
+			// segments, and what a waiting job follows must never be lost.
+			if j := t.table.Find(e.After.ID); j != nil && j.Rec.AtMS == e.After.AtMS {
+				t.log.Append(e, nil)
+			}
 		case e.Job != nil:
-			if _, ended := t.table.Final(e.Job.ID); ended {
-				end(e.Job.ID)
+			if _, over := t.table.Final(e.Job.ID); over {
+				ended(e.Job.ID)
 			} else if j := t.table.Find(e.Job.ID); j != nil {
 				t.again(j)
 			}
 		case e.Over != nil:
 			for _, id := range e.Over.Done {
-				end(id)
+				ended(id)
 			}
 			for _, id := range e.Over.Cancelled {
-				end(id)
+				ended(id)
 			}
 		case e.Machine != nil:
 			if m := t.yard.Find(e.Machine.Name); m != nil {
 				t.log.Append(ledger.Entry{Machine: e.Machine}, nil)
 			}
 		case e.Types != nil:
-			for i := range t.types {
-				t.log.Append(ledger.Entry{Types: t.types[i : i+1]}, nil)
+			if !typed {
+				typed = true
+				t.appendTypes(t.types)
 			}
 		case e.Rental != nil:
 			if r, open := t.rentals[e.Rental.Name]; open {
@@ -118,13 +125,30 @@
 	}
 	flush(1)
 	// This entry says nothing by itself; when it is durable all before it is.
-	t.log.Append(ledger.Entry{Over: &ledger.Over{}}, tagClean(n))
+	t.log.Append(ledger.Entry{Over: &ledger.Over{}}, tagClean(end))
+}
+
+// canKeep says whether all that is live of these entries can be written anew.
+// What was stored under larger limits may be too large now: then it stays
+// where it is until the job is over.
+func (t *Term) canKeep(entries []ledger.Entry) bool {
+	for _, e := range entries {
+		if e.Job == nil {
+			continue
+		}
+		if j := t.table.Find(e.Job.ID); j != nil {
+			if rec, _ := t.stored(j.Rec); !t.log.Fits(ledger.Entry{Job: &rec}) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // again appends what is durable of an open job. What is not yet durable of it
 // is queued behind or follows later.
 func (t *Term) again(j *jobs.Job) {
-	t.log.Append(ledger.Entry{Job: &j.Rec}, nil)
+	t.appendJob(j, nil)
 	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
 	for k, s := range j.Tasks {
 		if s == jobs.Noted {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -307,9 +307,9 @@
 }
 
 // Loaded takes the whole log, read after the term began.
-func (c *Core) Loaded(now time.Duration, epoch uint64, first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+func (c *Core) Loaded(now time.Duration, epoch uint64, log Durable) {
 	if c.term != nil && c.term.epoch == epoch && !c.term.loaded {
-		c.term.load(now, c.lead.Mark(), first, last, entries, sizes)
+		c.term.load(now, c.lead.Mark(), log)
 	}
 	c.after(now)
 }
@@ -332,10 +332,11 @@
 	c.after(now)
 }
 
-// Cleaned takes the log's oldest segment, read back.
-func (c *Core) Cleaned(now time.Duration, epoch uint64, n int, read bool, mark uint64, entries []ledger.Entry) {
+// Cleaned takes the log's oldest segments, read back: from the first one on,
+// those numbered below end.
+func (c *Core) Cleaned(now time.Duration, epoch uint64, first, end int, read bool, entries []ledger.Entry) {
 	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
-		c.term.cleaned(n, read, mark, entries)
+		c.term.cleaned(first, end, read, entries)
 	}
 	c.after(now)
 }
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+)
+
+// Jobs that follow others. What a job follows is stored with it; everything
+// else is derived from that and from the final states, by the leader as things
+// become durable and by its successor from the log, with the same result:
+//
+//   - a job is released once all that it follows are durably done;
+//   - a job is cancelled once one that it follows is durably cancelled. Such a
+//     job has no task anywhere: it was never released, for what it follows was
+//     not durably done, and what is durably cancelled never will be.
+
+// stored is the form in which a job is written, and the entries that go before
+// it where it follows more jobs than fit.
+func (t *Term) stored(rec ledger.Job) (ledger.Job, []ledger.Entry) {
+	rec.Rest = 0
+	if rec.ReleasedMS != 0 {
+		rec.Follows = nil
+	}
+	if len(rec.Follows) == 0 || t.log.Fits(ledger.Entry{Job: &rec}) {
+		return rec, nil
+	}
+	var parts []ledger.Entry
+	for ids := range slices.Chunk(rec.Follows, max(1, t.log.Room()/idBytes-4)) {
+		parts = append(parts, ledger.Entry{After: &ledger.After{ID: rec.ID, AtMS: rec.AtMS, Jobs: ids}})
+	}
+	rec.Rest, rec.Follows = len(rec.Follows), nil
+	return rec, parts
+}
+
+// unfollowable says why a job cannot follow what it names; known is false
+// while that cannot be decided.
+func (t *Term) unfollowable(rec *ledger.Job) (why string, known bool) {
+	for _, id := range rec.Follows {
+		if _, over := t.table.Final(id); over {
+			continue
+		}
+		switch j := t.table.Find(id); {
+		case j == nil:
+			return "follows: " + formatID(id) + " was never accepted", true
+		case j.Phase == jobs.Accepting:
+			return "follows: " + formatID(id) + " is being accepted", false
+		case j.Rec.Kind == jobs.Service:
+			return "follows: " + formatID(id) + " is a service, which is never done", true
+		}
+	}
+	return "", true
+}
+
+// link settles what an accepted job waits for. It is false when the job is
+// cancelled from the start, since one that it follows is.
+func (t *Term) link(j *jobs.Job) bool {
+	if j.Rec.ReleasedMS != 0 {
+		return true
+	}
+	for _, id := range j.Rec.Follows {
+		switch p, _ := t.table.Final(id); {
+		case p == jobs.Cancelled:
+			return false
+		case p == jobs.Done:
+		default:
+			if before := t.table.Find(id); before != nil {
+				t.table.Follow(j, before)
+			}
+		}
+	}
+	t.hurry(j)
+	return true
+}
+
+// hurry has the jobs that a job needs take its priority: the exception
+// follow_urgency. Their place in the order changes, their size does not.
+func (t *Term) hurry(j *jobs.Job) {
+	if t.cfg.Tunables.FollowUrgency == 0 {
+		return
+	}
+	for _, x := range t.table.Needed(j) {
+		if x.Priority < j.Priority {
+			x.Priority = j.Priority
+			x.BehindUntil = 0
+			t.dirty = true
+		}
+	}
+}
+
+// calm recomputes the priority of jobs that a cancelled one needed.
+func (t *Term) calm(list []*jobs.Job) {
+	for _, x := range list {
+		x.Priority = x.Rec.Priority
+		if t.cfg.Tunables.FollowUrgency == 1 {
+			for _, f := range t.table.Needing(x) {
+				x.Priority = max(x.Priority, f.Rec.Priority)
+			}
+		}
+	}
+}
+
+// letGo releases a job: all that it follows are durably done. It enters the
+// order as if it had just arrived.
+func (t *Term) letGo(now time.Duration, j *jobs.Job) {
+	j.Phase = jobs.Open
+	j.Rec.ReleasedMS = t.zero + now.Milliseconds()
+	t.schedule(j, now)
+	t.order(now, j)
+	t.counts.Released++
+	t.note(Debug, "job released: all that it follows are done", "job", j.Rec.ID, "class", j.Rec.Class, "follows", len(j.Rec.Follows))
+}
+
+// order enters a job into the order.
+func (t *Term) order(now time.Duration, j *jobs.Job) {
+	t.book.Age(now.Seconds(), t.cpus())
+	if j.Rec.Kind != jobs.Service {
+		t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+	}
+	t.dirty = true
+}
+
+// cancelled acts on a cancellation that is durable, of a job or of one that it
+// follows, and on all that need it.
+func (t *Term) cancelled(now time.Duration, sure bool, j *jobs.Job) {
+	needed, needing := t.table.Needed(j), t.table.Needing(j)
+	t.wipe(now, j)
+	for _, f := range needing {
+		t.wipe(now, f)
+		t.counts.CancelSpread++
+		t.note(Info, "job cancelled with one that it needs", "job", f.Rec.ID, "needs", j.Rec.ID)
+		t.tellEnd(sure, f.Rec.ID)
+	}
+	t.calm(needed)
+}
+
+// wipe cancels one job and stops its tasks.
+func (t *Term) wipe(now time.Duration, j *jobs.Job) {
+	j.Phase, j.CancelledAt = jobs.Cancelled, now
+	t.table.Finish(j.Rec.ID, jobs.Cancelled)
+	t.table.Unlink(j)
+	t.book.Remove(j.Index, false, 0, 0)
+	t.stopTasks(j)
+	t.leaveIfEmpty(j)
+	t.dirty = true
+}
+
+// restoreLinks settles after a replay what every job waits for. The log is
+// read as a whole before: cleaning changes the order of its entries.
+func (t *Term) restoreLinks(now time.Duration, parts map[uint64][]ledger.After, doneAt map[uint64]int64) {
+	var doomed []*jobs.Job
+	for _, j := range t.table.All() {
+		if j == nil {
+			continue
+		}
+		j.Phase, j.Earlier = jobs.Open, true
+		if j.Rec.Rest > 0 && j.Rec.ReleasedMS == 0 {
+			j.Rec.Follows = joined(j.Rec, parts[j.Rec.ID])
+		}
+		if len(j.Rec.Follows) < j.Rec.Rest || !t.found(j.Rec.Follows) {
+			// No leader that knows of links writes such a log. Whether it may
+			// start is not known any more: it waits for its user to cancel it.
+			t.note(Error, "what a job follows is not in the log: it is not started", "job", j.Rec.ID)
+			j.Phase = jobs.Held
+			continue
+		}
+		if !t.link(j) {
+			doomed = append(doomed, j)
+			continue
+		}
+		if len(j.After) > 0 {
+			j.Phase, j.Earlier = jobs.Held, false // never started
+			continue
+		}
+		if len(j.Rec.Follows) > 0 && j.Rec.ReleasedMS == 0 {
+			j.Rec.ReleasedMS = j.Rec.AtMS
+			for _, id := range j.Rec.Follows {
+				j.Rec.ReleasedMS = max(j.Rec.ReleasedMS, doneAt[id])
+			}
+		}
+		if j.Rec.ReleasedMS != 0 {
+			t.schedule(j, t.timeOf(j.Rec.ReleasedMS, now))
+		}
+	}
+	for _, j := range doomed {
+		for _, x := range append(t.table.Needing(j), j) {
+			t.table.Finish(x.Rec.ID, jobs.Cancelled)
+			t.table.Unlink(x)
+			t.table.Leave(x)
+		}
+	}
+}
+
+// found says whether the log knows jobs that an accepted one follows.
+func (t *Term) found(ids []uint64) bool {
+	return !slices.ContainsFunc(ids, func(id uint64) bool {
+		_, over := t.table.Final(id)
+		return !over && t.table.Find(id) == nil
+	})
+}
+
+// joined gathers what a job follows from the entries beside its own: each id
+// once, of the same acceptance only.
+func joined(rec ledger.Job, parts []ledger.After) []uint64 {
+	var out []uint64
+	for _, p := range parts {
+		if p.AtMS == rec.AtMS {
+			out = append(out, p.Jobs...)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -547,9 +547,7 @@
 			t.resolved(now, m)
 		}
 	}
-	for part := range slices.Chunk(list, max(1, t.log.Room()/idBytes-2)) {
-		t.log.Append(ledger.Entry{Gone: part}, nil)
-	}
+	t.appendGone(list)
 	t.dirty = true
 }
 
@@ -570,7 +568,7 @@
 			m.Resolved = true
 		}
 	}
-	t.log.Append(ledger.Entry{Answered: &ledger.Answered{Name: name, Machines: machines}}, nil)
+	t.appendAnswered(r, machines)
 	if len(machines) == 0 {
 		t.counts.RentalsRefused++
 	}
@@ -595,9 +593,7 @@
 	}
 	t.setTypes(list)
 	if changed {
-		for i := range list {
-			t.log.Append(ledger.Entry{Types: list[i : i+1]}, nil)
-		}
+		t.appendTypes(list)
 	}
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -44,6 +44,16 @@
 	Report workers.Report
 }
 
+// Durable is what a new leader reads back: the log's entries in order, with the
+// numbers of its first and last segment, and the virtual sizes, oldest first,
+// with how many pieces of them there may be.
+type Durable struct {
+	First, Last int
+	Entries     []ledger.Entry
+	Sizes       []ledger.VirtualSize
+	Pieces      int
+}
+
 // Effect is something the core wants done.
 type Effect interface{ effect() }
 
@@ -70,7 +80,7 @@
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
 	Recheck struct{ Key string }
-	Clean   struct{ Segment int }
+	Clean   struct{ First, Count int }
 	// Direct sends stops straight to a worker, besides the answer to its next
 	// report. It has no result: nothing is concluded from it. Starts never go
 	// this way, for they could be carried out late.
@@ -98,6 +108,7 @@
 	Debug Level = iota
 	Info
 	Warn
+	Error
 )
 
 func (Reply) effect()       {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -196,12 +198,8 @@
 		})
 	case Clean:
 		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
-			it, err := n.state.Get(ctx, ledger.Key(e.Segment))
-			var entries []ledger.Entry
-			if err == nil && it.Mark != 0 {
-				entries, err = ledger.Decode(it.Value)
-			}
-			return func(now time.Duration) { n.core.Cleaned(now, epoch, e.Segment, err == nil, it.Mark, entries) }
+			entries, err := n.segments(ctx, e.First, e.First+e.Count)
+			return func(now time.Duration) { n.core.Cleaned(now, epoch, e.First, e.First+e.Count, err == nil, entries) }
 		})
 	case Direct:
 		select {
@@ -240,7 +238,7 @@
 			return func(now time.Duration) { n.core.GotTypes(now, epoch, list) }
 		})
 	case Note:
-		n.log.Log(context.Background(), []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn}[e.Level], e.Text, e.Args...)
+		n.log.Log(context.Background(), []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError}[e.Level], e.Text, e.Args...)
 	}
 }
 
@@ -297,9 +295,9 @@
 // term is over.
 func (n *Node) load(epoch uint64) {
 	for {
-		first, last, entries, sizes, err := n.readAll()
+		durable, err := n.readAll()
 		if err == nil {
-			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, first, last, entries, sizes) })
+			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, durable) })
 			return
 		}
 		n.log.Warn("durable state not read", "epoch", epoch, "error", err)
@@ -312,38 +310,73 @@
 	}
 }
 
-func (n *Node) readAll() (first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize, err error) {
-	err = n.readPrefix(ledger.Prefix, func(it wire.Item) error {
+func (n *Node) readAll() (Durable, error) {
+	var d Durable
+	err := n.readPrefix(ledger.Prefix, func(it wire.Item) error {
 		list, err := ledger.Decode(it.Value)
 		if err != nil {
 			return fmt.Errorf("%s: %w", it.Key, err)
 		}
-		entries = append(entries, list...)
-		last, err = ledger.Number(it.Key)
-		if first == 0 {
-			first = last
+		d.Entries = append(d.Entries, list...)
+		d.Last, err = ledger.Number(it.Key)
+		if d.First == 0 {
+			d.First = d.Last
 		}
 		return err
 	})
 	if err != nil {
-		return 0, 0, nil, nil, err
+		return Durable{}, err
+	}
+	var pieces []wire.Item
+	if err := n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error { pieces = append(pieces, it); return nil }); err != nil {
+		return Durable{}, err
 	}
-	err = n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error {
+	// A piece of an earlier list, by whatever version, must not overrule a newer one.
+	slices.SortFunc(pieces, func(a, b wire.Item) int { return cmp.Compare(a.Mark, b.Mark) })
+	for _, it := range pieces {
 		var v ledger.VirtualSizes
 		if err := json.Unmarshal(it.Value, &v); err != nil {
-			return fmt.Errorf("%s: %w", it.Key, err)
+			return Durable{}, fmt.Errorf("%s: %w", it.Key, err)
 		}
-		sizes = append(sizes, v.Sizes...)
-		return nil
-	})
-	return first, last, entries, sizes, err
+		n, err := ledger.SizesNumber(it.Key)
+		if err != nil {
+			return Durable{}, err
+		}
+		d.Sizes = append(d.Sizes, v.Sizes...)
+		d.Pieces = max(d.Pieces, n+1)
+	}
+	return d, nil
+}
+
+// pageItems is how many keys are asked for at once; the state service gives
+// fewer where they are large.
+const pageItems = 256
+
+// segments reads the segments numbered first to end-1; some may be missing.
+func (n *Node) segments(ctx context.Context, first, end int) ([]ledger.Entry, error) {
+	items, _, _, err := n.state.List(ctx, ledger.Prefix, ledger.Key(first-1), end-first)
+	if err != nil {
+		return nil, err
+	}
+	var entries []ledger.Entry
+	for _, it := range items {
+		if it.Key >= ledger.Key(end) {
+			break
+		}
+		list, err := ledger.Decode(it.Value)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", it.Key, err)
+		}
+		entries = append(entries, list...)
+	}
+	return entries, nil
 }
 
 func (n *Node) readPrefix(prefix string, each func(wire.Item) error) error {
 	since := ""
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		items, more, _, err := n.state.List(ctx, prefix, since, 64)
+		items, more, _, err := n.state.List(ctx, prefix, since, pageItems)
 		cancel()
 		if err != nil {
 			return err
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"bitternmoor/internal/amounts"
@@ -13,14 +14,16 @@
 
 // What a new leader reads back, and how jobs and machines come into its books.
 
-// load replays the whole log, whose segments are numbered first to last.
-func (t *Term) load(now time.Duration, mark uint64, first, last int, entries []ledger.Entry, sizes []ledger.VirtualSize) {
+// load replays the whole log.
+func (t *Term) load(now time.Duration, mark uint64, log Durable) {
 	finals := map[uint64]float64{}
 	registry := map[string]ledger.Machine{}
 	booting := map[string]ledger.Machine{}
 	asked := map[string]ledger.Rental{}
 	grants := map[uint64]map[int]bool{}
-	for _, e := range entries {
+	parts := map[uint64][]ledger.After{}
+	doneAt := map[uint64]int64{}
+	for _, e := range log.Entries {
 		switch {
 		case e.Types != nil:
 			t.setTypes(e.Types)
@@ -40,6 +43,9 @@
 				t.over(j.Rec.ID, jobs.Cancelled)
 			}
 		case e.Tasks != nil:
+			if e.Tasks.AtMS != 0 {
+				doneAt[e.Tasks.ID] = max(doneAt[e.Tasks.ID], e.Tasks.AtMS)
+			}
 			j := t.table.Find(e.Tasks.ID)
 			if j == nil {
 				continue
@@ -55,6 +61,8 @@
 				t.book.RestoreHistory(j.SumS, j.SumN)
 				t.over(j.Rec.ID, jobs.Done)
 			}
+		case e.After != nil:
+			parts[e.After.ID] = append(parts[e.After.ID], *e.After)
 		case e.Size != nil:
 			finals[e.Size.ID] = e.Size.Size
 		case e.Machine != nil:
@@ -87,13 +95,13 @@
 			}
 		}
 	}
+	t.restoreLinks(now, parts, doneAt)
 	for _, j := range t.table.All() {
 		if j == nil {
 			continue
 		}
-		j.Phase, j.Earlier = jobs.Open, true
 		t.suit(j)
-		if j.Rec.Kind == jobs.Service {
+		if j.Rec.Kind == jobs.Service || j.Phase == jobs.Held {
 			continue
 		}
 		t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
@@ -110,7 +118,7 @@
 			t.book.Restore(j.Index, true, s, s)
 		}
 	}
-	for _, v := range sizes {
+	for _, v := range log.Sizes {
 		if j := t.table.Find(v.ID); j != nil {
 			_, final := t.book.Size(j.Index)
 			t.book.Restore(j.Index, final, v.Size, v.Virtual)
@@ -144,13 +152,13 @@
 		t.buyer.Restore(r)
 		t.rentals[r.Name] = r
 	}
-	t.log = ledger.NewLog(ledger.Limits{WriteRPS: t.cfg.Deployment.State.WriteRPS, ValueBytes: int(t.cfg.Deployment.State.ValueKB * 1024),
-		TxnOps: t.cfg.Deployment.State.TxnOps}, leadership.EpochKey, mark, last)
-	t.first = max(first, 1)
+	w := t.cfg.Writes()
+	t.log = ledger.NewLog(ledger.Limits{WriteRPS: w.WriteRPS, ValueBytes: int(w.ValueKB * 1024), TxnOps: w.TxnOps}, leadership.EpochKey, mark, log.Last, log.Pieces)
+	t.first = max(log.First, 1)
 	t.loaded = true
 	t.book.Age(now.Seconds(), 0)
 	t.dirty = true
-	t.note(Info, "term begun", "epoch", t.epoch, "jobs", t.book.Len(), "machines", len(registry), "booting", len(booting), "segments", last)
+	t.note(Info, "term begun", "epoch", t.epoch, "jobs", t.book.Len(), "machines", len(registry), "booting", len(booting), "segments", log.Last-log.First+1)
 }
 
 // over notes a final state while replaying, whatever stood before it.
@@ -163,8 +171,6 @@
 
 func (t *Term) enter(rec ledger.Job, now time.Duration) *jobs.Job {
 	j := t.table.Add(rec)
-	at := min(now, time.Duration(rec.AtMS-t.zero)*time.Millisecond)
-	j.AcceptedAt = at
 	j.Team = t.teams.Index(rec.Team)
 	for int(j.Team) >= len(t.plan.Limits) {
 		// A team of an earlier configuration: its jobs stay accepted.
@@ -172,9 +178,23 @@
 	}
 	j.Image = t.images.Index(rec.Image)
 	j.Spot = rec.Spot && (rec.Checkpoint > 0 || rec.EstimateS <= t.cfg.Tunables.SpotTaskS)
-	j.BehindUntil = at + t.patience(rec)
+	t.schedule(j, t.timeOf(rec.AtMS, now))
+	return j
+}
+
+// timeOf is a time of day on this node's clock; none is later than now.
+func (t *Term) timeOf(ms int64, now time.Duration) time.Duration {
+	return min(now, time.Duration(ms-t.zero)*time.Millisecond)
+}
+
+// schedule settles the times that count from a job's arrival, or from its
+// release.
+func (t *Term) schedule(j *jobs.Job, at time.Duration) {
+	j.AcceptedAt = at
+	j.Ahead, j.LastAim, j.LostUntil = nil, 0, 0
+	j.BehindUntil = at + t.patience(j)
 	for _, o := range t.cfg.Deployment.Objectives {
-		if o.Class != rec.Class {
+		if o.Class != j.Rec.Class {
 			continue
 		}
 		if o.Kind == settings.AimFinished {
@@ -186,14 +206,13 @@
 			t.goAhead(j, at, o.WithinS)
 		}
 	}
-	return j
 }
 
 // startBy has a best-effort job, which goes behind the order at first, go
 // ahead of it in time for an aim for its end, and at once where that cannot be
 // made: such jobs set the end of the day.
 func (t *Term) startBy(j *jobs.Job, at time.Duration, within float64) {
-	if j.Rec.Priority > 0 || t.cfg.Tunables.WaitLeadS == 0 {
+	if j.Priority > 0 || t.cfg.Tunables.WaitLeadS == 0 {
 		return
 	}
 	latest := within - longRun*j.Rec.EstimateS - placing
@@ -240,13 +259,13 @@
 // patience is how long a job goes behind the order: best-effort work until
 // some time before its class's tightest aim, so that small jobs of it do not
 // jump the queue of those that are in more of a hurry.
-func (t *Term) patience(rec ledger.Job) time.Duration {
-	if rec.Priority > 0 {
+func (t *Term) patience(j *jobs.Job) time.Duration {
+	if j.Priority > 0 {
 		return 0
 	}
 	tightest := 0.0
 	for _, o := range t.cfg.Deployment.Objectives {
-		if o.Class == rec.Class && o.WithinS > 0 && (tightest == 0 || o.WithinS < tightest) {
+		if o.Class == j.Rec.Class && o.WithinS > 0 && (tightest == 0 || o.WithinS < tightest) {
 			tightest = o.WithinS
 		}
 	}
@@ -259,9 +278,12 @@
 func (t *Term) setTypes(list []ledger.Type) {
 	for _, ty := range list {
 		i := t.typeNames.Index(ty.Name)
-		if int(i) == len(t.types) {
+		switch {
+		case int(i) == len(t.types):
 			t.types = append(t.types, ty)
-		} else {
+		case ty.More:
+			t.types[i].Zones = append(slices.Clone(t.types[i].Zones), ty.Zones...)
+		default:
 			t.types[i] = ty
 		}
 	}
--- a/internal/node/report_test.go
+++ b/internal/node/report_test.go
@@ -36,7 +36,7 @@
 	}
 	t := newTerm(c, 0, 2, 0)
 	t.counts = &Counts{}
-	t.load(0, 1, 1, 2, entries, nil)
+	t.load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
 	return t, reports
 }
 
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -121,9 +121,12 @@
 	m.Address = r.Address
 	if !m.Durable && !m.Leaving {
 		m.Resolved = true // no task is ever started on a machine before it is registered
-		if m.QueueRegistry() {
+		rec.Number = t.numbers + 1
+		if !t.log.Fits(ledger.Entry{Machine: &rec}) {
+			t.leave(m, "its names are too long to be stored")
+		} else if m.QueueRegistry() {
 			t.numbers++
-			m.Number, rec.Number = t.numbers, t.numbers
+			m.Number = t.numbers
 			t.log.Append(ledger.Entry{Machine: &rec}, tagMachine(r.Machine))
 		}
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -66,6 +66,8 @@
 	RentalsRefused uint64 `json:"rentals_refused"`
 	TasksDone      uint64 `json:"tasks_done"`
 	TasksRerun     uint64 `json:"tasks_rerun"`
+	Released       uint64 `json:"jobs_released"`
+	CancelSpread   uint64 `json:"cancellations_spread"`
 }
 
 func machineState(m *workers.Machine) string {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -15,7 +16,6 @@
 	"bitternmoor/internal/names"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/sizing"
-	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
 
@@ -161,42 +161,30 @@
 		if len(t.ending[id]) > 0 {
 			j.Phase = jobs.Cancelling
 		}
-		t.book.Age(now.Seconds(), t.cpus())
-		if j.Rec.Kind != jobs.Service {
-			t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		switch linked := t.link(j); {
+		case !linked:
+			t.cancelled(now, sure, j)
+			t.counts.CancelSpread++
+			t.note(Info, "job cancelled on arrival: it follows a cancelled one", "job", id)
+		case len(j.After) == 0:
+			t.order(now, j)
+		case j.Phase == jobs.Open:
+			j.Phase = jobs.Held
 		}
-		t.dirty = true
-		for i, to := range t.accepting[id] {
-			a := Answer{Status: 201, ID: id, State: wire.Queued}
-			if i > 0 {
-				a.Status = 200
-			}
+		a, _ := t.state(id)
+		a.Status, a.Counts = 201, false
+		for _, to := range t.accepting[id] {
 			t.tell(sure, to, a)
+			a.Status = 200
 		}
 		delete(t.accepting, id)
+		if j.Phase == jobs.Cancelled {
+			t.tellEnd(sure, id)
+		}
 	case tagCancel:
 		id := uint64(tag)
-		if j := t.table.Find(id); j != nil && j.Phase != jobs.Done {
-			j.Phase, j.CancelledAt = jobs.Cancelled, now
-			t.table.Finish(id, jobs.Cancelled)
-			t.book.Remove(j.Index, false, 0, 0)
-			on := map[*workers.Machine]bool{}
-			for k, s := range j.Tasks {
-				ref := workers.Ref{Job: j.Index, Task: int32(k)}
-				if p := t.where[ref]; s == jobs.Placed && p != nil {
-					if p.Planned {
-						t.takeBack(p)
-					} else {
-						p.Stopping, p.GraceS = true, 0
-						on[p.Home] = true
-					}
-				}
-			}
-			for m := range on {
-				t.stopNow(m)
-			}
-			t.leaveIfEmpty(j)
-			t.dirty = true
+		if j := t.table.Find(id); j != nil && j.Phase != jobs.Done && j.Phase != jobs.Cancelled {
+			t.cancelled(now, sure, j)
 		}
 		t.tellEnd(sure, id)
 	case tagTasks:
@@ -215,6 +203,11 @@
 			t.book.Remove(j.Index, true, j.SumS, j.SumN)
 			t.note(Debug, "job done", "job", j.Rec.ID, "class", j.Rec.Class, "tasks", len(j.Tasks), "mean", j.Mean(), "estimate", j.Rec.EstimateS,
 				"first_start", (j.FirstAt - j.AcceptedAt).Round(100*time.Millisecond), "last_start", (j.LastAt - j.AcceptedAt).Round(100*time.Millisecond), "after", (now - j.AcceptedAt).Round(100*time.Millisecond))
+			for _, f := range t.table.Unlink(j) {
+				if len(f.After) == 0 && f.Phase == jobs.Held {
+					t.letGo(now, f)
+				}
+			}
 			t.leaveIfEmpty(j)
 			t.tellEnd(sure, tag.ID)
 		}
@@ -230,8 +223,9 @@
 			t.dirty = true
 		}
 	case tagClean:
-		t.log.Drop(int(tag))
-		t.first = int(tag) + 1
+		for ; t.first < int(tag); t.first++ {
+			t.log.Drop(t.first)
+		}
 		t.cleaning = false
 	case tagRental:
 		r := ledger.Rental(tag)
@@ -240,6 +234,25 @@
 	}
 }
 
+// stopTasks stops all tasks of a job that is cancelled.
+func (t *Term) stopTasks(j *jobs.Job) {
+	on := map[*workers.Machine]bool{}
+	for k, s := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		if p := t.where[ref]; s == jobs.Placed && p != nil {
+			if p.Planned {
+				t.takeBack(p)
+			} else {
+				p.Stopping, p.GraceS = true, 0
+				on[p.Home] = true
+			}
+		}
+	}
+	for m := range on {
+		t.stopNow(m)
+	}
+}
+
 func (t *Term) leaveIfEmpty(j *jobs.Job) {
 	if j.Placed == 0 && (j.Phase == jobs.Cancelled || j.Phase == jobs.Done) {
 		t.forget(j)
@@ -422,7 +435,11 @@
 		// Not before: so the entries of a job between two commits become one.
 		t.grant()
 		for _, id := range slices.Sorted(maps.Keys(t.completed)) {
-			t.appendTasks(*t.completed[id])
+			b := t.completed[id]
+			if j := t.table.Find(id); j != nil && len(j.Followers) > 0 {
+				b.AtMS = t.zero + now.Milliseconds()
+			}
+			t.appendTasks(*b)
 		}
 		clear(t.completed)
 	}
@@ -435,7 +452,7 @@
 func (t *Term) appendTasks(b ledger.Tasks) {
 	most := max(1, t.log.Room()/rangeBytes-4)
 	for len(b.Ranges) > most {
-		part := ledger.Tasks{ID: b.ID, Ranges: b.Ranges[:most]}
+		part := ledger.Tasks{ID: b.ID, Ranges: b.Ranges[:most], AtMS: b.AtMS}
 		t.log.Append(ledger.Entry{Tasks: &part}, tagTasks(part))
 		b.Ranges = b.Ranges[most:]
 	}
@@ -443,6 +460,9 @@
 }
 
 func (t *Term) committed(now time.Duration, sure bool, seq uint64, out ledger.Outcome, mark uint64, failed []string) ledger.Step {
+	if out == ledger.Invalid {
+		t.note(Error, "the state service refuses a transaction as malformed: smaller values are tried", "epoch", t.epoch, "pending", t.log.Pending())
+	}
 	tags, step := t.log.Result(now, seq, out, mark, failed)
 	for _, tag := range tags {
 		t.durable(now, sure, tag)
@@ -520,5 +540,6 @@
 			list = append(list, ledger.VirtualSize{ID: t.table.At(i).Rec.ID, Size: float64(int64(s*10)) / 10, Virtual: float64(int64(v*10)) / 10})
 		}
 	}
+	slices.SortFunc(list, func(a, b ledger.VirtualSize) int { return cmp.Compare(a.ID, b.ID) })
 	t.log.SetSizes(list)
 }
--- a/internal/node/term_test.go
+++ b/internal/node/term_test.go
@@ -16,11 +16,11 @@
 	term := newTerm(c, 0, 2, 0)
 	term.counts = &Counts{}
 	job := &ledger.Job{ID: 1, Team: "team", Tasks: 2, CPUs: 1, MemoryGB: 8, Types: []string{"large"}}
-	term.load(0, 1, 1, 2, []ledger.Entry{
+	term.load(0, 1, Durable{First: 1, Last: 2, Entries: []ledger.Entry{
 		{Job: job},
 		{Types: []ledger.Type{{Name: "small", CPUs: 4, MemoryGB: 8}}},
 		{Types: []ledger.Type{{Name: "large", CPUs: 16, MemoryGB: 64}}},
-	}, nil)
+	}})
 	j := term.table.Find(1)
 	if len(j.Types) != 2 || j.Types[0] || !j.Types[1] {
 		t.Errorf("the job may use %v, want only the second type", j.Types)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -35,18 +35,26 @@
 		t.emit(Reply{to, Answer{Status: 422, Why: why}})
 		return
 	}
-	if !t.log.Fits(ledger.Entry{Job: s.Job}) {
-		t.emit(Reply{to, Answer{Status: 400, Why: "breeds: too many names"}})
+	if why, known := t.unfollowable(s.Job); !known {
+		t.emit(Reply{to, unavailable(why)})
+		return
+	} else if why != "" {
+		t.emit(Reply{to, Answer{Status: 422, Why: why}})
+		return
+	}
+	s.Job.AtMS = t.zero + now.Milliseconds()
+	if rec, _ := t.stored(*s.Job); !t.log.Fits(ledger.Entry{Job: &rec}) {
+		t.emit(Reply{to, Answer{Status: 400, Why: "breeds and other names: too long to be stored"}})
 		return
 	}
 	if t.log.Pending() > 2000 {
 		t.emit(Reply{to, Answer{Status: 429, Why: "too much is waiting to be written", RetryAfter: 2}})
 		return
 	}
-	s.Job.AtMS = t.zero + now.Milliseconds()
-	t.suit(t.enter(*s.Job, now))
+	j := t.enter(*s.Job, now)
+	t.suit(j)
 	t.accepting[s.ID] = append(t.accepting[s.ID], to)
-	t.log.Append(ledger.Entry{Job: s.Job}, tagAccept(s.ID))
+	t.appendJob(j, tagAccept(s.ID))
 }
 
 // never says why a job can never run, or nothing.
@@ -137,7 +145,7 @@
 	if j.Phase == jobs.Cancelling || j.Finished == len(j.Tasks) {
 		return // answered with what becomes durable first
 	}
-	if j.Phase == jobs.Open {
+	if j.Phase == jobs.Open || j.Phase == jobs.Held {
 		j.Phase = jobs.Cancelling
 	}
 	t.log.Append(ledger.Entry{Cancel: &id}, tagCancel(id))
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/node"
 	"bitternmoor/internal/wire"
 )
 
@@ -28,6 +30,7 @@
 	watches []func()
 	writes  int
 	cleaned int
+	lowered bool // the announced limits are in force
 }
 
 type item struct {
@@ -106,11 +109,20 @@
 		}
 	}
 	st.writes += len(writes)
+	lim := st.s.cfg.Deployment.State.StateLimits
+	if st.lowered {
+		lim = st.s.cfg.Writes()
+	}
 	for _, w := range writes {
-		if most := int(st.s.cfg.Deployment.State.ValueKB * 1024); len(w.Value) > most {
+		if len(w.Value) > int(lim.ValueKB*1024) {
 			st.s.check.fail("state limits", "a value of %d bytes for %s", len(w.Value), w.Key)
+			return txnResult{out: ledger.Invalid}
 		}
 	}
+	if len(writes) > lim.TxnOps {
+		st.s.check.fail("state limits", "a transaction of %d changes", len(writes))
+		return txnResult{out: ledger.Invalid}
+	}
 	if failed != nil {
 		return txnResult{out: ledger.Conflict, failed: failed}
 	}
@@ -183,39 +195,34 @@
 	})
 }
 
-func (st *stateService) clean(c *controller, n int) {
+func (st *stateService) clean(c *controller, first, end int) {
 	epoch, life := epochOf(c), c.life
-	call(st.s, c.name, "state", wait, func(reply func(item)) {
-		if !st.down(c) {
-			reply(st.items[ledger.Key(n)])
-		}
-	}, func(it item, ok bool) {
-		if c.life != life {
+	call(st.s, c.name, "state", wait, func(reply func([]ledger.Entry)) {
+		if st.down(c) {
 			return
 		}
 		var list []ledger.Entry
-		if ok && it.mark != 0 {
-			list, _ = ledger.Decode(it.value)
-			st.cleaned++
+		for n := first; n < end; n++ {
+			if it, ok := st.items[ledger.Key(n)]; ok {
+				list = append(list, c.entries(it.value)...)
+				st.cleaned++
+			}
+		}
+		reply(list)
+	}, func(list []ledger.Entry, ok bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.Cleaned(now, epoch, first, end, ok, list) })()
 		}
-		c.into(func(now time.Duration) { c.core.Cleaned(now, epoch, n, ok, it.mark, list) })()
 	})
 }
 
-type loadResult struct {
-	first   int
-	last    int
-	entries []ledger.Entry
-	sizes   []ledger.VirtualSize
-}
-
 func (st *stateService) load(c *controller, epoch uint64) {
 	life := c.life
-	call(st.s, c.name, "state", wait, func(reply func(loadResult)) {
+	call(st.s, c.name, "state", wait, func(reply func(node.Durable)) {
 		if st.down(c) {
 			return
 		}
-		var r loadResult
+		var r node.Durable
 		var keys []string
 		for k := range st.items {
 			if strings.HasPrefix(k, ledger.Prefix) {
@@ -224,24 +231,29 @@
 		}
 		slices.Sort(keys)
 		for _, k := range keys {
-			list, err := ledger.Decode(st.items[k].value)
-			if err != nil {
-				panic(err)
+			r.Last, _ = ledger.Number(k)
+			if r.First == 0 {
+				r.First = r.Last
 			}
-			r.last, _ = ledger.Number(k)
-			if r.first == 0 {
-				r.first = r.last
+			r.Entries = append(r.Entries, c.entries(st.items[k].value)...)
+		}
+		keys = keys[:0]
+		for k := range st.items {
+			if strings.HasPrefix(k, ledger.SizesPrefix) {
+				keys = append(keys, k)
 			}
-			r.entries = append(r.entries, list...)
 		}
-		for k, it := range st.items {
+		slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(st.items[a].mark, st.items[b].mark) })
+		for _, k := range keys {
 			var v ledger.VirtualSizes
-			if strings.HasPrefix(k, ledger.SizesPrefix) && json.Unmarshal(it.value, &v) == nil {
-				r.sizes = append(r.sizes, v.Sizes...)
+			if json.Unmarshal(st.items[k].value, &v) == nil {
+				r.Sizes = append(r.Sizes, v.Sizes...)
 			}
+			n, _ := ledger.SizesNumber(k)
+			r.Pieces = max(r.Pieces, n+1)
 		}
 		reply(r)
-	}, func(r loadResult, ok bool) {
+	}, func(r node.Durable, ok bool) {
 		if c.life != life {
 			return
 		}
@@ -253,7 +265,7 @@
 			}))
 			return
 		}
-		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r.first, r.last, r.entries, r.sizes) })()
+		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r) })()
 	})
 }
 
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/node"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
@@ -196,6 +198,15 @@
 	c.s.after(time.Duration(c.index)*7*time.Millisecond, tick)
 }
 
+// entries reads a segment as this controller's version does.
+func (c *controller) entries(value json.RawMessage) []ledger.Entry {
+	list, err := ledger.Decode(value)
+	if err != nil {
+		panic(err)
+	}
+	return list
+}
+
 func (c *controller) crash() { c.up = false; c.life++ }
 
 // clock is the node's steady clock: it starts with the process, and the
@@ -293,7 +304,7 @@
 			})
 		}
 	case node.Clean:
-		s.state.clean(c, e.Segment)
+		s.state.clean(c, e.First, e.First+e.Count)
 	case node.Rent:
 		s.cloud.rent(c, e.Rental)
 	case node.Delete:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,45 @@
 	Times   float64 `toml:"times"`
 }
 
+// StateLimits bound what is written to the state service.
+type StateLimits struct {
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// NextLimits are limits to come; nil: no change is announced.
+type NextLimits struct {
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// What one write needs at least: an entry of usual names, and a transaction
+// that closes one segment, opens the next and removes a third.
+const (
+	leastValueKB = 0.5
+	leastTxnOps  = 3
+)
+
+// Writes is what every write must keep to: the smaller of the limits in force
+// and of those announced, limit by limit, since nobody says when they change.
+func (p *Platform) Writes() StateLimits {
+	l := p.Deployment.State.StateLimits
+	if n := p.Deployment.State.Next; n != nil {
+		if n.WriteRPS != nil {
+			l.WriteRPS = min(l.WriteRPS, *n.WriteRPS)
+		}
+		if n.ValueKB != nil {
+			l.ValueKB = min(l.ValueKB, *n.ValueKB)
+		}
+		if n.TxnOps != nil {
+			l.TxnOps = min(l.TxnOps, *n.TxnOps)
+		}
+	}
+	return l
+}
+
 // Platform is the file that the platform hands over. Unknown fields are
 // ignored.
 type Platform struct {
@@ -73,10 +112,11 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			RPS float64 `toml:"rps"`
+			StateLimits
+			// Next holds limits that the state service will have from some moment
+			// on, without notice. What it leaves out stays as it is.
+			Next *NextLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -185,9 +225,6 @@
 		{"deployment.workers.lease_s", d.Workers.LeaseS},
 		{"deployment.workers.cancel_s", d.Workers.CancelS},
 		{"deployment.state.rps", d.State.RPS},
-		{"deployment.state.write_rps", d.State.WriteRPS},
-		{"deployment.state.value_kb", d.State.ValueKB},
-		{"deployment.state.txn_ops", float64(d.State.TxnOps)},
 		{"deployment.cloud.rps", d.Cloud.RPS},
 		{"deployment.machine_limits.ram_mb", d.MachineLimits.RAMMB},
 		{"deployment.machine_limits.fd_limit", float64(d.MachineLimits.FDLimit)},
@@ -200,8 +237,14 @@
 	if d.Workers.LeaseS <= d.Workers.ReportS {
 		return wrong("deployment.workers.lease_s", "must be longer than report_s")
 	}
-	if d.State.TxnOps < 3 {
-		return wrong("deployment.state.txn_ops", "must be at least 3, is %d", d.State.TxnOps)
+	if err := d.State.check("deployment.state"); err != nil {
+		return err
+	}
+	if d.State.Next != nil {
+		// Announced limits, where they say nothing, are those in force.
+		if err := p.Writes().check("deployment.state.next"); err != nil {
+			return err
+		}
 	}
 	teams := map[string]bool{}
 	for i, t := range d.Teams {
@@ -228,5 +271,17 @@
 	return nil
 }
 
+func (l StateLimits) check(field string) error {
+	switch {
+	case !(l.WriteRPS > 0) || l.WriteRPS > 1e12:
+		return wrong(field+".write_rps", "must be a positive number, is %v", l.WriteRPS)
+	case !(l.ValueKB >= leastValueKB) || l.ValueKB > 1e6:
+		return wrong(field+".value_kb", "must be at least %v, is %v", leastValueKB, l.ValueKB)
+	case l.TxnOps < leastTxnOps:
+		return wrong(field+".txn_ops", "must be at least %d, is %d", leastTxnOps, l.TxnOps)
+	}
+	return nil
+}
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -29,6 +29,7 @@
 	BootGiveUpTimes float64 // a machine that takes this many usual boots is given up
 	UrgentFirst     int     // exception: urgent jobs go ahead of the order
 	Preempt         int     // exception: tasks are stopped for jobs that may have their room
+	FollowUrgency   int     // exception: jobs take the priority of those that need them (0 or 1)
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitLeadS       float64 // exception: how long before their class's wait aim waiting tasks go ahead; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
@@ -81,6 +82,7 @@
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 2, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
+	whole("exceptions", "follow_urgency", "0 or 1", "a job takes the priority of the jobs that need it", 1, 0, 1, func(t *Tunables) *int { return &t.FollowUrgency }),
 	whole("exceptions", "guarantee_first", "0 or 1", "jobs within their team's guarantee go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.GuaranteeFirst }),
 	whole("exceptions", "preempt", "0 or 1", "tasks that save, or have hardly begun, are stopped for jobs of higher priority and within their team's guarantee", 1, 0, 1, func(t *Tunables) *int { return &t.Preempt }),
 	amount("exceptions", "wait_lead", "s", "tasks still waiting this long before their class's wait aim go ahead of the order until it is missed, and long best-effort ones before their aim for the end; 0: never", 85, 0, 86400, func(t *Tunables) *float64 { return &t.WaitLeadS }),
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -140,8 +140,10 @@
 		return ledger.Applied, out.Rev, nil
 	case status == 409:
 		return ledger.Conflict, 0, out.Failed
-	case status == 429 || status == 503 || status == 400:
+	case status == 429 || status == 503:
 		return ledger.Refused, 0, nil
+	case status == 400:
+		return ledger.Invalid, 0, nil
 	}
 	return ledger.Unknown, 0, nil
 }
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -57,6 +57,7 @@
 	Checkpoint *float64 `json:"waypoint_s"`
 	SaveS      *float64 `json:"stow_s"`
 	DeadlineS  *float64 `json:"market_s"`
+	Follows    []string `json:"follows"`
 }
 
 // ParseID reads a job's id, which has exactly one form for each number.
@@ -195,6 +196,17 @@
 		}
 		j.DeadlineS = *s.DeadlineS
 	}
+	named := map[uint64]bool{}
+	for _, f := range s.Follows {
+		n, ok := ParseID(f)
+		if !ok {
+			return nil, errors.New("follows: not a list of job ids")
+		}
+		if !named[n] {
+			named[n] = true
+			j.Follows = append(j.Follows, n)
+		}
+	}
 	return j, nil
 }
 
