--- /dev/null
+++ b/internal/scenario/frozen_test.go
@@ -0,0 +1,284 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/wire"
+)
+
+// The types below are those of the version in production (deploy/service.toml
+// names its commit), as it writes them into the log and sends them between
+// controllers. They are frozen: they change only with the version in
+// production. A controller that a scenario runs as old reads and writes
+// through them, so that whatever that version does not know gets lost.
+
+type prodEntry struct {
+	Job      *prodJob      `json:"j,omitempty"`
+	Cancel   *uint64       `json:"c,omitempty"`
+	Tasks    *prodTasks    `json:"t,omitempty"`
+	Size     *prodSize     `json:"s,omitempty"`
+	Machine  *prodMachine  `json:"m,omitempty"`
+	Gone     []string      `json:"x,omitempty"`
+	Rental   *prodRental   `json:"r,omitempty"`
+	Answered *prodAnswered `json:"a,omitempty"`
+	Types    []prodType    `json:"y,omitempty"`
+	Over     *prodOver     `json:"f,omitempty"`
+	Grant    *prodGrant    `json:"g,omitempty"`
+}
+
+type prodGrant struct {
+	Job      uint64 `json:"i"`
+	Machines []int  `json:"m"`
+	Back     bool   `json:"x,omitempty"`
+}
+
+type prodOver struct {
+	Done      []uint64 `json:"d,omitempty"`
+	Cancelled []uint64 `json:"c,omitempty"`
+}
+
+type prodJob struct {
+	ID         uint64   `json:"i"`
+	Class      string   `json:"h"`
+	Team       string   `json:"k"`
+	Kind       uint8    `json:"g"`
+	Priority   uint8    `json:"u"`
+	Tasks      int      `json:"n"`
+	CPUs       float64  `json:"c"`
+	GPUs       float64  `json:"p,omitempty"`
+	MemoryGB   float64  `json:"m"`
+	Image      string   `json:"b"`
+	ImageGB    float64  `json:"z"`
+	Types      []string `json:"t,omitempty"`
+	Zone       string   `json:"o,omitempty"`
+	OneZone    bool     `json:"1,omitempty"`
+	Spread     bool     `json:"2,omitempty"`
+	Spot       bool     `json:"l,omitempty"`
+	EstimateS  float64  `json:"e"`
+	Checkpoint float64  `json:"w,omitempty"`
+	SaveS      float64  `json:"s,omitempty"`
+	DeadlineS  float64  `json:"d,omitempty"`
+	AtMS       int64    `json:"a"`
+}
+
+type prodTasks struct {
+	ID      uint64   `json:"i"`
+	Ranges  [][2]int `json:"r"`
+	Seconds float64  `json:"s,omitempty"`
+	Known   int      `json:"n,omitempty"`
+}
+
+type prodSize struct {
+	ID   uint64  `json:"i"`
+	Size float64 `json:"s"`
+}
+
+type prodMachine struct {
+	Name    string `json:"n"`
+	Address string `json:"a"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+	Number  int    `json:"i,omitempty"`
+}
+
+type prodRental struct {
+	Name  string `json:"n"`
+	Type  string `json:"t"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"s,omitempty"`
+	Count int    `json:"c"`
+}
+
+type prodAnswered struct {
+	Name     string   `json:"n"`
+	Machines []string `json:"m,omitempty"`
+}
+
+type prodType struct {
+	Name      string   `json:"n"`
+	CPUs      float64  `json:"c"`
+	GPUs      float64  `json:"g,omitempty"`
+	MemoryGB  float64  `json:"m"`
+	CacheGB   float64  `json:"l"`
+	FetchGBPS float64  `json:"f"`
+	Price     float64  `json:"p"`
+	SpotPrice float64  `json:"q"`
+	BootS     float64  `json:"b"`
+	Zones     []string `json:"z"`
+}
+
+type prodSegment struct {
+	E []prodEntry `json:"e"`
+}
+
+type prodSizes struct {
+	Sizes []prodVirtual `json:"v"`
+}
+
+type prodVirtual struct {
+	ID      uint64  `json:"i"`
+	Size    float64 `json:"s"`
+	Virtual float64 `json:"v"`
+}
+
+// What production's controllers say to one another, as gob sees it: names and
+// types of fields are what counts.
+type (
+	prodAmounts struct{ CPU, GPU, Mem int64 }
+	prodCommand struct {
+		Op      uint8
+		Job     uint64
+		Task    int
+		Attempt uint64
+		GraceS  float64
+	}
+	prodOffer struct {
+		Start  prodCommand
+		Serial uint64
+		Need   prodAmounts
+		Here   bool
+	}
+	prodReportAnswer struct {
+		Status   int
+		Token    uint64
+		Commands []prodCommand
+		Node     string
+		Offers   []prodOffer
+		Room     prodAmounts
+		LeaseS   float64
+	}
+	prodTaskReport struct {
+		Job     uint64
+		Task    int
+		Attempt uint64
+		State   uint8
+		Reason  uint8
+		Saved   bool
+	}
+	prodReport struct {
+		Machine, Address, Type, Zone string
+		Spot                         bool
+		Session, Seq, Token          uint64
+		Notice                       bool
+		NoticeS                      float64
+		Tasks                        []prodTaskReport
+	}
+	prodRelayed struct {
+		Via    string
+		Life   int64
+		Report prodReport
+	}
+	prodSubmission struct {
+		ID    uint64
+		HasID bool
+		Job   *prodJob
+		Bad   string
+	}
+	prodRequest struct {
+		Op         string
+		ID         uint64
+		Submission prodSubmission
+	}
+	prodAnswer struct {
+		Status     int
+		ID         uint64
+		State      uint8
+		Counts     bool
+		Done       int
+		Running    int
+		Why        string
+		RetryAfter int
+	}
+	prodHail struct {
+		Node  string
+		Epoch uint64
+	}
+)
+
+func recode(from, to any) {
+	raw, err := json.Marshal(from)
+	if err == nil {
+		err = json.Unmarshal(raw, to)
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+// asProductionReads is what production makes of a segment.
+func asProductionReads(value json.RawMessage) json.RawMessage {
+	var v prodSegment
+	if err := json.Unmarshal(value, &v); err != nil {
+		panic(fmt.Sprintf("production cannot read a segment: %v", err))
+	}
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// productionWrites checks that what an old controller writes is something
+// that production could have written.
+func (c *checker) productionWrites(t ledger.Txn) {
+	for _, w := range t.Writes {
+		if n, err := ledger.Number(w.Key); err == nil && n > 0 && !w.Remove && !bytes.Equal(asProductionReads(w.Value), w.Value) {
+			c.fail("old version", "%s holds what production cannot write: %s", w.Key, w.Value)
+		}
+	}
+}
+
+// throughGob sends a message as one version encodes it and the other decodes
+// it.
+func throughGob(from, to any) {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(from); err != nil {
+		panic(err)
+	}
+	if err := gob.NewDecoder(&b).Decode(to); err != nil {
+		panic(err)
+	}
+}
+
+// between is a report on its way from one controller to another.
+func between(from, to *controller, r node.Relayed) node.Relayed {
+	if from.old == to.old {
+		return r
+	}
+	var there prodRelayed
+	var out node.Relayed
+	throughGob(r, &there)
+	throughGob(there, &out)
+	return out
+}
+
+// answered is the answer to it on its way back.
+func answered(from, to *controller, a node.ReportAnswer) node.ReportAnswer {
+	if from.old == to.old {
+		return a
+	}
+	var there prodReportAnswer
+	var out node.ReportAnswer
+	throughGob(a, &there)
+	throughGob(there, &out)
+	return out
+}
+
+// forwarded is a submission that came in at one controller and is served by
+// another.
+func forwarded(at, served *controller, s wire.Submission) wire.Submission {
+	if (!at.old && !served.old) || s.Job == nil {
+		return s
+	}
+	var there prodSubmission
+	var out wire.Submission
+	throughGob(s, &there)
+	throughGob(there, &out)
+	return out
+}
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -150,6 +150,9 @@
 		}
 		c.into(func(now time.Duration) { c.core.Committed(now, epoch, t.Seq, r.out, r.mark, r.failed) })()
 	}
+	if c.old {
+		st.s.check.productionWrites(t)
+	}
 	life := c.life
 	if st.delayed > 0 {
 		late := st.delayed
