--- a/cmd/bitternmoor/operate.go
+++ b/cmd/bitternmoor/operate.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -104,6 +105,13 @@
 	for _, j := range s.Queue {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.0f s\t%.0f s\t%v\t%d\t%d\t%d\n", j.ID, j.Class, j.Team, j.Virtual, j.Size, j.Final, j.Waiting, j.Placed, j.Finished)
 	}
+	if len(s.Held) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nHELD JOB\tCLASS\tTEAM\tTASKS\tWAITS FOR")
+	for _, h := range s.Held {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", h.ID, h.Class, h.Team, h.Tasks, strings.Join(h.After, ", "))
+	}
 }
 
 func explainCommand() *cobra.Command {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
 
@@ -21,6 +23,7 @@
 	Blocks   []BlockStatus   `json:"blocks,omitempty"`
 	Machines []MachineStatus `json:"machines,omitempty"`
 	Queue    []JobStatus     `json:"queue,omitempty"`
+	Held     []HeldStatus    `json:"held,omitempty"`
 	Counts   Counts          `json:"counts"`
 }
 
@@ -56,6 +59,15 @@
 	Finished int     `json:"finished"`
 }
 
+// HeldStatus is a job that waits for others to be done.
+type HeldStatus struct {
+	ID    string   `json:"id"`
+	Class string   `json:"class"`
+	Team  string   `json:"team"`
+	Tasks int      `json:"tasks"`
+	After []string `json:"after"`
+}
+
 // Counts add up since the process began.
 type Counts struct {
 	Terms          uint64 `json:"terms"`
@@ -122,9 +134,25 @@
 	for _, i := range t.plan.Order(&w) {
 		s.Queue = append(s.Queue, t.jobStatus(t.table.At(i)))
 	}
+	for _, j := range t.table.All() {
+		if j != nil && j.Phase == jobs.Held {
+			s.Held = append(s.Held, HeldStatus{ID: formatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Tasks: len(j.Tasks), After: t.ids(j.After)})
+		}
+	}
+	slices.SortFunc(s.Held, func(a, b HeldStatus) int { return compare(a.ID, b.ID) })
 	return s
 }
 
+// ids are the ids of jobs by index, in order.
+func (t *Term) ids(list []int32) []string {
+	var out []string
+	for _, i := range list {
+		out = append(out, formatID(t.table.At(i).Rec.ID))
+	}
+	slices.Sort(out)
+	return out
+}
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
@@ -174,6 +202,24 @@
 			e.Place = n + 1
 		}
 	}
+	if len(j.Followers) > 0 {
+		say("jobs that wait for it: %s", strings.Join(t.ids(j.Followers), ", "))
+	}
+	if j.Priority > j.Rec.Priority {
+		say("it has taken the priority of a job that needs it: %s instead of %s (exception follow_urgency)", wire.PriorityWord(j.Priority), wire.PriorityWord(j.Rec.Priority))
+	}
+	if j.Phase == jobs.Held {
+		if len(j.After) == 0 {
+			say("what it follows is not in the log any more: it is not started, and waits to be cancelled")
+			return e, true
+		}
+		say("it waits for %d of the %d jobs that it follows: %s", len(j.After), len(j.Rec.Follows), strings.Join(t.ids(j.After), ", "))
+		say("until they are done it is outside the order and holds nothing of its team's share")
+		return e, true
+	}
+	if n := len(j.Rec.Follows); n > 0 {
+		say("the %d jobs that it follows are done; its times count from then", n)
+	}
 	say("%d of its %d tasks are done, %d have a place, %d wait", j.Finished, len(j.Tasks), j.Placed, j.Waiting)
 	switch {
 	case j.Rec.Kind == jobs.Service:
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -27,6 +27,9 @@
 	priorities = []string{"best_effort", "normal", "urgent", "critical"}
 )
 
+// PriorityWord is the word for a priority.
+func PriorityWord(p uint8) string { return priorities[min(int(p), len(priorities)-1)] }
+
 // Paths of the users' and workers' doors.
 const (
 	PathJobs    = "/api/jobs"
