Golden files of production's log and messages, read by the current code and back

Tests for the lower limits: each kind of entry at its largest, sizes in pieces, a 400, answers cut short.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -240,6 +240,7 @@
 	sizes     []Op     // pieces of the last list of virtual sizes that are not written yet
 	sizeCount int      // pieces that may be there
 	sizeWant  int      // pieces of the last list
+	list      int      // counts the lists
 	drops     []string // segments whose live entries have been written anew
 }
 
@@ -253,6 +254,7 @@
 	segments []segment
 	count    int // pending entries in it
 	sizes    []Op
+	list     int // which list of sizes they are of
 	drops    []string
 	sent     bool
 	unsure   bool // a try of it had no answer
@@ -323,6 +325,7 @@
 // until all pieces are written, some are of the list before.
 func (l *Log) SetSizes(all []VirtualSize) {
 	l.sizes = nil
+	l.list++
 	var list []VirtualSize
 	used := 16
 	n := 0
@@ -382,7 +385,7 @@
 	if len(l.pending) == 0 && len(l.sizes) == 0 && len(l.drops) == 0 {
 		return nil
 	}
-	f := &flight{}
+	f := &flight{list: l.list}
 	cur := segment{l.segment, bytes.Clone(l.body)}
 	total := len(cur.body)
 	ops := 1
@@ -512,7 +515,8 @@
 		l.lim.ValueBytes = max(leastBytes, l.lim.ValueBytes/2)
 		l.lim.TxnOps = max(2, l.lim.TxnOps/2)
 		l.sealed = len(l.body) > 0
-		l.sizes, f.sizes = nil, nil // the next list comes in smaller pieces
+		l.list++ // the next one comes in smaller pieces
+		l.sizes = nil
 		l.giveUp(f)
 		return nil, Carry
 	default:
@@ -529,8 +533,8 @@
 // second time: its entries are still pending.
 func (l *Log) giveUp(f *flight) {
 	l.drops = append(l.drops, f.drops...)
-	if len(l.sizes) == 0 { // otherwise a newer list has come
-		l.sizes = f.sizes
+	if f.list == l.list { // otherwise a newer one has come
+		l.sizes = append(f.sizes, l.sizes...)
 	}
 	l.inflight = nil
 }
@@ -538,7 +542,7 @@
 func (l *Log) applied(f *flight, mark uint64) []any {
 	l.fails = 0
 	l.inflight = nil
-	if len(f.sizes) > 0 && len(l.sizes) == 0 {
+	if f.list == l.list && len(f.sizes) > 0 && len(l.sizes) == 0 {
 		l.sizeCount = l.sizeWant // all that was there beyond is removed
 	}
 	if f.count == 0 {
--- /dev/null
+++ b/internal/ledger/limits_test.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The service takes less than the settings said. The log tries smaller values
+// in further segments, never rewrites the large one, and loses nothing.
+func TestInvalidLeadsToSmallerValues(t *testing.T) {
+	s := newStore()
+	l := NewLog(Limits{WriteRPS: 1000, ValueBytes: 4000, TxnOps: 8}, "lead/epoch", 1, 0, 0)
+	most, now, invalid := 4000, time.Second, 0
+	durable := 0
+	for step := 0; durable < 400; step++ {
+		if step > 200 {
+			t.Fatalf("stuck with %d of 400 durable", durable)
+		}
+		if step < 20 {
+			for n := range uint64(20) {
+				l.Append(cancel(uint64(step)*20+n), n)
+			}
+		}
+		if step == 5 {
+			most = 600
+		}
+		now += time.Second
+		txn := l.Next(now)
+		if txn == nil {
+			continue
+		}
+		out, mark, failed := Invalid, uint64(0), []string(nil)
+		if !slices.ContainsFunc(txn.Writes, func(o Op) bool { return len(o.Value) > most }) {
+			out, mark, failed = s.apply(*txn)
+		} else {
+			invalid++
+		}
+		tags, next := l.Result(now, txn.Seq, out, mark, failed)
+		if next != Carry {
+			t.Fatalf("step %d: %v", step, next)
+		}
+		durable += len(tags)
+	}
+	if invalid == 0 {
+		t.Error("the lower limit was never met: the test tests nothing")
+	}
+	got := s.ids(t)
+	for n := range uint64(400) {
+		if got[n] != n {
+			t.Fatalf("entry %d is %d", n, got[n])
+		}
+	}
+}
+
+// Nothing smaller is left to try, or an earlier copy of the transaction may
+// still arrive: the term ends instead of trying for ever.
+func TestInvalidEndsTheTerm(t *testing.T) {
+	l := NewLog(Limits{WriteRPS: 1000, ValueBytes: leastBytes, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	l.Append(cancel(1), 1)
+	txn := l.Next(time.Second)
+	if _, step := l.Result(time.Second, txn.Seq, Invalid, 0, nil); step != Lost {
+		t.Error("the smallest values were refused, and the term goes on")
+	}
+	l = NewLog(Limits{WriteRPS: 1000, ValueBytes: 4000, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	l.Append(cancel(1), 1)
+	txn = l.Next(time.Second)
+	l.Result(time.Second, txn.Seq, Unknown, 0, nil)
+	l.ReadBack(time.Second, true, 0, nil)
+	again := l.Next(3 * time.Second)
+	if _, step := l.Result(3*time.Second, again.Seq, Invalid, 0, nil); step != Lost {
+		t.Error("an earlier copy may still be executed, and the term goes on")
+	}
+}
+
+// Virtual sizes that need more values than one transaction takes are written
+// in pieces, beside entries; pieces that an earlier term left beyond them are
+// removed, and an unanswered or refused one is written again.
+func TestSizesInPieces(t *testing.T) {
+	s := newStore()
+	for n := range 40 {
+		s.mark[sizesKey(n)], s.data[sizesKey(n)] = 1, json.RawMessage(`{"v":[{"i":999,"s":1,"v":1}]}`)
+	}
+	l := NewLog(Limits{WriteRPS: 100, ValueBytes: 300, TxnOps: 4}, "lead/epoch", 1, 0, 40)
+	var list []VirtualSize
+	for n := range uint64(60) {
+		list = append(list, VirtualSize{ID: n, Size: 100, Virtual: float64(n)})
+	}
+	l.SetSizes(list)
+	now := time.Duration(0)
+	for step := range 60 {
+		l.Append(cancel(uint64(step)), step)
+		now += 200 * time.Millisecond
+		txn := l.Next(now)
+		if txn == nil {
+			continue
+		}
+		if len(txn.Writes) > 4 {
+			t.Fatalf("%d changes in a transaction", len(txn.Writes))
+		}
+		out, mark, failed := Refused, uint64(0), []string(nil)
+		if step%5 > 0 {
+			out, mark, failed = s.apply(*txn)
+			for _, w := range txn.Writes {
+				if w.Remove {
+					delete(s.mark, w.Key)
+					delete(s.data, w.Key)
+				}
+			}
+		}
+		l.Result(now, txn.Seq, out, mark, failed)
+	}
+	found := map[uint64]float64{}
+	for k, raw := range s.data {
+		if _, err := SizesNumber(k); err != nil {
+			continue
+		}
+		var v VirtualSizes
+		if err := json.Unmarshal(raw, &v); err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range v.Sizes {
+			found[x.ID] = x.Virtual
+		}
+	}
+	if _, stale := found[999]; stale || len(found) != 60 || found[59] != 59 {
+		t.Errorf("%d sizes, stale ones: %v", len(found), stale)
+	}
+}
+
+// One change is left to spend, the open segment is nearly full and much waits:
+// the change goes into a new segment, which takes more.
+func TestNearlyFullSegmentIsLeft(t *testing.T) {
+	s := newStore()
+	l := NewLog(Limits{WriteRPS: 100, ValueBytes: 400, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	now := 10 * time.Second
+	commit := func() int {
+		txn := l.Next(now)
+		out, mark, failed := s.apply(*txn)
+		tags, _ := l.Result(now, txn.Seq, out, mark, failed)
+		return len(tags)
+	}
+	for n := range uint64(32) {
+		l.Append(cancel(100+n), n)
+	}
+	commit()
+	for n := range uint64(100) {
+		l.Append(cancel(200+n), n)
+	}
+	l.tokens = 1
+	if got := commit(); got < 30 {
+		t.Errorf("a change took only %d entries along", got)
+	}
+}
--- a/internal/scenario/frozen_test.go
+++ b/internal/scenario/frozen_test.go
@@ -199,6 +199,45 @@
 		Node  string
 		Epoch uint64
 	}
+	prodStatus struct {
+		Node     string
+		Leader   string
+		Epoch    uint64
+		Sure     bool
+		Loaded   bool
+		Unsaved  int
+		Blocks   []prodBlock
+		Machines []prodMachineStatus
+		Queue    []prodJobStatus
+		Counts   prodCounts
+	}
+	prodBlock struct {
+		Holder   string
+		Machines int
+		CPUs     float64
+	}
+	prodMachineStatus struct {
+		Name, Type, Zone string
+		Spot             bool
+		State, Holder    string
+		FreeCPUs         float64
+		Tasks            int
+	}
+	prodJobStatus struct {
+		ID, Class, Team           string
+		Virtual, Size             float64
+		Final                     bool
+		Waiting, Placed, Finished int
+	}
+	prodCounts struct {
+		Terms, Reports, Answered, Refused, MachinesLost, RentalsRefused, TasksDone, TasksRerun uint64
+	}
+	prodExplanation struct {
+		ID    string
+		Job   *prodJobStatus
+		Place int
+		Words []string
+	}
 )
 
 func recode(from, to any) {
--- /dev/null
+++ b/internal/scenario/upgrade_test.go
@@ -0,0 +1,152 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+func golden(t *testing.T, name string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("production", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.TrimSuffix(raw, []byte("\n"))
+}
+
+// What production stored is read whole, and written again byte for byte: an
+// entry without anything new looks as it always did. The frozen types do the
+// same, or they would not be production's.
+func TestProductionsLog(t *testing.T) {
+	raw := golden(t, "segment.json")
+	list, err := ledger.Decode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]bool{}
+	for _, e := range list {
+		v := reflect.ValueOf(e)
+		for i := range v.NumField() {
+			if !v.Field(i).IsZero() {
+				kinds[v.Type().Field(i).Name] = true
+			}
+		}
+	}
+	if want := reflect.TypeFor[prodEntry]().NumField(); len(kinds) != want {
+		t.Errorf("%d kinds of entries in the file, production has %d", len(kinds), want)
+	}
+	again, err := json.Marshal(map[string]any{"e": list})
+	if err != nil || !bytes.Equal(again, raw) {
+		t.Errorf("written again as\n%s, was\n%s", again, raw)
+	}
+	if got := asProductionReads(raw); !bytes.Equal(got, raw) {
+		t.Errorf("the frozen types write\n%s, production wrote\n%s", got, raw)
+	}
+	var sizes ledger.VirtualSizes
+	if err := json.Unmarshal(golden(t, "sizes.json"), &sizes); err != nil || !reflect.DeepEqual(sizes.Sizes, []ledger.VirtualSize{{ID: 413, Size: 31.5, Virtual: 12.3}}) {
+		t.Errorf("sizes are read as %+v, %v", sizes, err)
+	}
+	var h leadership.Holder
+	if err := json.Unmarshal(golden(t, "leader.json"), &h); err != nil || h != (leadership.Holder{Node: "drover-1", Epoch: 7}) {
+		t.Errorf("the leader is read as %+v, %v", h, err)
+	}
+}
+
+// What is new in the log is left out by production's reading, and everything
+// beside it is read as it is.
+func TestProductionReadsTheNewLog(t *testing.T) {
+	job := ledger.Job{ID: 9, Class: "c", Team: "t", Tasks: 3, CPUs: 1, MemoryGB: 2, Image: "i", EstimateS: 5, AtMS: 7}
+	next := job
+	next.Follows, next.Rest, next.ReleasedMS = []uint64{1, 2}, 3, 99
+	with := []ledger.Entry{{Job: &next}, {After: &ledger.After{ID: 9, AtMS: 7, Jobs: []uint64{5}}},
+		{Tasks: &ledger.Tasks{ID: 9, Ranges: [][2]int{{0, 3}}, Seconds: 6, Known: 3, AtMS: 88}},
+		{Types: []ledger.Type{{Name: "m", CPUs: 4, MemoryGB: 8, Zones: []string{"b"}, More: true}}}}
+	without := []ledger.Entry{{Job: &job}, {},
+		{Tasks: &ledger.Tasks{ID: 9, Ranges: [][2]int{{0, 3}}, Seconds: 6, Known: 3}},
+		{Types: []ledger.Type{{Name: "m", CPUs: 4, MemoryGB: 8, Zones: []string{"b"}}}}}
+	raw, err := json.Marshal(map[string]any{"e": with})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := json.Marshal(map[string]any{"e": without})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := asProductionReads(raw); !bytes.Equal(got, want) {
+		t.Errorf("production reads\n%s, want\n%s", got, want)
+	}
+}
+
+// Messages between controllers: what production sent is understood, and it
+// understands what is sent to it, field by field.
+func TestProductionsMessages(t *testing.T) {
+	job := &ledger.Job{ID: 412, Class: "train", Team: "vision", Kind: 1, Priority: 2, Tasks: 16, CPUs: 8, GPUs: 1, MemoryGB: 64.5,
+		Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spot: true,
+		EstimateS: 240, Checkpoint: 30, SaveS: 4, DeadlineS: 900, AtMS: 1764590000123}
+	report := workers.Report{Machine: "host-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Session: 2, Seq: 88, Token: 7<<20 + 5,
+		Notice: true, NoticeS: 7.5, Tasks: []workers.TaskReport{{Job: 413, Task: 1, Attempt: 9, State: workers.Ended, Reason: workers.Stopped, Saved: true}}}
+	start := workers.Command{Op: workers.Start, Job: 413, Task: 2, Attempt: 10}
+	for _, c := range []struct {
+		file string
+		now  any // what the file means, in the types of today
+		then any // points to production's type
+	}{
+		{"relay.gob", node.Relayed{Via: "drover-1", Life: 1764590000000, Report: report}, &prodRelayed{}},
+		{"relay_answer.gob", node.ReportAnswer{Status: 200, Token: 7<<20 + 5, Commands: []workers.Command{{Op: workers.Stop, Job: 412, Task: 1, Attempt: 4, GraceS: 9}},
+			Node: "drover-2", Offers: []workers.Offer{{Start: start, Serial: 77, Need: amounts.Amounts{CPU: 500, Mem: 1000}, Here: true}},
+			Room: amounts.Amounts{CPU: 96000, GPU: 8000, Mem: 768000}, LeaseS: 20}, &prodReportAnswer{}},
+		{"ask.gob", node.UserRequest{Op: "submit", ID: 412, Submission: wire.Submission{ID: 412, HasID: true, Job: job, Bad: "x"}}, &prodRequest{}},
+		{"ask_answer.gob", node.Answer{Status: 200, ID: 412, State: wire.Cancelled, Counts: true, Done: 3, Running: 2, Why: "w", RetryAfter: 4}, &prodAnswer{}},
+		{"hail.gob", node.HailMessage{Node: "drover-1", Epoch: 7}, &prodHail{}},
+		{"status.gob", node.Status{Node: "drover-0", Leader: "drover-1", Epoch: 7, Sure: true, Loaded: true, Unsaved: 2,
+			Queue:  []node.JobStatus{{ID: "j-000413", Class: "c", Team: "vision", Virtual: 12.3, Size: 31.5, Final: true, Waiting: 1}},
+			Counts: node.Counts{Terms: 1, TasksDone: 9}}, &prodStatus{}},
+		{"explain.gob", node.Explanation{ID: "j-000413", Place: 2, Words: []string{"it is number 2 in the order"}}, &prodExplanation{}},
+	} {
+		raw := golden(t, c.file)
+		got := reflect.New(reflect.TypeOf(c.now))
+		if err := gob.NewDecoder(bytes.NewReader(raw)).Decode(got.Interface()); err != nil {
+			t.Errorf("%s: %v", c.file, err)
+			continue
+		}
+		if !reflect.DeepEqual(got.Elem().Interface(), c.now) {
+			t.Errorf("%s is read as %+v, want %+v", c.file, got.Elem(), c.now)
+		}
+		sent := reflect.New(reflect.TypeOf(c.then).Elem())
+		throughGob(c.now, sent.Interface())
+		if err := gob.NewDecoder(bytes.NewReader(raw)).Decode(c.then); err != nil {
+			t.Errorf("%s: %v", c.file, err)
+			continue
+		}
+		if !reflect.DeepEqual(sent.Interface(), c.then) {
+			t.Errorf("%s: production reads %+v of what it is sent today, and %+v of its own", c.file, sent.Elem(), reflect.ValueOf(c.then).Elem())
+		}
+	}
+}
+
+// The calls that production makes are still served, with arguments of the same
+// names.
+func TestProductionsCalls(t *testing.T) {
+	c := reflect.TypeFor[*node.Controller]()
+	for _, name := range []string{"Ask", "Hail", "Relay", "Status", "Explain"} {
+		if _, ok := c.MethodByName(name); !ok {
+			t.Errorf("Controller.%s is not served any more", name)
+		}
+	}
+	if node.PathPeers != "/peers" || leadership.HolderKey != "lead/holder" || leadership.EpochKey != "lead/epoch" ||
+		ledger.Key(7) != "log/00000007" || ledger.SizesPrefix != "sizes/" {
+		t.Error("a path or key that the versions share has changed")
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// Announced limits are kept to from the start, limit by limit: whichever is
+// smaller counts, and what is not announced stays.
+func TestNextLimits(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want StateLimits
+	}{
+		{"", StateLimits{15, 8, 12}},
+		{"value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0", StateLimits{15, 2, 4}},
+		{"value_kb = 64.0\nwrite_rps = 5.0", StateLimits{5, 8, 12}},
+	} {
+		text := good
+		if c.next != "" {
+			text = strings.Replace(good, "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\n"+c.next, 1)
+		}
+		s, err := load(t, text, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Writes(); got != c.want {
+			t.Errorf("next %q: %+v, want %+v", c.next, got, c.want)
+		}
+	}
+}
+
 // A wrong setting is named, in one line.
 func TestWrong(t *testing.T) {
 	cases := []struct{ from, to, ini, field string }{
@@ -81,6 +106,10 @@
 		{`node = "n1"`, `node = "n0"`, "", "others[0].node"},
 		{"write_rps = 15.0", "write_rps = -1.0", "", "deployment.state.write_rps"},
 		{"txn_ops = 12", "txn_ops = 1", "", "deployment.state.txn_ops"},
+		{"txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.0", "", "deployment.state.next.value_kb"},
+		{"txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.2", "", "deployment.state.next.value_kb"},
+		{"txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\ntxn_ops = 2", "", "deployment.state.next.txn_ops"},
+		{"txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nwrite_rps = -1.0", "", "deployment.state.next.write_rps"},
 		{"lease_s = 10.0", "lease_s = 0.5", "", "deployment.workers.lease_s"},
 		{"cpus = 4.0", "cpus = 9.0", "", "deployment.teams[0].cpus"},
 		{"", "", "[sizing]\ntraining_tasks = 0\n", "sizing.training_tasks"},
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -34,6 +35,23 @@
 	}
 }
 
+// What a job follows: nothing, or well-formed ids, each counted once.
+func TestFollows(t *testing.T) {
+	with := func(v string) Submission {
+		return ParseSubmission([]byte(strings.Replace(job, `"new_field":1`, `"follows":`+v, 1)))
+	}
+	for v, want := range map[string][]uint64{"null": nil, "[]": nil, `["j-000398"]`: {398}, `["j-000405","j-000398","j-000405"]`: {405, 398}} {
+		if s := with(v); s.Bad != "" || !slices.Equal(s.Job.Follows, want) {
+			t.Errorf("%s is read as %v, %q", v, s.Job, s.Bad)
+		}
+	}
+	for _, v := range []string{`"j-000398"`, `{}`, `[398]`, `["j-398"]`, `[null]`, `["j-000398",""]`, `[["j-000398"]]`} {
+		if s := with(v); s.Bad == "" || !s.HasID {
+			t.Errorf("%s is taken for good, or the id is lost", v)
+		}
+	}
+}
+
 func TestIDs(t *testing.T) {
 	for _, good := range []string{"j-000412", "j-1234567"} {
 		if n, ok := ParseID(good); !ok || FormatID(n) != good {
