--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -230,6 +230,8 @@
 		requests = t.buyer.Rent(now, t.types, t.wanted(missing, false, open))
 	}
 	t.request("renting", requests)
+	picky := t.picky()
+	t.keepFor(picky)
 	stuck := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Waiting == 0 || t.couldRun(j) })
 	if len(requests) == 0 && len(stuck) > 0 {
 		// Jobs that would not fit if all machines were free.
@@ -247,7 +249,50 @@
 	if cheap <= have && len(stuck) == 0 {
 		// Against what is up: what is only asked for or boots may never come,
 		// while the cloud is out for instance.
-		t.shrink(now, up)
+		t.shrink(now, up, picky)
+	}
+}
+
+// picky lists the unfinished jobs that may not use every machine, those that
+// still wait for others among them: room that is enough on the whole may be
+// none for them.
+func (t *Term) picky() []*jobs.Job {
+	var out []*jobs.Job
+	for _, j := range t.table.All() {
+		if j != nil && (j.Phase == jobs.Open || j.Phase == jobs.Held) && j.Waiting > 0 && (!j.Spot || j.Types != nil || j.Rec.Zone != "") {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// places is how many machines that stay may take tasks of a job.
+func (t *Term) places(j *jobs.Job) int {
+	n := 0
+	for _, m := range t.yard.All() {
+		if !m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+			n++
+		}
+	}
+	return n
+}
+
+// keepFor takes back the return of machines that are the only ones for a
+// waiting job. Found on a day with pipelines: the last ordinary machine was
+// being returned for minutes, since spot ones had room enough, and jobs that may
+// not use those waited until it was gone.
+func (t *Term) keepFor(picky []*jobs.Job) {
+	for _, j := range picky {
+		if j.Phase != jobs.Open || t.places(j) > 0 {
+			continue
+		}
+		for _, m := range t.yard.All() {
+			if m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+				m.Draining = false
+				t.dirty = true
+				break
+			}
+		}
 	}
 }
 
@@ -266,7 +311,7 @@
 		return true // more may be on the way
 	}
 	if j.Rec.Kind == jobs.Array {
-		return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return t.mayTake(j, m) && j.Need.Fits(m.Cap) })
+		return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return !m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) })
 	}
 	need := len(j.Tasks) - j.Finished
 	zones := t.slots(j)
@@ -386,7 +431,20 @@
 	return p.demand[0]
 }
 
-func (t *Term) shrink(now time.Duration, have float64) {
+func (t *Term) shrink(now time.Duration, have float64, picky []*jobs.Job) {
+	places := make([]int, len(picky))
+	for i, j := range picky {
+		places[i] = t.places(j)
+	}
+	// last says whether a picky job would have no place without a machine.
+	last := func(m *workers.Machine) bool {
+		for i, j := range picky {
+			if places[i] == 1 && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+				return true
+			}
+		}
+		return false
+	}
 	list := slices.DeleteFunc(slices.Clone(t.yard.All()), func(m *workers.Machine) bool {
 		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(t.cfg.Tunables.IdleReturnS)
 	})
@@ -416,9 +474,14 @@
 		if m.Spot {
 			wanted = t.spotPeak.value()
 		}
-		if have-m.Cap.CPUs() >= wanted {
+		if have-m.Cap.CPUs() >= wanted && !last(m) {
 			have -= m.Cap.CPUs()
 			m.Draining = true
+			for i, j := range picky {
+				if t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+					places[i]--
+				}
+			}
 			t.takeBackAll(m)
 		}
 	}
