Ordinary machines by the need of jobs bound to them, whatever room spot ones have

Cause: index-rebuild waited 1 min from 400 s on and 3 min at the end: what such jobs need was only asked for while machines were short on the whole. Now what is being returned is taken back for them first, then ordinary machines are rented, and none are returned below their peak need.

--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -224,10 +224,21 @@
 		requests = t.buyer.Rent(now, t.types, t.wanted(cheap-have, true, open))
 	}
 	// Ordinary machines: what spot ones could not bring, and jobs that may
-	// not use spot machines at all.
-	missing := max(dear-have, min(cheap-have, t.demand(bound, t.cfg.Tunables.DrainBacklogS, true)-ordinary))
-	if len(requests) == 0 && missing > 0 {
-		requests = t.buyer.Rent(now, t.types, t.wanted(missing, false, open))
+	// not use spot machines at all, however much room there is on those.
+	need := t.demand(bound, t.cfg.Tunables.DrainBacklogS, true)
+	for _, m := range t.yard.All() {
+		if need > ordinary && m.Draining && !m.Leaving && !m.Spot {
+			m.Draining = false
+			ordinary += m.Cap.CPUs()
+			t.dirty = true
+		}
+	}
+	t.boundPeak.add(now, settings.Seconds(t.cfg.Tunables.IdleReturnS), need)
+	if len(requests) == 0 && dear > have {
+		requests = t.buyer.Rent(now, t.types, t.wanted(dear-have, false, open))
+	}
+	if len(requests) == 0 && need > ordinary {
+		requests = t.buyer.Rent(now, t.types, t.wanted(need-ordinary, false, bound))
 	}
 	t.request("renting", requests)
 	picky := t.picky()
@@ -249,7 +260,7 @@
 	if cheap <= have && len(stuck) == 0 {
 		// Against what is up: what is only asked for or boots may never come,
 		// while the cloud is out for instance.
-		t.shrink(now, up, picky)
+		t.shrink(now, up, ordinary, picky)
 	}
 }
 
@@ -431,7 +442,7 @@
 	return p.demand[0]
 }
 
-func (t *Term) shrink(now time.Duration, have float64, picky []*jobs.Job) {
+func (t *Term) shrink(now time.Duration, have, ordinary float64, picky []*jobs.Job) {
 	places := make([]int, len(picky))
 	for i, j := range picky {
 		places[i] = t.places(j)
@@ -474,8 +485,11 @@
 		if m.Spot {
 			wanted = t.spotPeak.value()
 		}
-		if have-m.Cap.CPUs() >= wanted && !last(m) {
+		if have-m.Cap.CPUs() >= wanted && !last(m) && (m.Spot || ordinary-m.Cap.CPUs() >= t.boundPeak.value()) {
 			have -= m.Cap.CPUs()
+			if !m.Spot {
+				ordinary -= m.Cap.CPUs()
+			}
 			m.Draining = true
 			for i, j := range picky {
 				if t.mayTake(j, m) && j.Need.Fits(m.Cap) {
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -92,6 +92,7 @@
 	sizesAt    time.Duration
 	dearPeak   peak
 	spotPeak   peak
+	boundPeak  peak // of jobs that may not use spot machines
 	cloudRoom  float64
 	cloudAt    time.Duration
 
