A task that saved is stopped for others once, and each victim is named once

Victims of several jobs were also listed up to ten times, each time adding to what they were thought to have saved.

--- a/internal/blocks/blocks_test.go
+++ b/internal/blocks/blocks_test.go
@@ -155,3 +155,34 @@
 		}
 	}
 }
+
+// Two urgent jobs find the cluster full of tasks that save. Each victim is
+// named once, and a task that was stopped before is left alone: found on a day
+// where one long job was stopped five times over and set the end of the day.
+func TestPreemptSparesTheSaved(t *testing.T) {
+	w := World{Now: 100 * time.Second, Quiet: time.Hour, Jobs: jobs.NewTable(), Yard: workers.NewYard(),
+		Book: sizing.New(sizing.Params{Train: 5, Xi: 1, Delta: 60, First: 30}), Zone: func(string) int32 { return 0 }}
+	m := w.Yard.Add(&workers.Machine{Name: "m", Cap: amounts.Room(8, 0, 64), Durable: true, Up: true, Resolved: true, Heard: w.Now, CacheGB: 1, FetchGBPS: 1})
+	add := func(id uint64, tasks int, cpus float64, priority uint8) *jobs.Job {
+		j := w.Jobs.Add(ledger.Job{ID: id, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Priority: priority, Checkpoint: 15, SaveS: 4, EstimateS: 300})
+		j.Phase = jobs.Open
+		w.Book.Add(j.Index, 0, tasks, cpus, false)
+		return j
+	}
+	long := add(1, 4, 2, 0)
+	for k := range 4 {
+		long.Place(k)
+		p := &workers.Placement{Ref: workers.Ref{Job: long.Index, Task: int32(k)}, JobID: 1, Need: long.Need}
+		m.Plan(p)
+		p.Planned, p.Seen, p.State, p.RanAt = false, true, workers.Running, 40*time.Second
+	}
+	long.Saved = map[int32]time.Duration{0: time.Second, 2: time.Second}
+	add(2, 1, 1, 2)
+	add(3, 1, 1, 2)
+	p := New([]Limit{{}}, 10)
+	p.UrgentFirst = true
+	got := p.Preempt(w)
+	if len(got) != 1 || long.Saved[got[0].Ref.Task] > 0 {
+		t.Errorf("%d tasks are stopped: %+v", len(got), got)
+	}
+}
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -42,7 +42,11 @@
 		}
 		if victims := p.victims(&w, j, pool); len(victims) > 0 {
 			j.PreemptedAt = w.Now
-			out = append(out, victims...)
+			for _, v := range victims {
+				if !slices.Contains(out, v) {
+					out = append(out, v)
+				}
+			}
 		}
 	}
 	return out
@@ -58,7 +62,7 @@
 		}
 		for _, v := range m.Tasks {
 			o := w.Jobs.At(v.Ref.Job)
-			if !stoppable(o, v) || (o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost) {
+			if !stoppable(o, v) || o.Saved[v.Ref.Task] > 0 || (o.Rec.Checkpoint == 0 && w.Now-v.RanAt > littleLost) {
 				continue
 			}
 			pool = append(pool, v)
