--- a/internal/node/loopback_test.go
+++ b/internal/node/loopback_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,107 +17,9 @@
 	"time"
 
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/standin"
 )
 
-// stateStand is a stand-in for the state service, over HTTP.
-type stateStand struct {
-	sync.Mutex
-	rev   uint64
-	items map[string]map[string]any
-	holds map[uint64]time.Time
-	down  bool
-}
-
-func (s *stateStand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.Lock()
-	defer s.Unlock()
-	if s.down {
-		w.WriteHeader(503)
-		return
-	}
-	reply := func(status int, v any) {
-		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(v)
-	}
-	var in map[string]any
-	_ = json.NewDecoder(r.Body).Decode(&in)
-	switch {
-	case r.URL.Path == "/keys":
-		var keys []string
-		for k := range s.items {
-			if strings.HasPrefix(k, r.URL.Query().Get("starts")) && k > r.URL.Query().Get("since") {
-				keys = append(keys, k)
-			}
-		}
-		sort.Strings(keys)
-		rows := []any{}
-		for _, k := range keys {
-			rows = append(rows, map[string]any{"k": k, "data": s.items[k]["data"], "entry_mark": s.items[k]["entry_mark"]})
-		}
-		reply(200, map[string]any{"rows": rows, "has_next": false, "ledger_mark": s.rev})
-	case strings.HasPrefix(r.URL.Path, "/keys/"):
-		if it := s.items[strings.TrimPrefix(r.URL.Path, "/keys/")]; it != nil {
-			reply(200, it)
-		} else {
-			reply(404, map[string]any{"ledger_mark": s.rev})
-		}
-	case r.URL.Path == "/multi":
-		for _, c := range in["when"].([]any) {
-			c := c.(map[string]any)
-			mark := 0.0
-			if it := s.items[c["k"].(string)]; it != nil {
-				mark = it["entry_mark"].(float64)
-			}
-			if mark != c["entry_mark"].(float64) {
-				reply(409, map[string]any{"failed": []any{c["k"]}, "ledger_mark": s.rev})
-				return
-			}
-		}
-		s.rev++
-		for _, o := range in["writes"].([]any) {
-			o := o.(map[string]any)
-			if k, ok := o["write"].(string); ok {
-				s.items[k] = map[string]any{"k": k, "data": o["data"], "entry_mark": float64(s.rev)}
-			}
-		}
-		reply(200, map[string]any{"ledger_mark": s.rev})
-	case r.URL.Path == "/holds":
-		s.rev++
-		reply(200, map[string]any{"tether": s.rev})
-	case strings.HasPrefix(r.URL.Path, "/holds/"):
-		reply(200, map[string]any{})
-	case r.URL.Path == "/follow":
-		s.Unlock()
-		time.Sleep(200 * time.Millisecond)
-		s.Lock()
-		reply(200, map[string]any{"ledger_mark": s.rev, "news": []any{}})
-	default:
-		w.WriteHeader(404)
-	}
-}
-
-// cloudStand rents machines that the test plays the workers of.
-func cloudStand() http.Handler {
-	n := 0
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var in map[string]any
-		_ = json.NewDecoder(r.Body).Decode(&in)
-		switch r.URL.Path {
-		case "/machine_types":
-			fmt.Fprint(w, `{"breeds":[{"label":"m4","vcpus":4,"gpus":0,"memory_gb":16,"local_gb":20,"fetch_gb_per_s":1,"price":1,"spot_price":0.3,"ready_s":5,"pastures":["a"]}]}`)
-		case "/rentals":
-			if r.Method == http.MethodGet {
-				fmt.Fprint(w, `{"stalls":[],"has_next":false}`)
-				return
-			}
-			n++
-			fmt.Fprintf(w, `{"stalls":["host-%06d"]}`, n)
-		default:
-			fmt.Fprint(w, `{}`)
-		}
-	})
-}
-
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -149,8 +50,8 @@
 // TestLoopback takes a job through two controllers over real sockets: door,
 // relay to the leader, worker, state service and cloud as they are spoken.
 func TestLoopback(t *testing.T) {
-	store := &stateStand{items: map[string]map[string]any{}, holds: map[uint64]time.Time{}}
-	state, cloud := httptest.NewServer(store), httptest.NewServer(cloudStand())
+	store := &standin.State{}
+	state, cloud := httptest.NewServer(store), httptest.NewServer(&standin.Cloud{})
 	defer state.Close()
 	defer cloud.Close()
 	var cfgs []*settings.Settings
@@ -294,9 +195,7 @@
 	if status, out, _ := ask(t, "POST", door(1)+"/api/jobs/j-000001/abort", ""); status != 200 || out["standing"] != "done" {
 		t.Errorf("cancelling a job that is done gives %d %v", status, out)
 	}
-	store.Lock()
-	store.down = true
-	store.Unlock()
+	store.SetDown(true)
 	eventually("without the state service, 503 and not 404", func() bool {
 		status, _, head := ask(t, "GET", door(0)+"/api/jobs/j-000777", "")
 		return status == 503 && head.Get("Retry-After") != ""
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fleet plays the workers of a cloud's machines: each reports to one
+// controller at a time and runs what it is told to, and the rules that concern
+// a start are checked.
+type Fleet struct {
+	Doors []string // base addresses of the controllers
+	Every time.Duration
+	Lease time.Duration
+	// Runs says how long tasks of a job run, and which jobs must be done before.
+	Runs func(job string) (time.Duration, []string)
+	// Tasks is how many tasks a job has.
+	Tasks func(job string) int
+
+	mu     sync.Mutex
+	gone   map[string]bool
+	on     map[string]string // task -> machine
+	done   map[string]bool   // tasks
+	broken []string
+}
+
+// Broken lists the rules that were broken.
+func (f *Fleet) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.broken...)
+}
+
+// Down has a machine's worker end.
+func (f *Fleet) Down(m Machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[m.Name] = true
+	for t, on := range f.on {
+		if on == m.Name {
+			delete(f.on, t)
+		}
+	}
+}
+
+// Up begins a machine's worker, which ends with Down.
+func (f *Fleet) Up(m Machine) {
+	f.mu.Lock()
+	if f.gone == nil {
+		f.gone, f.on, f.done = map[string]bool{}, map[string]string{}, map[string]bool{}
+	}
+	f.mu.Unlock()
+	go (&worker{f: f, m: m, session: 1, tasks: map[string]*running{}, renewed: time.Now()}).live()
+}
+
+// Finished says whether all tasks of a job have completed.
+func (f *Fleet) Finished(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished(job)
+}
+
+func (f *Fleet) finished(job string) bool {
+	for k := range f.Tasks(job) {
+		if !f.done[job+"/"+strconv.Itoa(k)] {
+			return false
+		}
+	}
+	return true
+}
+
+type running struct {
+	Task    string `json:"beast"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"standing"`
+	Why     string `json:"cause,omitempty"`
+	ends    time.Time
+}
+
+type worker struct {
+	f            *Fleet
+	m            Machine
+	session, seq uint64
+	token        uint64
+	tasks        map[string]*running // by task and attempt
+	renewed      time.Time
+	at           int
+}
+
+type call struct {
+	Call    string `json:"call"`
+	Task    string `json:"beast"`
+	Attempt uint64 `json:"try"`
+}
+
+// live reports until the machine is gone.
+func (w *worker) live() {
+	client := &http.Client{Timeout: 4 * time.Second}
+	for {
+		w.f.mu.Lock()
+		over := w.f.gone[w.m.Name]
+		w.f.mu.Unlock()
+		if over {
+			return
+		}
+		pause := w.f.Every
+		if !w.report(client) {
+			pause = time.Second
+		}
+		time.Sleep(pause)
+	}
+}
+
+// report makes one report; false says that the next node is to be tried.
+func (w *worker) report(client *http.Client) bool {
+	w.advance()
+	w.seq++
+	head := []*running{}
+	for _, t := range w.tasks {
+		head = append(head, t)
+	}
+	body, err := json.Marshal(map[string]any{"stall": w.m.Name, "address": w.m.Address, "breed": w.m.Type, "pasture": w.m.Zone, "loaned_stock": w.m.Spot,
+		"watch": w.session, "tally": w.seq, "crook": w.token, "recall_s": nil, "head": head})
+	if err != nil {
+		panic(err)
+	}
+	sent := time.Now()
+	door := w.f.Doors[w.at%len(w.f.Doors)]
+	resp, err := client.Post(door+"/checkin", "application/json", bytes.NewReader(body))
+	if err != nil {
+		w.at++
+		return false
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Token uint64 `json:"crook"`
+		Calls []call `json:"calls"`
+		Node  string `json:"herdsman"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&answer)
+	if n, ok := strings.CutPrefix(answer.Node, "n"); ok && resp.StatusCode == 421 {
+		if i, err := strconv.Atoi(n); err == nil && i != w.at%len(w.f.Doors) {
+			w.at = i
+			return true
+		}
+	}
+	if resp.StatusCode != 200 {
+		w.at++
+		return false
+	}
+	if answer.Token < w.token {
+		return true
+	}
+	w.token, w.renewed = answer.Token, sent
+	for _, c := range answer.Calls {
+		w.execute(c)
+	}
+	return true
+}
+
+// advance ends what has run long enough, and everything when the lease is over.
+func (w *worker) advance() {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	if time.Since(w.renewed) > w.f.Lease {
+		for _, t := range w.tasks {
+			if t.State == "running" {
+				delete(w.f.on, t.Task)
+			}
+		}
+		w.tasks = map[string]*running{}
+		w.session++
+		w.renewed = time.Now()
+	}
+	for _, t := range w.tasks {
+		if t.State == "running" && time.Now().After(t.ends) {
+			t.State, t.Why = "ended", "done"
+			w.f.done[t.Task] = true
+			delete(w.f.on, t.Task)
+		}
+	}
+}
+
+func (w *worker) execute(c call) {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	key := fmt.Sprint(c.Task, "#", c.Attempt)
+	t := w.tasks[key]
+	switch c.Call {
+	case "start":
+		if t != nil {
+			return
+		}
+		job, _, _ := strings.Cut(c.Task, "/")
+		run, before := w.f.Runs(job)
+		if on := w.f.on[c.Task]; on != "" {
+			w.f.broken = append(w.f.broken, fmt.Sprintf("ran_twice: %s on %s while on %s", c.Task, w.m.Name, on))
+		}
+		for _, b := range before {
+			if !w.f.finished(b) {
+				w.f.broken = append(w.f.broken, fmt.Sprintf("too_early: %s before %s was done", c.Task, b))
+			}
+		}
+		w.f.on[c.Task] = w.m.Name
+		w.tasks[key] = &running{Task: c.Task, Attempt: c.Attempt, State: "running", ends: time.Now().Add(run)}
+	case "stop":
+		if t != nil && t.State == "running" {
+			t.State, t.Why = "ended", "stopped"
+			delete(w.f.on, c.Task)
+		}
+	default:
+		if t != nil && t.State == "ended" {
+			delete(w.tasks, key)
+		}
+	}
+}
