The log stays short under steady load: removals get their turn, cleaning need not wait

Two reasons: removals and sizes only went along with a change left over, and under load none ever is; cleaning waited for a moment with nothing to write. Ruled out: the volume (tasks done are 60 % of it), the estimate of what is live.

Now both may spend two changes ahead, commits may use .9 of the rate instead of .7 (renewals are no changes, and an election has the leader's share), and cleaning goes on beside other entries: what is written anew holds completions on their way, and a job whose cancellation is on its way waits. Its pace follows the excess.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -212,8 +212,9 @@
 
 const (
 	txnBytes   = 56 << 10 // below the service's 64 KiB, which counts keys and conditions too
-	openShare  = 0.7      // share of write_rps that commits may use; elections use the rest
+	openShare  = 0.9      // share of write_rps that commits may use; elections use the rest
 	leastBytes = 512      // values are not made smaller than this
+	debt       = 2        // changes that sizes and removals may spend ahead
 )
 
 // Log is the write side, held by the leader during its term.
@@ -432,8 +433,11 @@
 			txn.Writes = append(txn.Writes, Op{Key: Key(s.number), Value: wrap(s.body)})
 		}
 	}
+	// What entries leave is for sizes and removals. They may run up a small debt:
+	// under steady load there is never a change left over, and without one the
+	// log would never get shorter.
 	spare := func() bool {
-		return len(txn.Writes) < l.lim.TxnOps && float64(len(txn.Writes)+1) <= max(1, l.tokens)
+		return len(txn.Writes) < l.lim.TxnOps && float64(len(txn.Writes)+1) <= l.tokens+debt
 	}
 	for len(l.sizes) > 0 && spare() && total+len(l.sizes[0].Value) <= txnBytes {
 		total += len(l.sizes[0].Value)
--- a/internal/ledger/limits_test.go
+++ b/internal/ledger/limits_test.go
@@ -153,3 +153,39 @@
 		t.Errorf("a change took only %d entries along", got)
 	}
 }
+
+// Entries come as fast as they can be written, a segment to be removed and
+// sizes wait all the time: both get their turn, within the rate.
+func TestRemovalsUnderLoad(t *testing.T) {
+	s := newStore()
+	l := NewLog(Limits{WriteRPS: 15, ValueBytes: 2048, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	removed, sizes, changes := 0, 0, 0
+	for step := range 400 { // 20 s
+		now := time.Duration(step) * 50 * time.Millisecond
+		l.Append(cancel(uint64(step)), step)
+		if step%20 == 0 {
+			l.Drop(1000 + step)
+			l.Drop(2000 + step)
+		}
+		if step%100 == 0 {
+			l.SetSizes([]VirtualSize{{ID: uint64(step), Size: 1, Virtual: 1}})
+		}
+		txn := l.Next(now)
+		if txn == nil {
+			continue
+		}
+		changes += len(txn.Writes)
+		for _, w := range txn.Writes {
+			if w.Remove {
+				removed++
+			} else if _, err := SizesNumber(w.Key); err == nil {
+				sizes++
+			}
+		}
+		out, mark, failed := s.apply(*txn)
+		l.Result(now, txn.Seq, out, mark, failed)
+	}
+	if removed < 30 || sizes < 4 || changes > 20*15 {
+		t.Errorf("%d of 40 segments removed, %d of 4 sizes written, %d changes", removed, sizes, changes)
+	}
+}
--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -15,10 +15,11 @@
 
 const (
 	cleanEvery   = 2 * time.Second
-	cleanBytes   = 12 << 10 // taken at once, in whole segments
-	cleanMost    = 8        // segments at once: each costs a change to remove
-	fewSegments  = 24       // not worth cleaning
-	jobBytes     = 400      // rough sizes, to tell how much of the log is live
+	cleanSoon    = 700 * time.Millisecond // while the log is three times as long as it should be
+	cleanBytes   = 8 << 10                // taken at once, in whole segments
+	cleanMost    = 8                      // segments at once: each costs a change to remove
+	fewSegments  = 24                     // not worth cleaning
+	jobBytes     = 400                    // rough sizes, to tell how much of the log is live
 	overBytes    = 9
 	machineBytes = 100
 	grantBytes   = 5
@@ -30,7 +31,7 @@
 // clean asks for the oldest segments when the log has grown to a few times
 // what is live of it.
 func (t *Term) clean(now time.Duration) {
-	if t.cleaning || t.log.Pending() > 0 || now-t.cleanAt < cleanEvery {
+	if t.cleaning || now-t.cleanAt < cleanSoon {
 		return
 	}
 	live := t.table.Len()*jobBytes + t.table.Finals()*overBytes + len(t.yard.All())*machineBytes
@@ -38,8 +39,12 @@
 		live += len(list) * grantBytes
 	}
 	value := int(t.cfg.Writes().ValueKB * 1024)
-	spare := t.log.Last() - t.first - max(fewSegments, 3*live/value)
-	if spare < 0 {
+	most := max(fewSegments, 3*live/value)
+	spare := t.log.Last() - t.first - most
+	// What users wait for goes first, but not for ever: under steady load there
+	// is always something to write, and the log must not grow without end.
+	switch {
+	case spare < 0, spare < most/2 && t.log.Pending() > 0, spare < 2*most && now-t.cleanAt < cleanEvery:
 		return
 	}
 	t.cleaning, t.cleanAt = true, now
@@ -49,9 +54,7 @@
 // cleaned takes the segments numbered first to end-1, read back. A key that is
 // missing has been removed already.
 func (t *Term) cleaned(first, end int, read bool, entries []ledger.Entry) {
-	// An entry still on its way to the log would stand before what is appended
-	// here and be replayed without the job that it speaks of.
-	if !read || first != t.first || t.log.Pending() > 0 || len(t.completed) > 0 || !t.canKeep(entries) {
+	if !read || first != t.first || !t.canKeep(entries) {
 		t.cleaning = false
 		return
 	}
@@ -130,14 +133,15 @@
 
 // canKeep says whether all that is live of these entries can be written anew.
 // What was stored under larger limits may be too large now: then it stays
-// where it is until the job is over.
+// where it is until the job is over. A cancellation on its way to the log would
+// stand before the job that is written anew, and be replayed without it.
 func (t *Term) canKeep(entries []ledger.Entry) bool {
 	for _, e := range entries {
 		if e.Job == nil {
 			continue
 		}
 		if j := t.table.Find(e.Job.ID); j != nil {
-			if rec, _ := t.stored(j.Rec); !t.log.Fits(ledger.Entry{Job: &rec}) {
+			if rec, _ := t.stored(j.Rec); j.Phase == jobs.Cancelling || !t.log.Fits(ledger.Entry{Job: &rec}) {
 				return false
 			}
 		}
@@ -145,13 +149,14 @@
 	return true
 }
 
-// again appends what is durable of an open job. What is not yet durable of it
-// is queued behind or follows later.
+// again appends what is known of an open job. Completed tasks that are on
+// their way to the log are in it too: their own entry will stand before the job
+// that is written here, and be replayed without it.
 func (t *Term) again(j *jobs.Job) {
 	t.appendJob(j, nil)
 	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
 	for k, s := range j.Tasks {
-		if s == jobs.Noted {
+		if s == jobs.Noted || s == jobs.Finished {
 			noted.Add(k)
 		}
 	}
