Nothing is kept up for a held job whose predecessors run long

A job that may not use spot machines and waits for hours held the last ordinary machine up all that time. Now it counts only when what it waits for has its place and runs no longer than a machine is usually kept. With a scenario that sees it.

--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -264,19 +264,29 @@
 	}
 }
 
-// picky lists the unfinished jobs that may not use every machine, those that
-// still wait for others among them: room that is enough on the whole may be
-// none for them.
+// picky lists the unfinished jobs that may not use every machine, those about
+// to be released among them: room that is enough on the whole may be none for
+// them.
 func (t *Term) picky() []*jobs.Job {
 	var out []*jobs.Job
 	for _, j := range t.table.All() {
-		if j != nil && (j.Phase == jobs.Open || j.Phase == jobs.Held) && j.Waiting > 0 && (!j.Spot || j.Types != nil || j.Rec.Zone != "") {
+		if j != nil && j.Waiting > 0 && (!j.Spot || j.Types != nil || j.Rec.Zone != "") && (j.Phase == jobs.Open || t.soon(j)) {
 			out = append(out, j)
 		}
 	}
 	return out
 }
 
+// soon says whether a held job will be released before long: all tasks that it
+// waits for have their place and run for no longer than a machine is usually
+// kept. Nothing is kept for one that waits for hours.
+func (t *Term) soon(j *jobs.Job) bool {
+	return j.Phase == jobs.Held && len(j.After) > 0 && !slices.ContainsFunc(j.After, func(i int32) bool {
+		b := t.table.At(i)
+		return b.Phase != jobs.Open || b.Waiting > 0 || b.Mean() > t.cfg.Tunables.UsualStayS
+	})
+}
+
 // places is how many machines that stay may take tasks of a job.
 func (t *Term) places(j *jobs.Job) int {
 	n := 0
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -236,7 +236,13 @@
 	case "cleaned":
 		return fmt.Sprintf("%v", s.state.cleaned > 3)
 	case "machines":
-		return fmt.Sprintf("%d", len(s.cloud.machines))
+		n := 0
+		for _, m := range s.cloud.machines {
+			if !d.HasArg("no-spot") || !m.spot {
+				n++
+			}
+		}
+		return fmt.Sprintf("%d", n)
 	case "deleted":
 		return fmt.Sprintf("%v", s.cloud.deleted > 0)
 	case "explain":
