--- a/internal/node/fit.go
+++ b/internal/node/fit.go
@@ -13,8 +13,8 @@
 // entryBytes is what an entry takes besides the list that is split.
 const entryBytes = 64
 
-// fitting splits names into lists of at most room bytes as JSON, and at least
-// one name.
+// fitting splits names into lists of at most room bytes as JSON; each has at
+// least one name, unless there are none at all.
 func fitting(names []string, room int) [][]string {
 	var out [][]string
 	used, from := 0, 0
@@ -29,10 +29,7 @@
 		}
 		used += len(raw) + 1
 	}
-	if from < len(names) {
-		out = append(out, names[from:])
-	}
-	return out
+	return append(out, names[from:])
 }
 
 // appendJob appends what is durable of a job's acceptance. What it follows
@@ -70,11 +67,7 @@
 // need several entries, the request is noted anew before each further one: a
 // leader that finds only the first ones sends it again and learns the rest.
 func (t *Term) appendAnswered(r ledger.Rental, machines []string) {
-	parts := fitting(machines, t.log.Room()-len(r.Name)-entryBytes)
-	if len(parts) == 0 {
-		parts = [][]string{nil}
-	}
-	for i, names := range parts {
+	for i, names := range fitting(machines, t.log.Room()-len(r.Name)-entryBytes) {
 		if i > 0 {
 			t.log.Append(ledger.Entry{Rental: &r}, nil)
 		}
