A job written anew keeps when its last tasks were done; a term that ends on a 400 says so

Found on reading: completions on their way to the log that cleaning wrote down first had no time of day, so a successor would have counted a follower's times from its submission.

--- a/internal/node/clean.go
+++ b/internal/node/clean.go
@@ -53,7 +53,7 @@
 
 // cleaned takes the segments numbered first to end-1, read back. A key that is
 // missing has been removed already.
-func (t *Term) cleaned(first, end int, read bool, entries []ledger.Entry) {
+func (t *Term) cleaned(now time.Duration, first, end int, read bool, entries []ledger.Entry) {
 	if !read || first != t.first || !t.canKeep(entries) {
 		t.cleaning = false
 		return
@@ -102,7 +102,7 @@
 			if _, over := t.table.Final(e.Job.ID); over {
 				ended(e.Job.ID)
 			} else if j := t.table.Find(e.Job.ID); j != nil {
-				t.again(j)
+				t.again(now, j)
 			}
 		case e.Over != nil:
 			for _, id := range e.Over.Done {
@@ -152,7 +152,7 @@
 // again appends what is known of an open job. Completed tasks that are on
 // their way to the log are in it too: their own entry will stand before the job
 // that is written here, and be replayed without it.
-func (t *Term) again(j *jobs.Job) {
+func (t *Term) again(now time.Duration, j *jobs.Job) {
 	t.appendJob(j, nil)
 	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
 	for k, s := range j.Tasks {
@@ -161,7 +161,7 @@
 		}
 	}
 	if len(noted.Ranges) > 0 {
-		t.appendTasks(noted)
+		t.appendTasks(now, noted)
 	}
 	if size, final := t.book.Size(j.Index); final && size > 0 {
 		t.log.Append(ledger.Entry{Size: &ledger.Size{ID: j.Rec.ID, Size: size}}, nil)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -336,7 +336,7 @@
 // those numbered below end.
 func (c *Core) Cleaned(now time.Duration, epoch uint64, first, end int, read bool, entries []ledger.Entry) {
 	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
-		c.term.cleaned(first, end, read, entries)
+		c.term.cleaned(now, first, end, read, entries)
 	}
 	c.after(now)
 }
--- a/internal/node/fit_test.go
+++ b/internal/node/fit_test.go
@@ -150,7 +150,7 @@
 func cleanAll(t *testing.T, term *Term, entries []ledger.Entry) {
 	t.Helper()
 	term.first, term.cleaning = 1, true
-	term.cleaned(1, 2, true, entries)
+	term.cleaned(time.Minute, 1, 2, true, entries)
 	if term.log.Pending() == 0 {
 		t.Fatal("nothing was kept")
 	}
--- a/internal/node/term.go
+++ b/internal/node/term.go
@@ -436,11 +436,7 @@
 		// Not before: so the entries of a job between two commits become one.
 		t.grant()
 		for _, id := range slices.Sorted(maps.Keys(t.completed)) {
-			b := t.completed[id]
-			if j := t.table.Find(id); j != nil && len(j.Followers) > 0 {
-				b.AtMS = t.zero + now.Milliseconds()
-			}
-			t.appendTasks(*b)
+			t.appendTasks(now, *t.completed[id])
 		}
 		clear(t.completed)
 	}
@@ -449,8 +445,12 @@
 	}
 }
 
-// appendTasks appends completed tasks, in as many entries as they need.
-func (t *Term) appendTasks(b ledger.Tasks) {
+// appendTasks appends completed tasks, in as many entries as they need, with
+// the time of day for a job that others wait for.
+func (t *Term) appendTasks(now time.Duration, b ledger.Tasks) {
+	if j := t.table.Find(b.ID); j != nil && len(j.Followers) > 0 {
+		b.AtMS = t.zero + now.Milliseconds()
+	}
 	most := max(1, t.log.Room()/rangeBytes-4)
 	for len(b.Ranges) > most {
 		part := ledger.Tasks{ID: b.ID, Ranges: b.Ranges[:most], AtMS: b.AtMS}
@@ -461,10 +461,13 @@
 }
 
 func (t *Term) committed(now time.Duration, sure bool, seq uint64, out ledger.Outcome, mark uint64, failed []string) ledger.Step {
-	if out == ledger.Invalid {
+	tags, step := t.log.Result(now, seq, out, mark, failed)
+	switch {
+	case out == ledger.Invalid && step == ledger.Lost:
+		t.note(Error, "the state service refuses a transaction as malformed: the term ends", "epoch", t.epoch, "pending", t.log.Pending())
+	case out == ledger.Invalid:
 		t.note(Error, "the state service refuses a transaction as malformed: smaller values are tried", "epoch", t.epoch, "pending", t.log.Pending())
 	}
-	tags, step := t.log.Result(now, seq, out, mark, failed)
 	for _, tag := range tags {
 		t.durable(now, sure, tag)
 	}
