One check for whether a machine has a place for a job, one way to read a segment

The change had written the first five times over (keeping machines for picky jobs, the last of them, jobs that fit nowhere) and the second twice. No change of behaviour.

--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -291,7 +291,7 @@
 func (t *Term) places(j *jobs.Job) int {
 	n := 0
 	for _, m := range t.yard.All() {
-		if !m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+		if !m.Draining && t.hasPlace(j, m) {
 			n++
 		}
 	}
@@ -308,7 +308,7 @@
 			continue
 		}
 		for _, m := range t.yard.All() {
-			if m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+			if m.Draining && t.hasPlace(j, m) {
 				m.Draining = false
 				t.dirty = true
 				break
@@ -332,7 +332,7 @@
 		return true // more may be on the way
 	}
 	if j.Rec.Kind == jobs.Array {
-		return slices.ContainsFunc(t.yard.All(), func(m *workers.Machine) bool { return !m.Draining && t.mayTake(j, m) && j.Need.Fits(m.Cap) })
+		return t.places(j) > 0
 	}
 	need := len(j.Tasks) - j.Finished
 	zones := t.slots(j)
@@ -360,6 +360,11 @@
 	return !m.Leaving && !m.Notice && blocks.Allowed(j, m, t.zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone))
 }
 
+// hasPlace says whether a machine could take a task of a job if it were free.
+func (t *Term) hasPlace(j *jobs.Job, m *workers.Machine) bool {
+	return t.mayTake(j, m) && j.Need.Fits(m.Cap)
+}
+
 // slots is how many tasks of a job each zone's machines could take if they
 // were free.
 func (t *Term) slots(j *jobs.Job) map[int32]int {
@@ -460,7 +465,7 @@
 	// last says whether a picky job would have no place without a machine.
 	last := func(m *workers.Machine) bool {
 		for i, j := range picky {
-			if places[i] == 1 && t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+			if places[i] == 1 && t.hasPlace(j, m) {
 				return true
 			}
 		}
@@ -502,7 +507,7 @@
 			}
 			m.Draining = true
 			for i, j := range picky {
-				if t.mayTake(j, m) && j.Need.Fits(m.Cap) {
+				if t.hasPlace(j, m) {
 					places[i]--
 				}
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -313,9 +313,9 @@
 func (n *Node) readAll() (Durable, error) {
 	var d Durable
 	err := n.readPrefix(ledger.Prefix, func(it wire.Item) error {
-		list, err := ledger.Decode(it.Value)
+		list, err := decode(it)
 		if err != nil {
-			return fmt.Errorf("%s: %w", it.Key, err)
+			return err
 		}
 		d.Entries = append(d.Entries, list...)
 		d.Last, err = ledger.Number(it.Key)
@@ -352,6 +352,15 @@
 // fewer where they are large.
 const pageItems = 256
 
+// decode reads one segment.
+func decode(it wire.Item) ([]ledger.Entry, error) {
+	list, err := ledger.Decode(it.Value)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", it.Key, err)
+	}
+	return list, nil
+}
+
 // segments reads the segments numbered first to end-1; some may be missing.
 func (n *Node) segments(ctx context.Context, first, end int) ([]ledger.Entry, error) {
 	items, _, _, err := n.state.List(ctx, ledger.Prefix, ledger.Key(first-1), end-first)
@@ -363,9 +372,9 @@
 		if it.Key >= ledger.Key(end) {
 			break
 		}
-		list, err := ledger.Decode(it.Value)
+		list, err := decode(it)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", it.Key, err)
+			return nil, err
 		}
 		entries = append(entries, list...)
 	}
