--- /dev/null
+++ b/internal/cluster/state.go
@@ -0,0 +1,403 @@
+// Package cluster is what a leader knows during its term: jobs, machines, the
+// tasks that count as being on them, and the order in which they get room. All
+// duties of a leader look at it; each keeps what is its own business to itself.
+// It has no clock and does nothing by itself.
+package cluster
+
+import (
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/names"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/sizing"
+	"bitternmoor/internal/workers"
+)
+
+// Bits of a token and of an attempt that count within a term.
+const (
+	TokenBits   = 20
+	attemptBits = 24
+)
+
+// Counts add up since the process began.
+type Counts struct {
+	Terms          uint64 `json:"terms"`
+	Reports        uint64 `json:"reports"`
+	Answered       uint64 `json:"user_requests_answered"`
+	Refused        uint64 `json:"user_requests_refused"`
+	MachinesLost   uint64 `json:"machines_lost"`
+	RentalsRefused uint64 `json:"rentals_refused"`
+	TasksDone      uint64 `json:"tasks_done"`
+	TasksRerun     uint64 `json:"tasks_rerun"`
+	Released       uint64 `json:"jobs_released"`
+	CancelSpread   uint64 `json:"cancellations_spread"`
+}
+
+// Start is what a term begins with.
+type Start struct {
+	Cfg   *settings.Settings
+	Zero  int64 // time of day at time 0, in milliseconds
+	Epoch uint64
+	// Noticed is when this node found that nobody led, Began when it was elected.
+	Noticed, Began time.Duration
+	Counts         *Counts
+}
+
+// State is what all duties of a term share.
+type State struct {
+	Start
+	Token    uint64 // of machines that have not changed their block
+	Log      *ledger.Log
+	Jobs     *jobs.Table
+	Yard     *workers.Yard
+	Book     *sizing.Book
+	Plan     *blocks.Planner
+	Dirty    bool // something has changed that a pass should look at
+	Numbers  int  // last one given to a machine
+	Teams    names.Table
+	Zones    names.Table
+	Images   names.Table
+	Types    []ledger.Type // by index of TypeNames
+	Where    map[workers.Ref]*workers.Placement
+	attempts uint64
+
+	TypeNames names.Table
+	PlannedOn []*workers.Machine // all on which tasks may be planned
+
+	listeners []Listener
+	out       []effects.Effect
+}
+
+// Listener hears what happens in a term, while it happens.
+type Listener interface{ Hear(Event) }
+
+// EventKind says what has happened.
+type EventKind uint8
+
+// What listeners hear.
+const (
+	JobLeft         EventKind = iota // Job is over, and nothing of it is left anywhere
+	TaskBegan                        // Task of Job was seen to run on Machine
+	TaskDone                         // Task of Job has completed, after Took seconds of running or, below 0, after an unknown time
+	ReportTaken                      // Report of Machine, newer than all before, was taken in
+	MachineResolved                  // what earlier terms left on Machine is known
+)
+
+// Event is something that has happened. What its kind does not name is not set.
+type Event struct {
+	Kind    EventKind
+	At      time.Duration
+	Job     *jobs.Job
+	Task    int
+	Took    float64
+	Machine *workers.Machine
+	Report  *workers.Report
+}
+
+// New makes the state of a term that knows nothing yet.
+func New(start Start) *State {
+	cfg := start.Cfg
+	s := &State{
+		Start: start, Token: start.Epoch << TokenBits, attempts: start.Epoch << attemptBits,
+		Jobs: jobs.NewTable(), Yard: workers.NewYard(),
+		Book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks,
+			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
+		Where: map[workers.Ref]*workers.Placement{},
+	}
+	var limits []blocks.Limit
+	for _, team := range cfg.Deployment.Teams {
+		s.Teams.Index(team.Name)
+		l := amounts.Room(team.CPUsMax, team.GPUsMax, 0)
+		s.Book.Limits = append(s.Book.Limits, team.CPUsMax)
+		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
+	}
+	s.Plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
+	if cfg.Tunables.GuaranteeFirst == 1 {
+		for _, team := range cfg.Deployment.Teams {
+			g := amounts.Room(team.CPUs, team.GPUs, 0)
+			s.Plan.Guarantees = append(s.Plan.Guarantees, blocks.Limit{CPU: g.CPU, GPU: g.GPU})
+		}
+	}
+	s.Plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
+	s.Plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
+	return s
+}
+
+// Listen has a listener hear everything from now on.
+func (s *State) Listen(l Listener) { s.listeners = append(s.listeners, l) }
+
+// Tell tells all listeners what has happened.
+func (s *State) Tell(e Event) {
+	for _, l := range s.listeners {
+		l.Hear(e)
+	}
+}
+
+// Take returns the effects since the last call.
+func (s *State) Take() []effects.Effect {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Emit puts out an effect.
+func (s *State) Emit(e effects.Effect) { s.out = append(s.out, e) }
+
+// Note has something logged.
+func (s *State) Note(l effects.Level, text string, args ...any) {
+	s.Emit(effects.Note{Level: l, Text: text, Args: args})
+}
+
+// TakeBack takes back a plan. One that is on offer may have been taken up
+// already: it counts until no offer is open.
+func (s *State) TakeBack(p *workers.Placement) {
+	if len(p.Offered) > 0 {
+		p.Withdrawn = true
+		return
+	}
+	p.Home.Take(p.Ref)
+	s.Lift(p.Ref)
+}
+
+// TakeBackAll takes back all that is planned on a machine.
+func (s *State) TakeBackAll(m *workers.Machine) {
+	for _, p := range m.Tasks {
+		if p.Planned {
+			s.TakeBack(p)
+		}
+	}
+}
+
+// Lift takes a task off its machine in the books of jobs, teams and sizes.
+func (s *State) Lift(ref workers.Ref) {
+	p := s.Where[ref]
+	if p == nil {
+		return
+	}
+	delete(s.Where, ref)
+	j := s.Jobs.At(ref.Job)
+	j.MoveZone(p.Home.Zone, -1)
+	s.Plan.Refund(j.Team, j.Need)
+	j.Release(int(ref.Task))
+	s.GangEnds(j)
+	s.Book.Lost(ref.Job, int(ref.Task))
+	s.LeaveIfEmpty(j)
+	s.Dirty = true
+}
+
+// LeaveIfEmpty takes a job that is over out of the table once none of its tasks
+// counts as being anywhere.
+func (s *State) LeaveIfEmpty(j *jobs.Job) {
+	if j.Placed == 0 && (j.Phase == jobs.Cancelled || j.Phase == jobs.Done) {
+		s.forget(j)
+	}
+}
+
+// forget takes a job out of the table.
+func (s *State) forget(j *jobs.Job) {
+	s.Jobs.Leave(j)
+	s.Tell(Event{Kind: JobLeft, Job: j})
+}
+
+// CPUs is the processors of the machines that report.
+func (s *State) CPUs() float64 {
+	var sum float64
+	for _, m := range s.Yard.All() {
+		if m.Up && !m.Leaving {
+			sum += m.Cap.CPUs()
+		}
+	}
+	return sum
+}
+
+// Unresolved sums up the machines of which it is not known what an earlier
+// term left on them, and says whether one of them may have tasks of any job,
+// since no grants were noted for it.
+func (s *State) Unresolved() (room amounts.Amounts, blind bool) {
+	for _, m := range s.Yard.All() {
+		if m.Durable && !m.Resolved {
+			room = room.Plus(m.Cap)
+			blind = blind || m.Number == 0
+		}
+	}
+	return room, blind
+}
+
+// StopNow sends a machine's stops without waiting for its next report.
+func (s *State) StopNow(m *workers.Machine) {
+	if m.Address != "" && m.Up && !m.Leaving {
+		s.Emit(effects.Direct{Address: m.Address, Token: m.Token, Session: m.Session, Stops: m.Stops()})
+	}
+}
+
+// StopAll stops tasks with time to save, and says why.
+func (s *State) StopAll(now time.Duration, list []*workers.Placement, why string) {
+	on := map[*workers.Machine]bool{}
+	for _, p := range list {
+		s.SaveAndStop(now, s.Jobs.At(p.Ref.Job), p)
+		on[p.Home] = true
+		s.Note(effects.Debug, why, "job", p.JobID, "task", p.Ref.Task, "machine", p.Home.Name)
+	}
+	for m := range on {
+		s.StopNow(m)
+	}
+}
+
+// SaveAndStop stops a task with time to save; a gang is stopped as a whole,
+// for its progress is safe only when all of it is told in time.
+func (s *State) SaveAndStop(now time.Duration, j *jobs.Job, p *workers.Placement) {
+	grace := j.Rec.SaveS + 5 + s.PeerTime(j)
+	if j.Rec.Kind != jobs.Gang {
+		p.Stopping, p.GraceS = true, grace
+		if j.Rec.Checkpoint > 0 && p.Runs() {
+			if j.Saved == nil {
+				j.Saved = map[int32]time.Duration{}
+			}
+			j.Saved[p.Ref.Task] += now - p.RanAt
+		}
+		return
+	}
+	for k := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		if q := s.Where[ref]; q != nil && !q.Planned && !q.Stopping {
+			q.Stopping, q.GraceS = true, grace
+		}
+	}
+}
+
+// PeerTime is how long it may take until all tasks of a gang are told.
+func (s *State) PeerTime(j *jobs.Job) float64 {
+	if j.Rec.Kind != jobs.Gang {
+		return 0
+	}
+	return s.Cfg.Deployment.Workers.GangPeerS
+}
+
+// BreakGang gives up a gang's launch: what was not sent is taken back, the
+// others are stopped, and the next launch waits until all are proved gone.
+func (s *State) BreakGang(j *jobs.Job) {
+	if j.Broken || j.Finished > 0 {
+		return // one that is done has all of them done
+	}
+	j.Broken = true
+	for k, task := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		p := s.Where[ref]
+		if task != jobs.Placed || p == nil {
+			continue
+		}
+		switch {
+		case p.Planned:
+			s.TakeBack(p)
+		case !p.Stopping:
+			p.Stopping, p.GraceS = true, 0
+		}
+	}
+	s.GangEnds(j)
+}
+
+// GangEnds makes a gang ready for its next launch once nothing of the last
+// one is left anywhere.
+func (s *State) GangEnds(j *jobs.Job) {
+	if j.Rec.Kind == jobs.Gang && j.Placed == 0 {
+		j.Launch, j.Broken, j.Began = 0, false, false
+	}
+}
+
+// Leave decides, for good, that a machine is to be deleted.
+func (s *State) Leave(m *workers.Machine, why string) {
+	if m.Leaving {
+		return
+	}
+	m.Leaving, m.Why = true, why
+	s.TakeBackAll(m)
+	s.Dirty = true
+	if len(m.Tasks) > 0 {
+		s.Counts.MachinesLost++
+	}
+	s.Note(effects.Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+}
+
+// Heard counts the machines that should be heard, and those of them that are
+// silent, by zone.
+func (s *State) Heard(now time.Duration) (up, silent []int) {
+	up, silent = make([]int, s.Zones.Len()), make([]int, s.Zones.Len())
+	for _, m := range s.Yard.All() {
+		if m.Up || m.Durable {
+			up[m.Zone]++
+			if now-max(m.Heard, s.Began) > s.Quiet() {
+				silent[m.Zone]++
+			}
+		}
+	}
+	return up, silent
+}
+
+// Deaf says whether most machines are silent at once.
+func (s *State) Deaf(now time.Duration) bool {
+	up, silent := 0, 0
+	byZone, silentIn := s.Heard(now)
+	for z := range byZone {
+		up += byZone[z]
+		silent += silentIn[z]
+	}
+	return Most(silent, up)
+}
+
+// Quiet is how long a worker may be silent before it gets no new tasks.
+func (s *State) Quiet() time.Duration {
+	return settings.Seconds(2.5 * s.Cfg.Deployment.Workers.ReportS)
+}
+
+// Silence is how long a worker may be silent before its machine is given up.
+func (s *State) Silence() time.Duration {
+	w := s.Cfg.Deployment.Workers
+	return settings.Seconds(max(3*w.ReportS+2, 0.6*w.LeaseS))
+}
+
+// World is what the planner looks at.
+func (s *State) World(now time.Duration) blocks.World {
+	room, blind := s.Unresolved()
+	return blocks.World{Now: now, Quiet: s.Quiet(), Jobs: s.Jobs, Yard: s.Yard, Book: s.Book, Unresolved: room, Blind: blind, Zone: s.Zones.Index}
+}
+
+// AddMachine enters a machine; nil if it is there already, is gone for good, or
+// is of a type that is not known.
+func (s *State) AddMachine(now time.Duration, m ledger.Machine) *workers.Machine {
+	if s.Yard.Gone(m.Name) || s.Yard.Find(m.Name) != nil {
+		return nil
+	}
+	i, ok := s.TypeNames.Find(m.Type)
+	if !ok {
+		return nil
+	}
+	ty := s.Types[i]
+	return s.Yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: s.Zones.Index(m.Zone), Spot: m.Spot,
+		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), Token: s.Token, RentedAt: now, Heard: now})
+}
+
+// Attempt is a number that no attempt had before.
+func (s *State) Attempt() uint64 {
+	s.attempts++
+	return s.attempts
+}
+
+// ListPlans keeps a machine among those whose plans are offered.
+func (s *State) ListPlans(m *workers.Machine) {
+	if !m.Listed {
+		m.Listed = true
+		s.PlannedOn = append(s.PlannedOn, m)
+	}
+}
+
+// fewSilent: fewer silent machines are no sign of anything but themselves.
+const fewSilent = 4
+
+// Most says whether so many of so many machines are silent that the fault is
+// not theirs.
+func Most(silent, up int) bool { return silent >= fewSilent && silent*2 > up }
--- a/internal/node/messages.go
+++ b/internal/effects/effects.go
@@ -1,4 +1,7 @@
-package node
+// Package effects has what the core of a controller wants done, and what users and
+// workers are told. The core puts them out; adapters carry them out and bring
+// results back as inputs.
+package effects
 
 import (
 	"bitternmoor/internal/amounts"
@@ -44,16 +47,6 @@
 	Report workers.Report
 }
 
-// Durable is what a new leader reads back: the log's entries in order, with the
-// numbers of its first and last segment, and the virtual sizes, oldest first,
-// with how many pieces of them there may be.
-type Durable struct {
-	First, Last int
-	Entries     []ledger.Entry
-	Sizes       []ledger.VirtualSize
-	Pieces      int
-}
-
 // Effect is something the core wants done.
 type Effect interface{ effect() }
 
@@ -127,4 +120,5 @@
 func (Types) effect()       {}
 func (Note) effect()        {}
 
-func unavailable(why string) Answer { return Answer{Status: 503, Why: why, RetryAfter: 1} }
+// Unavailable is the answer of a node that cannot tell at present.
+func Unavailable(why string) Answer { return Answer{Status: 503, Why: why, RetryAfter: 1} }
--- /dev/null
+++ b/internal/fleet/cloud.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// What is asked of the cloud, and what it answers.
+
+const (
+	listEvery  = 12 * time.Second
+	typesEvery = 60 * time.Second
+)
+
+// Deleted notes that a deletion has had its answer, or none; the machines that
+// are still there are asked for again at the next tick.
+func (d *Duty) Deleted() { d.deleteBusy = false }
+
+// callCloud sends what is due to the cloud, within its rate. When unsure of
+// the term it still deletes: that can lose work but break nothing.
+func (d *Duty) callCloud(now time.Duration, sure bool) {
+	rate := d.Cfg.Deployment.Cloud.RPS * 0.8
+	d.cloudRoom = min(max(1, rate), d.cloudRoom+(now-d.cloudAt).Seconds()*rate)
+	d.cloudAt = now
+	spend := func() bool {
+		if d.cloudRoom < 1 {
+			return false
+		}
+		d.cloudRoom--
+		return true
+	}
+	if !d.deleteBusy {
+		var list []string
+		for _, m := range d.Yard.All() {
+			if m.Leaving && len(list) < 100 {
+				list = append(list, m.Name)
+			}
+		}
+		if len(list) > 0 && spend() {
+			d.deleteBusy = true
+			d.Emit(effects.Delete{Machines: list})
+		}
+	}
+	if !sure {
+		return
+	}
+	if !d.typesAsked && (len(d.Types) == 0 || d.typesAt == 0 || now-d.typesAt > typesEvery) && spend() {
+		d.typesAsked = true
+		d.Emit(effects.Types{})
+	}
+	for name, r := range d.rentals {
+		if now >= d.rentDue[name] && spend() {
+			d.rentDue[name] = now + 20*time.Second
+			d.Emit(effects.Rent{Rental: r})
+		}
+	}
+	if !d.listBusy && now-d.listAt > listEvery && spend() {
+		d.listBusy, d.listAt = true, now
+		d.Emit(effects.List{})
+	}
+}
+
+// Rented takes the answer to a rental request.
+func (d *Duty) Rented(now time.Duration, name string, machines []string, res wire.RentResult) {
+	r, ok := d.rentals[name]
+	if !ok {
+		return
+	}
+	if res == wire.NoAnswer {
+		d.rentDue[name] = now + time.Second // the same name again: it may have been executed
+		return
+	}
+	delete(d.rentals, name)
+	delete(d.rentDue, name)
+	d.buyer.Answered(now, name, len(machines))
+	for _, n := range machines {
+		if m := d.AddMachine(now, ledger.Machine{Name: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot}); m != nil {
+			m.Resolved = true
+		}
+	}
+	d.appendAnswered(r, machines)
+	if len(machines) == 0 {
+		d.Counts.RentalsRefused++
+	}
+	d.Note(effects.Info, "rental answered", "request", name, "asked", r.Count, "got", len(machines))
+}
+
+// GotTypes takes the machine types; an empty list is a failure.
+func (d *Duty) GotTypes(now time.Duration, list []ledger.Type) {
+	d.typesAsked = false
+	if len(list) == 0 {
+		return
+	}
+	d.typesAt = now
+	changed := false
+	for _, ty := range list {
+		i, ok := d.TypeNames.Find(ty.Name)
+		if !ok {
+			changed = true
+			continue
+		}
+		old := d.Types[i]
+		changed = changed || old.CPUs != ty.CPUs || old.GPUs != ty.GPUs || old.MemoryGB != ty.MemoryGB || !slices.Equal(old.Zones, ty.Zones)
+	}
+	d.setTypes(list)
+	if changed {
+		d.appendTypes(list)
+	}
+}
+
+// Listed takes the cloud's list of machines.
+func (d *Duty) Listed(now time.Duration, list []wire.Listed, ok bool) {
+	d.listBusy = false
+	if !ok {
+		return
+	}
+	for _, l := range list {
+		m := d.Yard.Find(l.Machine.Name)
+		if m == nil && len(d.rentals) == 0 {
+			// Rented by a request whose answer was lost for good, or there from the start.
+			if m = d.AddMachine(now, l.Machine); m != nil {
+				m.Resolved = true
+				m.RentedAt = now - settings.Seconds(l.HeldS)
+			}
+		}
+		if m != nil && l.Failed {
+			d.Leave(m, "failed")
+		}
+	}
+}
+
+func (d *Duty) setTypes(list []ledger.Type) {
+	for _, ty := range list {
+		i := d.TypeNames.Index(ty.Name)
+		switch {
+		case int(i) == len(d.Types):
+			d.Types = append(d.Types, ty)
+		case ty.More:
+			d.Types[i].Zones = append(slices.Clone(d.Types[i].Zones), ty.Zones...)
+		default:
+			d.Types[i] = ty
+		}
+	}
+}
+
+// appendTypes appends machine types; further entries have the zones that do
+// not fit into the first of a type.
+func (d *Duty) appendTypes(list []ledger.Type) {
+	for _, ty := range list {
+		all := ty.Zones
+		ty.Zones = nil
+		raw, err := json.Marshal(ty)
+		if err != nil {
+			continue // all amounts were checked when they came
+		}
+		for i, zones := range ledger.Split(all, d.Log.Room()-len(raw)-ledger.EntryBytes) {
+			part := ty
+			part.Zones, part.More = zones, i > 0
+			d.Log.Append(ledger.Entry{Types: []ledger.Type{part}})
+		}
+	}
+}
+
+// appendAnswered appends the answer to a rental request. Where its machines
+// need several entries, the request is noted anew before each further one: a
+// leader that finds only the first ones sends it again and learns the rest.
+func (d *Duty) appendAnswered(r ledger.Rental, machines []string) {
+	for i, names := range ledger.Split(machines, d.Log.Room()-len(r.Name)-ledger.EntryBytes) {
+		if i > 0 {
+			d.Log.Append(ledger.Entry{Rental: &r})
+		}
+		d.Log.Append(ledger.Entry{Answered: &ledger.Answered{Name: r.Name, Machines: names}})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,8 @@
-// Package fleet decides which machines to rent: the offers of type, zone and
-// kind that cover what is missing at the least price, leaving out for a
-// while those that were refused.
+// Package fleet is the duty that rents machines for the work there is and
+// returns them. Its Buyer decides which to rent: the offers of type, zone and
+// kind that cover what is missing at the least price, leaving out for a while
+// those that were refused. It alone writes entries of machine types, of rental
+// requests and of their answers.
 package fleet
 
 import (
@@ -37,9 +39,9 @@
 	avoided map[string]time.Duration // zones that seem cut off, until when
 }
 
-// New makes a buyer whose request names begin with a prefix used by no
+// NewBuyer makes a buyer whose request names begin with a prefix used by no
 // other term.
-func New(prefix string) *Buyer {
+func NewBuyer(prefix string) *Buyer {
 	return &Buyer{prefix: prefix, refused: map[key]*refusal{}, asked: map[string]ledger.Rental{}, avoided: map[string]time.Duration{}}
 }
 
--- /dev/null
+++ b/internal/fleet/renting.go
@@ -0,0 +1,547 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+const (
+	rentEvery = 500 * time.Millisecond
+	avoidFor  = 45 * time.Second // a zone whose machines were silent together
+)
+
+// Duty rents and returns machines in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	buyer      *Buyer
+	typesAt    time.Duration
+	typesAsked bool
+	rentals    map[string]ledger.Rental // sent or to be sent
+	rentDue    map[string]time.Duration
+	deleteBusy bool
+	listBusy   bool
+	listAt     time.Duration
+	rentedAt   time.Duration
+	dearPeak   peak
+	spotPeak   peak
+	boundPeak  peak // of jobs that may not use spot machines
+	cloudRoom  float64
+	cloudAt    time.Duration
+
+	// While the log is replayed: rented machines that are not registered, those
+	// that are, and requests without an answer.
+	booting    map[string]ledger.Machine
+	registered map[string]bool
+
+	typesKept bool // by the cleaning under way
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, buyer: NewBuyer(fmt.Sprintf("r-%d", s.Epoch)), rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
+		cloudAt: s.Began, listAt: s.Began, booting: map[string]ledger.Machine{}, registered: map[string]bool{}}
+}
+
+// Replay takes an entry of the log.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	switch {
+	case e.Types != nil:
+		d.setTypes(e.Types)
+	case e.Machine != nil:
+		d.registered[e.Machine.Name] = true
+		delete(d.booting, e.Machine.Name)
+	case e.Gone != nil:
+		for _, n := range e.Gone {
+			delete(d.registered, n)
+			delete(d.booting, n)
+		}
+	case e.Rental != nil:
+		d.rentals[e.Rental.Name] = *e.Rental
+	case e.Answered != nil:
+		r := d.rentals[e.Answered.Name]
+		delete(d.rentals, e.Answered.Name)
+		for _, n := range e.Answered.Machines {
+			if !d.registered[n] && !d.Yard.Gone(n) {
+				d.booting[n] = ledger.Machine{Name: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+			}
+		}
+	}
+}
+
+// Begin enters the machines that have not reported yet: nothing was ever
+// started on them. Requests without an answer will be sent again.
+func (d *Duty) Begin(now time.Duration) {
+	for _, m := range d.booting {
+		if x := d.AddMachine(now, m); x != nil {
+			x.Resolved = true
+		}
+	}
+	for _, r := range d.rentals {
+		d.buyer.Restore(r)
+	}
+	d.booting, d.registered = nil, nil
+}
+
+// Durable has a request sent whose name is noted.
+func (d *Duty) Durable(now time.Duration, _ bool, e ledger.Entry) {
+	if e.Rental != nil {
+		d.rentals[e.Rental.Name] = *e.Rental
+		d.rentDue[e.Rental.Name] = now
+	}
+}
+
+// Tick rents and returns.
+func (d *Duty) Tick(now time.Duration, sure bool) {
+	if now-d.rentedAt < rentEvery {
+		return
+	}
+	d.rentedAt = now
+	if !d.Deaf(now) {
+		d.avoidSilentZones(now)
+	}
+	if sure {
+		d.rent(now)
+	}
+	d.Dirty = true
+}
+
+// Send calls the cloud.
+func (d *Duty) Send(now time.Duration, sure bool) { d.callCloud(now, sure) }
+
+// Keep writes anew what is live of an entry.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	switch {
+	case e.Types != nil:
+		if !d.typesKept {
+			d.typesKept = true
+			d.appendTypes(d.Types)
+		}
+	case e.Rental != nil:
+		if r, open := d.rentals[e.Rental.Name]; open {
+			d.Log.Append(ledger.Entry{Rental: &r})
+		}
+	}
+}
+
+// Kept ends a cleaning.
+func (d *Duty) Kept() { d.typesKept = false }
+
+// avoidSilentZones has nothing rented for a while where most machines are
+// silent while others are heard.
+func (d *Duty) avoidSilentZones(now time.Duration) {
+	up, silent := d.Heard(now)
+	for z, n := range silent {
+		if cluster.Most(n, up[z]) {
+			name := d.Zones.Name(int32(z))
+			if !d.buyer.Avoided(now, name) {
+				d.Note(effects.Warn, "most machines of a zone are silent: nothing is rented there for now", "zone", name, "silent", n, "of", up[z])
+			}
+			d.buyer.Avoid(name, now+avoidFor)
+		}
+	}
+}
+
+// rent covers the work that is there with machines, and returns what was not
+// wanted for a while: machines are drained first, the dearest and emptiest
+// ones before the others, and deleted once empty.
+func (d *Duty) rent(now time.Duration) {
+	if len(d.Types) == 0 {
+		return
+	}
+	var open []*jobs.Job
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) {
+			open = append(open, j)
+		}
+	}
+	cheap := d.demand(open, d.Cfg.Tunables.DrainBacklogS, true)
+	dear := d.demand(open, 0, false)
+	d.dearPeak.add(now, settings.Seconds(d.Cfg.Tunables.IdleReturnS), cheap)
+	d.spotPeak.add(now, settings.Seconds(d.Cfg.Tunables.SpotReturnS), cheap)
+	var have, up, ordinary float64
+	for _, m := range d.Yard.All() {
+		if !m.Leaving && !m.Notice && !m.Draining && (m.Up || !d.buyer.Avoided(now, d.Zones.Name(m.Zone))) {
+			have += m.Cap.CPUs()
+			if m.Up {
+				up += m.Cap.CPUs()
+			}
+			if !m.Spot {
+				ordinary += m.Cap.CPUs()
+			}
+		}
+	}
+	have += d.buyer.Asked(func(typ string) float64 {
+		if i, ok := d.TypeNames.Find(typ); ok {
+			return d.Types[i].CPUs
+		}
+		return 0
+	})
+	for _, m := range d.Yard.All() {
+		if cheap > have && m.Draining && !m.Leaving {
+			m.Draining = false
+			have += m.Cap.CPUs()
+			up += m.Cap.CPUs()
+			d.Dirty = true
+		}
+	}
+	bound := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Spot })
+	var requests []ledger.Rental
+	if len(bound) < len(open) && cheap > have {
+		requests = d.buyer.Rent(now, d.Types, d.wanted(cheap-have, true, open))
+	}
+	// Ordinary machines: what spot ones could not bring, and jobs that may
+	// not use spot machines at all, however much room there is on those.
+	need := d.demand(bound, d.Cfg.Tunables.DrainBacklogS, true)
+	for _, m := range d.Yard.All() {
+		if need > ordinary && m.Draining && !m.Leaving && !m.Spot {
+			m.Draining = false
+			ordinary += m.Cap.CPUs()
+			d.Dirty = true
+		}
+	}
+	d.boundPeak.add(now, settings.Seconds(d.Cfg.Tunables.IdleReturnS), need)
+	if len(requests) == 0 && dear > have {
+		requests = d.buyer.Rent(now, d.Types, d.wanted(dear-have, false, open))
+	}
+	if len(requests) == 0 && need > ordinary {
+		requests = d.buyer.Rent(now, d.Types, d.wanted(need-ordinary, false, bound))
+	}
+	d.request("renting", requests)
+	picky := d.picky()
+	d.keepFor(picky)
+	stuck := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Waiting == 0 || d.couldRun(j) })
+	if len(requests) == 0 && len(stuck) > 0 {
+		// Jobs that would not fit if all machines were free.
+		var cpus float64
+		for _, j := range stuck {
+			cpus += float64(j.Waiting) * j.Share
+		}
+		spotless := slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return !j.Spot })
+		requests = d.buyer.Rent(now, d.Types, d.wanted(cpus, !spotless, stuck))
+		if len(requests) == 0 {
+			requests = d.buyer.Rent(now, d.Types, d.wanted(cpus, false, stuck))
+		}
+		d.request("renting for jobs that fit nowhere", requests)
+	}
+	if cheap <= have && len(stuck) == 0 {
+		// Against what is up: what is only asked for or boots may never come,
+		// while the cloud is out for instance.
+		d.shrink(now, up, ordinary, picky)
+	}
+}
+
+// picky lists the unfinished jobs that may not use every machine, those about
+// to be released among them: room that is enough on the whole may be none for
+// them.
+func (d *Duty) picky() []*jobs.Job {
+	var out []*jobs.Job
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Waiting > 0 && (!j.Spot || j.Types != nil || j.Rec.Zone != "") && (j.Phase == jobs.Open || d.soon(j)) {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// soon says whether a held job will be released before long: all tasks that it
+// waits for have their place and run for no longer than a machine is usually
+// kept. Nothing is kept for one that waits for hours.
+func (d *Duty) soon(j *jobs.Job) bool {
+	return j.Phase == jobs.Held && len(j.After) > 0 && !slices.ContainsFunc(j.After, func(i int32) bool {
+		b := d.Jobs.At(i)
+		return b.Phase != jobs.Open || b.Waiting > 0 || b.Mean() > d.Cfg.Tunables.UsualStayS
+	})
+}
+
+// places is how many machines that stay may take tasks of a job.
+func (d *Duty) places(j *jobs.Job) int {
+	n := 0
+	for _, m := range d.Yard.All() {
+		if !m.Draining && d.hasPlace(j, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// keepFor takes back the return of machines that are the only ones for a
+// waiting job. Found on a day with pipelines: the last ordinary machine was
+// being returned for minutes, since spot ones had room enough, and jobs that may
+// not use those waited until it was gone.
+func (d *Duty) keepFor(picky []*jobs.Job) {
+	for _, j := range picky {
+		if j.Phase != jobs.Open || d.places(j) > 0 {
+			continue
+		}
+		for _, m := range d.Yard.All() {
+			if m.Draining && d.hasPlace(j, m) {
+				m.Draining = false
+				d.Dirty = true
+				break
+			}
+		}
+	}
+}
+
+// request notes rentals durably; they are sent once that is done.
+func (d *Duty) request(text string, requests []ledger.Rental) {
+	for _, r := range requests {
+		d.Log.AppendFact(ledger.Entry{Rental: &r})
+		d.Note(effects.Info, text, "request", r.Name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "count", r.Count)
+	}
+}
+
+// couldRun says whether the machines there are or are coming have a place
+// for a job: for one task, or for all of a gang.
+func (d *Duty) couldRun(j *jobs.Job) bool {
+	if len(d.rentals) > 0 {
+		return true // more may be on the way
+	}
+	if j.Rec.Kind == jobs.Array {
+		return d.places(j) > 0
+	}
+	need := len(j.Tasks) - j.Finished
+	zones := d.slots(j)
+	total := 0
+	for _, n := range zones {
+		total += n
+	}
+	if j.Rec.OneZone {
+		total = 0
+		for _, n := range zones {
+			total = max(total, n)
+		}
+	}
+	if j.Rec.Spread {
+		total = 0
+		for _, n := range zones {
+			total += min(n, j.MostInZone())
+		}
+	}
+	return total >= need
+}
+
+// mayTake says whether a machine may have tasks of a job.
+func (d *Duty) mayTake(j *jobs.Job, m *workers.Machine) bool {
+	return !m.Leaving && !m.Notice && blocks.Allowed(j, m, d.Zones.Index) && (!j.Rec.OneZone || j.ZoneAllows(m.Zone))
+}
+
+// hasPlace says whether a machine could take a task of a job if it were free.
+func (d *Duty) hasPlace(j *jobs.Job, m *workers.Machine) bool {
+	return d.mayTake(j, m) && j.Need.Fits(m.Cap)
+}
+
+// slots is how many tasks of a job each zone's machines could take if they
+// were free.
+func (d *Duty) slots(j *jobs.Job) map[int32]int {
+	zones := map[int32]int{}
+	for _, m := range d.Yard.All() {
+		if d.mayTake(j, m) {
+			zones[m.Zone] += blocks.Slots(j.Need, m.Cap)
+		}
+	}
+	return zones
+}
+
+// demand is how many processors would have the open jobs' work done within
+// the horizon, team limits considered. With keep, what runs now counts full,
+// so that machines stay as long as they are in use; without, it counts the
+// half that is left of it on average.
+func (d *Duty) demand(open []*jobs.Job, horizon float64, keep bool) float64 {
+	perTeam := make([]float64, len(d.Plan.Limits))
+	for _, j := range open {
+		left := float64(len(j.Tasks) - j.Finished)
+		tasks := left
+		switch {
+		case j.Rec.Kind != jobs.Array:
+		case keep:
+			tasks = max(float64(j.Placed), min(left, math.Ceil(left*j.Mean()/horizon)))
+		default:
+			tasks = min(left, (left-float64(j.Placed)/2)*j.Mean()/d.horizon(j))
+		}
+		perTeam[j.Team] += tasks * j.Share
+	}
+	var sum float64
+	for team, cpus := range perTeam {
+		if l := d.Plan.Limits[team].CPU; l > 0 {
+			cpus = min(cpus, float64(l)/1000)
+		}
+		sum += cpus
+	}
+	return sum
+}
+
+// horizon is the time in which a job's work should be done if need be by
+// ordinary machines: a share of what its class's aims leave it.
+func (d *Duty) horizon(j *jobs.Job) float64 {
+	best := 0.0
+	for _, o := range d.Cfg.Deployment.Objectives {
+		if o.Class != j.Rec.Class {
+			continue
+		}
+		var h float64
+		switch o.Kind {
+		case settings.AimWait:
+			h = o.WithinS
+		case settings.AimFinished:
+			h = o.WithinS - j.Mean()
+		case settings.AimDeadline:
+			h = j.Rec.DeadlineS - j.Mean()
+		}
+		if h > 0 && (best == 0 || h < best) {
+			best = h
+		}
+	}
+	if best == 0 {
+		return d.Cfg.Tunables.DearBacklogS
+	}
+	return max(d.Cfg.Tunables.AimShare*best, d.Cfg.Tunables.DrainBacklogS)
+}
+
+// peak is the highest demand of the last while: a sample is kept as long as
+// no later one is as high.
+type peak struct {
+	at     []time.Duration
+	demand []float64
+}
+
+func (p *peak) add(now, window time.Duration, demand float64) {
+	n := len(p.demand)
+	for n > 0 && p.demand[n-1] <= demand {
+		n--
+	}
+	p.at, p.demand = append(p.at[:n], now), append(p.demand[:n], demand)
+	for now-p.at[0] > window {
+		p.at, p.demand = p.at[1:], p.demand[1:]
+	}
+}
+
+func (p *peak) value() float64 {
+	if len(p.demand) == 0 {
+		return 0
+	}
+	return p.demand[0]
+}
+
+func (d *Duty) shrink(now time.Duration, have, ordinary float64, picky []*jobs.Job) {
+	places := make([]int, len(picky))
+	for i, j := range picky {
+		places[i] = d.places(j)
+	}
+	// last says whether a picky job would have no place without a machine.
+	last := func(m *workers.Machine) bool {
+		for i, j := range picky {
+			if places[i] == 1 && d.hasPlace(j, m) {
+				return true
+			}
+		}
+		return false
+	}
+	list := slices.DeleteFunc(slices.Clone(d.Yard.All()), func(m *workers.Machine) bool {
+		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS)
+	})
+	ends := map[*workers.Machine]time.Duration{}
+	for _, m := range list {
+		ends[m] = d.busyUntil(now, m)
+	}
+	slices.SortFunc(list, func(a, b *workers.Machine) int {
+		if a.Spot != b.Spot {
+			if b.Spot {
+				return -1
+			}
+			return 1
+		}
+		// The one that is empty first: until then the room it has left is paid
+		// for and of no use.
+		if c := cmp.Compare(ends[a], ends[b]); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(d.pricePerCPU(b), d.pricePerCPU(a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, m := range list {
+		wanted := d.dearPeak.value()
+		if m.Spot {
+			wanted = d.spotPeak.value()
+		}
+		if have-m.Cap.CPUs() >= wanted && !last(m) && (m.Spot || ordinary-m.Cap.CPUs() >= d.boundPeak.value()) {
+			have -= m.Cap.CPUs()
+			if !m.Spot {
+				ordinary -= m.Cap.CPUs()
+			}
+			m.Draining = true
+			for i, j := range picky {
+				if d.hasPlace(j, m) {
+					places[i]--
+				}
+			}
+			d.TakeBackAll(m)
+		}
+	}
+	for _, m := range d.Yard.All() {
+		if m.Draining && len(m.Tasks) == 0 && m.Strays == 0 {
+			d.Leave(m, "not needed")
+		}
+	}
+	if d.Cfg.Tunables.MoveSaved == 1 {
+		d.StopAll(now, d.Plan.Moves(d.World(now)), "task moved off a machine that is returned")
+	}
+}
+
+// busyUntil is when the last of a machine's tasks will probably have ended.
+func (d *Duty) busyUntil(now time.Duration, m *workers.Machine) time.Duration {
+	end := now
+	for _, p := range m.Tasks {
+		if p.Planned {
+			continue // it can still go elsewhere
+		}
+		end = max(end, now+blocks.Left(now, d.Jobs.At(p.Ref.Job), p))
+	}
+	return end.Round(time.Second)
+}
+
+func (d *Duty) wanted(cpus float64, spot bool, open []*jobs.Job) (w Want) {
+	w.Zones = map[string]float64{}
+	for _, m := range d.Yard.All() {
+		w.Zones[d.Zones.Name(m.Zone)] += m.Cap.CPUs()
+	}
+	w.CPUs, w.Spot, w.Stay = cpus, spot, d.Cfg.Tunables.UsualStayS
+	w.Fits = func(ty ledger.Type, zone string, spot bool) bool {
+		i, ok := d.TypeNames.Find(ty.Name)
+		if !ok {
+			return false
+		}
+		m := &workers.Machine{Type: i, Zone: d.Zones.Index(zone), Spot: spot, Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
+		return slices.ContainsFunc(open, func(j *jobs.Job) bool {
+			if !j.Need.Fits(m.Cap) || !blocks.Allowed(j, m, d.Zones.Index) {
+				return false
+			}
+			// A zone that has its share of a spread job's tasks brings it no further.
+			return !j.ZoneRule() || (j.ZoneAllows(m.Zone) && (!j.Rec.Spread || d.slots(j)[m.Zone] < j.MostInZone()))
+		})
+	}
+	return w
+}
+
+func (d *Duty) pricePerCPU(m *workers.Machine) float64 {
+	ty := d.Types[m.Type]
+	if m.Spot {
+		return ty.SpotPrice / ty.CPUs
+	}
+	return ty.Price / ty.CPUs
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -24,7 +24,9 @@
 	SizesPrefix = "sizes/"
 )
 
-// Entry is one durable fact; exactly one field is set.
+// Entry is one durable fact; exactly one field is set. What duties beyond those
+// of the first version store goes into Own, each under its own name, so that a
+// new one needs no field here.
 type Entry struct {
 	Job      *Job      `json:"j,omitempty"`
 	Cancel   *uint64   `json:"c,omitempty"`
@@ -38,6 +40,31 @@
 	Over     *Over     `json:"f,omitempty"`
 	Grant    *Grant    `json:"g,omitempty"`
 	After    *After    `json:"v,omitempty"`
+	Own      *Own      `json:"o,omitempty"`
+
+	// Unknown is an entry in which nothing that this version knows is set: it is
+	// kept as it was read.
+	Unknown json.RawMessage `json:"-"`
+}
+
+// Own is an entry that only the duty of that name reads and writes.
+type Own struct {
+	Duty string          `json:"d"`
+	Data json.RawMessage `json:"v"`
+}
+
+// known says whether anything is set that this version knows.
+func (e *Entry) known() bool {
+	return e.Job != nil || e.Cancel != nil || e.Tasks != nil || e.Size != nil || e.Machine != nil || e.Gone != nil || e.Rental != nil ||
+		e.Answered != nil || e.Types != nil || e.Over != nil || e.Grant != nil || e.After != nil || e.Own != nil
+}
+
+// encode is an entry as it is written.
+func (e *Entry) encode() ([]byte, error) {
+	if e.Unknown != nil {
+		return e.Unknown, nil
+	}
+	return json.Marshal(e)
 }
 
 // After lists jobs that a job follows, where they are too many for its own
@@ -243,11 +270,13 @@
 	sizeWant  int      // pieces of the last list
 	list      int      // counts the lists
 	drops     []string // segments whose live entries have been written anew
+
+	appended, settled int // entries so far, and those of them that are durable
 }
 
 type pend struct {
-	raw []byte
-	tag any
+	raw  []byte
+	fact *Entry // to be told once it is durable; nil: nobody waits for that
 }
 
 type flight struct {
@@ -285,20 +314,33 @@
 	return n, nil
 }
 
-// Append queues an entry; tag comes back from Result once it is durable.
-// Entries become durable in the order they were appended.
-func (l *Log) Append(e Entry, tag any) {
-	raw, err := json.Marshal(e)
+// Append queues an entry. Entries become durable in the order they were
+// appended.
+func (l *Log) Append(e Entry) { l.append(e, nil) }
+
+// AppendFact queues an entry that Result returns once it is durable.
+func (l *Log) AppendFact(e Entry) { l.append(e, &e) }
+
+func (l *Log) append(e Entry, fact *Entry) {
+	raw, err := e.encode()
 	if err != nil {
 		panic(fmt.Sprintf("ledger: an entry that cannot be written: %v", err)) // no entry holds such a value
 	}
-	l.pending = append(l.pending, pend{raw, tag})
+	l.pending = append(l.pending, pend{raw, fact})
 	l.queued += len(raw) + 1
+	l.appended++
 }
 
+// Appended counts the entries appended so far, and Settled those of them that
+// are durable: an entry is once Settled has reached what Appended gave after it.
+func (l *Log) Appended() int { return l.appended }
+
+// Settled counts the entries that are durable.
+func (l *Log) Settled() int { return l.settled }
+
 // Fits says whether an entry can be stored at all.
 func (l *Log) Fits(e Entry) bool {
-	raw, err := json.Marshal(e)
+	raw, err := e.encode()
 	return err == nil && len(raw) <= l.room()
 }
 
@@ -477,9 +519,9 @@
 	Lost               // the term is over
 )
 
-// Result takes the outcome of the transaction in flight. It returns the tags
-// of the entries that are now durable. mark is the revision of the change.
-func (l *Log) Result(now time.Duration, seq uint64, out Outcome, mark uint64, failed []string) ([]any, Step) {
+// Result takes the outcome of the transaction in flight. It returns the facts
+// that are now durable. mark is the revision of the change.
+func (l *Log) Result(now time.Duration, seq uint64, out Outcome, mark uint64, failed []string) ([]Entry, Step) {
 	f := l.inflight
 	if f == nil || f.txn.Seq != seq {
 		return nil, Carry
@@ -543,7 +585,7 @@
 	l.inflight = nil
 }
 
-func (l *Log) applied(f *flight, mark uint64) []any {
+func (l *Log) applied(f *flight, mark uint64) []Entry {
 	l.fails = 0
 	l.inflight = nil
 	if f.list == l.list && len(f.sizes) > 0 && len(l.sizes) == 0 {
@@ -555,13 +597,16 @@
 	last := f.segments[len(f.segments)-1]
 	l.sealed = l.sealed && last.number == l.segment
 	l.segment, l.body, l.mark = last.number, last.body, mark
-	tags := make([]any, f.count)
-	for i := range tags {
-		tags[i] = l.pending[i].tag
-		l.queued -= len(l.pending[i].raw) + 1
+	var facts []Entry
+	for _, p := range l.pending[:f.count] {
+		if p.fact != nil {
+			facts = append(facts, *p.fact)
+		}
+		l.queued -= len(p.raw) + 1
 	}
+	l.settled += f.count
 	l.pending = l.pending[f.count:]
-	return tags
+	return facts
 }
 
 // Open is the key whose value settles an unknown outcome: the last segment
@@ -579,7 +624,7 @@
 // again: should the first still arrive, one of the two fails its conditions,
 // and whichever was applied left the same value. read is false when the key
 // could not be read.
-func (l *Log) ReadBack(now time.Duration, read bool, mark uint64, value json.RawMessage) []any {
+func (l *Log) ReadBack(now time.Duration, read bool, mark uint64, value json.RawMessage) []Entry {
 	f := l.inflight
 	if f == nil || !l.readBack {
 		return nil
@@ -605,5 +650,53 @@
 	if err := json.Unmarshal(value, &v); err != nil {
 		return nil, fmt.Errorf("ledger: a segment that cannot be read: %w", err)
 	}
+	for i := range v.E {
+		if !v.E[i].known() {
+			return v.E, keepUnknown(value, v.E)
+		}
+	}
 	return v.E, nil
 }
+
+// keepUnknown fills in what an entry was in which this version knows nothing.
+func keepUnknown(value json.RawMessage, list []Entry) error {
+	var v struct {
+		E []json.RawMessage `json:"e"`
+	}
+	if err := json.Unmarshal(value, &v); err != nil {
+		return fmt.Errorf("ledger: a segment that cannot be read: %w", err)
+	}
+	for i := range list {
+		if list[i].known() {
+			continue
+		}
+		var raw bytes.Buffer // as this program would write it: read back, values are compared
+		if err := json.Compact(&raw, v.E[i]); err != nil {
+			return fmt.Errorf("ledger: a segment that cannot be read: %w", err)
+		}
+		list[i].Unknown = raw.Bytes()
+	}
+	return nil
+}
+
+// EntryBytes is what an entry takes besides a list that is split.
+const EntryBytes = 64
+
+// Split splits names into lists of at most room bytes as JSON; each has at
+// least one name, unless there are none at all.
+func Split(names []string, room int) [][]string {
+	var out [][]string
+	used, from := 0, 0
+	for i, n := range names {
+		raw, err := json.Marshal(n)
+		if err != nil {
+			continue // a string always can be written
+		}
+		if i > from && used+len(raw)+1 > room {
+			out = append(out, names[from:i])
+			used, from = 0, i
+		}
+		used += len(raw) + 1
+	}
+	return append(out, names[from:])
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -63,7 +63,7 @@
 	s, l := newStore(), newLog()
 	now := time.Second
 	for n := range uint64(40) {
-		l.Append(cancel(n), n)
+		l.AppendFact(cancel(n))
 	}
 	first := *l.Next(now)
 	if _, step := l.Result(now, first.Seq, Unknown, 0, nil); step != Reread {
@@ -72,7 +72,7 @@
 	if tags := l.ReadBack(now, true, 0, nil); tags != nil {
 		t.Fatal("told durable though not applied")
 	}
-	l.Append(cancel(99), uint64(99))
+	l.AppendFact(cancel(99))
 	now += time.Second
 	again := l.Next(now)
 	s.apply(first) // the late one
@@ -118,10 +118,10 @@
 		}
 	}
 	for n := uint64(0); l.Last() == 1 && len(l.body) < lim.ValueBytes-64-10; n++ {
-		l.Append(cancel(100+n), nil)
+		l.AppendFact(cancel(100 + n))
 		step()
 	}
-	l.Append(cancel(7_000_000_000_000), nil) // does not fit into the open segment any more
+	l.AppendFact(cancel(7_000_000_000_000)) // does not fit into the open segment any more
 	now += time.Second
 	late := *l.Next(now)
 	if len(late.Writes) != 1 || late.Writes[0].Key != Key(2) {
@@ -130,7 +130,7 @@
 	l.Result(now, late.Seq, Unknown, 0, nil)
 	l.ReadBack(now, true, 0, nil)
 	step()
-	l.Append(cancel(8), nil)
+	l.AppendFact(cancel(8))
 	step()
 	before := len(s.ids(t))
 	s.apply(late)
@@ -142,7 +142,7 @@
 // A transaction of an earlier term that comes late fails its condition.
 func TestLateCommitOfEarlierTerm(t *testing.T) {
 	s, l := newStore(), newLog()
-	l.Append(cancel(1), nil)
+	l.AppendFact(cancel(1))
 	late := *l.Next(time.Second)
 	s.rev++
 	s.mark["lead/epoch"] = s.rev
@@ -162,7 +162,7 @@
 	small.WriteRPS = 10
 	l.lim = small
 	for n := range uint64(200) {
-		l.Append(cancel(n), n)
+		l.AppendFact(cancel(n))
 	}
 	for l.Pending() > 0 && now < time.Minute {
 		if txn := l.Next(now); txn != nil {
--- a/internal/node/follow.go
+++ b/internal/lifecycle/follow.go
@@ -1,11 +1,13 @@
-package node
+package lifecycle
 
 import (
 	"slices"
 	"time"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
 )
 
 // Jobs that follow others. What a job follows is stored with it; everything
@@ -19,16 +21,16 @@
 
 // stored is the form in which a job is written, and the entries that go before
 // it where it follows more jobs than fit.
-func (t *Term) stored(rec ledger.Job) (ledger.Job, []ledger.Entry) {
+func (d *Duty) stored(rec ledger.Job) (ledger.Job, []ledger.Entry) {
 	rec.Rest = 0
 	if rec.ReleasedMS != 0 {
 		rec.Follows = nil
 	}
-	if len(rec.Follows) == 0 || t.log.Fits(ledger.Entry{Job: &rec}) {
+	if len(rec.Follows) == 0 || d.Log.Fits(ledger.Entry{Job: &rec}) {
 		return rec, nil
 	}
 	var parts []ledger.Entry
-	for ids := range slices.Chunk(rec.Follows, max(1, t.log.Room()/idBytes-4)) {
+	for ids := range slices.Chunk(rec.Follows, max(1, d.Log.Room()/idBytes-4)) {
 		parts = append(parts, ledger.Entry{After: &ledger.After{ID: rec.ID, AtMS: rec.AtMS, Jobs: ids}})
 	}
 	rec.Rest, rec.Follows = len(rec.Follows), nil
@@ -37,18 +39,18 @@
 
 // unfollowable says why a job cannot follow what it names; known is false
 // while that cannot be decided.
-func (t *Term) unfollowable(rec *ledger.Job) (why string, known bool) {
+func (d *Duty) unfollowable(rec *ledger.Job) (why string, known bool) {
 	for _, id := range rec.Follows {
-		if _, over := t.table.Final(id); over {
+		if _, over := d.Jobs.Final(id); over {
 			continue
 		}
-		switch j := t.table.Find(id); {
+		switch j := d.Jobs.Find(id); {
 		case j == nil:
-			return "follows: " + formatID(id) + " was never accepted", true
+			return "follows: " + wire.FormatID(id) + " was never accepted", true
 		case j.Phase == jobs.Accepting:
-			return "follows: " + formatID(id) + " is being accepted", false
+			return "follows: " + wire.FormatID(id) + " is being accepted", false
 		case j.Rec.Kind == jobs.Service:
-			return "follows: " + formatID(id) + " is a service, which is never done", true
+			return "follows: " + wire.FormatID(id) + " is a service, which is never done", true
 		}
 	}
 	return "", true
@@ -56,46 +58,46 @@
 
 // link settles what an accepted job waits for. It is false when the job is
 // cancelled from the start, since one that it follows is.
-func (t *Term) link(j *jobs.Job) bool {
+func (d *Duty) link(j *jobs.Job) bool {
 	if j.Rec.ReleasedMS != 0 {
 		return true
 	}
 	for _, id := range j.Rec.Follows {
-		switch p, _ := t.table.Final(id); {
+		switch p, _ := d.Jobs.Final(id); {
 		case p == jobs.Cancelled:
 			return false
 		case p == jobs.Done:
 		default:
-			if before := t.table.Find(id); before != nil {
-				t.table.Follow(j, before)
+			if before := d.Jobs.Find(id); before != nil {
+				d.Jobs.Follow(j, before)
 			}
 		}
 	}
-	t.hurry(j)
+	d.hurry(j)
 	return true
 }
 
 // hurry has the jobs that a job needs take its priority: the exception
 // follow_urgency. Their place in the order changes, their size does not.
-func (t *Term) hurry(j *jobs.Job) {
-	if t.cfg.Tunables.FollowUrgency == 0 {
+func (d *Duty) hurry(j *jobs.Job) {
+	if d.Cfg.Tunables.FollowUrgency == 0 {
 		return
 	}
-	for _, x := range t.table.Needed(j) {
+	for _, x := range d.Jobs.Needed(j) {
 		if x.Priority < j.Priority {
 			x.Priority = j.Priority
 			x.BehindUntil = 0
-			t.dirty = true
+			d.Dirty = true
 		}
 	}
 }
 
 // calm recomputes the priority of jobs that a cancelled one needed.
-func (t *Term) calm(list []*jobs.Job) {
+func (d *Duty) calm(list []*jobs.Job) {
 	for _, x := range list {
 		x.Priority = x.Rec.Priority
-		if t.cfg.Tunables.FollowUrgency == 1 {
-			for _, f := range t.table.Needing(x) {
+		if d.Cfg.Tunables.FollowUrgency == 1 {
+			for _, f := range d.Jobs.Needing(x) {
 				x.Priority = max(x.Priority, f.Rec.Priority)
 			}
 		}
@@ -104,54 +106,54 @@
 
 // letGo releases a job: all that it follows are durably done. It enters the
 // order as if it had just arrived.
-func (t *Term) letGo(now time.Duration, j *jobs.Job) {
+func (d *Duty) letGo(now time.Duration, j *jobs.Job) {
 	j.Phase = jobs.Open
-	j.Rec.ReleasedMS = t.zero + now.Milliseconds()
-	t.schedule(j, now)
-	t.order(now, j)
-	t.counts.Released++
-	t.note(Debug, "job released: all that it follows are done", "job", j.Rec.ID, "class", j.Rec.Class, "follows", len(j.Rec.Follows))
+	j.Rec.ReleasedMS = d.Zero + now.Milliseconds()
+	d.schedule(j, now)
+	d.order(now, j)
+	d.Counts.Released++
+	d.Note(effects.Debug, "job released: all that it follows are done", "job", j.Rec.ID, "class", j.Rec.Class, "follows", len(j.Rec.Follows))
 }
 
 // order enters a job into the order.
-func (t *Term) order(now time.Duration, j *jobs.Job) {
-	t.book.Age(now.Seconds(), t.cpus())
+func (d *Duty) order(now time.Duration, j *jobs.Job) {
+	d.Book.Age(now.Seconds(), d.CPUs())
 	if j.Rec.Kind != jobs.Service {
-		t.book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		d.Book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
 	}
-	t.dirty = true
+	d.Dirty = true
 }
 
 // cancelled acts on a cancellation that is durable, of a job or of one that it
 // follows, and on all that need it.
-func (t *Term) cancelled(now time.Duration, sure bool, j *jobs.Job) {
-	needed, needing := t.table.Needed(j), t.table.Needing(j)
-	t.wipe(now, j)
+func (d *Duty) cancelled(now time.Duration, sure bool, j *jobs.Job) {
+	needed, needing := d.Jobs.Needed(j), d.Jobs.Needing(j)
+	d.wipe(now, j)
 	for _, f := range needing {
-		t.wipe(now, f)
-		t.counts.CancelSpread++
-		t.note(Info, "job cancelled with one that it needs", "job", f.Rec.ID, "needs", j.Rec.ID)
-		t.tellEnd(sure, f.Rec.ID)
+		d.wipe(now, f)
+		d.Counts.CancelSpread++
+		d.Note(effects.Info, "job cancelled with one that it needs", "job", f.Rec.ID, "needs", j.Rec.ID)
+		d.tellEnd(sure, f.Rec.ID)
 	}
-	t.calm(needed)
+	d.calm(needed)
 }
 
 // wipe cancels one job and stops its tasks.
-func (t *Term) wipe(now time.Duration, j *jobs.Job) {
+func (d *Duty) wipe(now time.Duration, j *jobs.Job) {
 	j.Phase, j.CancelledAt = jobs.Cancelled, now
-	t.table.Finish(j.Rec.ID, jobs.Cancelled)
-	t.table.Unlink(j)
-	t.book.Remove(j.Index, false, 0, 0)
-	t.stopTasks(j)
-	t.leaveIfEmpty(j)
-	t.dirty = true
+	d.Jobs.Finish(j.Rec.ID, jobs.Cancelled)
+	d.Jobs.Unlink(j)
+	d.Book.Remove(j.Index, false, 0, 0)
+	d.stopTasks(j)
+	d.LeaveIfEmpty(j)
+	d.Dirty = true
 }
 
 // restoreLinks settles after a replay what every job waits for. The log is
 // read as a whole before: cleaning changes the order of its entries.
-func (t *Term) restoreLinks(now time.Duration, parts map[uint64][]ledger.After, doneAt map[uint64]int64) {
+func (d *Duty) restoreLinks(now time.Duration, parts map[uint64][]ledger.After, doneAt map[uint64]int64) {
 	var doomed []*jobs.Job
-	for _, j := range t.table.All() {
+	for _, j := range d.Jobs.All() {
 		if j == nil {
 			continue
 		}
@@ -159,14 +161,14 @@
 		if j.Rec.Rest > 0 && j.Rec.ReleasedMS == 0 {
 			j.Rec.Follows = joined(j.Rec, parts[j.Rec.ID])
 		}
-		if len(j.Rec.Follows) < j.Rec.Rest || !t.found(j.Rec.Follows) {
+		if len(j.Rec.Follows) < j.Rec.Rest || !d.found(j.Rec.Follows) {
 			// No leader that knows of links writes such a log. Whether it may
 			// start is not known any more: it waits for its user to cancel it.
-			t.note(Error, "what a job follows is not in the log: it is not started", "job", j.Rec.ID)
+			d.Note(effects.Error, "what a job follows is not in the log: it is not started", "job", j.Rec.ID)
 			j.Phase = jobs.Held
 			continue
 		}
-		if !t.link(j) {
+		if !d.link(j) {
 			doomed = append(doomed, j)
 			continue
 		}
@@ -181,23 +183,23 @@
 			}
 		}
 		if j.Rec.ReleasedMS != 0 {
-			t.schedule(j, t.timeOf(j.Rec.ReleasedMS, now))
+			d.schedule(j, d.timeOf(j.Rec.ReleasedMS, now))
 		}
 	}
 	for _, j := range doomed {
-		for _, x := range append(t.table.Needing(j), j) {
-			t.table.Finish(x.Rec.ID, jobs.Cancelled)
-			t.table.Unlink(x)
-			t.table.Leave(x)
+		for _, x := range append(d.Jobs.Needing(j), j) {
+			d.Jobs.Finish(x.Rec.ID, jobs.Cancelled)
+			d.Jobs.Unlink(x)
+			d.Jobs.Leave(x)
 		}
 	}
 }
 
 // found says whether the log knows jobs that an accepted one follows.
-func (t *Term) found(ids []uint64) bool {
+func (d *Duty) found(ids []uint64) bool {
 	return !slices.ContainsFunc(ids, func(id uint64) bool {
-		_, over := t.table.Final(id)
-		return !over && t.table.Find(id) == nil
+		_, over := d.Jobs.Final(id)
+		return !over && d.Jobs.Find(id) == nil
 	})
 }
 
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,475 @@
+// Package lifecycle is the duty that takes jobs from their submission to their
+// end: it accepts, links, releases, cancels and completes them, and answers
+// their users. It alone writes entries of jobs, of what they follow, of their
+// completed tasks, cancellations and final states.
+package lifecycle
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// Upper bounds for what one item takes in an entry of the log, and rough sizes
+// that tell how much of the log is live.
+const (
+	rangeBytes = 16
+	idBytes    = 21
+	jobBytes   = 400
+	overBytes  = 9
+)
+
+// Duty is the life of all jobs in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+
+	// tasks completed but not yet handed to the log, by job id
+	completed map[uint64]*ledger.Tasks
+	accepting map[uint64][]effects.Asker
+	ending    map[uint64][]effects.Asker // askers of a cancellation
+
+	parts  map[uint64][]ledger.After // while the log is replayed
+	doneAt map[uint64]int64
+	over   ledger.Over // final states to be written anew by the cleaning under way
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, completed: map[uint64]*ledger.Tasks{}, accepting: map[uint64][]effects.Asker{}, ending: map[uint64][]effects.Asker{},
+		parts: map[uint64][]ledger.After{}, doneAt: map[uint64]int64{}}
+}
+
+// Replay takes an entry of the log.
+func (d *Duty) Replay(now time.Duration, e ledger.Entry) {
+	switch {
+	case e.Over != nil:
+		for _, id := range e.Over.Done {
+			d.isOver(id, jobs.Done)
+		}
+		for _, id := range e.Over.Cancelled {
+			d.isOver(id, jobs.Cancelled)
+		}
+	case e.Job != nil:
+		if _, over := d.Jobs.Final(e.Job.ID); !over && d.Jobs.Find(e.Job.ID) == nil {
+			d.enter(*e.Job, now)
+		}
+	case e.Cancel != nil:
+		if j := d.Jobs.Find(*e.Cancel); j != nil {
+			d.isOver(j.Rec.ID, jobs.Cancelled)
+		}
+	case e.Tasks != nil:
+		if e.Tasks.AtMS != 0 {
+			d.doneAt[e.Tasks.ID] = max(d.doneAt[e.Tasks.ID], e.Tasks.AtMS)
+		}
+		j := d.Jobs.Find(e.Tasks.ID)
+		if j == nil {
+			return
+		}
+		for _, r := range e.Tasks.Ranges {
+			for k := r[0]; k < r[1] && k < len(j.Tasks); k++ {
+				j.Note(k)
+			}
+		}
+		j.SumS += e.Tasks.Seconds
+		j.SumN += e.Tasks.Known
+		if j.NotedN == len(j.Tasks) {
+			d.Book.RestoreHistory(j.SumS, j.SumN)
+			d.isOver(j.Rec.ID, jobs.Done)
+		}
+	case e.After != nil:
+		d.parts[e.After.ID] = append(d.parts[e.After.ID], *e.After)
+	}
+}
+
+// Begin settles what every job waits for and enters the open ones into the
+// order.
+func (d *Duty) Begin(now time.Duration) {
+	d.restoreLinks(now, d.parts, d.doneAt)
+	d.parts, d.doneAt = nil, nil
+	for _, j := range d.Jobs.All() {
+		if j == nil {
+			continue
+		}
+		d.suit(j)
+		if j.Rec.Kind == jobs.Service || j.Phase == jobs.Held {
+			continue
+		}
+		d.Book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		took := -1.0
+		if j.SumN > 0 {
+			took = j.SumS / float64(j.SumN)
+		}
+		for k, s := range j.Tasks {
+			if s == jobs.Noted {
+				d.Book.Completed(j.Index, k, took)
+			}
+		}
+	}
+}
+
+// Durable acts on an entry that has become durable.
+func (d *Duty) Durable(now time.Duration, sure bool, e ledger.Entry) {
+	switch {
+	case e.Job != nil:
+		d.accepted(now, sure, e.Job.ID)
+	case e.Cancel != nil:
+		id := *e.Cancel
+		if j := d.Jobs.Find(id); j != nil && j.Phase != jobs.Done && j.Phase != jobs.Cancelled {
+			d.cancelled(now, sure, j)
+		}
+		d.tellEnd(sure, id)
+	case e.Tasks != nil:
+		d.noted(now, sure, e.Tasks)
+	}
+}
+
+// accepted acts on an acceptance that is durable: its user is told, and the job
+// enters the order unless it follows others.
+func (d *Duty) accepted(now time.Duration, sure bool, id uint64) {
+	j := d.Jobs.Find(id)
+	j.Phase = jobs.Open
+	if len(d.ending[id]) > 0 {
+		j.Phase = jobs.Cancelling
+	}
+	switch linked := d.link(j); {
+	case !linked:
+		d.cancelled(now, sure, j)
+		d.Counts.CancelSpread++
+		d.Note(effects.Info, "job cancelled on arrival: it follows a cancelled one", "job", id)
+	case len(j.After) == 0:
+		d.order(now, j)
+	case j.Phase == jobs.Open:
+		j.Phase = jobs.Held
+	}
+	a, _ := d.state(id)
+	a.Status, a.Counts = 201, false
+	for _, to := range d.accepting[id] {
+		d.tell(sure, to, a)
+		a.Status = 200
+	}
+	delete(d.accepting, id)
+	if j.Phase == jobs.Cancelled {
+		d.tellEnd(sure, id)
+	}
+}
+
+// noted acts on completions that are durable.
+func (d *Duty) noted(now time.Duration, sure bool, done *ledger.Tasks) {
+	j := d.Jobs.Find(done.ID)
+	if j == nil || j.Phase == jobs.Cancelled {
+		return
+	}
+	for _, r := range done.Ranges {
+		for k := r[0]; k < r[1]; k++ {
+			j.Note(k)
+		}
+	}
+	if j.NotedN < len(j.Tasks) {
+		return
+	}
+	j.Phase = jobs.Done
+	d.Jobs.Finish(done.ID, jobs.Done)
+	d.Book.Remove(j.Index, true, j.SumS, j.SumN)
+	d.Note(effects.Debug, "job done", "job", j.Rec.ID, "class", j.Rec.Class, "tasks", len(j.Tasks), "mean", j.Mean(), "estimate", j.Rec.EstimateS,
+		"first_start", (j.FirstAt - j.AcceptedAt).Round(100*time.Millisecond), "last_start", (j.LastAt - j.AcceptedAt).Round(100*time.Millisecond), "after", (now - j.AcceptedAt).Round(100*time.Millisecond))
+	for _, f := range d.Jobs.Unlink(j) {
+		if len(f.After) == 0 && f.Phase == jobs.Held {
+			d.letGo(now, f)
+		}
+	}
+	d.LeaveIfEmpty(j)
+	d.tellEnd(sure, done.ID)
+}
+
+// Hear collects completed tasks for one entry of the log.
+func (d *Duty) Hear(e cluster.Event) {
+	if e.Kind != cluster.TaskDone {
+		return
+	}
+	id := e.Job.Rec.ID
+	b := d.completed[id]
+	if b == nil {
+		b = &ledger.Tasks{ID: id}
+		d.completed[id] = b
+	}
+	b.Add(e.Task)
+	if e.Took >= 0 {
+		b.Seconds = float64(int64((b.Seconds+e.Took)*100)) / 100
+		b.Known++
+	}
+}
+
+// Write hands completed tasks to the log.
+func (d *Duty) Write(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(d.completed)) {
+		d.appendTasks(now, *d.completed[id])
+	}
+	clear(d.completed)
+}
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int { return d.Jobs.Len()*jobBytes + d.Jobs.Finals()*overBytes }
+
+// Keep writes anew what is live of an entry.
+func (d *Duty) Keep(now time.Duration, e ledger.Entry) {
+	switch {
+	case e.After != nil:
+		// One for one, beside the job's own entry: the two may be in different
+		// segments, and what a waiting job follows must never be lost.
+		if j := d.Jobs.Find(e.After.ID); j != nil && j.Rec.AtMS == e.After.AtMS {
+			d.Log.Append(e)
+		}
+	case e.Job != nil:
+		if _, over := d.Jobs.Final(e.Job.ID); over {
+			d.keepFinal(e.Job.ID)
+		} else if j := d.Jobs.Find(e.Job.ID); j != nil {
+			d.again(now, j)
+		}
+	case e.Over != nil:
+		for _, id := range e.Over.Done {
+			d.keepFinal(id)
+		}
+		for _, id := range e.Over.Cancelled {
+			d.keepFinal(id)
+		}
+	}
+}
+
+// Kept writes the final states gathered meanwhile.
+func (d *Duty) Kept() { d.writeOver(1) }
+
+func (d *Duty) keepFinal(id uint64) {
+	switch p, _ := d.Jobs.Final(id); p {
+	case jobs.Done:
+		d.over.Done = append(d.over.Done, id)
+	case jobs.Cancelled:
+		d.over.Cancelled = append(d.over.Cancelled, id)
+	}
+	d.writeOver(max(1, d.Log.Room()/idBytes-2))
+}
+
+func (d *Duty) writeOver(least int) {
+	if len(d.over.Done)+len(d.over.Cancelled) >= least {
+		o := d.over
+		d.Log.Append(ledger.Entry{Over: &o})
+		d.over = ledger.Over{}
+	}
+}
+
+// End answers everybody who still waits; the next leader knows more.
+func (d *Duty) End() {
+	for _, waiting := range []map[uint64][]effects.Asker{d.accepting, d.ending} {
+		for _, list := range waiting {
+			for _, to := range list {
+				d.Emit(effects.Reply{To: to, Answer: effects.Unavailable("leadership has changed")})
+			}
+		}
+	}
+	d.accepting, d.ending = nil, nil
+}
+
+// stopTasks stops all tasks of a job that is cancelled.
+func (d *Duty) stopTasks(j *jobs.Job) {
+	on := map[*workers.Machine]bool{}
+	for k, s := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		if p := d.Where[ref]; s == jobs.Placed && p != nil {
+			if p.Planned {
+				d.TakeBack(p)
+			} else {
+				p.Stopping, p.GraceS = true, 0
+				on[p.Home] = true
+			}
+		}
+	}
+	for m := range on {
+		d.StopNow(m)
+	}
+}
+
+// isOver notes a final state while replaying, whatever stood before it.
+func (d *Duty) isOver(id uint64, p jobs.Phase) {
+	d.Jobs.Finish(id, p)
+	if j := d.Jobs.Find(id); j != nil {
+		d.Jobs.Leave(j)
+	}
+}
+
+func (d *Duty) enter(rec ledger.Job, now time.Duration) *jobs.Job {
+	j := d.Jobs.Add(rec)
+	j.Team = d.Teams.Index(rec.Team)
+	for int(j.Team) >= len(d.Plan.Limits) {
+		// A team of an earlier configuration: its jobs stay accepted.
+		d.Plan.AddTeam()
+	}
+	j.Image = d.Images.Index(rec.Image)
+	j.Spot = rec.Spot && (rec.Checkpoint > 0 || rec.EstimateS <= d.Cfg.Tunables.SpotTaskS)
+	d.schedule(j, d.timeOf(rec.AtMS, now))
+	return j
+}
+
+// timeOf is a time of day on this node's clock; none is later than now.
+func (d *Duty) timeOf(ms int64, now time.Duration) time.Duration {
+	return min(now, time.Duration(ms-d.Zero)*time.Millisecond)
+}
+
+// schedule settles the times that count from a job's arrival, or from its
+// release.
+func (d *Duty) schedule(j *jobs.Job, at time.Duration) {
+	j.AcceptedAt = at
+	j.Ahead, j.LastAim, j.LostUntil = nil, 0, 0
+	j.BehindUntil = at + d.patience(j)
+	for _, o := range d.Cfg.Deployment.Objectives {
+		if o.Class != j.Rec.Class {
+			continue
+		}
+		if o.Kind == settings.AimFinished {
+			d.startBy(j, at, o.WithinS)
+			j.LastAim = max(j.LastAim, at+settings.Seconds(o.WithinS))
+			j.LostUntil = max(j.LostUntil, at+settings.Seconds(o.WithinS*d.Cfg.Tunables.LostBehind))
+		}
+		if o.Kind == settings.AimWait && d.Cfg.Tunables.WaitLeadS > 0 {
+			d.goAhead(j, at, o.WithinS)
+		}
+	}
+}
+
+// startBy has a best-effort job, which goes behind the order at first, go
+// ahead of it in time for an aim for its end, and at once where that cannot be
+// made: such jobs set the end of the day.
+func (d *Duty) startBy(j *jobs.Job, at time.Duration, within float64) {
+	if j.Priority > 0 || d.Cfg.Tunables.WaitLeadS == 0 {
+		return
+	}
+	latest := within - longRun*j.Rec.EstimateS - placing
+	if latest <= 0 {
+		j.Ahead = append(j.Ahead, [2]time.Duration{at, at + settings.Seconds(within)})
+		j.BehindUntil = 0
+		return
+	}
+	j.BehindUntil = min(j.BehindUntil, d.goAhead(j, at, latest))
+}
+
+// goAhead has a job's waiting tasks go ahead of the order for a while before
+// the latest time at which they should start, and says from when on.
+func (d *Duty) goAhead(j *jobs.Job, at time.Duration, latest float64) time.Duration {
+	from := at + settings.Seconds(latest-min(d.Cfg.Tunables.WaitLeadS, mostLead*latest))
+	j.Ahead = append(j.Ahead, [2]time.Duration{from, at + settings.Seconds(latest)})
+	return from
+}
+
+// What startBy leaves for tasks that run longer than estimated, and for
+// placing all of a job.
+const (
+	longRun = 1.2
+	placing = 10
+
+	mostLead = 0.7 // of an aim that is short: not all of its class goes ahead from the start
+)
+
+// suit settles which machine types a job may use and what a task takes up on
+// them. It is called once the types are known: while the log is replayed they
+// may come after the job.
+func (d *Duty) suit(j *jobs.Job) {
+	if j.Rec.Types != nil {
+		j.Types = make([]bool, max(d.TypeNames.Len(), 1))
+		for _, n := range j.Rec.Types {
+			if i, ok := d.TypeNames.Find(n); ok {
+				j.Types[i] = true
+			}
+		}
+	}
+	j.Share = d.share(j)
+}
+
+// patience is how long a job goes behind the order: best-effort work until
+// some time before its class's tightest aim, so that small jobs of it do not
+// jump the queue of those that are in more of a hurry.
+func (d *Duty) patience(j *jobs.Job) time.Duration {
+	if j.Priority > 0 {
+		return 0
+	}
+	tightest := 0.0
+	for _, o := range d.Cfg.Deployment.Objectives {
+		if o.Class == j.Rec.Class && o.WithinS > 0 && (tightest == 0 || o.WithinS < tightest) {
+			tightest = o.WithinS
+		}
+	}
+	if d.Cfg.Tunables.LowLeadS == 0 {
+		return 0
+	}
+	return settings.Seconds(max(0, tightest-d.Cfg.Tunables.LowLeadS))
+}
+
+// entryOf is what is durable of a job's acceptance. What it follows may take
+// entries of its own, which are appended and kept beside it from then on.
+func (d *Duty) entryOf(j *jobs.Job) ledger.Entry {
+	rec, parts := d.stored(j.Rec)
+	if j.Rec.Rest == 0 {
+		for _, p := range parts {
+			d.Log.Append(p)
+		}
+	}
+	j.Rec.Rest = rec.Rest
+	return ledger.Entry{Job: &rec}
+}
+
+// appendTasks appends completed tasks, in as many entries as they need, with
+// the time of day for a job that others wait for.
+func (d *Duty) appendTasks(now time.Duration, b ledger.Tasks) {
+	if j := d.Jobs.Find(b.ID); j != nil && len(j.Followers) > 0 {
+		b.AtMS = d.Zero + now.Milliseconds()
+	}
+	most := max(1, d.Log.Room()/rangeBytes-4)
+	for len(b.Ranges) > most {
+		part := ledger.Tasks{ID: b.ID, Ranges: b.Ranges[:most], AtMS: b.AtMS}
+		d.Log.AppendFact(ledger.Entry{Tasks: &part})
+		b.Ranges = b.Ranges[most:]
+	}
+	d.Log.AppendFact(ledger.Entry{Tasks: &b})
+}
+
+// again appends what is known of an open job. Completed tasks that are on
+// their way to the log are in it too: their own entry will stand before the job
+// that is written here, and be replayed without it.
+func (d *Duty) again(now time.Duration, j *jobs.Job) {
+	d.Log.Append(d.entryOf(j))
+	noted := ledger.Tasks{ID: j.Rec.ID, Seconds: j.SumS, Known: j.SumN}
+	for k, s := range j.Tasks {
+		if s == jobs.Noted || s == jobs.Finished {
+			noted.Add(k)
+		}
+	}
+	if len(noted.Ranges) > 0 {
+		d.appendTasks(now, noted)
+	}
+	if size, final := d.Book.Size(j.Index); final && size > 0 {
+		d.Log.Append(ledger.Entry{Size: &ledger.Size{ID: j.Rec.ID, Size: size}})
+	}
+}
+
+// CanKeep says whether all that is live of these entries can be written anew.
+// What was stored under larger limits may be too large now: then it stays
+// where it is until the job is over. A cancellation on its way to the log would
+// stand before the job that is written anew, and be replayed without it.
+func (d *Duty) CanKeep(entries []ledger.Entry) bool {
+	for _, e := range entries {
+		if e.Job == nil {
+			continue
+		}
+		if j := d.Jobs.Find(e.Job.ID); j != nil {
+			if rec, _ := d.stored(j.Rec); j.Phase == jobs.Cancelling || !d.Log.Fits(ledger.Entry{Job: &rec}) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lifecycle/users.go
@@ -0,0 +1,170 @@
+package lifecycle
+
+import (
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+// What users ask of the leader.
+
+// Submit takes a submission.
+func (d *Duty) Submit(now time.Duration, to effects.Asker, s wire.Submission) {
+	if j := d.Jobs.Find(s.ID); j != nil && j.Phase == jobs.Accepting {
+		d.accepting[s.ID] = append(d.accepting[s.ID], to)
+		return
+	}
+	if a, ok := d.state(s.ID); ok {
+		d.Emit(effects.Reply{To: to, Answer: a})
+		return
+	}
+	if s.Job == nil {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 400, Why: s.Bad}})
+		return
+	}
+	if len(d.Types) == 0 {
+		d.Emit(effects.Reply{To: to, Answer: effects.Unavailable("the machine types are not known yet")})
+		return
+	}
+	if why := d.never(s.Job); why != "" {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 422, Why: why}})
+		return
+	}
+	if why, known := d.unfollowable(s.Job); !known {
+		d.Emit(effects.Reply{To: to, Answer: effects.Unavailable(why)})
+		return
+	} else if why != "" {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 422, Why: why}})
+		return
+	}
+	s.Job.AtMS = d.Zero + now.Milliseconds()
+	if rec, _ := d.stored(*s.Job); !d.Log.Fits(ledger.Entry{Job: &rec}) {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 400, Why: "breeds and other names: too long to be stored"}})
+		return
+	}
+	if d.Log.Pending() > 2000 {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 429, Why: "too much is waiting to be written", RetryAfter: 2}})
+		return
+	}
+	j := d.enter(*s.Job, now)
+	d.suit(j)
+	d.accepting[s.ID] = append(d.accepting[s.ID], to)
+	d.Log.AppendFact(d.entryOf(j))
+}
+
+// never says why a job can never run, or nothing.
+func (d *Duty) never(j *ledger.Job) string {
+	team, ok := d.Teams.Find(j.Team)
+	if !ok || int(team) >= len(d.Cfg.Deployment.Teams) {
+		return "keeper: no such team"
+	}
+	need := amounts.Need(j.CPUs, j.GPUs, j.MemoryGB)
+	fits := slices.ContainsFunc(d.Types, func(ty ledger.Type) bool {
+		return need.Fits(amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)) &&
+			(j.Types == nil || slices.Contains(j.Types, ty.Name)) && (j.Zone == "" || slices.Contains(ty.Zones, j.Zone))
+	})
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	all := need
+	if j.Kind != jobs.Array {
+		all = need.Times(j.Tasks)
+	}
+	l := d.Plan.Limits[team]
+	if (l.CPU > 0 && all.CPU > l.CPU) || (l.GPU > 0 && all.GPU > l.GPU) {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+// share is how many processors of a machine a task takes up, counting those
+// that its memory or accelerators leave unusable, on the type that suits it
+// best.
+func (d *Duty) share(j *jobs.Job) float64 {
+	best := j.Rec.CPUs
+	found := false
+	for i, ty := range d.Types {
+		if n := blocks.Slots(j.Need, amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
+			if s := ty.CPUs / float64(n); !found || s < best {
+				best, found = s, true
+			}
+		}
+	}
+	return max(best, j.Rec.CPUs)
+}
+
+// state is what users may be told of a job.
+func (d *Duty) state(id uint64) (effects.Answer, bool) {
+	if p, ok := d.Jobs.Final(id); ok {
+		s := wire.Done
+		if p == jobs.Cancelled {
+			s = wire.Cancelled
+		}
+		return effects.Answer{Status: 200, ID: id, State: s}, true
+	}
+	j := d.Jobs.Find(id)
+	if j == nil || j.Phase == jobs.Accepting {
+		return effects.Answer{}, false
+	}
+	s := wire.Queued
+	if j.Running > 0 {
+		s = wire.Running
+	}
+	return effects.Answer{Status: 200, ID: id, State: s, Counts: true, Done: j.NotedN, Running: j.Running}, true
+}
+
+// Query answers for a job's state.
+func (d *Duty) Query(to effects.Asker, id uint64) {
+	if a, ok := d.state(id); ok {
+		d.Emit(effects.Reply{To: to, Answer: a})
+		return
+	}
+	if d.Jobs.Find(id) != nil {
+		d.Emit(effects.Reply{To: to, Answer: effects.Unavailable("being accepted")})
+		return
+	}
+	d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 404, Why: "no such job"}})
+}
+
+// Abort cancels a job.
+func (d *Duty) Abort(to effects.Asker, id uint64) {
+	if _, over := d.Jobs.Final(id); over {
+		a, _ := d.state(id)
+		d.Emit(effects.Reply{To: to, Answer: a})
+		return
+	}
+	j := d.Jobs.Find(id)
+	if j == nil {
+		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 404, Why: "no such job"}})
+		return
+	}
+	d.ending[id] = append(d.ending[id], to)
+	if j.Phase == jobs.Cancelling || j.Finished == len(j.Tasks) {
+		return // answered with what becomes durable first
+	}
+	if j.Phase == jobs.Open || j.Phase == jobs.Held {
+		j.Phase = jobs.Cancelling
+	}
+	d.Log.AppendFact(ledger.Entry{Cancel: &id})
+}
+
+func (d *Duty) tell(sure bool, to effects.Asker, a effects.Answer) {
+	if !sure {
+		a = effects.Unavailable("leadership is in doubt")
+	}
+	d.Emit(effects.Reply{To: to, Answer: a})
+}
+
+func (d *Duty) tellEnd(sure bool, id uint64) {
+	a, _ := d.state(id)
+	for _, to := range d.ending[id] {
+		d.tell(sure, to, a)
+	}
+	delete(d.ending, id)
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -19,28 +22,28 @@
 	cfg  *settings.Settings
 	zero int64 // time of day at time 0, in milliseconds; off by a known bound
 	lead *leadership.Core
-	term *Term
+	term *term.Term
 	hold *blocks.Holder
-	out  []Effect
+	out  []effects.Effect
 
-	counts Counts
+	counts cluster.Counts
 	hailAt time.Duration
-	peerAt map[string]time.Duration  // when a peer last answered a hail
-	open   map[Asker]*workers.Report // reports of this node's workers without an answer yet
+	peerAt map[string]time.Duration          // when a peer last answered a hail
+	open   map[effects.Asker]*workers.Report // reports of this node's workers without an answer yet
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
-func (c *Core) Take() []Effect {
+func (c *Core) Take() []effects.Effect {
 	out := c.out
 	for _, e := range out {
-		if r, ok := e.(Reply); ok {
+		if r, ok := e.(effects.Reply); ok {
 			if r.Answer.Status == 429 || r.Answer.Status >= 500 {
 				c.counts.Refused++
 			} else {
@@ -54,27 +57,26 @@
 
 func (c *Core) orders(list []leadership.Order) {
 	for _, o := range list {
-		c.out = append(c.out, Lead{o})
+		c.out = append(c.out, effects.Lead{Order: o})
 	}
 }
 
 // after follows every input: it starts and ends terms and gathers effects.
 func (c *Core) after(now time.Duration) {
 	leading := c.lead.Role() == leadership.Leader
-	if c.term != nil && (!leading || c.term.epoch != c.lead.Epoch()) {
-		c.term.end()
+	if c.term != nil && (!leading || c.term.Epoch != c.lead.Epoch()) {
+		c.term.End()
 		c.gather(now)
-		c.out = append(c.out, Note{Info, "term ended", []any{"epoch", c.term.epoch}})
+		c.out = append(c.out, effects.Note{Level: effects.Info, Text: "term ended", Args: []any{"epoch", c.term.Epoch}})
 		c.term = nil
 	}
 	if c.term == nil && leading {
 		c.counts.Terms++
-		c.term = newTerm(c.cfg, c.zero, c.lead.Epoch(), now)
-		c.term.counts = &c.counts
-		c.out = append(c.out, Note{Info, "leading", []any{"epoch", c.term.epoch}}, Load{c.term.epoch})
+		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), Began: now, Counts: &c.counts})
+		c.out = append(c.out, effects.Note{Level: effects.Info, Text: "leading", Args: []any{"epoch", c.term.Epoch}}, effects.Load{Epoch: c.term.Epoch})
 	}
 	if c.term != nil {
-		c.term.pump(now)
+		c.term.Pump(now)
 		c.gather(now)
 	}
 }
@@ -82,16 +84,15 @@
 // gather takes the term's effects. Answers to reports of this node's own
 // block get what the block takes up.
 func (c *Core) gather(now time.Duration) {
-	for _, e := range c.term.out {
-		if a, ok := e.(ReplyReport); ok {
+	for _, e := range c.term.Take() {
+		if a, ok := e.(effects.ReplyReport); ok {
 			if r := c.open[a.To]; r != nil {
 				delete(c.open, a.To)
-				e = ReplyReport{a.To, c.finish(now, r, a.Answer)}
+				e = effects.ReplyReport{To: a.To, Answer: c.finish(now, r, a.Answer)}
 			}
 		}
 		c.out = append(c.out, e)
 	}
-	c.term.out = nil
 }
 
 // Leading says whether this node leads, and otherwise who does, if known.
@@ -101,7 +102,7 @@
 
 // ready says whether jobs can be spoken of.
 func (c *Core) ready(now time.Duration) bool {
-	return c.term != nil && c.term.loaded && c.lead.Sure(now)
+	return c.term != nil && c.term.Loaded() && c.lead.Sure(now)
 }
 
 // Tick is called several times a second.
@@ -109,7 +110,7 @@
 	c.orders(c.lead.Tick(now))
 	c.hold.Tick(now)
 	if c.term != nil {
-		c.term.tick(now, c.lead.Sure(now))
+		c.term.Tick(now, c.lead.Sure(now))
 		c.hail(now)
 	}
 	c.after(now)
@@ -128,10 +129,10 @@
 	if now-c.hailAt >= hailEvery {
 		c.hailAt = now
 		for _, p := range c.cfg.Peers {
-			c.out = append(c.out, Hail{p.Node, c.term.epoch})
+			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch})
 		}
 	}
-	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || !c.term.deaf(now) || now-c.term.began < cutOffAfter {
+	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || !c.term.Deaf(now) || now-c.term.Began < cutOffAfter {
 		return
 	}
 	for _, at := range c.peerAt {
@@ -139,7 +140,7 @@
 			return
 		}
 	}
-	c.out = append(c.out, Note{Warn, "cut off from peers and machines: leadership given up", nil})
+	c.out = append(c.out, effects.Note{Level: effects.Warn, Text: "cut off from peers and machines: leadership given up", Args: nil})
 	c.orders(c.lead.Resign(now, resignFor))
 }
 
@@ -155,69 +156,69 @@
 }
 
 // Submit takes a submission.
-func (c *Core) Submit(now time.Duration, to Asker, s wire.Submission) {
+func (c *Core) Submit(now time.Duration, to effects.Asker, s wire.Submission) {
 	if !c.ready(now) {
-		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		c.out = append(c.out, effects.Reply{To: to, Answer: effects.Unavailable("no leader at present")})
 		return
 	}
-	c.term.submit(now, to, s)
+	c.term.Users.Submit(now, to, s)
 	c.after(now)
 }
 
 // Query answers for a job's state.
-func (c *Core) Query(now time.Duration, to Asker, id uint64) {
+func (c *Core) Query(now time.Duration, to effects.Asker, id uint64) {
 	if !c.ready(now) {
-		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		c.out = append(c.out, effects.Reply{To: to, Answer: effects.Unavailable("no leader at present")})
 		return
 	}
-	c.term.query(to, id)
+	c.term.Users.Query(to, id)
 	c.after(now)
 }
 
 // Abort cancels a job.
-func (c *Core) Abort(now time.Duration, to Asker, id uint64) {
+func (c *Core) Abort(now time.Duration, to effects.Asker, id uint64) {
 	if !c.ready(now) {
-		c.out = append(c.out, Reply{to, unavailable("no leader at present")})
+		c.out = append(c.out, effects.Reply{To: to, Answer: effects.Unavailable("no leader at present")})
 		return
 	}
-	c.term.abort(to, id)
+	c.term.Users.Abort(to, id)
 	c.after(now)
 }
 
 // Report takes a worker's report. The leader answers for its own block; any
 // other node hands the report to the leader and answers as that says.
-func (c *Core) Report(now time.Duration, to Asker, r *workers.Report) {
+func (c *Core) Report(now time.Duration, to effects.Asker, r *workers.Report) {
 	c.counts.Reports++
 	c.met(now, r)
-	in := Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
+	in := effects.Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
 	if c.term != nil {
 		c.open[to] = r
-		c.term.report(now, c.lead.Sure(now), to, in)
+		c.term.Report(now, c.lead.Sure(now), to, in)
 		c.after(now)
 		return
 	}
 	if leader := c.lead.LeaderName(); leader != "" {
 		c.open[to] = r
-		c.out = append(c.out, Relay{to, leader, in})
+		c.out = append(c.out, effects.Relay{To: to, Leader: leader, Report: in})
 		return
 	}
-	c.out = append(c.out, ReplyReport{to, c.alone(now, r)})
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.alone(now, r)})
 }
 
 // met ends the term when a worker has seen a token of a later one.
 func (c *Core) met(now time.Duration, r *workers.Report) {
-	if epoch := r.Token >> tokenBits; epoch > c.lead.Epoch() && c.term != nil {
+	if epoch := r.Token >> cluster.TokenBits; epoch > c.lead.Epoch() && c.term != nil {
 		c.lead.Superseded(now, epoch)
 		c.after(now)
 	}
 }
 
 // pick has the node's block take up what it is offered for the machine.
-func (c *Core) pick(now time.Duration, r *workers.Report, a ReportAnswer) []workers.Command {
+func (c *Core) pick(now time.Duration, r *workers.Report, a effects.ReportAnswer) []workers.Command {
 	c.hold.Renew(r.Machine, a.Token, now+settings.Seconds(a.LeaseS))
 	picked := c.hold.Pick(now, a.Offers, a.Room)
 	if c.term != nil {
-		c.term.started(r.Machine, picked)
+		c.term.Started(r.Machine, picked)
 	}
 	var starts []workers.Command
 	for _, o := range picked {
@@ -228,16 +229,16 @@
 
 // alone answers a worker while the leader cannot be asked: with the last
 // token, so that tasks outlive the leader and outages, and with no command.
-func (c *Core) alone(now time.Duration, r *workers.Report) ReportAnswer {
+func (c *Core) alone(now time.Duration, r *workers.Report) effects.ReportAnswer {
 	if token, ok := c.hold.KeepAlive(now, r); ok {
-		return ReportAnswer{Status: 200, Token: token}
+		return effects.ReportAnswer{Status: 200, Token: token}
 	}
-	return ReportAnswer{Status: 503}
+	return effects.ReportAnswer{Status: 503}
 }
 
 // finish makes of the leader's word on a report what its worker is told: with
 // what the block takes up, or without the leader.
-func (c *Core) finish(now time.Duration, r *workers.Report, a ReportAnswer) ReportAnswer {
+func (c *Core) finish(now time.Duration, r *workers.Report, a effects.ReportAnswer) effects.ReportAnswer {
 	switch a.Status {
 	case 200:
 		a.Commands = append(a.Commands, c.pick(now, r, a)...)
@@ -248,7 +249,7 @@
 }
 
 // RelayAnswered takes the leader's word on a report that was handed to it.
-func (c *Core) RelayAnswered(now time.Duration, to Asker, a ReportAnswer, ok bool) {
+func (c *Core) RelayAnswered(now time.Duration, to effects.Asker, a effects.ReportAnswer, ok bool) {
 	r := c.open[to]
 	delete(c.open, to)
 	if r == nil {
@@ -256,23 +257,23 @@
 	}
 	switch {
 	case !ok, a.Status == 421 && (a.Node == c.cfg.Node || a.Node == ""):
-		a = ReportAnswer{Status: 503}
+		a = effects.ReportAnswer{Status: 503}
 	case a.Status == 421:
 		c.hold.Release(r.Machine)
 	}
-	c.out = append(c.out, ReplyReport{to, c.finish(now, r, a)})
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.finish(now, r, a)})
 	c.after(now)
 }
 
-// Relayed serves a report that another controller handed on. It goes no
+// effects.Relayed serves a report that another controller handed on. It goes no
 // further.
-func (c *Core) Relayed(now time.Duration, to Asker, in Relayed) {
+func (c *Core) Relayed(now time.Duration, to effects.Asker, in effects.Relayed) {
 	c.met(now, &in.Report)
 	if c.term == nil {
-		c.out = append(c.out, ReplyReport{to, ReportAnswer{Status: 503}})
+		c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 503}})
 		return
 	}
-	c.term.report(now, c.lead.Sure(now), to, in)
+	c.term.Report(now, c.lead.Sure(now), to, in)
 	c.after(now)
 }
 
@@ -307,17 +308,17 @@
 }
 
 // Loaded takes the whole log, read after the term began.
-func (c *Core) Loaded(now time.Duration, epoch uint64, log Durable) {
-	if c.term != nil && c.term.epoch == epoch && !c.term.loaded {
-		c.term.load(now, c.lead.Mark(), log)
+func (c *Core) Loaded(now time.Duration, epoch uint64, log term.Durable) {
+	if c.term != nil && c.term.Epoch == epoch && !c.term.Loaded() {
+		c.term.Load(now, c.lead.Mark(), log)
 	}
 	c.after(now)
 }
 
 // Committed takes the outcome of a commit of the term.
 func (c *Core) Committed(now time.Duration, epoch, seq uint64, out ledger.Outcome, mark uint64, failed []string) {
-	if c.term != nil && c.term.epoch == epoch {
-		if c.term.committed(now, c.lead.Sure(now), seq, out, mark, failed) == ledger.Lost {
+	if c.term != nil && c.term.Epoch == epoch {
+		if c.term.Committed(now, c.lead.Sure(now), seq, out, mark, failed) == ledger.Lost {
 			c.lead.Superseded(now, c.lead.Epoch()+1)
 		}
 	}
@@ -326,8 +327,8 @@
 
 // Rechecked takes the value that settles a commit without an answer.
 func (c *Core) Rechecked(now time.Duration, epoch uint64, read bool, mark uint64, value json.RawMessage) {
-	if c.term != nil && c.term.epoch == epoch {
-		c.term.rechecked(now, c.lead.Sure(now), read, mark, value)
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Rechecked(now, c.lead.Sure(now), read, mark, value)
 	}
 	c.after(now)
 }
@@ -335,40 +336,40 @@
 // Cleaned takes the log's oldest segments, read back: from the first one on,
 // those numbered below end.
 func (c *Core) Cleaned(now time.Duration, epoch uint64, first, end int, read bool, entries []ledger.Entry) {
-	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
-		c.term.cleaned(now, first, end, read, entries)
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.Cleaned(now, first, end, read, entries)
 	}
 	c.after(now)
 }
 
 // Deleted takes the result of a deletion.
 func (c *Core) Deleted(now time.Duration, epoch uint64, list []string, ok bool) {
-	if c.term != nil && c.term.epoch == epoch {
-		c.term.deleted(now, list, ok)
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Deleted(now, list, ok)
 	}
 	c.after(now)
 }
 
 // Rented takes the result of a rental request.
 func (c *Core) Rented(now time.Duration, epoch uint64, name string, machines []string, res wire.RentResult) {
-	if c.term != nil && c.term.epoch == epoch {
-		c.term.rented(now, name, machines, res)
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Rented(now, name, machines, res)
 	}
 	c.after(now)
 }
 
 // GotTypes takes the machine types; an empty list is a failure.
 func (c *Core) GotTypes(now time.Duration, epoch uint64, list []ledger.Type) {
-	if c.term != nil && c.term.epoch == epoch && c.term.loaded {
-		c.term.gotTypes(now, list)
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.GotTypes(now, list)
 	}
 	c.after(now)
 }
 
 // Listed takes the cloud's list of machines.
 func (c *Core) Listed(now time.Duration, epoch uint64, list []wire.Listed, ok bool) {
-	if c.term != nil && c.term.epoch == epoch {
-		c.term.listed(now, list, ok)
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Listed(now, list, ok)
 	}
 	c.after(now)
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/wire"
 )
 
@@ -33,12 +34,12 @@
 		if errors.Is(err, wire.ErrTooLarge) {
 			why = "body over 64 KiB"
 		}
-		write(w, Answer{Status: http.StatusBadRequest, Why: why})
+		write(w, effects.Answer{Status: http.StatusBadRequest, Why: why})
 		return
 	}
 	s := wire.ParseSubmission(body)
 	if !s.HasID {
-		write(w, Answer{Status: http.StatusBadRequest, Why: s.Bad})
+		write(w, effects.Answer{Status: http.StatusBadRequest, Why: s.Bad})
 		return
 	}
 	write(w, n.route(UserRequest{Op: opSubmit, ID: s.ID, Submission: s}))
@@ -47,7 +48,7 @@
 func (n *Node) onJob(w http.ResponseWriter, r *http.Request, op string) {
 	id, ok := wire.ParseID(chi.URLParam(r, "id"))
 	if !ok {
-		write(w, Answer{Status: http.StatusNotFound, Why: "no such job"})
+		write(w, effects.Answer{Status: http.StatusNotFound, Why: "no such job"})
 		return
 	}
 	write(w, n.route(UserRequest{Op: op, ID: id}))
@@ -73,7 +74,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	a, err := n.askReport(func(now time.Duration, to Asker) { n.core.Report(now, to, rep) })
+	a, err := n.askReport(func(now time.Duration, to effects.Asker) { n.core.Report(now, to, rep) })
 	switch {
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -84,7 +85,7 @@
 	}
 }
 
-func write(w http.ResponseWriter, a Answer) {
+func write(w http.ResponseWriter, a effects.Answer) {
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(a.RetryAfter))
 	}
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -30,8 +30,6 @@
 
 const peerGreeting = "200 Connected to Go RPC"
 
-func formatID(id uint64) string { return wire.FormatID(id) }
-
 // inside is what the internal address serves.
 func (n *Node) inside() (http.Handler, error) {
 	peers := rpc.NewServer()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,9 +19,11 @@
 
 	"golang.org/x/net/netutil"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 )
 
@@ -55,9 +57,9 @@
 	direct  chan struct{} // bounds the direct calls under way
 	now     atomic.Pointer[standing]
 
-	nextAsker Asker
-	users     map[Asker]chan Answer
-	reports   map[Asker]chan ReportAnswer
+	nextAsker effects.Asker
+	users     map[effects.Asker]chan effects.Answer
+	reports   map[effects.Asker]chan effects.ReportAnswer
 }
 
 // New makes a controller.
@@ -66,7 +68,7 @@
 	n := &Node{
 		cfg: cfg, log: log, core: NewCore(cfg, start.UnixMilli()), in: make(chan func(time.Duration), queueLength), start: start,
 		state: wire.NewState(cfg.External.State), cloud: wire.NewCloud(cfg.External.Cloud), workers: wire.NewWorkers(), direct: make(chan struct{}, directAtOnce), peers: map[string]*peer{},
-		users: map[Asker]chan Answer{}, reports: map[Asker]chan ReportAnswer{},
+		users: map[effects.Asker]chan effects.Answer{}, reports: map[effects.Asker]chan effects.ReportAnswer{},
 	}
 	for _, p := range cfg.Peers {
 		n.peers[p.Node] = &peer{addr: p.Endpoint}
@@ -123,9 +125,9 @@
 		case <-ctx.Done():
 			n.core.Stop(time.Since(n.start))
 			for _, e := range n.core.Take() {
-				if o, ok := e.(Lead); ok && o.Order.Action == leadership.Drop {
+				if o, ok := e.(effects.Lead); ok && o.Order.Action == leadership.Drop {
 					n.lead(o.Order)
-				} else if r, ok := e.(Reply); ok {
+				} else if r, ok := e.(effects.Reply); ok {
 					n.do(r)
 				}
 			}
@@ -147,23 +149,23 @@
 func (n *Node) post(f func(now time.Duration)) { n.in <- f }
 
 // do carries out an effect. Calls go to goroutines and come back as inputs.
-func (n *Node) do(e Effect) {
+func (n *Node) do(e effects.Effect) {
 	epoch := n.core.Epoch() // results of an earlier term are dropped
 	switch e := e.(type) {
-	case Reply:
+	case effects.Reply:
 		if ch := n.users[e.To]; ch != nil {
 			ch <- e.Answer
 			delete(n.users, e.To)
 		}
-	case ReplyReport:
+	case effects.ReplyReport:
 		if ch := n.reports[e.To]; ch != nil {
 			ch <- e.Answer
 			delete(n.reports, e.To)
 		}
-	case Relay:
+	case effects.Relay:
 		p := n.peers[e.Leader]
 		go func() {
-			var a ReportAnswer
+			var a effects.ReportAnswer
 			ok := p != nil
 			if ok {
 				if err := p.call("Controller.Relay", e.Report, &a); err != nil {
@@ -173,7 +175,7 @@
 			}
 			n.post(func(now time.Duration) { n.core.RelayAnswered(now, e.To, a, ok) })
 		}()
-	case Hail:
+	case effects.Hail:
 		if p := n.peers[e.Peer]; p != nil {
 			go func() {
 				if err := p.call("Controller.Hail", HailMessage{n.cfg.Node, e.Epoch}, new(bool)); err == nil {
@@ -181,27 +183,27 @@
 				}
 			}()
 		}
-	case Lead:
+	case effects.Lead:
 		go n.lead(e.Order)
-	case Load:
+	case effects.Load:
 		go n.load(e.Epoch)
-	case Commit:
+	case effects.Commit:
 		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			out, mark, failed := n.state.Commit(ctx, e.Txn)
 			backOff(out == ledger.Applied || out == ledger.Conflict)
 			return func(now time.Duration) { n.core.Committed(now, epoch, e.Txn.Seq, out, mark, failed) }
 		})
-	case Recheck:
+	case effects.Recheck:
 		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			it, err := n.state.Get(ctx, e.Key)
 			return func(now time.Duration) { n.core.Rechecked(now, epoch, err == nil, it.Mark, it.Value) }
 		})
-	case Clean:
+	case effects.Clean:
 		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
 			entries, err := n.segments(ctx, e.First, e.First+e.Count)
 			return func(now time.Duration) { n.core.Cleaned(now, epoch, e.First, e.First+e.Count, err == nil, entries) }
 		})
-	case Direct:
+	case effects.Direct:
 		select {
 		case n.direct <- struct{}{}:
 			go func() {
@@ -214,22 +216,22 @@
 			}()
 		default: // enough are under way; the answer to the next report has the stops too
 		}
-	case Rent:
+	case effects.Rent:
 		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			names, res := n.cloud.Rent(ctx, e.Rental)
 			return func(now time.Duration) { n.core.Rented(now, epoch, e.Rental.Name, names, res) }
 		})
-	case Delete:
+	case effects.Delete:
 		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			ok := n.cloud.Delete(ctx, e.Machines)
 			return func(now time.Duration) { n.core.Deleted(now, epoch, e.Machines, ok) }
 		})
-	case List:
+	case effects.List:
 		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			list, err := n.cloud.List(ctx)
 			return func(now time.Duration) { n.core.Listed(now, epoch, list, err == nil) }
 		})
-	case Types:
+	case effects.Types:
 		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			list, err := n.cloud.Types(ctx)
 			if err != nil {
@@ -237,7 +239,7 @@
 			}
 			return func(now time.Duration) { n.core.GotTypes(now, epoch, list) }
 		})
-	case Note:
+	case effects.Note:
 		n.log.Log(context.Background(), []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError}[e.Level], e.Text, e.Args...)
 	}
 }
@@ -303,15 +305,15 @@
 		n.log.Warn("durable state not read", "epoch", epoch, "error", err)
 		time.Sleep(150*time.Millisecond + rand.N(150*time.Millisecond))
 		over := make(chan bool, 1)
-		n.post(func(time.Duration) { over <- n.core.term == nil || n.core.term.epoch != epoch })
+		n.post(func(time.Duration) { over <- n.core.term == nil || n.core.term.Epoch != epoch })
 		if <-over {
 			return
 		}
 	}
 }
 
-func (n *Node) readAll() (Durable, error) {
-	var d Durable
+func (n *Node) readAll() (term.Durable, error) {
+	var d term.Durable
 	err := n.readPrefix(ledger.Prefix, func(it wire.Item) error {
 		list, err := decode(it)
 		if err != nil {
@@ -325,22 +327,22 @@
 		return err
 	})
 	if err != nil {
-		return Durable{}, err
+		return term.Durable{}, err
 	}
 	var pieces []wire.Item
 	if err := n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error { pieces = append(pieces, it); return nil }); err != nil {
-		return Durable{}, err
+		return term.Durable{}, err
 	}
 	// A piece of an earlier list, by whatever version, must not overrule a newer one.
 	slices.SortFunc(pieces, func(a, b wire.Item) int { return cmp.Compare(a.Mark, b.Mark) })
 	for _, it := range pieces {
 		var v ledger.VirtualSizes
 		if err := json.Unmarshal(it.Value, &v); err != nil {
-			return Durable{}, fmt.Errorf("%s: %w", it.Key, err)
+			return term.Durable{}, fmt.Errorf("%s: %w", it.Key, err)
 		}
 		n, err := ledger.SizesNumber(it.Key)
 		if err != nil {
-			return Durable{}, err
+			return term.Durable{}, err
 		}
 		d.Sizes = append(d.Sizes, v.Sizes...)
 		d.Pieces = max(d.Pieces, n+1)
@@ -405,16 +407,16 @@
 var errBusy = errors.New("node: the loop is behind")
 
 // ask hands a user's request to the loop and waits for its answer.
-func (n *Node) ask(limit time.Duration, f func(now time.Duration, to Asker)) Answer {
-	ch := make(chan Answer, 1)
-	var id Asker
+func (n *Node) ask(limit time.Duration, f func(now time.Duration, to effects.Asker)) effects.Answer {
+	ch := make(chan effects.Answer, 1)
+	var id effects.Asker
 	if err := n.try(func(now time.Duration) {
 		n.nextAsker++
 		id = n.nextAsker
 		n.users[id] = ch
 		f(now, id)
 	}); err != nil {
-		return Answer{Status: 429, Why: "too many requests at once", RetryAfter: 1}
+		return effects.Answer{Status: 429, Why: "too many requests at once", RetryAfter: 1}
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -425,7 +427,7 @@
 		// Given up: the final answer goes out now, and the job's state is
 		// found out by asking again.
 		_ = n.try(func(time.Duration) { delete(n.users, id) })
-		return unavailable("not durable in time")
+		return effects.Unavailable("not durable in time")
 	}
 }
 
@@ -438,14 +440,14 @@
 	}
 }
 
-func (n *Node) askReport(f func(now time.Duration, to Asker)) (ReportAnswer, error) {
-	ch := make(chan ReportAnswer, 1)
+func (n *Node) askReport(f func(now time.Duration, to effects.Asker)) (effects.ReportAnswer, error) {
+	ch := make(chan effects.ReportAnswer, 1)
 	if err := n.try(func(now time.Duration) {
 		n.nextAsker++
 		n.reports[n.nextAsker] = ch
 		f(now, n.nextAsker)
 	}); err != nil {
-		return ReportAnswer{}, err
+		return effects.ReportAnswer{}, err
 	}
 	return <-ch, nil
 }
@@ -512,7 +514,7 @@
 
 // Ask serves a request that another controller's user made. It is never
 // handed on a second time.
-func (c *Controller) Ask(in UserRequest, out *Answer) error {
+func (c *Controller) Ask(in UserRequest, out *effects.Answer) error {
 	*out = c.n.serve(in)
 	return nil
 }
@@ -530,8 +532,8 @@
 
 // Relay serves a report that another controller received. It is never handed
 // on a second time.
-func (c *Controller) Relay(in Relayed, out *ReportAnswer) error {
-	a, err := c.n.askReport(func(now time.Duration, to Asker) { c.n.core.Relayed(now, to, in) })
+func (c *Controller) Relay(in effects.Relayed, out *effects.ReportAnswer) error {
+	a, err := c.n.askReport(func(now time.Duration, to effects.Asker) { c.n.core.Relayed(now, to, in) })
 	*out = a
 	return err
 }
@@ -539,8 +541,8 @@
 const askLimit = time.Second
 
 // serve answers a request here, whoever leads.
-func (n *Node) serve(in UserRequest) Answer {
-	return n.ask(askLimit, func(now time.Duration, to Asker) {
+func (n *Node) serve(in UserRequest) effects.Answer {
+	return n.ask(askLimit, func(now time.Duration, to effects.Asker) {
 		switch in.Op {
 		case opSubmit:
 			n.core.Submit(now, to, in.Submission)
@@ -553,19 +555,19 @@
 }
 
 // route serves a request here or hands it to the leader: one hop at most.
-func (n *Node) route(in UserRequest) Answer {
+func (n *Node) route(in UserRequest) effects.Answer {
 	s := n.now.Load()
 	if s.leading {
 		return n.serve(in)
 	}
 	p := n.peers[s.leader]
 	if p == nil {
-		return unavailable("no leader at present")
+		return effects.Unavailable("no leader at present")
 	}
-	var a Answer
+	var a effects.Answer
 	if err := p.call("Controller.Ask", in, &a); err != nil {
 		n.log.Debug("leader not reached", "leader", s.leader, "error", err)
-		return unavailable("the leader does not answer")
+		return effects.Unavailable("the leader does not answer")
 	}
 	return a
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -6,8 +6,9 @@
 	"strings"
 	"time"
 
-	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -24,7 +25,7 @@
 	Machines []MachineStatus `json:"machines,omitempty"`
 	Queue    []JobStatus     `json:"queue,omitempty"`
 	Held     []HeldStatus    `json:"held,omitempty"`
-	Counts   Counts          `json:"counts"`
+	Counts   cluster.Counts  `json:"counts"`
 }
 
 // BlockStatus is one controller's block.
@@ -68,20 +69,6 @@
 	After []string `json:"after"`
 }
 
-// Counts add up since the process began.
-type Counts struct {
-	Terms          uint64 `json:"terms"`
-	Reports        uint64 `json:"reports"`
-	Answered       uint64 `json:"user_requests_answered"`
-	Refused        uint64 `json:"user_requests_refused"`
-	MachinesLost   uint64 `json:"machines_lost"`
-	RentalsRefused uint64 `json:"rentals_refused"`
-	TasksDone      uint64 `json:"tasks_done"`
-	TasksRerun     uint64 `json:"tasks_rerun"`
-	Released       uint64 `json:"jobs_released"`
-	CancelSpread   uint64 `json:"cancellations_spread"`
-}
-
 func machineState(m *workers.Machine) string {
 	switch {
 	case m.Leaving:
@@ -106,13 +93,13 @@
 func (c *Core) Status(now time.Duration) Status {
 	s := Status{Node: c.cfg.Node, Leader: c.lead.LeaderName(), Epoch: c.lead.Highest(), Sure: c.lead.Sure(now), Counts: c.counts}
 	t := c.term
-	if t == nil || !t.loaded {
+	if t == nil || !t.Loaded() {
 		return s
 	}
-	s.Loaded, s.Unsaved = true, t.log.Pending()
+	s.Loaded, s.Unsaved = true, t.Log.Pending()
 	byHolder := map[string]*BlockStatus{}
-	for _, m := range t.yard.All() {
-		s.Machines = append(s.Machines, MachineStatus{Name: m.Name, Type: t.typeNames.Name(m.Type), Zone: t.zones.Name(m.Zone), Spot: m.Spot,
+	for _, m := range t.Yard.All() {
+		s.Machines = append(s.Machines, MachineStatus{Name: m.Name, Type: t.TypeNames.Name(m.Type), Zone: t.Zones.Name(m.Zone), Spot: m.Spot,
 			State: machineState(m), Holder: m.Holder, FreeCPUs: m.Free.CPUs(), Tasks: len(m.Tasks)})
 		if m.Holder == "" {
 			continue
@@ -130,13 +117,13 @@
 	}
 	slices.SortFunc(s.Blocks, func(a, b BlockStatus) int { return compare(a.Holder, b.Holder) })
 	slices.SortFunc(s.Machines, func(a, b MachineStatus) int { return compare(a.Name, b.Name) })
-	w := t.world(now)
-	for _, i := range t.plan.Order(&w) {
-		s.Queue = append(s.Queue, t.jobStatus(t.table.At(i)))
+	w := t.World(now)
+	for _, i := range t.Plan.Order(&w) {
+		s.Queue = append(s.Queue, jobStatus(t, t.Jobs.At(i)))
 	}
-	for _, j := range t.table.All() {
+	for _, j := range t.Jobs.All() {
 		if j != nil && j.Phase == jobs.Held {
-			s.Held = append(s.Held, HeldStatus{ID: formatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Tasks: len(j.Tasks), After: t.ids(j.After)})
+			s.Held = append(s.Held, HeldStatus{ID: wire.FormatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Tasks: len(j.Tasks), After: ids(t, j.After)})
 		}
 	}
 	slices.SortFunc(s.Held, func(a, b HeldStatus) int { return compare(a.ID, b.ID) })
@@ -144,10 +131,10 @@
 }
 
 // ids are the ids of jobs by index, in order.
-func (t *Term) ids(list []int32) []string {
+func ids(t *term.Term, list []int32) []string {
 	var out []string
 	for _, i := range list {
-		out = append(out, formatID(t.table.At(i).Rec.ID))
+		out = append(out, wire.FormatID(t.Jobs.At(i).Rec.ID))
 	}
 	slices.Sort(out)
 	return out
@@ -163,9 +150,9 @@
 	return 0
 }
 
-func (t *Term) jobStatus(j *jobs.Job) JobStatus {
-	size, final := t.book.Size(j.Index)
-	return JobStatus{ID: formatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Virtual: t.book.Virtual(j.Index), Size: size, Final: final,
+func jobStatus(t *term.Term, j *jobs.Job) JobStatus {
+	size, final := t.Book.Size(j.Index)
+	return JobStatus{ID: wire.FormatID(j.Rec.ID), Class: j.Rec.Class, Team: j.Rec.Team, Virtual: t.Book.Virtual(j.Index), Size: size, Final: final,
 		Waiting: j.Waiting, Placed: j.Placed, Finished: j.Finished}
 }
 
@@ -180,30 +167,30 @@
 // Explain explains a job; ok is false on a node that cannot tell.
 func (c *Core) Explain(now time.Duration, id uint64) (e Explanation, ok bool) {
 	t := c.term
-	if t == nil || !t.loaded {
+	if t == nil || !t.Loaded() {
 		return Explanation{}, false
 	}
-	e.ID = formatID(id)
+	e.ID = wire.FormatID(id)
 	say := func(f string, a ...any) { e.Words = append(e.Words, fmt.Sprintf(f, a...)) }
-	if p, over := t.table.Final(id); over {
+	if p, over := t.Jobs.Final(id); over {
 		say("it is %s", map[jobs.Phase]string{jobs.Done: "done", jobs.Cancelled: "cancelled"}[p])
 		return e, true
 	}
-	j := t.table.Find(id)
+	j := t.Jobs.Find(id)
 	if j == nil {
 		say("no such job was accepted")
 		return e, true
 	}
-	js := t.jobStatus(j)
+	js := jobStatus(t, j)
 	e.Job = &js
-	w := t.world(now)
-	for n, i := range t.plan.Order(&w) {
+	w := t.World(now)
+	for n, i := range t.Plan.Order(&w) {
 		if i == j.Index {
 			e.Place = n + 1
 		}
 	}
 	if len(j.Followers) > 0 {
-		say("jobs that wait for it: %s", strings.Join(t.ids(j.Followers), ", "))
+		say("jobs that wait for it: %s", strings.Join(ids(t, j.Followers), ", "))
 	}
 	if j.Priority > j.Rec.Priority {
 		say("it has taken the priority of a job that needs it: %s instead of %s (exception follow_urgency)", wire.PriorityWord(j.Priority), wire.PriorityWord(j.Rec.Priority))
@@ -213,7 +200,7 @@
 			say("what it follows is not in the log any more: it is not started, and waits to be cancelled")
 			return e, true
 		}
-		say("it waits for %d of the %d jobs that it follows: %s", len(j.After), len(j.Rec.Follows), strings.Join(t.ids(j.After), ", "))
+		say("it waits for %d of the %d jobs that it follows: %s", len(j.After), len(j.Rec.Follows), strings.Join(ids(t, j.After), ", "))
 		say("until they are done it is outside the order and holds nothing of its team's share")
 		return e, true
 	}
@@ -236,14 +223,8 @@
 	if e.Place > 0 {
 		say("it is number %d in the order", e.Place)
 	}
-	for _, why := range t.plan.Why(w, j) {
+	for _, why := range t.Plan.Why(w, j) {
 		say("%s", why)
 	}
 	return e, true
 }
-
-// world is what the planner looks at.
-func (t *Term) world(now time.Duration) blocks.World {
-	room, blind := t.unresolved()
-	return blocks.World{Now: now, Quiet: t.quiet(), Jobs: t.table, Yard: t.yard, Book: t.book, Unresolved: room, Blind: blind, Zone: t.zones.Index}
-}
--- /dev/null
+++ b/internal/ordering/ordering.go
@@ -0,0 +1,98 @@
+// Package ordering is the duty that keeps the order of jobs: it ages their sizes
+// in the virtual cluster, sets final ones, and writes both down. It alone writes
+// entries of sizes, but for those of a job that is written anew.
+package ordering
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// ageEvery is how often the virtual cluster works on.
+const ageEvery = 500 * time.Millisecond
+
+// Duty is the order in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	finals  map[uint64]float64 // while the log is replayed
+	agedAt  time.Duration
+	sizesAt time.Duration
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, finals: map[uint64]float64{}, sizesAt: s.Began}
+}
+
+// Replay takes an entry of the log.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	if e.Size != nil {
+		d.finals[e.Size.ID] = e.Size.Size
+	}
+}
+
+// Begin restores final sizes.
+func (d *Duty) Begin(time.Duration) {
+	for id, s := range d.finals {
+		if j := d.Jobs.Find(id); j != nil {
+			d.Book.Restore(j.Index, true, s, s)
+		}
+	}
+	d.finals = nil
+}
+
+// Restore puts back the virtual sizes that an earlier term wrote down, oldest
+// first.
+func (d *Duty) Restore(now time.Duration, list []ledger.VirtualSize) {
+	for _, v := range list {
+		if j := d.Jobs.Find(v.ID); j != nil {
+			_, final := d.Book.Size(j.Index)
+			d.Book.Restore(j.Index, final, v.Size, v.Virtual)
+		}
+	}
+	d.Book.Age(now.Seconds(), 0)
+}
+
+// Tick ages the sizes.
+func (d *Duty) Tick(now time.Duration, _ bool) {
+	if now-d.agedAt >= ageEvery {
+		d.agedAt = now
+		d.Book.Age(now.Seconds(), d.CPUs())
+	}
+}
+
+// Send writes the virtual sizes down from time to time.
+func (d *Duty) Send(now time.Duration, sure bool) {
+	if sure && now-d.sizesAt >= settings.Seconds(d.Cfg.Tunables.SizesEveryS) {
+		d.sizesAt = now
+		d.writeSizes()
+	}
+}
+
+func (d *Duty) writeSizes() {
+	var list []ledger.VirtualSize
+	for _, i := range d.Book.Order() {
+		if v := d.Book.Virtual(i); v > 0 {
+			s, _ := d.Book.Size(i)
+			list = append(list, ledger.VirtualSize{ID: d.Jobs.At(i).Rec.ID, Size: float64(int64(s*10)) / 10, Virtual: float64(int64(v*10)) / 10})
+		}
+	}
+	slices.SortFunc(list, func(a, b ledger.VirtualSize) int { return cmp.Compare(a.ID, b.ID) })
+	d.Log.SetSizes(list)
+}
+
+// Settle sets final sizes that are due; each is written once.
+func (d *Duty) Settle(now time.Duration) {
+	for _, i := range d.Book.Order() {
+		if s, ok := d.Book.Settle(i, now.Seconds()); ok {
+			d.Log.Append(ledger.Entry{Size: &ledger.Size{ID: d.Jobs.At(i).Rec.ID, Size: s}})
+			d.Dirty = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/placing/placing.go
@@ -0,0 +1,249 @@
+// Package placing is the duty that gives room: it has the planner place waiting
+// tasks, notes before a job's first start on a machine that its tasks may be
+// there, and takes that back. It alone writes entries of grants.
+package placing
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
+)
+
+const (
+	passPause    = 20 * time.Millisecond // between a pass and one that a commit asks for
+	preemptEvery = 500 * time.Millisecond
+	grantIdle    = 8 * time.Second // a job with nothing on a machine for so long has its grant taken back
+
+	numberBytes = 10 // upper bound for what a machine takes in an entry
+	grantBytes  = 5  // what one takes usually
+)
+
+// Duty gives room in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	granting  map[uint64][]*workers.Machine // grants to be noted, by job id
+	granted   map[uint64][]*workers.Machine // grants noted or being noted
+	withdrawn map[uint64][]int              // grants to be taken back, by job id: numbers of machines
+	writing   [][]*workers.Machine          // of the grants on their way to the log, in their order
+	planned   []*workers.Placement          // by the pass under way
+	passAt    time.Duration
+	preemptAt time.Duration
+
+	noted    map[uint64]map[int]bool  // while the log is replayed
+	byNumber map[int]*workers.Machine // while the log is cleaned
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, granting: map[uint64][]*workers.Machine{}, granted: map[uint64][]*workers.Machine{}, withdrawn: map[uint64][]int{},
+		noted: map[uint64]map[int]bool{}}
+}
+
+// Replay takes an entry of the log.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	if e.Grant == nil {
+		return
+	}
+	g := d.noted[e.Grant.Job]
+	if g == nil {
+		g = map[int]bool{}
+		d.noted[e.Grant.Job] = g
+	}
+	for _, n := range e.Grant.Machines {
+		g[n] = !e.Grant.Back
+	}
+}
+
+// Begin settles which machines may have tasks of which jobs. Until such a
+// machine is resolved, what is not seen of the job may be there.
+func (d *Duty) Begin(time.Duration) {
+	byNumber := d.numbered()
+	for id, list := range d.noted {
+		j := d.Jobs.Find(id)
+		for n, open := range list {
+			d.Numbers = max(d.Numbers, n)
+			if m := byNumber[n]; open && j != nil && m != nil && n != 0 {
+				m.Grants[id] = true
+				d.granted[id] = append(d.granted[id], m)
+				j.Unsettled++
+			}
+		}
+	}
+	d.noted = nil
+}
+
+func (d *Duty) numbered() map[int]*workers.Machine {
+	out := map[int]*workers.Machine{}
+	for _, m := range d.Yard.All() {
+		out[m.Number] = m
+	}
+	return out
+}
+
+// Durable lets the tasks of a grant that is noted start.
+func (d *Duty) Durable(_ time.Duration, _ bool, e ledger.Entry) {
+	if e.Grant == nil {
+		return
+	}
+	machines := d.writing[0]
+	d.writing = d.writing[1:]
+	if d.Jobs.Find(e.Grant.Job) == nil {
+		return
+	}
+	for _, m := range machines {
+		m.Grants[e.Grant.Job] = true
+	}
+}
+
+// Hear forgets the grants of a job that has left, and takes those back that a
+// report shows to be of no use any more.
+func (d *Duty) Hear(e cluster.Event) {
+	switch e.Kind {
+	case cluster.JobLeft:
+		id := e.Job.Rec.ID
+		for _, m := range d.granted[id] {
+			m.Withdraw(id)
+		}
+		delete(d.withdrawn, id)
+		delete(d.granted, id)
+		delete(d.granting, id)
+	case cluster.ReportTaken:
+		if e.Report.Token == e.Machine.Token {
+			d.withdraw(e.At, e.Machine, e.Report)
+		}
+	}
+}
+
+// Pass gives room if anything has changed, and stops tasks for others that go
+// ahead of them.
+func (d *Duty) Pass(now time.Duration) {
+	if !d.Dirty {
+		return
+	}
+	d.pass(now)
+	if d.Cfg.Tunables.Preempt == 1 && now-d.preemptAt >= preemptEvery {
+		d.preemptAt = now
+		d.StopAll(now, d.Plan.Preempt(d.World(now)), "task stopped for another job")
+	}
+}
+
+// PassSoon gives room after a commit, unless it was given just now.
+func (d *Duty) PassSoon(now time.Duration) {
+	if d.Dirty && now-d.passAt >= passPause {
+		d.pass(now)
+	}
+}
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int {
+	live := 0
+	for _, list := range d.granted {
+		live += len(list) * grantBytes
+	}
+	return live
+}
+
+// Keep writes anew what is live of an entry.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	if e.Grant == nil || e.Grant.Back {
+		return
+	}
+	if d.byNumber == nil {
+		d.byNumber = d.numbered()
+	}
+	g := ledger.Grant{Job: e.Grant.Job}
+	for _, number := range e.Grant.Machines {
+		if m := d.byNumber[number]; m != nil && m.Grants[g.Job] {
+			g.Machines = append(g.Machines, number)
+		}
+	}
+	if len(g.Machines) > 0 {
+		d.Log.Append(ledger.Entry{Grant: &g})
+	}
+}
+
+// Kept forgets what the cleaning needed.
+func (d *Duty) Kept() { d.byNumber = nil }
+
+// pass gives room to waiting tasks. What gets a place on a machine for the first
+// time of its job is granted there.
+func (d *Duty) pass(now time.Duration) {
+	d.Dirty = false
+	d.passAt = now
+	d.planned = d.planned[:0]
+	w := d.World(now)
+	w.Place = func(j *jobs.Job, k int, m *workers.Machine) {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		j.Place(k)
+		j.MoveZone(m.Zone, 1)
+		p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule()}
+		d.Where[ref] = p
+		if j.Rec.Kind == jobs.Gang {
+			if j.Launch == 0 {
+				j.Launch = d.Attempt()
+			}
+			p.Attempt = j.Launch
+		}
+		m.Plan(p)
+		d.planned = append(d.planned, p)
+		m.UseImage(j.Image, j.Rec.ImageGB, now)
+	}
+	w.Unplace = func(j *jobs.Job, k int) {
+		d.TakeBack(d.Where[workers.Ref{Job: j.Index, Task: int32(k)}])
+	}
+	d.Plan.Pass(w)
+	d.PlannedOn = slices.DeleteFunc(d.PlannedOn, func(m *workers.Machine) bool {
+		m.Listed = m.Plans()
+		return !m.Listed
+	})
+	for _, p := range d.planned {
+		if m := p.Home; d.Where[p.Ref] == p {
+			d.ListPlans(m)
+			if _, noted := m.Grants[p.JobID]; !noted {
+				m.Grants[p.JobID] = false
+				d.granting[p.JobID] = append(d.granting[p.JobID], m)
+				d.granted[p.JobID] = append(d.granted[p.JobID], m)
+			}
+		}
+	}
+}
+
+// Write hands new grants, and those taken back, to the log.
+func (d *Duty) Write(time.Duration) {
+	most := max(1, d.Log.Room()/numberBytes-6)
+	// First what is taken back: the same machine may have been granted anew.
+	for _, id := range slices.Sorted(maps.Keys(d.withdrawn)) {
+		for part := range slices.Chunk(d.withdrawn[id], most) {
+			d.Log.Append(ledger.Entry{Grant: &ledger.Grant{Job: id, Machines: part, Back: true}})
+		}
+	}
+	clear(d.withdrawn)
+	for _, id := range slices.Sorted(maps.Keys(d.granting)) {
+		for part := range slices.Chunk(d.granting[id], most) {
+			g := ledger.Grant{Job: id}
+			for _, m := range part {
+				g.Machines = append(g.Machines, m.Number)
+			}
+			d.writing = append(d.writing, part)
+			d.Log.AppendFact(ledger.Entry{Grant: &g})
+		}
+	}
+	clear(d.granting)
+}
+
+// withdraw takes back the grants of jobs that have had nothing on a machine for
+// a while, so that a successor that cannot hear it holds back only those that
+// have.
+func (d *Duty) withdraw(now time.Duration, m *workers.Machine, r *workers.Report) {
+	for _, id := range m.Unused(now, grantIdle, r) {
+		m.Withdraw(id)
+		d.granted[id] = slices.DeleteFunc(d.granted[id], func(o *workers.Machine) bool { return o == m })
+		d.withdrawn[id] = append(d.withdrawn[id], m.Number)
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,475 @@
+// Package roster is the duty that looks after machines: it takes in what their
+// workers report, settles in whose block each is, registers them before their
+// first start, and gives up those that stay silent. It alone writes entries of
+// machines.
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+const (
+	watchEvery   = 500 * time.Millisecond
+	bootSlack    = 20 * time.Second
+	machineBytes = 100 // rough size of an entry
+
+	// moveAfter is how long a machine's own controller must not have heard it
+	// before another one gets it.
+	moveAfter = 2 * time.Second
+
+	// grantWait is how long an answer waits at most: the machine's next report
+	// gets what this one did not.
+	grantWait = 500 * time.Millisecond
+)
+
+// Duty looks after the machines of a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	lives           map[string]int64         // of the controllers that hold blocks
+	seen            map[string]time.Duration // when they were last heard
+	grants, serials uint64
+	waiting         []waitingReport // reports not answered yet
+	watchedAt       time.Duration
+
+	registry map[string]ledger.Machine // while the log is replayed
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, lives: map[string]int64{}, seen: map[string]time.Duration{}, registry: map[string]ledger.Machine{}}
+}
+
+// Replay takes an entry of the log.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	switch {
+	case e.Machine != nil:
+		d.registry[e.Machine.Name] = *e.Machine
+	case e.Gone != nil:
+		for _, n := range e.Gone {
+			d.Yard.Remove(n)
+			delete(d.registry, n)
+		}
+	}
+}
+
+// Begin enters the registered machines. What earlier terms left on them is not
+// known before they report.
+func (d *Duty) Begin(now time.Duration) {
+	for _, name := range slices.Sorted(maps.Keys(d.registry)) {
+		m := d.registry[name]
+		if x := d.AddMachine(now, m); x != nil {
+			x.Durable, x.Number = true, m.Number
+			d.Numbers = max(d.Numbers, m.Number)
+		}
+	}
+	d.registry = nil
+}
+
+// Durable lets tasks start on a machine that is registered.
+func (d *Duty) Durable(_ time.Duration, _ bool, e ledger.Entry) {
+	if e.Machine == nil {
+		return
+	}
+	if m := d.Yard.Find(e.Machine.Name); m != nil {
+		m.Durable = true
+		d.Dirty = true
+	}
+}
+
+// Tick looks after every machine.
+func (d *Duty) Tick(now time.Duration, sure bool) {
+	if now-d.watchedAt >= watchEvery {
+		d.watchedAt = now
+		d.watch(now, sure)
+	}
+}
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int { return len(d.Yard.All()) * machineBytes }
+
+// Keep writes anew what is live of an entry.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	if e.Machine != nil && d.Yard.Find(e.Machine.Name) != nil {
+		d.Log.Append(ledger.Entry{Machine: e.Machine})
+	}
+}
+
+// End has all reports that wait answered without anything.
+func (d *Duty) End() {
+	for _, w := range d.waiting {
+		d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 503}})
+	}
+	d.waiting = nil
+}
+
+// waitingReport is a report taken in whose answer waits for a pass, or for
+// what must be durable before the machine may start its tasks.
+type waitingReport struct {
+	to    effects.Asker
+	m     *workers.Machine
+	cmds  []workers.Command
+	since time.Duration
+}
+
+// resolved notes that what an earlier term left on a machine is known.
+func (d *Duty) resolved(now time.Duration, m *workers.Machine) {
+	d.Dirty = true
+	for id := range m.Grants {
+		if j := d.Jobs.Find(id); j != nil && j.Unsettled > 0 {
+			j.Unsettled--
+		}
+	}
+	d.Tell(cluster.Event{Kind: cluster.MachineResolved, At: now, Machine: m})
+	if room, _ := d.Unresolved(); room == (amounts.Amounts{}) {
+		d.Note(effects.Info, "all machines resolved", "epoch", d.Epoch, "after", (now - d.Began).Round(10*time.Millisecond))
+	}
+}
+
+// hold settles in whose block the machine is that has reported by way of a
+// controller. It returns the holder to which the worker must go instead.
+func (d *Duty) hold(now time.Duration, m *workers.Machine, in effects.Relayed) string {
+	if life, ok := d.lives[in.Via]; ok && life != in.Life {
+		// The controller began anew and has forgotten what it took up: what is
+		// on offer by way of it must be settled before it is offered again.
+		for _, o := range d.Yard.All() {
+			if o.Holder == in.Via {
+				d.freeze(o)
+			}
+		}
+	}
+	d.lives[in.Via] = in.Life
+	d.seen[in.Via] = now
+	switch {
+	case m.Holder == in.Via:
+		return ""
+	case m.Holder != "" && now-m.Heard < moveAfter && now-d.seen[m.Holder] < moveAfter:
+		return m.Holder
+	case m.Holder != "":
+		d.freeze(m)
+		d.grants++
+		m.Token = d.Token + d.grants // the worker turns the former holder away
+	}
+	m.Holder = in.Via
+	return ""
+}
+
+// freeze keeps the tasks planned on a machine from being offered anew while
+// an offer of them is open.
+func (d *Duty) freeze(m *workers.Machine) {
+	for _, p := range m.Tasks {
+		if p.Planned && len(p.Offered) > 0 {
+			p.Frozen = true
+		}
+	}
+}
+
+// Report takes in a worker's report, received by a controller. The answer,
+// which says how that controller may answer the worker, comes at once or with
+// the pass that follows.
+func (d *Duty) Report(now time.Duration, sure bool, to effects.Asker, in effects.Relayed) {
+	r := &in.Report
+	answer := effects.ReportAnswer{Status: 200, Token: d.Token}
+	rec := ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	m := d.Yard.Find(r.Machine)
+	if m == nil {
+		if m = d.AddMachine(now, rec); m == nil {
+			d.Emit(effects.ReplyReport{To: to, Answer: answer})
+			return
+		}
+		d.Note(effects.Info, "machine appeared unasked", "machine", r.Machine)
+	}
+	m.Address = r.Address
+	if !m.Durable && !m.Leaving {
+		m.Resolved = true // no task is ever started on a machine before it is registered
+		rec.Number = d.Numbers + 1
+		if !d.Log.Fits(ledger.Entry{Machine: &rec}) {
+			d.Leave(m, "its names are too long to be stored")
+		} else if m.QueueRegistry() {
+			d.Numbers++
+			m.Number = d.Numbers
+			d.Log.AppendFact(ledger.Entry{Machine: &rec})
+		}
+	}
+	if !m.Fresh(r) {
+		answer.Token = m.Token
+		d.Emit(effects.ReplyReport{To: to, Answer: answer}) // a late report: its answer goes nowhere
+		return
+	}
+	for i, w := range d.waiting {
+		if w.m == m {
+			// The worker has given that one up: nothing may be started by it.
+			d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 200, Token: m.Token}})
+			d.waiting = slices.Delete(d.waiting, i, i+1)
+			break
+		}
+	}
+	elsewhere := d.hold(now, m, in)
+	if !m.Up {
+		m.UpSince = now
+		d.Dirty = true
+	}
+	before := m.Resolved
+	events, cmds := m.Absorb(now, r, m.Token, func(job uint64, task int, here bool) (workers.Known, bool) {
+		return d.known(m, job, task, here)
+	})
+	if m.Resolved != before {
+		d.resolved(now, m)
+	}
+	for _, e := range events {
+		d.event(now, m, e)
+	}
+	d.Tell(cluster.Event{Kind: cluster.ReportTaken, At: now, Machine: m, Report: r})
+	if elsewhere != "" {
+		d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: elsewhere}})
+		return
+	}
+	w := waitingReport{to, m, cmds, now}
+	if sure && !m.Leaving && !m.Notice && (d.Dirty || m.Awaits()) {
+		d.waiting = append(d.waiting, w)
+		return
+	}
+	d.reply(sure, w)
+}
+
+// reply answers a report: with what follows from it, the stops that are due
+// and the offers.
+func (d *Duty) reply(sure bool, w waitingReport) {
+	m := w.m
+	answer := effects.ReportAnswer{Status: 200, Token: m.Token, LeaseS: d.Cfg.Tunables.BlockLeaseS, Commands: append(w.cmds, m.Stops()...)}
+	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
+		answer.Offers = m.Offer(d.PlannedOn, func() uint64 { d.serials++; return d.Token + d.serials }, d.Attempt)
+		answer.Room = m.Free
+	}
+	d.Emit(effects.ReplyReport{To: w.to, Answer: answer})
+}
+
+// Release answers the reports that wait for nothing any more.
+func (d *Duty) Release(now time.Duration, sure bool) {
+	kept := d.waiting[:0]
+	for _, w := range d.waiting {
+		if sure && w.m.Awaits() && now-w.since < grantWait && !w.m.Leaving {
+			kept = append(kept, w)
+			continue
+		}
+		d.reply(sure, w)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+// Started notes offers that the leader's own block has taken up.
+func (d *Duty) Started(machine string, offers []workers.Offer) {
+	m := d.Yard.Find(machine)
+	for _, o := range offers {
+		if j := d.Jobs.Find(o.Start.Job); j != nil && m != nil {
+			m.Started(workers.Ref{Job: j.Index, Task: int32(o.Start.Task)})
+		}
+	}
+}
+
+// known tells what the leader knows of a task that a report shows. When it is
+// really there, a mere plan for it gives way.
+func (d *Duty) known(m *workers.Machine, id uint64, task int, here bool) (workers.Known, bool) {
+	j := d.Jobs.Find(id)
+	if j == nil || task >= len(j.Tasks) || j.Phase == jobs.Accepting {
+		return workers.Known{}, false
+	}
+	ref := workers.Ref{Job: j.Index, Task: int32(task)}
+	if p := d.Where[ref]; here && p != nil && p.Planned && len(p.Offered) == 0 && j.Phase != jobs.Cancelled {
+		d.TakeBack(p)
+	}
+	p := d.Where[ref]
+	elsewhere := p != nil && (p.Home != m || p.Planned)
+	s := j.Tasks[task]
+	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
+		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && !elsewhere,
+		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Elsewhere: elsewhere}, true
+}
+
+func (d *Duty) event(now time.Duration, m *workers.Machine, e workers.Event) {
+	j := d.Jobs.At(e.Ref.Job)
+	k := int(e.Ref.Task)
+	switch e.Kind {
+	case workers.EvAdopted:
+		j.Place(k)
+		d.Plan.Charge(j.Team, j.Need)
+		j.MoveZone(m.Zone, 1)
+		d.Where[e.Ref] = e.Placement
+		if j.Rec.Kind == jobs.Gang {
+			if j.Launch == 0 {
+				j.Launch = e.Attempt
+			}
+			j.Began = true // or so it must be taken: it is not known whether it ran
+			if j.Launch != e.Attempt {
+				d.BreakGang(j)
+			}
+		}
+	case workers.EvPlaced:
+		p := e.Placement
+		p.Withdrawn = false
+		if j.Phase == jobs.Cancelled || (j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt)) {
+			p.Stopping, p.GraceS = true, 0
+		}
+	case workers.EvOfferOver:
+		p := e.Placement
+		if p.Frozen = false; p.Withdrawn {
+			p.Withdrawn = false
+			d.TakeBack(p)
+		}
+	case workers.EvBegan:
+		j.Running++
+		if j.FirstAt == 0 {
+			j.FirstAt = now
+		}
+		j.LastAt = now
+		j.Began = j.Began || j.Rec.Kind == jobs.Gang
+		d.Book.Began(e.Ref.Job, k, now.Seconds())
+		d.Tell(cluster.Event{Kind: cluster.TaskBegan, At: now, Job: j, Task: k, Machine: m})
+	case workers.EvCompleted:
+		if e.Running {
+			j.Running--
+		}
+		took := -1.0
+		if e.Ran >= 0 {
+			took = e.Ran.Seconds()
+			j.SumS += took
+			j.SumN++
+		}
+		if d.Where[e.Ref] != nil {
+			delete(d.Where, e.Ref)
+			d.Plan.Refund(j.Team, j.Need)
+			j.MoveZone(m.Zone, -1)
+		}
+		d.Counts.TasksDone++
+		j.Complete(k)
+		d.GangEnds(j)
+		j.Errors, m.Errors = 0, 0
+		d.Book.Completed(e.Ref.Job, k, took)
+		d.Tell(cluster.Event{Kind: cluster.TaskDone, At: now, Job: j, Task: k, Took: took, Machine: m})
+		d.Dirty = true
+	case workers.EvGone:
+		if e.Running {
+			j.Running--
+		}
+		if j.Phase == jobs.Open && e.Reason != workers.Stopped {
+			d.Counts.TasksRerun++
+			d.Note(effects.Debug, "task to run again", "job", e.JobID, "task", k, "machine", m.Name, "why", e.Reason.String())
+		}
+		d.Lift(e.Ref)
+		if j.Rec.Kind == jobs.Gang && (j.Began || e.Reason == workers.Alone || e.Reason == workers.PeersLost || e.Reason == workers.Failed || e.Reason == workers.Stopped) {
+			d.BreakGang(j)
+		}
+		d.GangEnds(j)
+		switch e.Reason {
+		case workers.Failed:
+			m.Errors++
+			j.Errors++
+			if m.Errors >= 3 {
+				// Few failures without a success between them: the machine is faulty.
+				m.ShunUntil = now + time.Minute
+			}
+			if j.Errors >= 3 {
+				// It fails wherever it goes: tried ever more slowly, so that others get on.
+				j.NotBefore = now + time.Second<<min(j.Errors-3, 6)
+			}
+			d.Note(effects.Debug, "task failed", "job", e.JobID, "task", k, "machine", m.Name)
+		case workers.NoRoom, workers.Busy:
+			m.ShunUntil = now + 2*time.Second // our count of its room is wrong for the moment
+		case workers.UnknownTask:
+			j.NotBefore = now + 2*time.Second
+		}
+	}
+}
+
+// watch looks after every machine: silent ones, boots that take too long,
+// spot notices, tasks that were to be stopped and are still there.
+func (d *Duty) watch(now time.Duration, sure bool) {
+	w := d.Cfg.Deployment.Workers
+	limit := d.Silence()
+	if d.Deaf(now) {
+		// Most of them at once: the fault is more likely on our side.
+		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
+	}
+	overdue := settings.Seconds(0.5 * w.CancelS)
+	for _, m := range slices.Clone(d.Yard.All()) {
+		if m.Leaving {
+			continue
+		}
+		heard := max(m.Heard, d.Began)
+		if now-heard > d.Quiet() {
+			d.TakeBackAll(m)
+		}
+		switch {
+		case sure && (m.Up || m.Durable) && now-heard > limit:
+			d.Leave(m, "silent")
+		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
+			d.Leave(m, "never came up")
+		case m.Notice && now > m.TakenAt:
+			d.Leave(m, "taken by the cloud")
+		case m.Notice && len(m.Tasks) == 0:
+			d.Leave(m, "to be taken by the cloud")
+		case m.Strays > 0 && now-m.StraysSince > overdue:
+			d.Leave(m, "tasks that do not stop")
+		}
+		for _, p := range m.Tasks {
+			j := d.Jobs.At(p.Ref.Job)
+			if j.Phase == jobs.Cancelled && now-j.CancelledAt > overdue {
+				// Its task is not proved gone: the deletion will prove it.
+				d.Leave(m, "a cancelled job's task not proved gone")
+				break
+			}
+			if p.Planned || p.Stopping {
+				continue
+			}
+			left := m.TakenAt - now
+			switch {
+			case j.Rec.Kind == jobs.Service && (m.Notice || m.Draining):
+				p.Stopping, p.GraceS = true, j.Rec.SaveS // replaced elsewhere once it is gone
+			case m.Notice && j.Rec.Checkpoint > 0 && p.State == workers.Running && left < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS+d.PeerTime(j)):
+				d.SaveAndStop(now, j, p)
+			}
+		}
+	}
+}
+
+// Deleted takes machines out that are gone, and all that was on them.
+func (d *Duty) Deleted(now time.Duration, list []string) {
+	for _, name := range list {
+		m := d.Yard.Find(name)
+		if m == nil {
+			continue
+		}
+		for _, p := range m.CloseOffers() {
+			d.event(now, m, workers.Event{Kind: workers.EvOfferOver, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Placement: p})
+		}
+		for ref, p := range m.Tasks {
+			if p.Planned && p.Rehome() {
+				d.ListPlans(p.Home)
+				p.Withdrawn = true // it may yet turn out to be on a machine it was offered to
+				continue
+			}
+			ev := workers.Event{Kind: workers.EvGone, Ref: ref, JobID: p.JobID, Attempt: p.Attempt, Reason: workers.Vanished, Ran: -1, Running: p.Runs()}
+			m.Take(ref)
+			d.event(now, m, ev)
+		}
+		d.Yard.Remove(name)
+		if m.Durable && !m.Resolved {
+			d.resolved(now, m)
+		}
+	}
+	for _, part := range ledger.Split(list, d.Log.Room()-ledger.EntryBytes) {
+		d.Log.Append(ledger.Entry{Gone: part})
+	}
+	d.Dirty = true
+}
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -1,10 +1,10 @@
 package scenario
 
 import (
+	"bitternmoor/internal/effects"
 	"fmt"
 	"time"
 
-	"bitternmoor/internal/node"
 	"bitternmoor/internal/wire"
 )
 
@@ -112,7 +112,7 @@
 
 // told takes an answer to a request that was sent at a time: one sent before
 // another answer was told may be overtaken by it.
-func (c *checker) told(j *userJob, a node.Answer, sent time.Duration) {
+func (c *checker) told(j *userJob, a effects.Answer, sent time.Duration) {
 	switch {
 	case a.Status == 404 && j.accepted:
 		c.fail("forgotten", "%d gets 404", j.id)
--- a/internal/scenario/frozen_test.go
+++ b/internal/scenario/frozen_test.go
@@ -1,13 +1,13 @@
 package scenario
 
 import (
+	"bitternmoor/internal/effects"
 	"bytes"
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
 
 	"bitternmoor/internal/ledger"
-	"bitternmoor/internal/node"
 	"bitternmoor/internal/wire"
 )
 
@@ -286,24 +286,24 @@
 }
 
 // between is a report on its way from one controller to another.
-func between(from, to *controller, r node.Relayed) node.Relayed {
+func between(from, to *controller, r effects.Relayed) effects.Relayed {
 	if from.old == to.old {
 		return r
 	}
 	var there prodRelayed
-	var out node.Relayed
+	var out effects.Relayed
 	throughGob(r, &there)
 	throughGob(there, &out)
 	return out
 }
 
 // answered is the answer to it on its way back.
-func answered(from, to *controller, a node.ReportAnswer) node.ReportAnswer {
+func answered(from, to *controller, a effects.ReportAnswer) effects.ReportAnswer {
 	if from.old == to.old {
 		return a
 	}
 	var there prodReportAnswer
-	var out node.ReportAnswer
+	var out effects.ReportAnswer
 	throughGob(a, &there)
 	throughGob(there, &out)
 	return out
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bitternmoor/internal/effects"
 	"fmt"
 	"slices"
 	"sort"
@@ -12,7 +13,6 @@
 	"github.com/cockroachdb/datadriven"
 
 	"bitternmoor/internal/ledger"
-	"bitternmoor/internal/node"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
@@ -388,20 +388,22 @@
 		{"ran_cancelled", func(s *sim, j *userJob, w1, _ *worker) {
 			j.asked = true
 			s.check.started(task{1, 0}, w1)
-			s.check.told(j, node.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
 			s.run(time.Minute)
 		}},
-		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { s.check.told(j, node.Answer{Status: 404}, s.now) }},
-		{"invented", func(s *sim, _ *userJob, _, _ *worker) { s.check.told(&userJob{id: 9}, node.Answer{Status: 200}, s.now) }},
+		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { s.check.told(j, effects.Answer{Status: 404}, s.now) }},
+		{"invented", func(s *sim, _ *userJob, _, _ *worker) {
+			s.check.told(&userJob{id: 9}, effects.Answer{Status: 200}, s.now)
+		}},
 		{"not_done", func(s *sim, j *userJob, _, _ *worker) {
-			s.check.told(j, node.Answer{Status: 200, State: wire.Done}, s.now)
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Done}, s.now)
 		}},
 		{"went_back", func(s *sim, j *userJob, _, _ *worker) {
 			j.toldDone, j.goneAt = true, -1
-			s.check.told(j, node.Answer{Status: 200, State: wire.Running}, s.now)
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Running}, s.now)
 		}},
 		{"went_back", func(s *sim, j *userJob, _, _ *worker) {
-			s.check.told(j, node.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
 		}},
 		{"too_early", func(s *sim, j *userJob, w1, _ *worker) {
 			second := *j.spec.Job
@@ -416,9 +418,9 @@
 			third := &userJob{id: 3, accepted: true, spec: wire.Submission{ID: 3, Job: &ledger.Job{ID: 3, Tasks: 1, Follows: []uint64{2}}}}
 			s.jobs[2] = &userJob{id: 2, spec: wire.Submission{ID: 2, Job: &ledger.Job{ID: 2, Tasks: 1, Follows: []uint64{1}}}}
 			j.asked = true
-			s.check.told(j, node.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
 			s.run(time.Minute)
-			s.check.told(third, node.Answer{Status: 200, State: wire.Queued}, s.now)
+			s.check.told(third, effects.Answer{Status: 200, State: wire.Queued}, s.now)
 		}},
 	}
 	for _, c := range cases {
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bitternmoor/internal/term"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -10,7 +11,6 @@
 
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
-	"bitternmoor/internal/node"
 	"bitternmoor/internal/wire"
 )
 
@@ -221,11 +221,11 @@
 
 func (st *stateService) load(c *controller, epoch uint64) {
 	life := c.life
-	call(st.s, c.name, "state", wait, func(reply func(node.Durable)) {
+	call(st.s, c.name, "state", wait, func(reply func(term.Durable)) {
 		if st.down(c) {
 			return
 		}
-		var r node.Durable
+		var r term.Durable
 		var keys []string
 		for k := range st.items {
 			if strings.HasPrefix(k, ledger.Prefix) {
@@ -256,7 +256,7 @@
 			r.Pieces = max(r.Pieces, n+1)
 		}
 		reply(r)
-	}, func(r node.Durable, ok bool) {
+	}, func(r term.Durable, ok bool) {
 		if c.life != life {
 			return
 		}
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bitternmoor/internal/effects"
 	"container/heap"
 	"encoding/json"
 	"fmt"
@@ -175,9 +176,9 @@
 	began   time.Duration
 	up      bool
 	old     bool // runs the version in production, see frozen_test.go
-	asker   node.Asker
-	users   map[node.Asker]func(node.Answer)
-	reports map[node.Asker]func(node.ReportAnswer)
+	asker   effects.Asker
+	users   map[effects.Asker]func(effects.Answer)
+	reports map[effects.Asker]func(effects.ReportAnswer)
 	notes   []string
 }
 
@@ -191,8 +192,8 @@
 		cfg.Deployment.State.Next = nil // it does not know of them
 	}
 	c.core = node.NewCore(&cfg, c.s.now.Milliseconds())
-	c.users = map[node.Asker]func(node.Answer){}
-	c.reports = map[node.Asker]func(node.ReportAnswer){}
+	c.users = map[effects.Asker]func(effects.Answer){}
+	c.reports = map[effects.Asker]func(effects.ReportAnswer){}
 	life := c.life
 	var tick func()
 	tick = func() {
@@ -246,23 +247,23 @@
 
 const wait = 1200 * time.Millisecond
 
-func (c *controller) do(e node.Effect) {
+func (c *controller) do(e effects.Effect) {
 	s := c.s
 	switch e := e.(type) {
-	case node.Reply:
+	case effects.Reply:
 		if f := c.users[e.To]; f != nil {
 			delete(c.users, e.To)
 			f(e.Answer)
 		}
-	case node.ReplyReport:
+	case effects.ReplyReport:
 		if f := c.reports[e.To]; f != nil {
 			delete(c.reports, e.To)
 			f(e.Answer)
 		}
-	case node.Relay:
+	case effects.Relay:
 		life := c.life
 		if o := s.node(e.Leader); o != nil {
-			call(s, c.name, o.name, wait, func(reply func(node.ReportAnswer)) {
+			call(s, c.name, o.name, wait, func(reply func(effects.ReportAnswer)) {
 				if !o.up {
 					return
 				}
@@ -270,14 +271,14 @@
 				o.reports[o.asker] = reply
 				o.core.Relayed(o.clock(), o.asker, between(c, o, e.Report))
 				o.drain()
-			}, func(a node.ReportAnswer, ok bool) {
+			}, func(a effects.ReportAnswer, ok bool) {
 				a = answered(c, o, a)
 				if c.life == life {
 					c.into(func(now time.Duration) { c.core.RelayAnswered(now, e.To, a, ok) })()
 				}
 			})
 		}
-	case node.Hail:
+	case effects.Hail:
 		if o := s.node(e.Peer); o != nil {
 			call(s, c.name, o.name, wait, func(reply func(bool)) {
 				if o.up {
@@ -291,15 +292,15 @@
 				}
 			})
 		}
-	case node.Lead:
+	case effects.Lead:
 		s.state.lead(c, e.Order)
-	case node.Load:
+	case effects.Load:
 		s.state.load(c, e.Epoch)
-	case node.Commit:
+	case effects.Commit:
 		s.state.commit(c, e.Txn)
-	case node.Recheck:
+	case effects.Recheck:
 		s.state.recheck(c, e.Key)
-	case node.Direct:
+	case effects.Direct:
 		if w := s.cloud.machines[e.Address]; w != nil {
 			s.send(c.name, w.name, func() {
 				if w.up && !w.hung && e.Token >= w.token && e.Session == w.session {
@@ -315,23 +316,23 @@
 				}
 			})
 		}
-	case node.Clean:
+	case effects.Clean:
 		s.state.clean(c, e.First, e.First+e.Count)
-	case node.Rent:
+	case effects.Rent:
 		s.cloud.rent(c, e.Rental)
-	case node.Delete:
+	case effects.Delete:
 		s.cloud.delete(c, e.Machines)
-	case node.List:
+	case effects.List:
 		s.cloud.list(c)
-	case node.Types:
+	case effects.Types:
 		s.cloud.types(c)
-	case node.Note:
+	case effects.Note:
 		c.notes = append(c.notes, e.Text)
 	}
 }
 
 // ask carries a user's request to the core, by way of the leader.
-func (c *controller) ask(hop bool, f func(c *controller, now time.Duration, to node.Asker), done func(node.Answer)) {
+func (c *controller) ask(hop bool, f func(c *controller, now time.Duration, to effects.Asker), done func(effects.Answer)) {
 	if !c.up {
 		return // the connection is refused; the user's deadline stands in for it
 	}
@@ -339,16 +340,16 @@
 	if !leading && !hop {
 		for _, o := range c.s.nodes {
 			if o.name == leader {
-				call(c.s, c.name, o.name, wait, func(reply func(node.Answer)) { o.ask(true, f, reply) }, func(a node.Answer, ok bool) {
+				call(c.s, c.name, o.name, wait, func(reply func(effects.Answer)) { o.ask(true, f, reply) }, func(a effects.Answer, ok bool) {
 					if !ok {
-						a = node.Answer{Status: 503, RetryAfter: 1}
+						a = effects.Answer{Status: 503, RetryAfter: 1}
 					}
 					done(a)
 				})
 				return
 			}
 		}
-		done(node.Answer{Status: 503, RetryAfter: 1})
+		done(effects.Answer{Status: 503, RetryAfter: 1})
 		return
 	}
 	c.asker++
@@ -372,16 +373,16 @@
 }
 
 // request carries a user's request to a node.
-func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to node.Asker), done func(a node.Answer, ok bool)) {
+func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to effects.Asker), done func(a effects.Answer, ok bool)) {
 	c := s.nodes[at%len(s.nodes)]
-	call(s, "users", c.name, limit, func(reply func(node.Answer)) { c.ask(false, f, reply) }, done)
+	call(s, "users", c.name, limit, func(reply func(effects.Answer)) { c.ask(false, f, reply) }, done)
 }
 
 func (s *sim) submit(j *userJob, at int, again func() bool) {
 	sent := s.now
-	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to node.Asker) {
+	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) {
 		c.core.Submit(now, to, forwarded(s.nodes[at%len(s.nodes)], c, j.spec))
-	}, func(a node.Answer, ok bool) {
+	}, func(a effects.Answer, ok bool) {
 		if ok && (a.Status == 200 || a.Status == 201) {
 			j.accepted = true
 			s.check.told(j, a, sent)
@@ -402,7 +403,7 @@
 
 func (s *sim) poll(j *userJob, at int) {
 	sent := s.now
-	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to node.Asker) { c.core.Query(now, to, j.id) }, func(a node.Answer, ok bool) {
+	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Query(now, to, j.id) }, func(a effects.Answer, ok bool) {
 		if ok {
 			s.check.told(j, a, sent)
 		}
@@ -412,7 +413,7 @@
 func (s *sim) abort(j *userJob, at int) {
 	sent := s.now
 	j.asked = true
-	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to node.Asker) { c.core.Abort(now, to, j.id) }, func(a node.Answer, ok bool) {
+	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Abort(now, to, j.id) }, func(a effects.Answer, ok bool) {
 		if ok && a.Status == 200 {
 			s.check.told(j, a, sent)
 			return
--- a/internal/scenario/upgrade_test.go
+++ b/internal/scenario/upgrade_test.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"bytes"
 	"encoding/gob"
 	"encoding/json"
@@ -103,16 +105,16 @@
 		now  any // what the file means, in the types of today
 		then any // points to production's type
 	}{
-		{"relay.gob", node.Relayed{Via: "drover-1", Life: 1764590000000, Report: report}, &prodRelayed{}},
-		{"relay_answer.gob", node.ReportAnswer{Status: 200, Token: 7<<20 + 5, Commands: []workers.Command{{Op: workers.Stop, Job: 412, Task: 1, Attempt: 4, GraceS: 9}},
+		{"relay.gob", effects.Relayed{Via: "drover-1", Life: 1764590000000, Report: report}, &prodRelayed{}},
+		{"relay_answer.gob", effects.ReportAnswer{Status: 200, Token: 7<<20 + 5, Commands: []workers.Command{{Op: workers.Stop, Job: 412, Task: 1, Attempt: 4, GraceS: 9}},
 			Node: "drover-2", Offers: []workers.Offer{{Start: start, Serial: 77, Need: amounts.Amounts{CPU: 500, Mem: 1000}, Here: true}},
 			Room: amounts.Amounts{CPU: 96000, GPU: 8000, Mem: 768000}, LeaseS: 20}, &prodReportAnswer{}},
 		{"ask.gob", node.UserRequest{Op: "submit", ID: 412, Submission: wire.Submission{ID: 412, HasID: true, Job: job, Bad: "x"}}, &prodRequest{}},
-		{"ask_answer.gob", node.Answer{Status: 200, ID: 412, State: wire.Cancelled, Counts: true, Done: 3, Running: 2, Why: "w", RetryAfter: 4}, &prodAnswer{}},
+		{"ask_answer.gob", effects.Answer{Status: 200, ID: 412, State: wire.Cancelled, Counts: true, Done: 3, Running: 2, Why: "w", RetryAfter: 4}, &prodAnswer{}},
 		{"hail.gob", node.HailMessage{Node: "drover-1", Epoch: 7}, &prodHail{}},
 		{"status.gob", node.Status{Node: "drover-0", Leader: "drover-1", Epoch: 7, Sure: true, Loaded: true, Unsaved: 2,
 			Queue:  []node.JobStatus{{ID: "j-000413", Class: "c", Team: "vision", Virtual: 12.3, Size: 31.5, Final: true, Waiting: 1}},
-			Counts: node.Counts{Terms: 1, TasksDone: 9}}, &prodStatus{}},
+			Counts: cluster.Counts{Terms: 1, TasksDone: 9}}, &prodStatus{}},
 		{"explain.gob", node.Explanation{ID: "j-000413", Place: 2, Words: []string{"it is number 2 in the order"}}, &prodExplanation{}},
 	} {
 		raw := golden(t, c.file)
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -1,10 +1,10 @@
 package scenario
 
 import (
+	"bitternmoor/internal/effects"
 	"slices"
 	"time"
 
-	"bitternmoor/internal/node"
 	"bitternmoor/internal/workers"
 )
 
@@ -128,7 +128,7 @@
 		w.at++
 		w.schedule(time.Second)
 	}
-	call(w.s, w.name, c.name, 4*time.Second, func(reply func(node.ReportAnswer)) {
+	call(w.s, w.name, c.name, 4*time.Second, func(reply func(effects.ReportAnswer)) {
 		if !c.up {
 			return
 		}
@@ -136,7 +136,7 @@
 		c.reports[c.asker] = reply
 		c.core.Report(c.clock(), c.asker, r)
 		c.drain()
-	}, func(a node.ReportAnswer, ok bool) {
+	}, func(a effects.ReportAnswer, ok bool) {
 		w.flight = false
 		if !w.up {
 			return
--- /dev/null
+++ b/internal/term/clean.go
@@ -0,0 +1,91 @@
+package term
+
+import (
+	"time"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+)
+
+// The log is cleaned from its old end, a few segments at a time: what is still
+// live of them is appended anew, and once that is durable they are
+// removed. Entries may then be there twice for a while, which replaying them
+// bears. Cleaning the oldest first keeps the order of what concerns one job.
+
+const (
+	cleanEvery  = 2 * time.Second
+	cleanSoon   = 700 * time.Millisecond // while the log is three times as long as it should be
+	cleanBytes  = 8 << 10                // taken at once, in whole segments
+	cleanMost   = 8                      // segments at once: each costs a change to remove
+	fewSegments = 24                     // not worth cleaning
+)
+
+// clean asks for the oldest segments when the log has grown to a few times
+// what is live of it.
+func (t *Term) clean(now time.Duration) {
+	if t.cleaning || now-t.cleanAt < cleanSoon {
+		return
+	}
+	live := 0
+	for _, d := range t.duties {
+		live += d.Live()
+	}
+	value := int(t.Cfg.Writes().ValueKB * 1024)
+	most := max(fewSegments, 3*live/value)
+	spare := t.Log.Last() - t.first - most
+	// What users wait for goes first, but not for ever: under steady load there
+	// is always something to write, and the log must not grow without end.
+	switch {
+	case spare < 0, spare < most/2 && t.Log.Pending() > 0, spare < 2*most && now-t.cleanAt < cleanEvery:
+		return
+	}
+	t.cleaning, t.cleanAt = true, now
+	t.Emit(effects.Clean{First: t.first, Count: min(spare+1, max(1, min(cleanBytes/value, cleanMost)), t.Log.Last()-t.first)})
+}
+
+// Cleaned takes the segments numbered first to end-1, read back. A key that is
+// missing has been removed already.
+func (t *Term) Cleaned(now time.Duration, first, end int, read bool, entries []ledger.Entry) {
+	if !t.loaded {
+		return
+	}
+	if !read || first != t.first || !t.canKeep(entries) {
+		t.cleaning = false
+		return
+	}
+	for _, e := range entries {
+		if !t.each(e, func(d Duty) { d.Keep(now, e) }) {
+			t.unknown(e)
+			t.Log.Append(e)
+		}
+	}
+	for _, d := range t.duties {
+		d.Kept()
+	}
+	// This entry says nothing by itself; when it is durable all before it is.
+	t.Log.Append(ledger.Entry{Over: &ledger.Over{}})
+	t.cleanTo, t.cleanPos = end, t.Log.Appended()
+}
+
+// canKeep says whether all that is live of these entries can be written anew.
+// What was stored under larger limits may be too large now: it stays where it
+// is.
+func (t *Term) canKeep(entries []ledger.Entry) bool {
+	for _, e := range entries {
+		if (e.Own != nil || e.Unknown != nil) && !t.Log.Fits(e) {
+			return false
+		}
+	}
+	return t.Users.CanKeep(entries)
+}
+
+// dropCleaned removes the segments whose live entries are durable elsewhere.
+func (t *Term) dropCleaned() {
+	if t.cleanTo == 0 || t.Log.Settled() < t.cleanPos {
+		return
+	}
+	for ; t.first < t.cleanTo; t.first++ {
+		t.Log.Drop(t.first)
+	}
+	t.cleaning, t.cleanTo = false, 0
+}
--- a/internal/node/fit_test.go
+++ b/internal/term/fit_test.go
@@ -1,6 +1,8 @@
-package node
+package term
 
 import (
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -15,16 +17,18 @@
 )
 
 // smallTerm is a term whose values may have 2 KiB.
-func smallTerm(entries []ledger.Entry) *Term {
+func smallTerm(entries []ledger.Entry) *Term { return smallTermAt(0, entries) }
+
+func smallTermAt(now time.Duration, entries []ledger.Entry) *Term {
 	c := &settings.Settings{Tunables: settings.Defaults()}
 	c.Deployment.Teams = []settings.Team{{Name: "team"}}
 	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 1, 10, 30
+	c.Deployment.Cloud.RPS = 10
 	c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps = 1e6, 8, 12
 	kb, ops := 2.0, 4
 	c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
-	t := newTerm(c, 0, 2, 0)
-	t.counts = &Counts{}
-	t.load(0, 1, Durable{First: 1, Last: 1, Entries: entries})
+	t := New(cluster.Start{Cfg: c, Epoch: 2, Counts: &cluster.Counts{}})
+	t.Load(now, 1, Durable{First: 1, Last: 1, Entries: entries})
 	return t
 }
 
@@ -35,13 +39,14 @@
 	segments := map[string][]ledger.Entry{}
 	for mark := uint64(2); ; mark++ {
 		*now += time.Second
-		term.out = nil
-		term.pump(*now)
-		i := slices.IndexFunc(term.out, func(e Effect) bool { _, ok := e.(Commit); return ok })
+		term.Take()
+		term.Pump(*now)
+		out := term.Take()
+		i := slices.IndexFunc(out, func(e effects.Effect) bool { _, ok := e.(effects.Commit); return ok })
 		if i < 0 {
 			break
 		}
-		txn := term.out[i].(Commit).Txn
+		txn := out[i].(effects.Commit).Txn
 		if len(txn.Writes) > 4 {
 			t.Errorf("%d changes in a transaction", len(txn.Writes))
 		}
@@ -57,10 +62,10 @@
 				segments[w.Key] = list
 			}
 		}
-		term.committed(*now, true, txn.Seq, ledger.Applied, mark, nil)
+		term.Committed(*now, true, txn.Seq, ledger.Applied, mark, nil)
 	}
-	if term.log.Pending() > 0 {
-		t.Fatalf("%d entries are never written", term.log.Pending())
+	if term.Log.Pending() > 0 {
+		t.Fatalf("%d entries are never written", term.Log.Pending())
 	}
 	var out []ledger.Entry
 	keys := make([]string, 0, len(segments))
@@ -93,32 +98,29 @@
 	open := ledger.Job{ID: 1, Class: "c", Team: "team", Tasks: 4000, CPUs: 1, MemoryGB: 1, Image: "i", EstimateS: 3}
 	var now time.Duration
 	term := smallTerm(append(done, ledger.Entry{Job: &open}))
-	term.gotTypes(0, []ledger.Type{ty})
+	term.GotTypes(0, []ledger.Type{ty})
 
 	follower := open
 	follower.ID, follower.Tasks, follower.Follows = 2, 3, append([]uint64{1}, all...)
-	term.submit(time.Second, 1, wire.Submission{ID: 2, HasID: true, Job: &follower})
+	term.Users.Submit(time.Second, 1, wire.Submission{ID: 2, HasID: true, Job: &follower})
 
-	term.request("renting", []ledger.Rental{{Name: "r-2-1", Type: "m", Zone: zones[0], Count: 50}})
+	term.Log.AppendFact(ledger.Entry{Rental: &ledger.Rental{Name: "r-2-1", Type: "m", Zone: zones[0], Count: 50}})
 	var names []string
 	for n := range 50 {
 		names = append(names, long("host", n))
 	}
 	first := written(t, term, &now)
-	term.rented(time.Second, "r-2-1", names, wire.Rented)
+	term.Rented(time.Second, "r-2-1", names, wire.Rented)
 	for _, n := range names {
-		term.report(time.Second, true, 1, Relayed{Via: "n", Life: 1, Report: workers.Report{Machine: n, Address: n, Type: "m", Zone: zones[1], Session: 1, Seq: 1}})
+		term.Report(time.Second, true, 1, effects.Relayed{Via: "n", Life: 1, Report: workers.Report{Machine: n, Address: n, Type: "m", Zone: zones[1], Session: 1, Seq: 1}})
 	}
-	j := term.table.Find(1)
+	j := term.Jobs.Find(1)
 	for k := 0; k < 4000; k += 2 {
 		j.Complete(k)
-		term.complete(1, k, 3)
-	}
-	for n := range 900 {
-		term.withdrawn[1] = append(term.withdrawn[1], 900000000+n)
+		term.Tell(cluster.Event{Kind: cluster.TaskDone, Job: j, Task: k, Took: 3})
 	}
 	first = append(first, written(t, term, &now)...)
-	term.deleted(time.Second, names[:40], true)
+	term.Deleted(time.Second, names[:40], true)
 	gone := written(t, term, &now)
 
 	// The whole is cleaned: what is live is written once more.
@@ -130,17 +132,17 @@
 		"cleaned":    append(append([]ledger.Entry{}, done...), again...),
 	} {
 		next := smallTerm(list)
-		f := next.table.Find(2)
+		f := next.Jobs.Find(2)
 		if f == nil || f.Phase != jobs.Held || len(f.Rec.Follows) != 601 || len(f.After) != 1 {
 			t.Fatalf("%s: the follower is there: %v, or not as it was", name, f != nil)
 		}
-		if o := next.table.Find(1); o == nil || o.NotedN != 2000 {
+		if o := next.Jobs.Find(1); o == nil || o.NotedN != 2000 {
 			t.Errorf("%s: the open job is read as %+v", name, o)
 		}
-		if len(next.yard.All()) != 10 {
-			t.Errorf("%s: %d machines, want 10", name, len(next.yard.All()))
+		if len(next.Yard.All()) != 10 {
+			t.Errorf("%s: %d machines, want 10", name, len(next.Yard.All()))
 		}
-		if got := len(next.types[0].Zones); got != 80 {
+		if got := len(next.Types[0].Zones); got != 80 {
 			t.Errorf("%s: %d zones, want 80", name, got)
 		}
 	}
@@ -150,40 +152,52 @@
 func cleanAll(t *testing.T, term *Term, entries []ledger.Entry) {
 	t.Helper()
 	term.first, term.cleaning = 1, true
-	term.cleaned(time.Minute, 1, 2, true, entries)
-	if term.log.Pending() == 0 {
+	term.Cleaned(time.Minute, 1, 2, true, entries)
+	if term.Log.Pending() == 0 {
 		t.Fatal("nothing was kept")
 	}
 }
 
+// asked counts the rental requests that a term sends at first.
+func asked(term *Term) int {
+	term.Tick(time.Second, true)
+	n := 0
+	for _, e := range term.Take() {
+		if _, ok := e.(effects.Rent); ok {
+			n++
+		}
+	}
+	return n
+}
+
 // A rental whose answer needs several entries: with only the first of them in
 // the log, the successor sends the request again and learns all machines.
 func TestAnswerCutShort(t *testing.T) {
 	term := smallTerm([]ledger.Entry{{Types: []ledger.Type{{Name: "m", CPUs: 8, MemoryGB: 64, Zones: []string{"a"}}}}})
 	var now time.Duration
-	term.request("renting", []ledger.Rental{{Name: "r-2-1", Type: "m", Zone: "a", Count: 50}})
+	term.Log.AppendFact(ledger.Entry{Rental: &ledger.Rental{Name: "r-2-1", Type: "m", Zone: "a", Count: 50}})
 	list := written(t, term, &now)
 	var names []string
 	for n := range 50 {
 		names = append(names, fmt.Sprintf("host-%0100d", n))
 	}
-	term.rented(time.Second, "r-2-1", names, wire.Rented)
-	list = append([]ledger.Entry{{Types: term.types}}, append(list, written(t, term, &now)...)...)
+	term.Rented(time.Second, "r-2-1", names, wire.Rented)
+	list = append([]ledger.Entry{{Types: term.Types}}, append(list, written(t, term, &now)...)...)
 	answers := 0
 	for n, e := range list {
 		if e.Answered == nil {
 			continue
 		}
 		answers++
-		if n+1 < len(list) && len(smallTerm(list[:n+2]).rentals) != 1 {
+		if n+1 < len(list) && asked(smallTerm(list[:n+2])) != 1 {
 			t.Errorf("after %d of the entries the request is not sent again", n+2)
 		}
 	}
 	if answers < 2 {
 		t.Fatal("the answer fitted into one entry: the test tests nothing")
 	}
-	if next := smallTerm(list); len(next.rentals) != 0 || len(next.yard.All()) != 50 {
-		t.Errorf("%d requests open, %d machines", len(next.rentals), len(next.yard.All()))
+	if next := smallTerm(list); asked(next) != 0 || len(next.Yard.All()) != 50 {
+		t.Errorf("%d requests open, %d machines", asked(next), len(next.Yard.All()))
 	}
 }
 
@@ -194,9 +208,10 @@
 	for n := range 200 {
 		job.Types = append(job.Types, fmt.Sprintf("type-%010d", n))
 	}
-	term.submit(0, 7, wire.Submission{ID: 1, HasID: true, Job: &job})
-	r, ok := term.out[len(term.out)-1].(Reply)
-	if !ok || r.Answer.Status != 400 || term.table.Find(1) != nil {
+	term.Users.Submit(0, 7, wire.Submission{ID: 1, HasID: true, Job: &job})
+	out := term.Take()
+	r, ok := out[len(out)-1].(effects.Reply)
+	if !ok || r.Answer.Status != 400 || term.Jobs.Find(1) != nil {
 		raw, _ := json.Marshal(r)
 		t.Errorf("answered %s", raw)
 	}
--- a/internal/node/follow_test.go
+++ b/internal/term/follow_test.go
@@ -1,4 +1,4 @@
-package node
+package term
 
 import (
 	"testing"
@@ -22,11 +22,9 @@
 		{Tasks: &ledger.Tasks{ID: 1, Ranges: [][2]int{{0, 2}}, Seconds: 4, Known: 2, AtMS: 50000}}, {Job: &third}}
 	check := func(name string, entries []ledger.Entry) *Term {
 		t.Helper()
-		term := smallTerm(nil)
-		term.loaded = false
-		term.load(90*time.Second, 1, Durable{First: 1, Last: 1, Entries: entries})
+		term := smallTermAt(90*time.Second, entries)
 		for id, want := range map[uint64]time.Duration{2: 50 * time.Second, 3: 70 * time.Second} {
-			if j := term.table.Find(id); j == nil || j.Phase != jobs.Open || j.AcceptedAt != want {
+			if j := term.Jobs.Find(id); j == nil || j.Phase != jobs.Open || j.AcceptedAt != want {
 				t.Errorf("%s: job %d is read as %+v, want it released at %v", name, id, j, want)
 			}
 		}
@@ -53,7 +51,7 @@
 	short.ID, short.Rest = 3, 4
 	term := smallTerm([]ledger.Entry{{Job: &unknown}, {Job: &short}, {After: &ledger.After{ID: 3, AtMS: 999, Jobs: []uint64{7}}}})
 	for _, id := range []uint64{2, 3} {
-		if j := term.table.Find(id); j == nil || j.Phase != jobs.Held {
+		if j := term.Jobs.Find(id); j == nil || j.Phase != jobs.Held {
 			t.Errorf("job %d is read as %+v", id, j)
 		}
 	}
--- a/internal/node/report_test.go
+++ b/internal/term/report_test.go
@@ -1,6 +1,8 @@
-package node
+package term
 
 import (
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"fmt"
 	"testing"
 	"time"
@@ -12,7 +14,7 @@
 
 // fullTerm is a term with a thousand machines that report eight running tasks
 // each and a hundred jobs with waiting ones. It returns the reports.
-func fullTerm(machines, count int) (*Term, []Relayed) {
+func fullTerm(machines, count int) (*Term, []effects.Relayed) {
 	c := &settings.Settings{Tunables: settings.Defaults()}
 	c.Deployment.Teams = []settings.Team{{Name: "team"}}
 	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 4, 22, 47
@@ -23,28 +25,27 @@
 		entries = append(entries, ledger.Entry{Job: &ledger.Job{ID: uint64(i + 1), Class: "class", Team: "team", Tasks: 200, CPUs: 1, MemoryGB: 1,
 			Image: fmt.Sprint(i % 10), ImageGB: 1, Spot: true, EstimateS: 60}})
 	}
-	var reports []Relayed
+	var reports []effects.Relayed
 	for i := range machines {
 		m := ledger.Machine{Name: fmt.Sprintf("m%04d", i), Address: "x", Type: "t", Zone: "a", Number: i + 1}
 		entries = append(entries, ledger.Entry{Machine: &m})
-		r := workers.Report{Machine: m.Name, Address: "x", Type: "t", Zone: "a", Session: 1, Token: 2 << tokenBits}
+		r := workers.Report{Machine: m.Name, Address: "x", Type: "t", Zone: "a", Session: 1, Token: 2 << cluster.TokenBits}
 		for k := range 8 {
 			n := i*8 + k
 			r.Tasks = append(r.Tasks, workers.TaskReport{Job: uint64(n%count + 1), Task: n / count, Attempt: 1, State: workers.Running})
 		}
-		reports = append(reports, Relayed{Via: "n", Life: 1, Report: r})
+		reports = append(reports, effects.Relayed{Via: "n", Life: 1, Report: r})
 	}
-	t := newTerm(c, 0, 2, 0)
-	t.counts = &Counts{}
-	t.load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
+	t := New(cluster.Start{Cfg: c, Epoch: 2, Counts: &cluster.Counts{}})
+	t.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
 	return t, reports
 }
 
-func (t *Term) take(now time.Duration, in *Relayed) {
+func (t *Term) take(now time.Duration, in *effects.Relayed) {
 	in.Report.Seq++
-	t.report(now, true, 1, *in)
-	t.pump(now)
-	t.out = t.out[:0]
+	t.Report(now, true, 1, *in)
+	t.Pump(now)
+	t.Take()
 }
 
 // What a report that brings nothing new costs must not grow with the number
@@ -56,7 +57,7 @@
 		for i := range reports {
 			term.take(now, &reports[i])
 		}
-		term.tick(now, true)
+		term.Tick(now, true)
 		term.take(now, &reports[0])
 		return testing.AllocsPerRun(50, func() { term.take(now, &reports[0]) })
 	}
@@ -75,8 +76,8 @@
 			term.take(now, &reports[i])
 			if i%20 == 0 {
 				now += 70 * time.Millisecond
-				term.tick(now, true)
-				term.out = term.out[:0]
+				term.Tick(now, true)
+				term.Take()
 			}
 		}
 	}
--- /dev/null
+++ b/internal/term/term.go
@@ -0,0 +1,275 @@
+// Package term composes what a leader does from its election to its end. A term
+// is a list of duties, each with its own state and entries; the term routes
+// inputs to them, replays the log through them, and writes what they say.
+package term
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/fleet"
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/lifecycle"
+	"bitternmoor/internal/ordering"
+	"bitternmoor/internal/placing"
+	"bitternmoor/internal/roster"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// Duty is one thing that a leader does. It keeps what it knows to itself and
+// is the only one to encode, replay and keep the entries that it writes; every
+// duty is offered every entry and takes its own. cluster.Plain has a method that
+// does nothing for each of these.
+type Duty interface {
+	// Replay takes an entry of the log, in its order, before the term begins;
+	// Begin follows the last one.
+	Replay(now time.Duration, e ledger.Entry)
+	Begin(now time.Duration)
+	// Durable tells of an entry of this term that was appended as a fact.
+	Durable(now time.Duration, sure bool, e ledger.Entry)
+	// Hear tells what happens, while it happens.
+	Hear(e cluster.Event)
+	// Tick does what is due by time, before a pass; Send what is due after it.
+	// Without being sure of the term nothing may be started or told of jobs.
+	Tick(now time.Duration, sure bool)
+	Send(now time.Duration, sure bool)
+	// Write hands what has gathered to the log, when the next commit may begin.
+	Write(now time.Duration)
+	// Live is roughly how many bytes of the log are live. Keep writes anew what
+	// is live of an entry whose segment is about to be removed; Kept follows the
+	// last entry of a cleaning.
+	Live() int
+	Keep(now time.Duration, e ledger.Entry)
+	Kept()
+}
+
+// Durable is what a new leader reads back: the log's entries in order, with the
+// numbers of its first and last segment, and the virtual sizes, oldest first,
+// with how many pieces of them there may be.
+type Durable struct {
+	First, Last int
+	Entries     []ledger.Entry
+	Sizes       []ledger.VirtualSize
+	Pieces      int
+}
+
+// Term is what a leader knows and does from its election to its end. It has no
+// clock and does nothing by itself.
+type Term struct {
+	*cluster.State
+	Users   *lifecycle.Duty // what users ask goes to it directly
+	order   *ordering.Duty
+	roster  *roster.Duty
+	placing *placing.Duty
+	fleet   *fleet.Duty
+	duties  []Duty          // in the order in which they begin and tick
+	owners  map[string]Duty // of entries of their own, by name
+	loaded  bool
+
+	first    int // number of the log's oldest segment
+	cleaning bool
+	cleanAt  time.Duration
+	cleanTo  int // the first segment that stays after the cleaning under way; 0: nothing is written yet
+	cleanPos int // how many entries must be durable before the others go
+	strange  bool
+}
+
+// New begins a term; it does little until Load.
+func New(start cluster.Start) *Term {
+	s := cluster.New(start)
+	t := &Term{State: s, Users: lifecycle.New(s), order: ordering.New(s), roster: roster.New(s), placing: placing.New(s), fleet: fleet.New(s),
+		owners: map[string]Duty{}}
+	t.add("", t.Users)
+	t.add("", t.order)
+	t.add("", t.roster)
+	t.add("", t.placing)
+	t.add("", t.fleet)
+	return t
+}
+
+// add composes a duty into the term. name is that of its own entries; those of
+// the first version have their own fields and need none.
+func (t *Term) add(name string, d Duty) {
+	t.duties = append(t.duties, d)
+	t.Listen(d)
+	if name != "" {
+		t.owners[name] = d
+	}
+}
+
+// each hands an entry to the duties that may know it: one that a duty owns to
+// that duty alone. It is false for an entry that none of them knows.
+func (t *Term) each(e ledger.Entry, f func(Duty)) bool {
+	if e.Own != nil {
+		if d := t.owners[e.Own.Duty]; d != nil {
+			f(d)
+			return true
+		}
+		return false
+	}
+	if e.Unknown != nil {
+		return false
+	}
+	for _, d := range t.duties {
+		f(d)
+	}
+	return true
+}
+
+// Loaded says whether the log has been read: before, nothing is known of jobs.
+func (t *Term) Loaded() bool { return t.loaded }
+
+// Load replays the whole log.
+func (t *Term) Load(now time.Duration, mark uint64, log Durable) {
+	w := t.Cfg.Writes()
+	t.Log = ledger.NewLog(ledger.Limits{WriteRPS: w.WriteRPS, ValueBytes: int(w.ValueKB * 1024), TxnOps: w.TxnOps}, leadership.EpochKey, mark, log.Last, log.Pieces)
+	t.first = max(log.First, 1)
+	for _, e := range log.Entries {
+		if !t.each(e, func(d Duty) { d.Replay(now, e) }) {
+			t.unknown(e)
+		}
+	}
+	for _, d := range t.duties {
+		d.Begin(now)
+	}
+	t.order.Restore(now, log.Sizes)
+	t.loaded = true
+	t.Dirty = true
+	registered, booting := 0, 0
+	for _, m := range t.Yard.All() {
+		if m.Durable {
+			registered++
+		} else {
+			booting++
+		}
+	}
+	t.Note(effects.Info, "term begun", "epoch", t.Epoch, "jobs", t.Book.Len(), "machines", registered, "booting", booting, "segments", log.Last-log.First+1)
+}
+
+// unknown says once in a term that the log has entries of a duty that this
+// program does not know, or that is switched off.
+func (t *Term) unknown(e ledger.Entry) {
+	if t.strange {
+		return
+	}
+	t.strange = true
+	if e.Own != nil {
+		t.Note(effects.Warn, "the log has entries of a duty that is not known or is switched off: they are kept as they are", "duty", e.Own.Duty)
+		return
+	}
+	t.Note(effects.Warn, "the log has entries that this version does not know: they are kept as they are", "first", string(e.Unknown[:min(len(e.Unknown), 80)]))
+}
+
+// Pump hands what has gathered to the log and sends what the log allows.
+func (t *Term) Pump(now time.Duration) {
+	if !t.loaded {
+		return
+	}
+	if t.Log.Idle() {
+		// Not before: so the entries of a job between two commits become one.
+		// The last duties go first: grants, for which starts wait, before
+		// completions.
+		for i := len(t.duties) - 1; i >= 0; i-- {
+			t.duties[i].Write(now)
+		}
+	}
+	if txn := t.Log.Next(now); txn != nil {
+		t.Emit(effects.Commit{Txn: *txn})
+	}
+}
+
+// Committed takes the outcome of a commit.
+func (t *Term) Committed(now time.Duration, sure bool, seq uint64, out ledger.Outcome, mark uint64, failed []string) ledger.Step {
+	facts, step := t.Log.Result(now, seq, out, mark, failed)
+	switch {
+	case out == ledger.Invalid && step == ledger.Lost:
+		t.Note(effects.Error, "the state service refuses a transaction as malformed: the term ends", "epoch", t.Epoch, "pending", t.Log.Pending())
+	case out == ledger.Invalid:
+		t.Note(effects.Error, "the state service refuses a transaction as malformed: smaller values are tried", "epoch", t.Epoch, "pending", t.Log.Pending())
+	}
+	t.durable(now, sure, facts)
+	if step == ledger.Reread {
+		t.Emit(effects.Recheck{Key: t.Log.Open()})
+	}
+	if sure {
+		t.placing.PassSoon(now)
+	}
+	t.roster.Release(now, sure)
+	return step
+}
+
+// Rechecked takes the value that settles a commit without an answer.
+func (t *Term) Rechecked(now time.Duration, sure, read bool, mark uint64, value json.RawMessage) {
+	t.durable(now, sure, t.Log.ReadBack(now, read, mark, value))
+}
+
+func (t *Term) durable(now time.Duration, sure bool, facts []ledger.Entry) {
+	for _, e := range facts {
+		t.each(e, func(d Duty) { d.Durable(now, sure, e) })
+	}
+	t.dropCleaned()
+}
+
+// Tick does what is due by time.
+func (t *Term) Tick(now time.Duration, sure bool) {
+	if !t.loaded {
+		return
+	}
+	for _, d := range t.duties {
+		d.Tick(now, sure)
+	}
+	t.order.Settle(now)
+	if sure {
+		t.placing.Pass(now)
+		t.clean(now)
+	}
+	for _, d := range t.duties {
+		d.Send(now, sure)
+	}
+	t.roster.Release(now, sure)
+}
+
+// End answers everybody who still waits.
+func (t *Term) End() {
+	t.Users.End()
+	t.roster.End()
+}
+
+// Report takes in a worker's report, received by a controller.
+func (t *Term) Report(now time.Duration, sure bool, to effects.Asker, in effects.Relayed) {
+	if !t.loaded {
+		t.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 200, Token: t.Token}})
+		return
+	}
+	t.roster.Report(now, sure, to, in)
+}
+
+// Started notes offers that the leader's own block has taken up.
+func (t *Term) Started(machine string, offers []workers.Offer) { t.roster.Started(machine, offers) }
+
+// Deleted takes the result of a deletion.
+func (t *Term) Deleted(now time.Duration, list []string, ok bool) {
+	t.fleet.Deleted()
+	if ok {
+		t.roster.Deleted(now, list)
+	}
+}
+
+// Rented takes the result of a rental request.
+func (t *Term) Rented(now time.Duration, name string, machines []string, res wire.RentResult) {
+	t.fleet.Rented(now, name, machines, res)
+}
+
+// GotTypes takes the machine types; an empty list is a failure.
+func (t *Term) GotTypes(now time.Duration, list []ledger.Type) {
+	if t.loaded {
+		t.fleet.GotTypes(now, list)
+	}
+}
+
+// Listed takes the cloud's list of machines.
+func (t *Term) Listed(now time.Duration, list []wire.Listed, ok bool) { t.fleet.Listed(now, list, ok) }
--- a/internal/node/term_test.go
+++ b/internal/term/term_test.go
@@ -1,6 +1,7 @@
-package node
+package term
 
 import (
+	"bitternmoor/internal/cluster"
 	"testing"
 
 	"bitternmoor/internal/ledger"
@@ -13,15 +14,14 @@
 	c := &settings.Settings{Tunables: settings.Defaults()}
 	c.Deployment.Teams = []settings.Team{{Name: "team"}}
 	c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps = 10, 8, 12
-	term := newTerm(c, 0, 2, 0)
-	term.counts = &Counts{}
+	term := New(cluster.Start{Cfg: c, Epoch: 2, Counts: &cluster.Counts{}})
 	job := &ledger.Job{ID: 1, Team: "team", Tasks: 2, CPUs: 1, MemoryGB: 8, Types: []string{"large"}}
-	term.load(0, 1, Durable{First: 1, Last: 2, Entries: []ledger.Entry{
+	term.Load(0, 1, Durable{First: 1, Last: 2, Entries: []ledger.Entry{
 		{Job: job},
 		{Types: []ledger.Type{{Name: "small", CPUs: 4, MemoryGB: 8}}},
 		{Types: []ledger.Type{{Name: "large", CPUs: 16, MemoryGB: 64}}},
 	}})
-	j := term.table.Find(1)
+	j := term.Jobs.Find(1)
 	if len(j.Types) != 2 || j.Types[0] || !j.Types[1] {
 		t.Errorf("the job may use %v, want only the second type", j.Types)
 	}
