takeovers: how long each step of a takeover took, written down and shown

Need: a takeover is the moment that users notice, and nothing told where its seconds go.

Histograms of duties outlive terms; what a duty shows is served at /duties/NAME. check-config refuses leases under three reports and values too small for an entry.

--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -60,12 +60,15 @@
 			if err != nil {
 				return err
 			}
+			if err := cfg.Serves(); err != nil {
+				return err
+			}
 			cmd.Printf("settings of %s are in order\n", cfg.Node)
 			return nil
 		},
 	}
 	check.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
-	root.AddCommand(check, statusCommand(), explainCommand(), &cobra.Command{
+	root.AddCommand(check, statusCommand(), explainCommand(), takeoversCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { cmd.Println("bitternmoor " + version) },
 	})
@@ -105,6 +108,9 @@
 	if !known {
 		log.Info("LOG_LEVEL not known, info is used", "value", word)
 	}
+	if err := cfg.Serves(); err != nil {
+		log.Warn("the settings describe a fleet that cannot be served well", "error", err)
+	}
 	runtime.GOMAXPROCS(1) // a controller has a share of one core
 	debug.SetMemoryLimit(int64(cfg.Deployment.MachineLimits.RAMMB * memoryShare * (1 << 20)))
 	return node.New(cfg, log).Run(ctx)
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -43,9 +43,12 @@
 	Cfg   *settings.Settings
 	Zero  int64 // time of day at time 0, in milliseconds
 	Epoch uint64
-	// Noticed is when this node found that nobody led, Began when it was elected.
-	Noticed, Began time.Duration
-	Counts         *Counts
+	// LastLed is when this node last heard of a leader, 0 if it never did; Noticed
+	// when it found that nobody led, Began when it was elected.
+	LastLed, Noticed, Began time.Duration
+	// Counts and Measures outlive the term.
+	Counts   *Counts
+	Measures *Measures
 }
 
 // State is what all duties of a term share.
@@ -82,6 +85,7 @@
 // What listeners hear.
 const (
 	JobLeft         EventKind = iota // Job is over, and nothing of it is left anywhere
+	TaskPlaced                       // Task of Job is on Machine, or on its way there: this leader started it
 	TaskBegan                        // Task of Job was seen to run on Machine
 	TaskDone                         // Task of Job has completed, after Took seconds of running or, below 0, after an unknown time
 	ReportTaken                      // Report of Machine, newer than all before, was taken in
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -89,6 +89,10 @@
 	renewing *call
 	nextRead time.Duration
 	nextTry  time.Duration
+
+	led    time.Duration // when a leader was last heard of, 0: never
+	vacant time.Duration // since when nobody has led, as far as this node saw
+	empty  bool
 }
 
 type call struct {
@@ -123,6 +127,10 @@
 	return ""
 }
 
+// Vacancy is when this node last heard of another leader, 0 if it never did, and
+// since when it has seen that nobody leads. A new leader asks for it.
+func (c *Core) Vacancy() (led, since time.Duration) { return c.led, c.vacant }
+
 // Highest gives the highest epoch known.
 func (c *Core) Highest() uint64 { return max(c.epoch, c.view.Epoch) }
 
@@ -168,6 +176,11 @@
 	}
 	c.known = true
 	c.view = v
+	if v.Holder != nil {
+		c.led, c.empty = now, false
+	} else if !c.empty {
+		c.vacant, c.empty = now, true
+	}
 	if c.role == Leader {
 		if v.Epoch != c.epoch {
 			c.stepDown(now)
@@ -280,6 +293,7 @@
 		c.stepDown(now)
 	}
 	if c.role == Follower {
+		c.led, c.empty = now, false
 		c.view.Epoch = epoch
 		c.view.Holder = &Holder{node, epoch}
 	}
@@ -310,6 +324,7 @@
 
 func (c *Core) stepDown(now time.Duration) {
 	c.role = Follower
+	c.led, c.empty = now, false
 	c.hold, c.renewing = 0, nil
 	c.view.Holder = nil
 	c.sure = 0
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -26,10 +26,11 @@
 	hold *blocks.Holder
 	out  []effects.Effect
 
-	counts cluster.Counts
-	hailAt time.Duration
-	peerAt map[string]time.Duration          // when a peer last answered a hail
-	open   map[effects.Asker]*workers.Report // reports of this node's workers without an answer yet
+	counts   cluster.Counts
+	measures cluster.Measures
+	hailAt   time.Duration
+	peerAt   map[string]time.Duration          // when a peer last answered a hail
+	open     map[effects.Asker]*workers.Report // reports of this node's workers without an answer yet
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
@@ -72,7 +73,8 @@
 	}
 	if c.term == nil && leading {
 		c.counts.Terms++
-		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), Began: now, Counts: &c.counts})
+		led, vacant := c.lead.Vacancy()
+		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), LastLed: led, Noticed: vacant, Began: now, Counts: &c.counts, Measures: &c.measures})
 		c.out = append(c.out, effects.Note{Level: effects.Info, Text: "leading", Args: []any{"epoch", c.term.Epoch}}, effects.Load{Epoch: c.term.Epoch})
 	}
 	if c.term != nil {
@@ -218,7 +220,7 @@
 	c.hold.Renew(r.Machine, a.Token, now+settings.Seconds(a.LeaseS))
 	picked := c.hold.Pick(now, a.Offers, a.Room)
 	if c.term != nil {
-		c.term.Started(r.Machine, picked)
+		c.term.Started(now, r.Machine, picked)
 	}
 	var starts []workers.Command
 	for _, o := range picked {
@@ -374,6 +376,19 @@
 	c.after(now)
 }
 
+// Show gives what operators may see of a duty; known is false on a node that
+// cannot tell, and the answer nil where there is no such duty.
+func (c *Core) Show(duty string) (raw json.RawMessage, known bool, err error) {
+	if c.term == nil || !c.term.Loaded() {
+		return nil, false, nil
+	}
+	raw, _, err = c.term.Show(duty)
+	return raw, true, err
+}
+
+// Measures gives what the duties have measured since the process began.
+func (c *Core) Measures() []cluster.Histogram { return c.measures.All() }
+
 // Epoch is the epoch of this node's last term.
 func (c *Core) Epoch() uint64 { return c.lead.Epoch() }
 
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/wire"
 )
 
@@ -26,6 +27,7 @@
 	PathStatus  = "/status"
 	PathExplain = "/explain/"
 	PathMetrics = "/metrics"
+	PathDuties  = "/duties/"
 )
 
 const peerGreeting = "200 Connected to Go RPC"
@@ -62,6 +64,27 @@
 		}
 		sendJSON(w, e)
 	})
+	r.Get(PathDuties+"{name}", func(w http.ResponseWriter, r *http.Request) {
+		name := chi.URLParam(r, "name")
+		var raw []byte
+		var failed error
+		if err := n.whole("Controller.Show", name, &raw, func(time.Duration) bool {
+			var known bool
+			raw, known, failed = n.core.Show(name)
+			return known
+		}); err != nil {
+			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
+			return
+		}
+		switch {
+		case failed != nil:
+			send(w, http.StatusInternalServerError, wire.Problem(failed.Error()))
+		case raw == nil:
+			send(w, http.StatusNotFound, wire.Problem("the leader has no such duty, or it is switched off in its settings: "+name))
+		default:
+			send(w, http.StatusOK, raw)
+		}
+	})
 	return r, nil
 }
 
@@ -123,6 +146,23 @@
 	return nil
 }
 
+// Show tells a peer what its operator asked of a duty.
+func (c *Controller) Show(name string, out *[]byte) error {
+	known := false
+	var failed error
+	if err := c.n.here(func(time.Duration) {
+		var raw json.RawMessage
+		raw, known, failed = c.n.core.Show(name)
+		*out = raw
+	}); err != nil {
+		return err
+	}
+	if !known {
+		return errLeaderUnknown
+	}
+	return failed
+}
+
 // dial opens a connection to a peer for calls, with a deadline.
 func dial(addr string) (*rpc.Client, error) {
 	conn, err := net.DialTimeout("tcp4", addr, 500*time.Millisecond)
@@ -168,7 +208,8 @@
 
 func (s *statusCollector) Collect(ch chan<- prometheus.Metric) {
 	var st Status
-	if err := s.n.here(func(now time.Duration) { st = s.n.core.Status(now) }); err != nil {
+	var measures []cluster.Histogram
+	if err := s.n.here(func(now time.Duration) { st, measures = s.n.core.Status(now), s.n.core.Measures() }); err != nil {
 		ch <- prometheus.NewInvalidMetric(descLeading, err)
 		return
 	}
@@ -204,4 +245,15 @@
 	} {
 		ch <- prometheus.MustNewConstMetric(descEvents, prometheus.CounterValue, float64(e.n), e.name)
 	}
+	for _, h := range measures {
+		desc := prometheus.NewDesc(h.Name, h.Help, []string{h.Label}, nil)
+		for _, x := range h.Series {
+			buckets, sum := map[float64]uint64{}, uint64(0)
+			for i, n := range x.Counts {
+				sum += n
+				buckets[h.Bounds[i]] = sum
+			}
+			ch <- prometheus.MustNewConstHistogram(desc, x.Count, x.Sum, buckets, x.Value)
+		}
+	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -269,11 +269,13 @@
 }
 
 // Started notes offers that the leader's own block has taken up.
-func (d *Duty) Started(machine string, offers []workers.Offer) {
+func (d *Duty) Started(now time.Duration, machine string, offers []workers.Offer) {
 	m := d.Yard.Find(machine)
 	for _, o := range offers {
 		if j := d.Jobs.Find(o.Start.Job); j != nil && m != nil {
-			m.Started(workers.Ref{Job: j.Index, Task: int32(o.Start.Task)})
+			if m.Started(workers.Ref{Job: j.Index, Task: int32(o.Start.Task)}) {
+				d.Tell(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: j, Task: o.Start.Task, Machine: m})
+			}
 		}
 	}
 }
@@ -318,6 +320,7 @@
 	case workers.EvPlaced:
 		p := e.Placement
 		p.Withdrawn = false
+		d.Tell(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: j, Task: k, Machine: m})
 		if j.Phase == jobs.Cancelled || (j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt)) {
 			p.Stopping, p.GraceS = true, 0
 		}
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -1,10 +1,10 @@
 package scenario
 
 import (
-	"bitternmoor/internal/effects"
 	"fmt"
 	"time"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/wire"
 )
 
--- a/internal/scenario/frozen_test.go
+++ b/internal/scenario/frozen_test.go
@@ -1,12 +1,12 @@
 package scenario
 
 import (
-	"bitternmoor/internal/effects"
 	"bytes"
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/wire"
 )
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,7 +1,7 @@
 package scenario
 
 import (
-	"bitternmoor/internal/effects"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"sort"
@@ -12,8 +12,10 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/takeovers"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -81,6 +83,7 @@
 		kb, ops := float64(v)/1024, arg(t, d, "next-txn-ops", 4)
 		c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
 	}
+	c.Tunables.TakeoversKept = arg(t, d, "takeovers", 0)
 	p := &player{newSim(c, uint64(arg(t, d, "seed", 1)), arg(t, d, "nodes", 3), d.HasArg("old"))}
 	p.s.cloud.capacity = arg(t, d, "capacity", 40)
 	var poll func()
@@ -245,6 +248,37 @@
 		return fmt.Sprintf("%d", n)
 	case "deleted":
 		return fmt.Sprintf("%v", s.cloud.deleted > 0)
+	case "switch": // what the nodes' settings say when they next start
+		for _, c := range s.nodes {
+			c.cfg.Tunables.TakeoversKept = arg(t, d, "takeovers", 0)
+		}
+	case "takeovers": // those that the leader knows, the last one first: epoch, and how many of their steps were reached
+		l := s.leader()
+		raw, known, err := l.core.Show(takeovers.Name)
+		if err != nil || !known {
+			return fmt.Sprintf("cannot tell: %v", err)
+		}
+		if raw == nil {
+			return "switched off"
+		}
+		var list []takeovers.Record
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return err.Error()
+		}
+		out := []string{fmt.Sprintf("%d entries in the log", s.state.owned(takeovers.Name))}
+		for _, r := range list {
+			out = append(out, fmt.Sprintf("epoch %d: %d steps", r.Epoch, len(r.After)))
+		}
+		return strings.Join(out, "\n")
+	case "noted":
+		for _, c := range s.nodes {
+			for _, n := range c.notes {
+				if strings.Contains(n, d.CmdArgs[0].Vals[0]) {
+					return "yes"
+				}
+			}
+		}
+		return "no"
 	case "explain":
 		e, ok := s.leader().core.Explain(s.leader().clock(), id)
 		if !ok {
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bitternmoor/internal/term"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -11,6 +10,7 @@
 
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 )
 
@@ -508,3 +508,23 @@
 		}
 	})
 }
+
+// owned counts the entries of a duty that are in the log.
+func (st *stateService) owned(duty string) int {
+	n := 0
+	for k, it := range st.items {
+		if _, err := ledger.Number(k); err != nil {
+			continue
+		}
+		list, err := ledger.Decode(it.value)
+		if err != nil {
+			panic(err)
+		}
+		for _, e := range list {
+			if e.Own != nil && e.Own.Duty == duty {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bitternmoor/internal/effects"
 	"container/heap"
 	"encoding/json"
 	"fmt"
@@ -9,6 +8,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/node"
 	"bitternmoor/internal/settings"
--- a/internal/scenario/upgrade_test.go
+++ b/internal/scenario/upgrade_test.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"bitternmoor/internal/cluster"
-	"bitternmoor/internal/effects"
 	"bytes"
 	"encoding/gob"
 	"encoding/json"
@@ -12,6 +10,8 @@
 	"testing"
 
 	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/node"
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -1,10 +1,10 @@
 package scenario
 
 import (
-	"bitternmoor/internal/effects"
 	"slices"
 	"time"
 
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/workers"
 )
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,9 @@
 const (
 	leastValueKB = 0.5
 	leastTxnOps  = 3
+
+	entryBytes   = 420 // of a value, with an entry of a job, but for the names that settings tell
+	leaseReports = 3
 )
 
 // Writes is what every write must keep to: the smaller of the limits in force
@@ -271,6 +274,40 @@
 	return nil
 }
 
+// largestEntry is how many bytes an entry of the log may need in a deployment
+// with these names: a job's, beside the longest names that the settings know.
+func (p *Platform) largestEntry() int {
+	team, class, zone := 0, 0, 0
+	for _, t := range p.Deployment.Teams {
+		team = max(team, len(t.Name))
+	}
+	for _, o := range p.Deployment.Objectives {
+		class = max(class, len(o.Class))
+	}
+	for _, z := range p.Deployment.Zones {
+		zone = max(zone, len(z))
+	}
+	return entryBytes + team + class + zone
+}
+
+// Serves says which setting describes a fleet that a controller can start with
+// but cannot serve well; nil if none does. check-config refuses such settings. A
+// controller that is told to start with them says so and does what it can.
+func (p *Platform) Serves() error {
+	w := p.Deployment.Workers
+	if least := leaseReports * w.ReportS; w.LeaseS < least {
+		return wrong("deployment.workers.lease_s", "must be at least %d reports, %v s, is %v s: a worker would lose its tasks over two lost reports", leaseReports, least, w.LeaseS)
+	}
+	s, field := p.Deployment.State, "deployment.state"
+	for _, kb := range []float64{s.ValueKB, p.Writes().ValueKB} {
+		if entry := p.largestEntry(); kb*1024 < float64(entry) {
+			return wrong(field+".value_kb", "%v KiB are too little for one entry, which takes up to %d bytes with the names of this deployment", kb, entry)
+		}
+		field = "deployment.state.next"
+	}
+	return nil
+}
+
 func (l StateLimits) check(field string) error {
 	switch {
 	case !(l.WriteRPS > 0) || l.WriteRPS > 1e12:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// What a controller cannot serve is named, though it would start.
+func TestServes(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{"", "", ""},
+		{"lease_s = 10.0", "lease_s = 2.9", "deployment.workers.lease_s"},
+		{"lease_s = 10.0", "lease_s = 3.0", ""},
+		{`name = "team"`, `name = "` + strings.Repeat("t", 400) + `"` + "\n#", ""},
+		{"value_kb = 8.0", "value_kb = 0.5", ""},
+		{`value_kb = 8.0`, "value_kb = 0.5\n[[deployment.objectives]]\nkind = \"wait\"\nclass = \"" + strings.Repeat("c", 100) + "\"\n[deployment.state_]", "deployment.state.value_kb"},
+		{"txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.5\n[[deployment.objectives]]\nclass = \"" + strings.Repeat("c", 100) + "\"", "deployment.state.next.value_kb"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if strings.Contains(text, "[deployment.state_]") {
+			text = strings.Replace(strings.Replace(text, "txn_ops = 12\n", "", 1), "value_kb = 0.5\n", "value_kb = 0.5\ntxn_ops = 12\n", 1)
+		}
+		s, err := load(t, text, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = s.Serves()
+		var fe *FieldError
+		if (c.field == "") != (err == nil) || (err != nil && (!errors.As(err, &fe) || fe.Field != c.field || strings.Contains(err.Error(), "\n"))) {
+			t.Errorf("%.60q: %v, want the field %q named", c.to, err, c.field)
+		}
+	}
+}
+
 // The example file lists every tunable at its default.
 func TestExample(t *testing.T) {
 	f, err := ini.Load("../../deploy/bitternmoor.ini.example")
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -33,6 +33,7 @@
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitLeadS       float64 // exception: how long before their class's wait aim waiting tasks go ahead; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
+	TakeoversKept   int     // so many takeovers are written down
 	LowLeadS        float64 // exception: how long before its tightest aim best-effort work no longer goes behind the order; 0: it never does
 }
 
@@ -97,6 +98,7 @@
 	amount("fleet", "spot_task", "s", "tasks that run longer than this and save nothing stay off spot machines: a sudden loss would cost too much", 600, 0, 1e9, func(t *Tunables) *float64 { return &t.SpotTaskS }),
 	amount("fleet", "usual_stay", "s", "how long a rented machine is usually kept; its boot is weighed against it", 120, 1, 86400, func(t *Tunables) *float64 { return &t.UsualStayS }),
 	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
+	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
 }
 
 // Known lists every tunable with its default.
--- /dev/null
+++ b/internal/takeovers/takeovers.go
@@ -0,0 +1,301 @@
+// Package takeovers is the duty that keeps account of takeovers: how long each
+// step took from the moment when a controller found that nobody led, until the
+// last job that was held back could start again. It stores one small entry for
+// each takeover, so that successors know of the earlier ones.
+package takeovers
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+)
+
+// Name is that of the duty, and of its entries.
+const Name = "takeovers"
+
+const (
+	// giveUp ends the account of a takeover some of whose steps do not come;
+	// startWait that of one where all is resolved and nothing waits for a start.
+	giveUp    = 3 * time.Minute
+	startWait = 10 * time.Second
+
+	recordBytes = 220 // rough size of an entry
+)
+
+// Step is one of a takeover's steps.
+type Step uint8
+
+// The steps, in their usual order.
+const (
+	Elected     Step = iota // the hold and the epoch are this controller's
+	LogRead                 // the whole log is read and replayed
+	FirstReport             // a registered machine has reported at the new token
+	Half                    // half of the registered machines are resolved
+	Ninety                  // 90 % of them are
+	Resolved                // all of them are
+	FirstStart              // a task is on a machine that this leader gave to it
+	Free                    // no job is held back any more for what an unheard machine may have
+	steps
+)
+
+var stepWords = [steps]string{"elected", "log_read", "first_report", "half_resolved", "ninety_resolved", "all_resolved", "first_start", "all_jobs_free"}
+
+func (s Step) String() string { return stepWords[s] }
+
+// Words is a step's heading in a table.
+func (s Step) Words() string { return strings.ToUpper(strings.ReplaceAll(s.String(), "_", " ")) }
+
+// Steps lists all steps in order.
+func Steps() []Step {
+	out := make([]Step, steps)
+	for i := range out {
+		out[i] = Step(i)
+	}
+	return out
+}
+
+// Record is the account of one takeover.
+type Record struct {
+	Epoch    uint64 `json:"epoch"`
+	Node     string `json:"node"`
+	SilentMS int64  `json:"leader_silent_ms"` // how long before the former leader was last heard of; -1: not known
+	AtMS     int64  `json:"at_ms"`            // time of day when it was found that nobody led, as this node's clock had it
+	Machines int    `json:"machines"`
+	Jobs     int    `json:"jobs"`
+	HeldBack int    `json:"jobs_held_back"` // for what an unheard machine may have, once the log was read
+	// After is how long after that moment each step was reached, in
+	// milliseconds, by the step's name; one that was not reached is missing.
+	After map[string]int64 `json:"after_ms"`
+}
+
+// stored is a record as it stands in the log: steps by number, -1 for none.
+type stored struct {
+	Epoch    uint64       `json:"e"`
+	Node     string       `json:"n"`
+	AtMS     int64        `json:"a"`
+	SilentMS int64        `json:"l"`
+	Machines int          `json:"m"`
+	Jobs     int          `json:"j"`
+	HeldBack int          `json:"h,omitempty"`
+	After    [steps]int64 `json:"s"`
+}
+
+// Duty keeps account of this term's takeover and remembers the last ones.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	keep    int // so many are remembered
+	past    []stored
+	own     stored
+	over    bool // the account of this term's takeover is closed
+	unknown int  // registered machines that were not resolved when the log was read
+	left    int  // those of them that are not yet
+	hist    *cluster.Histogram
+}
+
+// New makes the duty of a term; it remembers so many takeovers.
+func New(s *cluster.State, keep int) *Duty {
+	d := &Duty{State: s, keep: keep, hist: s.Measures.Histogram("bitternmoor_takeover_seconds",
+		"Time from finding that nobody leads to each step of a takeover.", "step", []float64{.1, .25, .5, 1, 2, 3, 5, 7.5, 10, 15, 20, 30, 60, 120})}
+	d.own = stored{Epoch: s.Epoch, Node: s.Cfg.Node, AtMS: s.Zero + s.Noticed.Milliseconds()}
+	d.own.SilentMS = -1
+	if s.LastLed > 0 {
+		d.own.SilentMS = (s.Noticed - s.LastLed).Milliseconds()
+	}
+	for i := range d.own.After {
+		d.own.After[i] = -1
+	}
+	return d
+}
+
+// Replay takes an entry of its own. A record may be there twice, from a
+// cleaning that was under way.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	if r, ok := d.decode(e); ok {
+		d.remember(r)
+	}
+}
+
+func (d *Duty) decode(e ledger.Entry) (stored, bool) {
+	var r stored
+	if e.Own == nil {
+		return r, false
+	}
+	if err := json.Unmarshal(e.Own.Data, &r); err != nil {
+		d.Note(effects.Warn, "the record of a takeover cannot be read: it is left out", "error", err)
+		return r, false
+	}
+	return r, true
+}
+
+func (d *Duty) remember(r stored) {
+	i, found := slices.BinarySearchFunc(d.past, r, func(a, b stored) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	if found {
+		return
+	}
+	d.past = slices.Insert(d.past, i, r)
+	if over := len(d.past) - d.keep; over > 0 {
+		d.past = slices.Delete(d.past, 0, over)
+	}
+}
+
+// Begin notes that the log is read. A term that finds neither machines nor jobs
+// has taken nothing over.
+func (d *Duty) Begin(now time.Duration) {
+	for _, m := range d.Yard.All() {
+		if m.Durable && !m.Resolved {
+			d.unknown++
+		}
+	}
+	d.left = d.unknown
+	d.own.Machines, d.own.Jobs, d.own.HeldBack = d.unknown, d.Jobs.Len(), d.heldBack()
+	if d.unknown == 0 && d.own.Jobs == 0 {
+		d.over = true
+		return
+	}
+	d.reach(Elected, d.Began)
+	d.reach(LogRead, now)
+	d.progress(now)
+}
+
+// heldBack counts the jobs that may not start anything, since a machine that is
+// not resolved may have their tasks.
+func (d *Duty) heldBack() int {
+	_, blind := d.Unresolved()
+	n := 0
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Open && j.Earlier && (j.Unsettled > 0 || blind) {
+			n++
+		}
+	}
+	return n
+}
+
+// reach notes a step, the first time that it is reached.
+func (d *Duty) reach(s Step, now time.Duration) {
+	if d.own.After[s] < 0 {
+		d.own.After[s] = max(0, (now - d.Noticed).Milliseconds())
+		d.hist.Observe(s.String(), float64(d.own.After[s])/1000)
+	}
+}
+
+// progress notes what share of the machines is resolved.
+func (d *Duty) progress(now time.Duration) {
+	known := d.unknown - d.left
+	if known*2 >= d.unknown {
+		d.reach(Half, now)
+	}
+	if known*10 >= d.unknown*9 {
+		d.reach(Ninety, now)
+	}
+	if d.left == 0 {
+		d.reach(Resolved, now)
+	}
+}
+
+// Hear follows the takeover.
+func (d *Duty) Hear(e cluster.Event) {
+	if d.over {
+		return
+	}
+	switch e.Kind {
+	case cluster.ReportTaken:
+		if e.Machine.Durable && e.Report.Token == e.Machine.Token {
+			d.reach(FirstReport, e.At)
+		}
+	case cluster.MachineResolved:
+		d.left--
+		d.progress(e.At)
+	case cluster.TaskPlaced:
+		d.reach(FirstStart, e.At)
+	}
+}
+
+// Tick closes the account once every step was reached, or some will not be.
+func (d *Duty) Tick(now time.Duration, sure bool) {
+	if d.over || !sure {
+		return
+	}
+	if d.own.After[Free] < 0 && d.heldBack() == 0 {
+		d.reach(Free, now)
+	}
+	if !d.complete(now) && now-d.Began < giveUp {
+		return
+	}
+	d.over = true
+	raw, err := json.Marshal(d.own)
+	if err != nil {
+		d.Note(effects.Error, "the record of a takeover cannot be written", "error", err)
+		return
+	}
+	d.remember(d.own)
+	args := []any{"epoch", d.own.Epoch, "machines", d.own.Machines, "jobs", d.own.Jobs, "held_back", d.own.HeldBack}
+	for _, s := range Steps() {
+		if ms := d.own.After[s]; ms >= 0 {
+			args = append(args, s.String(), (time.Duration(ms) * time.Millisecond).String())
+		}
+	}
+	d.Note(effects.Info, "takeover", args...)
+	e := ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}}
+	if !d.Log.Fits(e) {
+		d.Note(effects.Error, "the record of a takeover is too large to be stored", "bytes", len(raw))
+		return
+	}
+	d.Log.Append(e)
+}
+
+// complete says whether every step was reached that will be.
+func (d *Duty) complete(now time.Duration) bool {
+	last := int64(0)
+	for _, s := range Steps() {
+		if d.own.After[s] < 0 && s != FirstStart {
+			return false
+		}
+		last = max(last, d.own.After[s])
+	}
+	return d.own.After[FirstStart] >= 0 || now-d.Noticed >= time.Duration(last)*time.Millisecond+startWait
+}
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int { return len(d.past) * recordBytes }
+
+// Keep writes a record anew that is still remembered.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	if r, ok := d.decode(e); ok && slices.ContainsFunc(d.past, func(o stored) bool { return o.Epoch == r.Epoch }) {
+		d.Log.Append(e)
+	}
+}
+
+// Show gives the takeovers that are remembered, the newest first, as a JSON
+// list of Record. The one under way is the first as long as it is.
+func (d *Duty) Show() (json.RawMessage, error) {
+	out := []Record{}
+	add := func(r stored) {
+		x := Record{Epoch: r.Epoch, Node: r.Node, SilentMS: r.SilentMS, AtMS: r.AtMS, Machines: r.Machines, Jobs: r.Jobs, HeldBack: r.HeldBack, After: map[string]int64{}}
+		for _, s := range Steps() {
+			if ms := r.After[s]; ms >= 0 {
+				x.After[s.String()] = ms
+			}
+		}
+		out = append(out, x)
+	}
+	if !d.over {
+		add(d.own)
+	}
+	for _, r := range slices.Backward(d.past) {
+		add(r)
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("takeovers: %w", err)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/takeovers/takeovers_test.go
@@ -0,0 +1,144 @@
+package takeovers
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// begun is the duty of a term that has read ten registered machines, and a job
+// that may have tasks on all of them.
+func begun(measures *cluster.Measures) *Duty {
+	s := cluster.New(cluster.Start{Cfg: &settings.Settings{Tunables: settings.Defaults()}, Zero: 1e6, Epoch: 7,
+		LastLed: 9 * time.Second, Noticed: 10 * time.Second, Began: 11 * time.Second, Counts: &cluster.Counts{}, Measures: measures})
+	s.Log = ledger.NewLog(ledger.Limits{WriteRPS: 1e6, ValueBytes: 8192, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	j := s.Jobs.Add(ledger.Job{ID: 1, Tasks: 20})
+	j.Phase, j.Earlier, j.Unsettled = 2, true, 10
+	for n := range 10 {
+		s.Yard.Add(&workers.Machine{Name: fmt.Sprint(n), Durable: true, Number: n + 1})
+	}
+	d := New(s, 3)
+	for _, epoch := range []uint64{3, 4, 5, 5, 6} { // 5 is there twice, from a cleaning
+		d.Replay(0, ledger.Entry{Own: &ledger.Own{Duty: Name, Data: json.RawMessage(fmt.Sprintf(`{"e":%d,"n":"n1","s":[1,2,3,4,5,6,-1,7]}`, epoch))}})
+	}
+	d.Begin(12 * time.Second)
+	return d
+}
+
+func shown(t *testing.T, d *Duty) []Record {
+	t.Helper()
+	raw, err := d.Show()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Record
+	if err := json.Unmarshal(raw, &list); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// A takeover step by step: what each waited for, one entry in the end, and the
+// histogram of the process.
+func TestStepByStep(t *testing.T) {
+	var measures cluster.Measures
+	d := begun(&measures)
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	all := d.Yard.All()
+	for i, m := range all {
+		d.Hear(cluster.Event{Kind: cluster.ReportTaken, At: at(13 + i), Machine: m, Report: &workers.Report{Token: m.Token}})
+		m.Resolved = true
+		d.Jobs.Find(1).Unsettled--
+		d.Hear(cluster.Event{Kind: cluster.MachineResolved, At: at(13 + i), Machine: m})
+		d.Tick(at(13+i), true)
+		if n := d.Log.Pending(); n != 0 {
+			t.Fatalf("%d entries after %d machines", n, i+1)
+		}
+	}
+	d.Hear(cluster.Event{Kind: cluster.TaskPlaced, At: at(24), Machine: all[0]})
+	d.Tick(at(25), true)
+	d.Tick(at(26), true)
+	if n := d.Log.Pending(); n != 1 {
+		t.Fatalf("%d entries were written, want one", n)
+	}
+	list := shown(t, d)
+	if len(list) != 3 || list[0].Epoch != 7 || list[1].Epoch != 6 || list[2].Epoch != 5 {
+		t.Fatalf("remembered are %+v, want epochs 7, 6, 5", list)
+	}
+	got := list[0]
+	if got.Machines != 10 || got.Jobs != 1 || got.HeldBack != 1 || got.SilentMS != 1000 || got.AtMS != 1e6+10e3 {
+		t.Errorf("written down is %+v", got)
+	}
+	for s, want := range map[Step]int64{Elected: 1, LogRead: 2, FirstReport: 3, Half: 7, Ninety: 11, Resolved: 12, FirstStart: 14, Free: 12} {
+		if ms := got.After[s.String()]; ms != want*1000 {
+			t.Errorf("%v after %d ms, want %d s", s, ms, want)
+		}
+	}
+	h := measures.All()
+	if len(h) != 1 || len(h[0].Series) != int(steps) || h[0].Series[0].Count != 1 {
+		t.Errorf("the histogram is %+v", h)
+	}
+	told := 0
+	for _, e := range d.Take() {
+		if n, ok := e.(effects.Note); ok && n.Text == "takeover" {
+			told++
+		}
+	}
+	if told != 1 {
+		t.Errorf("%d lines were logged, want one", told)
+	}
+}
+
+// Nothing waits for a start, or machines are never resolved: the account is
+// closed all the same, without the steps that did not come.
+func TestStepsThatDoNotCome(t *testing.T) {
+	d := begun(&cluster.Measures{})
+	d.Tick(12*time.Second+giveUp, true)
+	if list := shown(t, d); d.Log.Pending() != 1 || len(list[0].After) != 2 {
+		t.Errorf("%d entries, %+v", d.Log.Pending(), list[0])
+	}
+	d = begun(&cluster.Measures{})
+	for _, m := range d.Yard.All() {
+		m.Resolved = true
+		d.Hear(cluster.Event{Kind: cluster.MachineResolved, At: 14 * time.Second, Machine: m})
+	}
+	d.Hear(cluster.Event{Kind: cluster.ReportTaken, At: 14 * time.Second, Machine: d.Yard.All()[0], Report: &workers.Report{}})
+	d.Jobs.Find(1).Unsettled = 0
+	d.Tick(14*time.Second, true)
+	if d.Log.Pending() != 0 {
+		t.Error("closed before a start could come")
+	}
+	d.Tick(14*time.Second+startWait, false)
+	if d.Log.Pending() != 0 {
+		t.Error("closed by a leader that is not sure of its term")
+	}
+	d.Tick(14*time.Second+startWait, true)
+	if list := shown(t, d); d.Log.Pending() != 1 || len(list[0].After) != int(steps)-1 {
+		t.Errorf("%d entries, %+v", d.Log.Pending(), list[0])
+	}
+}
+
+// Cleaning keeps the records that are remembered, and those alone; one that
+// cannot be read is said and left out.
+func TestCleaningKeepsTheLast(t *testing.T) {
+	d := begun(&cluster.Measures{})
+	for epoch := range 8 {
+		d.Keep(0, ledger.Entry{Own: &ledger.Own{Duty: Name, Data: json.RawMessage(fmt.Sprintf(`{"e":%d}`, epoch))}})
+	}
+	if n := d.Log.Pending(); n != 3 {
+		t.Errorf("%d records were kept, want 3", n)
+	}
+	d.Take()
+	d.Keep(0, ledger.Entry{Own: &ledger.Own{Duty: Name, Data: json.RawMessage(`{"e":"x"}`)}})
+	if out := d.Take(); len(out) != 1 || !strings.Contains(out[0].(effects.Note).Text, "cannot be read") || d.Log.Pending() != 3 {
+		t.Errorf("said: %+v", out)
+	}
+}
--- a/internal/term/fit_test.go
+++ b/internal/term/fit_test.go
@@ -1,14 +1,14 @@
 package term
 
 import (
-	"bitternmoor/internal/cluster"
-	"bitternmoor/internal/effects"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
--- a/internal/term/report_test.go
+++ b/internal/term/report_test.go
@@ -1,12 +1,12 @@
 package term
 
 import (
-	"bitternmoor/internal/cluster"
-	"bitternmoor/internal/effects"
 	"fmt"
 	"testing"
 	"time"
 
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -16,6 +16,7 @@
 	"bitternmoor/internal/ordering"
 	"bitternmoor/internal/placing"
 	"bitternmoor/internal/roster"
+	"bitternmoor/internal/takeovers"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -88,6 +89,9 @@
 	t.add("", t.roster)
 	t.add("", t.placing)
 	t.add("", t.fleet)
+	if keep := start.Cfg.Tunables.TakeoversKept; keep > 0 {
+		t.add(takeovers.Name, takeovers.New(s, keep))
+	}
 	return t
 }
 
@@ -120,6 +124,22 @@
 	return true
 }
 
+// shower is a duty that operators may look into: it gives a JSON value.
+type shower interface {
+	Show() (json.RawMessage, error)
+}
+
+// Show gives what operators may see of the duty with a name. It is false where
+// there is no such duty, or it is switched off.
+func (t *Term) Show(name string) (raw json.RawMessage, ok bool, err error) {
+	s, ok := t.owners[name].(shower)
+	if !ok {
+		return nil, false, nil
+	}
+	raw, err = s.Show()
+	return raw, true, err
+}
+
 // Loaded says whether the log has been read: before, nothing is known of jobs.
 func (t *Term) Loaded() bool { return t.loaded }
 
@@ -249,7 +269,9 @@
 }
 
 // Started notes offers that the leader's own block has taken up.
-func (t *Term) Started(machine string, offers []workers.Offer) { t.roster.Started(machine, offers) }
+func (t *Term) Started(now time.Duration, machine string, offers []workers.Offer) {
+	t.roster.Started(now, machine, offers)
+}
 
 // Deleted takes the result of a deletion.
 func (t *Term) Deleted(now time.Duration, list []string, ok bool) {
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -1,9 +1,9 @@
 package term
 
 import (
-	"bitternmoor/internal/cluster"
 	"testing"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
 )
