--- a/internal/term/report_test.go
+++ b/internal/term/report_test.go
@@ -12,17 +12,21 @@
 	"bitternmoor/internal/workers"
 )
 
-// fullTerm is a term with a thousand machines that report eight running tasks
-// each and a hundred jobs with waiting ones. It returns the reports.
-func fullTerm(machines, count int) (*Term, []effects.Relayed) {
+func scaleSettings() *settings.Settings {
 	c := &settings.Settings{Tunables: settings.Defaults()}
 	c.Deployment.Teams = []settings.Team{{Name: "team"}}
 	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 4, 22, 47
 	c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps = 80, 16, 16
 	c.Deployment.Cloud.RPS = 8
+	return c
+}
+
+// fullLog is the log of machines that run eight tasks each of so many jobs,
+// each of which has 200 more, and the machines' reports.
+func fullLog(machines, count int) ([]ledger.Entry, []effects.Relayed) {
 	entries := []ledger.Entry{{Types: []ledger.Type{{Name: "t", CPUs: 8, MemoryGB: 64, CacheGB: 40, FetchGBPS: 1, Price: 1, SpotPrice: 1, Zones: []string{"a"}}}}}
 	for i := range count {
-		entries = append(entries, ledger.Entry{Job: &ledger.Job{ID: uint64(i + 1), Class: "class", Team: "team", Tasks: 200, CPUs: 1, MemoryGB: 1,
+		entries = append(entries, ledger.Entry{Job: &ledger.Job{ID: uint64(i + 1), Class: "class", Team: "team", Tasks: 200 + 8*machines/count, CPUs: 1, MemoryGB: 1,
 			Image: fmt.Sprint(i % 10), ImageGB: 1, Spot: true, EstimateS: 60}})
 	}
 	var reports []effects.Relayed
@@ -36,7 +40,13 @@
 		}
 		reports = append(reports, effects.Relayed{Via: "n", Life: 1, Report: r})
 	}
-	t := New(cluster.Start{Cfg: c, Epoch: 2, Counts: &cluster.Counts{}})
+	return entries, reports
+}
+
+// fullTerm is a term that has read such a log.
+func fullTerm(machines, count int) (*Term, []effects.Relayed) {
+	entries, reports := fullLog(machines, count)
+	t := New(cluster.Start{Cfg: scaleSettings(), Epoch: 2, Counts: &cluster.Counts{}})
 	t.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
 	return t, reports
 }
--- /dev/null
+++ b/internal/term/scale_test.go
@@ -0,0 +1,141 @@
+package term
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
+)
+
+// What an event costs at the size of the larger fleets and at twice that, with
+// 100 jobs of 200 tasks of which 8 a machine run: go test -bench Scale.
+
+var scales = []int{650, 1300, 2600}
+
+// settled is a term all of whose machines have reported, after a pass.
+func settled(machines int) (*Term, []effects.Relayed, time.Duration) {
+	t, reports := fullTerm(machines, 100)
+	now := time.Second
+	for i := range reports {
+		t.take(now, &reports[i])
+	}
+	t.Tick(now, true)
+	t.Take()
+	return t, reports, now
+}
+
+// A report that brings nothing new.
+func BenchmarkScaleReport(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t, reports, now := settled(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				t.take(now, &reports[i%n])
+			}
+		})
+	}
+}
+
+// A tick with a pass and all that is due twice a second.
+func BenchmarkScaleTick(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t, reports, now := settled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 500 * time.Millisecond
+				b.StopTimer()
+				for i := range reports { // nobody is silent
+					t.Yard.Find(reports[i].Report.Machine).Heard = now
+				}
+				b.StartTimer()
+				t.Tick(now, true)
+				t.Take()
+			}
+		})
+	}
+}
+
+// A report in which one task has ended, with the pass and the start that follow.
+func BenchmarkScaleCompletion(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t, reports, now := settled(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r := &reports[i%n]
+				k := &r.Report.Tasks[i/n%8]
+				if k.State == workers.Running {
+					k.State, k.Reason = workers.Ended, workers.Completed
+				}
+				now += 5 * time.Millisecond
+				t.take(now, r)
+			}
+		})
+	}
+}
+
+// The replay of a log with all machines, jobs, and a grant of each job on every
+// fifth machine.
+func BenchmarkScaleReplay(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			entries := scaleLog(n)
+			size := 0
+			for _, e := range entries {
+				raw, err := json.Marshal(e)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size += len(raw)
+			}
+			b.ReportMetric(float64(size)/1024, "KiB")
+			b.ReportAllocs()
+			for b.Loop() {
+				t := New(cluster.Start{Cfg: scaleSettings(), Epoch: 2, Counts: &cluster.Counts{}})
+				t.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
+			}
+		})
+	}
+}
+
+func scaleLog(machines int) []ledger.Entry {
+	entries, _ := fullLog(machines, 100)
+	for j := range 100 {
+		for from := j % 5; from < machines; from += 500 {
+			g := ledger.Grant{Job: uint64(j + 1)}
+			for m := from; m < min(from+500, machines); m += 5 {
+				g.Machines = append(g.Machines, m+1)
+			}
+			entries = append(entries, ledger.Entry{Grant: &g})
+		}
+	}
+	return entries
+}
+
+// The first reports of all machines after a takeover, each with its eight tasks.
+func BenchmarkScaleResolve(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			entries := scaleLog(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				_, reports := fullLog(n, 100)
+				t := New(cluster.Start{Cfg: scaleSettings(), Epoch: 2, Counts: &cluster.Counts{}})
+				t.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
+				b.StartTimer()
+				for i := range reports {
+					t.take(time.Second, &reports[i])
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*n), "µs/machine")
+		})
+	}
+}
