Machines go to a leader that their controller does not reach; reports follow a new leader

Change: a controller that has not reached the leader for longer than a dead one's hold lasts, while its open watch on the state service still shows it to lead, answers the machines of its block 421 with the leader's name. A machine that comes back shows that workers do not reach it either: then all are kept alive as before. A deaf leader gives up only once such machines could have come. A report that was on its way to a leader that is gone is handed to the new one.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -127,6 +127,10 @@
 	return ""
 }
 
+// Watches says whether a change of the keys would be noticed at once: they were
+// read, and a watch is open since.
+func (c *Core) Watches() bool { return c.known && c.watching != nil }
+
 // Vacancy is when this node last heard of another leader, 0 if it never did, and
 // since when it has seen that nobody leads. A new leader asks for it.
 func (c *Core) Vacancy() (led, since time.Duration) { return c.led, c.vacant }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -29,15 +29,24 @@
 	counts   cluster.Counts
 	measures cluster.Measures
 	hailAt   time.Duration
-	peerAt   map[string]time.Duration          // when a peer last answered a hail
-	open     map[effects.Asker]*workers.Report // reports of this node's workers without an answer yet
+	deafAt   time.Duration                 // when this leader last heard of a peer or most of its machines
+	peerAt   map[string]time.Duration      // when a peer last answered a hail
+	open     map[effects.Asker]*openReport // reports of this node's workers without an answer yet
+
+	// Whether the last report that was handed on did not reach the leader, since
+	// when, and when machines were last sent to a leader that this node does not
+	// reach.
+	apart  bool
+	lostAt time.Duration
+	backAt time.Duration // when one of them came back
+	sentTo map[string]time.Duration
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*workers.Report{}, peerAt: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*openReport{}, peerAt: map[string]time.Duration{}, sentTo: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
 }
 
 // Take returns the effects since the last call.
@@ -88,9 +97,9 @@
 func (c *Core) gather(now time.Duration) {
 	for _, e := range c.term.Take() {
 		if a, ok := e.(effects.ReplyReport); ok {
-			if r := c.open[a.To]; r != nil {
+			if o := c.open[a.To]; o != nil {
 				delete(c.open, a.To)
-				e = effects.ReplyReport{To: a.To, Answer: c.finish(now, r, a.Answer)}
+				e = effects.ReplyReport{To: a.To, Answer: c.finish(now, o.report, a.Answer)}
 			}
 		}
 		c.out = append(c.out, e)
@@ -111,6 +120,11 @@
 func (c *Core) Tick(now time.Duration) {
 	c.orders(c.lead.Tick(now))
 	c.hold.Tick(now)
+	for m, at := range c.sentTo {
+		if now-at > sendAgain {
+			delete(c.sentTo, m)
+		}
+	}
 	if c.term != nil {
 		c.term.Tick(now, c.lead.Sure(now))
 		c.hail(now)
@@ -134,16 +148,31 @@
 			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch})
 		}
 	}
-	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || !c.term.Deaf(now) || now-c.term.Began < cutOffAfter {
+	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || now-c.term.Began < cutOffAfter || c.heardOf(now) || !c.term.Deaf(now) {
+		c.deafAt = now
 		return
 	}
+	if now-c.deafAt < c.tooFar()+settings.Seconds(1.25*c.cfg.Deployment.Workers.ReportS)+peerTimeout {
+		return // machines that its peers cannot answer for are on their way here
+	}
+	c.out = append(c.out, effects.Note{Level: effects.Warn, Text: "cut off from peers and machines: leadership given up", Args: nil})
+	c.orders(c.lead.Resign(now, resignFor))
+}
+
+// heardOf says whether a peer has answered this leader lately.
+func (c *Core) heardOf(now time.Duration) bool {
 	for _, at := range c.peerAt {
 		if now-at < cutOffAfter {
-			return
+			return true
 		}
 	}
-	c.out = append(c.out, effects.Note{Level: effects.Warn, Text: "cut off from peers and machines: leadership given up", Args: nil})
-	c.orders(c.lead.Resign(now, resignFor))
+	return false
+}
+
+// tooFar is how long a leader that this node does not reach must not have been
+// reached: for longer than the hold of a dead one lasts.
+func (c *Core) tooFar() time.Duration {
+	return settings.Seconds(c.cfg.Tunables.LeaderHoldS) + hailEvery/2
 }
 
 // HailAnswered takes a peer's answer to a hail.
@@ -192,19 +221,33 @@
 func (c *Core) Report(now time.Duration, to effects.Asker, r *workers.Report) {
 	c.counts.Reports++
 	c.met(now, r)
-	in := effects.Relayed{Via: c.cfg.Node, Life: c.zero, Report: *r}
-	if c.term != nil {
-		c.open[to] = r
+	c.take(now, to, &openReport{report: r})
+}
+
+// openReport is a report of this node's worker that has no answer yet.
+type openReport struct {
+	report *workers.Report
+	leader string // to which it was handed; empty: to none
+	tries  int
+}
+
+// take has a report answered by this node's term, or hands it to the leader.
+func (c *Core) take(now time.Duration, to effects.Asker, o *openReport) {
+	in := effects.Relayed{Via: c.cfg.Node, Life: c.zero, Report: *o.report}
+	leader := c.lead.LeaderName()
+	switch {
+	case c.term != nil:
+		c.open[to] = o
 		c.term.Report(now, c.lead.Sure(now), to, in)
 		c.after(now)
-		return
-	}
-	if leader := c.lead.LeaderName(); leader != "" {
-		c.open[to] = r
+	case leader != "":
+		o.leader = leader
+		o.tries++
+		c.open[to] = o
 		c.out = append(c.out, effects.Relay{To: to, Leader: leader, Report: in})
-		return
+	default:
+		c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.alone(now, o.report)})
 	}
-	c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.alone(now, r)})
 }
 
 // met ends the term when a worker has seen a token of a later one.
@@ -252,9 +295,21 @@
 
 // RelayAnswered takes the leader's word on a report that was handed to it.
 func (c *Core) RelayAnswered(now time.Duration, to effects.Asker, a effects.ReportAnswer, ok bool) {
-	r := c.open[to]
+	o := c.open[to]
 	delete(c.open, to)
-	if r == nil {
+	if o == nil {
+		return
+	}
+	r := o.report
+	if !ok && !c.apart {
+		c.lostAt = now
+	}
+	c.apart = !ok
+	if leader := c.lead.LeaderName(); !ok && o.tries < handOns && leader != "" && leader != o.leader {
+		c.take(now, to, o) // somebody else leads by now, this node perhaps
+		return
+	}
+	if !ok && c.send(now, to, r) {
 		return
 	}
 	switch {
@@ -267,7 +322,38 @@
 	c.after(now)
 }
 
-// effects.Relayed serves a report that another controller handed on. It goes no
+// handOns is how often one report is handed on: within twice a peer's deadline its
+// worker still waits for the answer.
+const handOns = 2
+
+// sendAgain is for how long machines are not sent to a leader that this node does
+// not reach, once one that was sent has come back within that time.
+const sendAgain = 15 * time.Second
+
+// send sends a machine to the leader itself when this node has not reached that
+// for longer than the hold of a dead one lasts, while the state service still
+// shows it to lead. Found on days when controllers refused one another: each
+// kept its workers alive for a block's lease, the leader heard most of them no
+// more, gave up leading, and the next one likewise. A machine that comes back
+// has not reached the leader either: then all are kept alive as before.
+func (c *Core) send(now time.Duration, to effects.Asker, r *workers.Report) bool {
+	leader := c.lead.LeaderName()
+	if _, back := c.sentTo[r.Machine]; back {
+		c.backAt = now
+	}
+	if (c.backAt > 0 && now-c.backAt < sendAgain) || leader == "" || leader == c.cfg.Node || now-c.lostAt < c.tooFar() || !c.lead.Watches() {
+		return false
+	}
+	if _, ours := c.hold.KeepAlive(now, r); !ours {
+		return false // it goes from node to node by itself, and may have come from there
+	}
+	c.sentTo[r.Machine] = now
+	c.hold.Release(r.Machine)
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: leader}})
+	return true
+}
+
+// Relayed serves a report that another controller handed on. It goes no
 // further.
 func (c *Core) Relayed(now time.Duration, to effects.Asker, in effects.Relayed) {
 	c.met(now, &in.Report)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -200,6 +200,12 @@
 		for _, h := range p.hosts(t, d) {
 			s.cuts = append(s.cuts, &cut{host: h, with: arg(t, d, "from", ""), hold: d.HasArg("hold")})
 		}
+	case "refuse-peers": // no controller reaches another
+		for i, a := range s.nodes {
+			for _, b := range s.nodes[i+1:] {
+				s.cuts = append(s.cuts, &cut{host: a.name, with: b.name})
+			}
+		}
 	case "deafen": // the leader hears neither machines nor peers
 		l := s.leader()
 		for _, c := range s.nodes {
