A node that does not reach the leader answers the load balancer 503

Change: a node whose calls have not reached the leader for longer than a dead one's hold, while its open watch shows it to lead, probes it every second and answers /healthz 503 until a probe or a call succeeds or nobody leads.

--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -69,6 +69,8 @@
 		Peer  string
 		Epoch uint64
 	}
+	// Probe asks whether a peer can be reached at all.
+	Probe   struct{ Peer string }
 	Lead    struct{ Order leadership.Order }
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
@@ -108,6 +110,7 @@
 func (ReplyReport) effect() {}
 func (Relay) effect()       {}
 func (Hail) effect()        {}
+func (Probe) effect()       {}
 func (Lead) effect()        {}
 func (Load) effect()        {}
 func (Commit) effect()      {}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -33,13 +33,13 @@
 	peerAt   map[string]time.Duration      // when a peer last answered a hail
 	open     map[effects.Asker]*openReport // reports of this node's workers without an answer yet
 
-	// Whether the last report that was handed on did not reach the leader, since
-	// when, and when machines were last sent to a leader that this node does not
-	// reach.
-	apart  bool
-	lostAt time.Duration
-	backAt time.Duration // when one of them came back
-	sentTo map[string]time.Duration
+	// Whether the last call did not reach the leader, since when none has, when it
+	// was last probed, and when machines were sent to it themselves.
+	apart   bool
+	lostAt  time.Duration
+	probeAt time.Duration
+	backAt  time.Duration // when one of them came back
+	sentTo  map[string]time.Duration
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
@@ -125,6 +125,7 @@
 			delete(c.sentTo, m)
 		}
 	}
+	c.probe(now)
 	if c.term != nil {
 		c.term.Tick(now, c.lead.Sure(now))
 		c.hail(now)
@@ -301,10 +302,7 @@
 		return
 	}
 	r := o.report
-	if !ok && !c.apart {
-		c.lostAt = now
-	}
-	c.apart = !ok
+	c.Reached(now, o.leader, ok)
 	if leader := c.lead.LeaderName(); !ok && o.tries < handOns && leader != "" && leader != o.leader {
 		c.take(now, to, o) // somebody else leads by now, this node perhaps
 		return
@@ -322,6 +320,38 @@
 	c.after(now)
 }
 
+// Reached notes whether a call reached the leader of that name, or a probe of it.
+func (c *Core) Reached(now time.Duration, leader string, ok bool) {
+	switch {
+	case leader != c.lead.LeaderName():
+	case ok:
+		c.apart = false
+	case !c.apart:
+		c.apart, c.lostAt, c.probeAt = true, now, now
+	}
+}
+
+// Apart says whether somebody leads, as the state service shows, whom this node
+// has not reached for longer than a dead leader's hold lasts: it can take neither
+// users' requests nor reports.
+func (c *Core) Apart(now time.Duration) bool {
+	leader := c.lead.LeaderName()
+	return c.apart && leader != "" && leader != c.cfg.Node && now-c.lostAt >= c.tooFar() && c.lead.Watches()
+}
+
+// probe asks now and then whether a leader that was not reached can be: there may
+// be no report or request any more by which that would show.
+func (c *Core) probe(now time.Duration) {
+	leader := c.lead.LeaderName()
+	if leader == "" || leader == c.cfg.Node {
+		c.apart = false
+	}
+	if c.apart && now-c.probeAt >= hailEvery {
+		c.probeAt = now
+		c.out = append(c.out, effects.Probe{Peer: leader})
+	}
+}
+
 // handOns is how often one report is handed on: within twice a peer's deadline its
 // worker still waits for the answer.
 const handOns = 2
@@ -337,16 +367,16 @@
 // more, gave up leading, and the next one likewise. A machine that comes back
 // has not reached the leader either: then all are kept alive as before.
 func (c *Core) send(now time.Duration, to effects.Asker, r *workers.Report) bool {
-	leader := c.lead.LeaderName()
 	if _, back := c.sentTo[r.Machine]; back {
 		c.backAt = now
 	}
-	if (c.backAt > 0 && now-c.backAt < sendAgain) || leader == "" || leader == c.cfg.Node || now-c.lostAt < c.tooFar() || !c.lead.Watches() {
+	if (c.backAt > 0 && now-c.backAt < sendAgain) || !c.Apart(now) {
 		return false
 	}
 	if _, ours := c.hold.KeepAlive(now, r); !ours {
 		return false // it goes from node to node by itself, and may have come from there
 	}
+	leader := c.lead.LeaderName()
 	c.sentTo[r.Machine] = now
 	c.hold.Release(r.Machine)
 	c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: leader}})
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -55,7 +55,9 @@
 }
 
 func (n *Node) health(w http.ResponseWriter, _ *http.Request) {
-	if s := n.now.Load(); time.Since(n.start)-s.at > stuckAfter {
+	// Where the leader is not reached no request can be taken: users are better
+	// served by it, or by a node that reaches it.
+	if s := n.now.Load(); s.apart || time.Since(n.start)-s.at > stuckAfter {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 type standing struct {
 	leading bool
 	leader  string
+	apart   bool          // it leads, but is not reached from here
 	at      time.Duration // of the loop's last turn
 }
 
@@ -142,7 +143,8 @@
 			n.do(e)
 		}
 		leading, leader := n.core.Leading()
-		n.now.Store(&standing{leading, leader, time.Since(n.start)})
+		now := time.Since(n.start)
+		n.now.Store(&standing{leading, leader, n.core.Apart(now), now})
 	}
 }
 
@@ -183,6 +185,13 @@
 				}
 			}()
 		}
+	case effects.Probe:
+		if p := n.peers[e.Peer]; p != nil {
+			go func() {
+				ok := p.reaches()
+				n.post(func(now time.Duration) { n.core.Reached(now, e.Peer, ok) })
+			}()
+		}
 	case effects.Lead:
 		go n.lead(e.Order)
 	case effects.Load:
@@ -495,6 +504,17 @@
 	return err
 }
 
+// reaches says whether a peer answers. Whether it knows the question does not
+// matter: an error of its own is an answer too.
+func (p *peer) reaches() bool {
+	err := p.call("Controller.Here", struct{}{}, new(bool))
+	var remote rpc.ServerError
+	return err == nil || errors.As(err, &remote)
+}
+
+// Here answers a probe.
+func (c *Controller) Here(struct{}, *bool) error { return nil }
+
 // UserRequest is a user's request as one controller hands it to another.
 type UserRequest struct {
 	Op         string
@@ -567,6 +587,10 @@
 	var a effects.Answer
 	if err := p.call("Controller.Ask", in, &a); err != nil {
 		n.log.Debug("leader not reached", "leader", s.leader, "error", err)
+		var remote rpc.ServerError
+		if !errors.As(err, &remote) {
+			_ = n.try(func(now time.Duration) { n.core.Reached(now, s.leader, false) })
+		}
 		return effects.Unavailable("the leader does not answer")
 	}
 	return a
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -206,6 +206,14 @@
 				s.cuts = append(s.cuts, &cut{host: a.name, with: b.name})
 			}
 		}
+	case "apart": // nodes that do not reach the leader, and say so to the load balancer
+		n := 0
+		for _, c := range s.nodes {
+			if c.up && c.core.Apart(c.clock()) {
+				n++
+			}
+		}
+		return fmt.Sprintf("%d", n)
 	case "deafen": // the leader hears neither machines nor peers
 		l := s.leader()
 		for _, c := range s.nodes {
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -292,6 +292,16 @@
 				}
 			})
 		}
+	case effects.Probe:
+		if o := s.node(e.Peer); o != nil {
+			call(s, c.name, o.name, wait, func(reply func(bool)) {
+				if o.up {
+					reply(true)
+				}
+			}, func(_, ok bool) {
+				c.into(func(now time.Duration) { c.core.Reached(now, o.name, ok) })()
+			})
+		}
 	case effects.Lead:
 		s.state.lead(c, e.Order)
 	case effects.Load:
