Takeovers: what was never handed out starts at once; returns are noted; limits by claims

Change, each with its test: - a machine that is returned empty is noted before it is deleted, and the next term does not wait for it (note_returns); a draining machine is offered nothing any more; - a mark a job notes below which number tasks may have been handed out; a new leader gives room to those above at once (note_tasks). Marks hold along an unbroken span of terms that note them, so versions may alternate; - an unresolved machine counts against the limits of the teams whose tasks it may have, not of all.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -101,23 +101,43 @@
 
 // World is what a pass looks at.
 type World struct {
-	Now        time.Duration
-	Quiet      time.Duration // a machine silent for longer gets nothing
-	Jobs       *jobs.Table
-	Yard       *workers.Yard
-	Book       *sizing.Book
-	Unresolved amounts.Amounts // of machines of an earlier term
-	Blind      bool            // one of them may have tasks of any job
-	Zone       func(string) int32
-	Place      func(j *jobs.Job, k int, m *workers.Machine)
-	local      bool                     // jobs that have not waited long leave machines without their image
-	Unplace    func(j *jobs.Job, k int) // takes back a plan that was not sent
+	Now     time.Duration
+	Quiet   time.Duration // a machine silent for longer gets nothing
+	Jobs    *jobs.Table
+	Yard    *workers.Yard
+	Book    *sizing.Book
+	Missing []amounts.Amounts // by team: machines of an earlier term that may have its tasks
+	Blind   bool              // one of them may have tasks of any job
+	Zone    func(string) int32
+	Place   func(j *jobs.Job, k int, m *workers.Machine)
+	local   bool                     // jobs that have not waited long leave machines without their image
+	Unplace func(j *jobs.Job, k int) // takes back a plan that was not sent
+}
+
+// missing is what machines that are not resolved may be using of a team.
+func (w *World) missing(team int32) amounts.Amounts {
+	if int(team) < len(w.Missing) {
+		return w.Missing[team]
+	}
+	return amounts.Amounts{}
 }
 
 // unsettled says whether tasks of a job that are not seen may run on machines
 // of an earlier term.
 func (w *World) unsettled(j *jobs.Job) bool { return j.Earlier && (j.Unsettled > 0 || w.Blind) }
 
+// next is the task of a job that gets room next, or -1. While tasks of an earlier
+// term may run unseen it is one that no earlier term can have started.
+func (w *World) next(j *jobs.Job) int {
+	switch {
+	case !w.unsettled(j):
+		return j.NextWaiting(len(j.Tasks))
+	case j.Rec.Kind == jobs.Gang || j.ZoneRule():
+		return -1 // where the others may be matters too
+	}
+	return j.NextFresh()
+}
+
 // suits says whether one more task of a job could be on a machine if that
 // were free.
 func (w *World) suits(j *jobs.Job, m *workers.Machine) bool {
@@ -181,7 +201,7 @@
 		}
 		j := w.Jobs.At(i)
 		for training < p.AtOnce {
-			k := j.NextWaiting(len(j.Tasks))
+			k := w.next(j)
 			if k < 0 || !w.Book.Training(i, k) || !p.give(&w, j, k, machines) {
 				break
 			}
@@ -254,7 +274,7 @@
 	if w.unsettled(j) {
 		out = append(out, "a leader before this one may have started its tasks on machines that have not reported yet")
 	}
-	if !p.Within(j.Team, j.Need, w.Unresolved) {
+	if !p.Within(j.Team, j.Need, w.missing(j.Team)) {
 		out = append(out, "its team is at its limit")
 	}
 	fits, free := false, false
@@ -307,7 +327,7 @@
 	for _, i := range order {
 		j := w.Jobs.At(i)
 		for {
-			k := j.NextWaiting(len(j.Tasks))
+			k := w.next(j)
 			if k < 0 {
 				break
 			}
@@ -318,7 +338,7 @@
 			} else if p.give(w, j, k, machines) {
 				continue
 			}
-			if !held && !w.local && p.ready(w, j) && p.Within(j.Team, j.Need, w.Unresolved) {
+			if !held && !w.local && p.ready(w, j) && !w.unsettled(j) && p.Within(j.Team, j.Need, w.missing(j.Team)) {
 				held = p.hold(w, j)
 			}
 			break
@@ -334,7 +354,7 @@
 			continue
 		}
 		for {
-			k := j.NextWaiting(len(j.Tasks))
+			k := w.next(j)
 			if k < 0 || !p.give(w, j, k, machines) {
 				break
 			}
@@ -345,7 +365,7 @@
 // launch places all waiting tasks of a gang or none. While the gang still
 // gathers, lost tasks are replaced under the attempt it has.
 func (p *Planner) launch(w *World, j *jobs.Job, machines []*workers.Machine) bool {
-	if j.Broken || (j.Began && j.Placed > 0) || !p.Within(j.Team, j.Need.Times(j.Waiting), w.Unresolved) {
+	if j.Broken || (j.Began && j.Placed > 0) || !p.Within(j.Team, j.Need.Times(j.Waiting), w.missing(j.Team)) {
 		return false
 	}
 	if j.Rec.OneZone && j.Placed == 0 {
@@ -372,7 +392,7 @@
 func (p *Planner) all(w *World, j *jobs.Job, machines []*workers.Machine) bool {
 	var placed []int
 	for {
-		k := j.NextWaiting(len(j.Tasks))
+		k := w.next(j)
 		if k < 0 {
 			return true
 		}
@@ -389,12 +409,12 @@
 }
 
 func (p *Planner) ready(w *World, j *jobs.Job) bool {
-	return j.Phase == jobs.Open && w.Now >= j.NotBefore && !w.unsettled(j)
+	return j.Phase == jobs.Open && w.Now >= j.NotBefore
 }
 
 // give places one task on the best machine, if there is one.
 func (p *Planner) give(w *World, j *jobs.Job, k int, machines []*workers.Machine) bool {
-	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.Unresolved) || p.refused(j) {
+	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.missing(j.Team)) || p.refused(j) {
 		return false
 	}
 	var best *workers.Machine
@@ -463,7 +483,7 @@
 		fit = slices.DeleteFunc(fit, func(m *workers.Machine) bool { return m.Zone != zone })
 	}
 	want := 0
-	for n := j.Waiting; want < n && p.Within(j.Team, j.Need.Times(want+1), w.Unresolved); want++ {
+	for n := j.Waiting; want < n && p.Within(j.Team, j.Need.Times(want+1), w.missing(j.Team)); want++ {
 	}
 	if j.Rec.Kind == jobs.Gang && (want < j.Waiting || total < j.Waiting) {
 		return false
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -5,6 +5,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"bitternmoor/internal/amounts"
@@ -72,6 +73,9 @@
 	TypeNames names.Table
 	PlannedOn []*workers.Machine // all on which tasks may be planned
 
+	unresolved, blind int               // machines, and those without a number among them
+	missing           []amounts.Amounts // what they may be using, by team
+
 	listeners []Listener
 	out       []effects.Effect
 }
@@ -89,6 +93,7 @@
 	TaskBegan                        // Task of Job was seen to run on Machine
 	TaskDone                         // Task of Job has completed, after Took seconds of running or, below 0, after an unknown time
 	ReportTaken                      // Report of Machine, newer than all before, was taken in
+	MachineEmpty                     // Machine, on which nothing is, is to be returned: nothing will be started on it
 	MachineResolved                  // what earlier terms left on Machine is known
 )
 
@@ -219,19 +224,33 @@
 	return sum
 }
 
-// Unresolved sums up the machines of which it is not known what an earlier
-// term left on them, and says whether one of them may have tasks of any job,
-// since no grants were noted for it.
-func (s *State) Unresolved() (room amounts.Amounts, blind bool) {
-	for _, m := range s.Yard.All() {
-		if m.Durable && !m.Resolved {
-			room = room.Plus(m.Cap)
-			blind = blind || m.Number == 0
+// Expect counts a machine of which it is not known what an earlier term left on
+// it: in full against every team whose tasks it may have.
+func (s *State) Expect(m *workers.Machine) { s.expect(m, 1) }
+
+// Found takes back what Expect counted: the machine has reported, or is gone.
+func (s *State) Found(m *workers.Machine) { s.expect(m, -1) }
+
+func (s *State) expect(m *workers.Machine, by int) {
+	s.unresolved += by
+	if m.Number == 0 {
+		s.blind += by
+	}
+	for len(s.missing) < len(s.Plan.Limits) {
+		s.missing = append(s.missing, amounts.Amounts{})
+	}
+	for team := range s.missing {
+		if m.AnyTeam || m.Number == 0 || slices.Contains(m.Claims, int32(team)) {
+			s.missing[team] = s.missing[team].Plus(m.Cap.Times(by))
 		}
 	}
-	return room, blind
 }
 
+// Unresolved counts the machines of which it is not known what an earlier term
+// left on them, and says whether one of them may have tasks of any job, since no
+// grants were noted for it.
+func (s *State) Unresolved() (machines int, blind bool) { return s.unresolved, s.blind > 0 }
+
 // StopNow sends a machine's stops without waiting for its next report.
 func (s *State) StopNow(m *workers.Machine) {
 	if m.Address != "" && m.Up && !m.Leaving {
@@ -366,8 +385,7 @@
 
 // World is what the planner looks at.
 func (s *State) World(now time.Duration) blocks.World {
-	room, blind := s.Unresolved()
-	return blocks.World{Now: now, Quiet: s.Quiet(), Jobs: s.Jobs, Yard: s.Yard, Book: s.Book, Unresolved: room, Blind: blind, Zone: s.Zones.Index}
+	return blocks.World{Now: now, Quiet: s.Quiet(), Jobs: s.Jobs, Yard: s.Yard, Book: s.Book, Missing: s.missing, Blind: s.blind > 0, Zone: s.Zones.Index}
 }
 
 // AddMachine enters a machine; nil if it is there already, is gone for good, or
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -38,7 +38,7 @@
 	if !d.deleteBusy {
 		var list []string
 		for _, m := range d.Yard.All() {
-			if m.Leaving && len(list) < 100 {
+			if m.Leaving && !m.Unwritten && len(list) < 100 {
 				list = append(list, m.Name)
 			}
 		}
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -494,8 +494,9 @@
 		}
 	}
 	for _, m := range d.Yard.All() {
-		if m.Draining && len(m.Tasks) == 0 && m.Strays == 0 {
+		if m.Draining && !m.Leaving && len(m.Tasks) == 0 && len(m.Offers) == 0 && m.Strays == 0 {
 			d.Leave(m, "not needed")
+			d.Tell(cluster.Event{Kind: cluster.MachineEmpty, At: now, Machine: m})
 		}
 	}
 	if d.Cfg.Tunables.MoveSaved == 1 {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -54,6 +54,9 @@
 	// Unsettled counts the machines that may have tasks of an earlier term and
 	// are not resolved yet: until there are none, what is unseen may run there.
 	Unsettled int
+	// FreshFrom: no earlier term has handed out the tasks from this number on, so
+	// none of them can run unseen.
+	FreshFrom int
 	Types     []bool
 	Spot      bool // may and should use spot machines
 
@@ -70,6 +73,7 @@
 	Finished int // including the noted ones
 	NotedN   int
 	cursor   int
+	fresh    int // the same from FreshFrom on
 
 	Zones map[int32]int // placed tasks by zone, where the job has a say in that
 	// Launch is the attempt that all tasks of a gang share; 0 while none is
@@ -184,6 +188,17 @@
 	return -1
 }
 
+// NextFresh returns the waiting task of the lowest number that no earlier term
+// can have started, or -1.
+func (j *Job) NextFresh() int {
+	for j.fresh = max(j.fresh, j.FreshFrom); j.fresh < len(j.Tasks); j.fresh++ {
+		if j.Tasks[j.fresh] == Waiting {
+			return j.fresh
+		}
+	}
+	return -1
+}
+
 // Place notes that a task was given to a machine.
 func (j *Job) Place(k int) {
 	j.Tasks[k] = Placed
@@ -199,7 +214,7 @@
 	j.Tasks[k] = Waiting
 	j.Waiting++
 	j.Placed--
-	j.cursor = min(j.cursor, k)
+	j.cursor, j.fresh = min(j.cursor, k), min(j.fresh, k)
 }
 
 // ZoneRule says whether the job restricts where its tasks may be together.
--- /dev/null
+++ b/internal/placing/marks.go
@@ -0,0 +1,204 @@
+package placing
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
+)
+
+// What a new leader may start while machines are silent. Grants tell it which
+// jobs a machine that it cannot hear may have; marks tell it which of their
+// tasks. Tasks get room in the order of their numbers, so one number a job is
+// enough: before a task is offered, it is noted that tasks below some number
+// beyond its own may have been handed out. What lies above that no earlier term
+// can have started, and it need not wait for any machine.
+//
+// A mark holds for as long as every term since was one that notes marks. A term
+// of another version, or with marks switched off, leaves none behind: so each
+// term that does notes an unbroken span of terms up to itself. Where the span
+// does not reach up to the term before, all tasks of all jobs count as handed
+// out, as they do without marks.
+
+// Name is that of the duty's own entries.
+const Name = "placing"
+
+const (
+	markSlack = 8  // a mark is beyond the task that needs it by so many tasks at least,
+	markShare = 8  // or by one in so many of those before it: few starts wait for a mark
+	markBytes = 32 // upper bound for what a job's mark takes in an entry
+)
+
+// entry is one of the duty's own: marks of some jobs, or the span of terms that
+// noted theirs.
+type entry struct {
+	Epoch uint64      `json:"e,omitempty"`
+	Marks [][2]uint64 `json:"m,omitempty"` // id of a job, and its mark
+	From  uint64      `json:"a,omitempty"`
+	To    uint64      `json:"b,omitempty"`
+}
+
+type marks struct {
+	on      bool
+	from    uint64                          // the first term of the unbroken span up to this one
+	durable map[uint64]int                  // by job id: tasks below may be handed out
+	wanted  map[uint64]int                  // the same, noted or being noted
+	raise   map[uint64]int                  // to be noted
+	waiting map[uint64][]*workers.Placement // plans that need a higher mark
+	writing [][][2]uint64                   // on their way to the log, in their order; the span of terms is an empty one
+	begin   bool                            // the span is to be noted
+	kept    bool                            // it has been, by the cleaning under way
+
+	replayed []entry // while the log is replayed
+	unread   bool    // an entry could not be read
+}
+
+func newMarks() marks {
+	return marks{durable: map[uint64]int{}, wanted: map[uint64]int{}, raise: map[uint64]int{}, waiting: map[uint64][]*workers.Placement{}}
+}
+
+func (m *marks) forget(id uint64) {
+	delete(m.durable, id)
+	delete(m.wanted, id)
+	delete(m.raise, id)
+	delete(m.waiting, id)
+}
+
+func (d *Duty) replayMarks(own *ledger.Own) {
+	var e entry
+	if err := json.Unmarshal(own.Data, &e); err != nil {
+		// Without its mark a job would count as never handed out.
+		d.Note(effects.Error, "what was handed out cannot be read: all tasks of all jobs count as handed out", "error", err)
+		d.marks.unread = true
+		return
+	}
+	d.marks.replayed = append(d.marks.replayed, e)
+}
+
+// beginMarks settles what earlier terms can have handed out.
+func (d *Duty) beginMarks() {
+	m := &d.marks
+	m.on = d.Cfg.Tunables.NoteTasks == 1
+	for _, e := range m.replayed {
+		if e.To == d.Epoch-1 && e.From > 0 {
+			m.from = e.From
+		}
+	}
+	whole := m.from > 0 && !m.unread
+	for _, e := range m.replayed {
+		for _, x := range e.Marks {
+			if j := d.Jobs.Find(x[0]); whole && j != nil && e.Epoch >= m.from {
+				m.durable[x[0]] = max(m.durable[x[0]], int(min(x[1], uint64(len(j.Tasks)))))
+			}
+		}
+	}
+	m.replayed = nil
+	if !whole {
+		m.from = d.Epoch
+	}
+	for _, j := range d.Jobs.All() {
+		if j == nil {
+			continue
+		}
+		id := j.Rec.ID
+		if !whole {
+			m.durable[id] = len(j.Tasks)
+			m.raise[id] = len(j.Tasks)
+		}
+		m.wanted[id] = m.durable[id]
+		j.FreshFrom = m.durable[id]
+	}
+	if !m.on {
+		clear(m.raise)
+	}
+	m.begin = m.on
+}
+
+// mark settles whether a plan may be offered, and raises its job's mark if not.
+func (d *Duty) mark(p *workers.Placement) {
+	m, id, k := &d.marks, p.JobID, int(p.Ref.Task)
+	if p.Noted = !m.on || k < m.durable[id]; p.Noted {
+		return
+	}
+	m.waiting[id] = append(m.waiting[id], p)
+	if k < m.wanted[id] {
+		return
+	}
+	j := d.Jobs.At(p.Ref.Job)
+	to := len(j.Tasks)
+	if j.Rec.Kind == jobs.Array {
+		to = min(to, k+1+max(markSlack, (k+1)/markShare))
+	}
+	m.wanted[id], m.raise[id] = to, to
+}
+
+// writeMarks hands raised marks to the log, and first of all those of jobs that
+// earlier terms may have handed out, with the span of terms behind them.
+func (d *Duty) writeMarks() {
+	m := &d.marks
+	var list [][2]uint64
+	for _, id := range slices.Sorted(maps.Keys(m.raise)) {
+		list = append(list, [2]uint64{id, uint64(m.raise[id])})
+	}
+	clear(m.raise)
+	for part := range slices.Chunk(list, max(1, (d.Log.Room()-ledger.EntryBytes)/markBytes)) {
+		d.appendMarks(entry{Epoch: d.Epoch, Marks: part}, part)
+	}
+	if m.begin {
+		m.begin = false
+		d.appendMarks(entry{From: m.from, To: d.Epoch}, nil)
+	}
+}
+
+func (d *Duty) appendMarks(e entry, marks [][2]uint64) {
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return // numbers always can be written
+	}
+	d.marks.writing = append(d.marks.writing, marks)
+	d.Log.AppendFact(ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}})
+}
+
+// marked lets the plans be offered that the marks which are durable now cover.
+func (d *Duty) marked() {
+	m := &d.marks
+	list := m.writing[0]
+	m.writing = m.writing[1:]
+	for _, x := range list {
+		id := x[0]
+		if d.Jobs.Find(id) == nil {
+			continue
+		}
+		m.durable[id] = max(m.durable[id], int(x[1]))
+		m.waiting[id] = slices.DeleteFunc(m.waiting[id], func(p *workers.Placement) bool {
+			p.Noted = int(p.Ref.Task) < m.durable[id]
+			return p.Noted
+		})
+	}
+}
+
+// keepMarks writes anew what is live of an entry.
+func (d *Duty) keepMarks(own *ledger.Own) {
+	m := &d.marks
+	var e entry
+	if !m.on || json.Unmarshal(own.Data, &e) != nil {
+		return
+	}
+	if e.To > 0 && !m.kept {
+		m.kept = true
+		d.appendMarks(entry{From: m.from, To: d.Epoch}, nil)
+	}
+	var list [][2]uint64
+	for _, x := range e.Marks {
+		if d.Jobs.Find(x[0]) != nil {
+			list = append(list, [2]uint64{x[0], uint64(m.wanted[x[0]])})
+		}
+	}
+	if len(list) > 0 {
+		d.appendMarks(entry{Epoch: d.Epoch, Marks: list}, list)
+	}
+}
--- /dev/null
+++ b/internal/placing/marks_test.go
@@ -0,0 +1,193 @@
+package placing
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// placer is the duty of a term of this epoch, with jobs of 100 tasks each.
+func placer(epoch uint64, on int, count int) *Duty {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Tunables.NoteTasks = on
+	s := cluster.New(cluster.Start{Cfg: cfg, Epoch: epoch, Counts: &cluster.Counts{}})
+	s.Log = ledger.NewLog(ledger.Limits{WriteRPS: 1e6, ValueBytes: 2048, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	for id := range count {
+		s.Jobs.Add(ledger.Job{ID: uint64(id + 1), Tasks: 100}).Phase = jobs.Open
+	}
+	return New(s)
+}
+
+// settle has everything written that a duty wants to write, and returns it.
+func settle(t *testing.T, d *Duty) (out []ledger.Entry) {
+	t.Helper()
+	d.Write(0)
+	for mark := uint64(1); d.Log.Pending() > 0; mark++ {
+		now := time.Duration(mark) * time.Second
+		txn := d.Log.Next(now)
+		for _, w := range txn.Writes {
+			if len(w.Value) > 2048 {
+				t.Fatalf("a value of %d bytes", len(w.Value))
+			}
+		}
+		facts, _ := d.Log.Result(now, txn.Seq, ledger.Applied, mark, nil)
+		for _, e := range facts {
+			d.Durable(now, true, e)
+		}
+		out = append(out, facts...)
+	}
+	return out
+}
+
+func begin(epoch uint64, on int, log []ledger.Entry) *Duty {
+	d := placer(epoch, on, 2)
+	for _, e := range log {
+		d.Replay(0, e)
+	}
+	d.Begin(0)
+	return d
+}
+
+func plan(d *Duty, id uint64, task int32) *workers.Placement {
+	p := &workers.Placement{Ref: workers.Ref{Job: d.Jobs.Find(id).Index, Task: task}, JobID: id}
+	d.mark(p)
+	return p
+}
+
+// A task may be offered once its job's mark is durable beyond it. The next term
+// knows from the marks what was never handed out; a term that leaves no marks
+// behind ends that, and it begins anew after it.
+func TestMarks(t *testing.T) {
+	var log []ledger.Entry
+	d := begin(1, 1, nil)
+	if got := d.Jobs.Find(1).FreshFrom; got != 100 {
+		t.Errorf("what ran before the first marks is fresh from %d on", got)
+	}
+	log = append(log, settle(t, d)...)
+
+	d = begin(2, 1, log)
+	late := d.Jobs.Add(ledger.Job{ID: 3, Tasks: 100})
+	late.Phase = jobs.Open
+	p, q := plan(d, 3, 0), plan(d, 3, 8)
+	if p.Noted || q.Noted {
+		t.Error("offered before the mark is durable")
+	}
+	log = append(log, settle(t, d)...)
+	if !p.Noted || !q.Noted {
+		t.Error("not offered once it is")
+	}
+	if r := plan(d, 3, 9); r.Noted {
+		t.Error("a task beyond the mark is offered")
+	}
+	// That one's mark is never written: the term ends here.
+
+	third := func(epoch uint64, on int, log []ledger.Entry) *Duty {
+		d := placer(epoch, on, 3)
+		for _, e := range log {
+			d.Replay(0, e)
+		}
+		d.Begin(0)
+		return d
+	}
+	next := third(3, 1, log)
+	if a, b := next.Jobs.Find(1).FreshFrom, next.Jobs.Find(3).FreshFrom; a != 100 || b != 9 {
+		t.Errorf("read as fresh from %d and %d on, want 100 and 9", a, b)
+	}
+	for name, d := range map[string]*Duty{"a term between that left nothing": third(4, 1, log),
+		"an entry that cannot be read": third(3, 1, append(log[:len(log):len(log)], ledger.Entry{Own: &ledger.Own{Duty: Name, Data: json.RawMessage(`7`)}}))} {
+		for id := range uint64(3) {
+			if got := d.Jobs.Find(id + 1).FreshFrom; got != 100 {
+				t.Errorf("%s: job %d is fresh from %d on", name, id+1, got)
+			}
+		}
+	}
+	off := third(3, 0, log)
+	if p := plan(off, 3, 50); !p.Noted || len(settle(t, off)) != 0 {
+		t.Error("switched off, it writes or waits all the same")
+	}
+
+	// Cleaned, the marks and the span are those of the term that cleans.
+	settle(t, next)
+	var kept []ledger.Entry
+	for _, e := range log {
+		next.Keep(0, e)
+	}
+	next.Kept()
+	kept = settle(t, next)
+	spans := 0
+	for _, e := range kept {
+		var x entry
+		if err := json.Unmarshal(e.Own.Data, &x); err != nil {
+			t.Fatal(err)
+		}
+		if x.To > 0 {
+			spans++
+		}
+	}
+	if after := third(4, 1, kept); spans != 1 || after.Jobs.Find(3).FreshFrom != 9 {
+		t.Errorf("cleaned: %d spans, fresh from %d on", spans, after.Jobs.Find(3).FreshFrom)
+	}
+}
+
+// Marks of many jobs are written in parts that fit.
+func TestMarksInParts(t *testing.T) {
+	d := placer(2, 1, 500)
+	d.Begin(0)
+	if got := settle(t, d); len(got) < 3 {
+		t.Errorf("%d entries", len(got))
+	}
+	for id, m := range d.marks.durable {
+		if m != 100 {
+			t.Fatalf("job %d has mark %d", id, m)
+		}
+	}
+}
+
+// A machine that is not resolved counts against the teams whose tasks it may
+// have, and against all of them where that is not known.
+func TestUnresolvedByTeam(t *testing.T) {
+	s := placer(2, 1, 0).State
+	for _, team := range []string{"a", "b", "c"} {
+		s.Teams.Index(team)
+		s.Plan.AddTeam()
+	}
+	for id := range 3 {
+		s.Jobs.Add(ledger.Job{ID: uint64(id + 1), Tasks: 1}).Team = int32(id)
+	}
+	s.Jobs.Finish(8, jobs.Done)
+	s.Jobs.Finish(9, jobs.Cancelled)
+	for n := range 5 {
+		m := s.Yard.Add(&workers.Machine{Name: fmt.Sprint(n), Number: n + 1, Durable: true})
+		m.Cap.CPU = 1 << n
+		if n == 4 {
+			m.Number = 0 // of a version that notes no grants
+		}
+	}
+	d := New(s)
+	for n, grants := range [][]uint64{{}, {1}, {1, 2, 8}, {9}} {
+		for _, id := range grants {
+			d.Replay(0, ledger.Entry{Grant: &ledger.Grant{Job: id, Machines: []int{n + 1}}})
+		}
+	}
+	d.Begin(0)
+	for team, want := range []int64{2 + 4 + 8 + 16, 4 + 8 + 16, 8 + 16} {
+		if got := s.World(0).Missing[team].CPU; got != want {
+			t.Errorf("against team %d count %d, want %d", team, got, want)
+		}
+	}
+	for _, m := range s.Yard.All() {
+		s.Found(m)
+	}
+	for team, m := range s.World(0).Missing {
+		if m.CPU != 0 {
+			t.Errorf("against team %d count %d once all are found", team, m.CPU)
+		}
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -35,6 +35,8 @@
 	passAt    time.Duration
 	preemptAt time.Duration
 
+	marks marks
+
 	noted    map[uint64]map[int]bool  // while the log is replayed
 	byNumber map[int]*workers.Machine // while the log is cleaned
 }
@@ -42,11 +44,14 @@
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
 	return &Duty{State: s, granting: map[uint64][]*workers.Machine{}, granted: map[uint64][]*workers.Machine{}, withdrawn: map[uint64][]int{},
-		noted: map[uint64]map[int]bool{}}
+		marks: newMarks(), noted: map[uint64]map[int]bool{}}
 }
 
 // Replay takes an entry of the log.
 func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	if e.Own != nil {
+		d.replayMarks(e.Own)
+	}
 	if e.Grant == nil {
 		return
 	}
@@ -68,14 +73,32 @@
 		j := d.Jobs.Find(id)
 		for n, open := range list {
 			d.Numbers = max(d.Numbers, n)
-			if m := byNumber[n]; open && j != nil && m != nil && n != 0 {
+			m := byNumber[n]
+			switch {
+			case !open || m == nil || m.Resolved || n == 0:
+			case j != nil:
 				m.Grants[id] = true
 				d.granted[id] = append(d.granted[id], m)
 				j.Unsettled++
+				if !slices.Contains(m.Claims, j.Team) {
+					m.Claims = append(m.Claims, j.Team)
+				}
+			default:
+				// A cancelled job, whose team is not known any more: its tasks may be
+				// there yet. One that is done has none anywhere.
+				if p, _ := d.Jobs.Final(id); p != jobs.Done {
+					m.AnyTeam = true
+				}
 			}
 		}
 	}
 	d.noted = nil
+	for _, m := range d.Yard.All() {
+		if m.Durable && !m.Resolved {
+			d.Expect(m)
+		}
+	}
+	d.beginMarks()
 }
 
 func (d *Duty) numbered() map[int]*workers.Machine {
@@ -88,6 +111,9 @@
 
 // Durable lets the tasks of a grant that is noted start.
 func (d *Duty) Durable(_ time.Duration, _ bool, e ledger.Entry) {
+	if e.Own != nil {
+		d.marked()
+	}
 	if e.Grant == nil {
 		return
 	}
@@ -113,6 +139,7 @@
 		delete(d.withdrawn, id)
 		delete(d.granted, id)
 		delete(d.granting, id)
+		d.marks.forget(id)
 	case cluster.ReportTaken:
 		if e.Report.Token == e.Machine.Token {
 			d.withdraw(e.At, e.Machine, e.Report)
@@ -151,6 +178,9 @@
 
 // Keep writes anew what is live of an entry.
 func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	if e.Own != nil {
+		d.keepMarks(e.Own)
+	}
 	if e.Grant == nil || e.Grant.Back {
 		return
 	}
@@ -159,7 +189,7 @@
 	}
 	g := ledger.Grant{Job: e.Grant.Job}
 	for _, number := range e.Grant.Machines {
-		if m := d.byNumber[number]; m != nil && m.Grants[g.Job] {
+		if m := d.byNumber[number]; m != nil && (m.Grants[g.Job] || !m.Resolved) {
 			g.Machines = append(g.Machines, number)
 		}
 	}
@@ -169,7 +199,10 @@
 }
 
 // Kept forgets what the cleaning needed.
-func (d *Duty) Kept() { d.byNumber = nil }
+func (d *Duty) Kept() {
+	d.byNumber = nil
+	d.marks.kept = false
+}
 
 // pass gives room to waiting tasks. What gets a place on a machine for the first
 // time of its job is granted there.
@@ -205,6 +238,7 @@
 	for _, p := range d.planned {
 		if m := p.Home; d.Where[p.Ref] == p {
 			d.ListPlans(m)
+			d.mark(p)
 			if _, noted := m.Grants[p.JobID]; !noted {
 				m.Grants[p.JobID] = false
 				d.granting[p.JobID] = append(d.granting[p.JobID], m)
@@ -235,6 +269,7 @@
 		}
 	}
 	clear(d.granting)
+	d.writeMarks()
 }
 
 // withdraw takes back the grants of jobs that have had nothing on a machine for
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,11 +5,11 @@
 package roster
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
@@ -43,6 +43,20 @@
 	watchedAt       time.Duration
 
 	registry map[string]ledger.Machine // while the log is replayed
+	last     []returns                 // likewise
+	empty    []string                  // machines to be noted as empty and on their way out
+}
+
+// Name is that of the duty's own entries.
+const Name = "roster"
+
+// returns notes in which term machines were to be returned on which nothing is
+// any more, before they are deleted. The next term need not wait for them. It
+// holds for that term alone: one in between may not have known of it, and have
+// started tasks there.
+type returns struct {
+	Epoch    uint64   `json:"e"`
+	Machines []string `json:"m"`
 }
 
 // New makes the duty of a term.
@@ -60,6 +74,15 @@
 			d.Yard.Remove(n)
 			delete(d.registry, n)
 		}
+	case e.Own != nil:
+		var r returns
+		if err := json.Unmarshal(e.Own.Data, &r); err != nil {
+			d.Note(effects.Warn, "a note of machines that are returned cannot be read: they are waited for", "error", err)
+			return
+		}
+		if r.Epoch == d.Epoch-1 {
+			d.last = append(d.last, r)
+		}
 	}
 }
 
@@ -73,11 +96,55 @@
 			d.Numbers = max(d.Numbers, m.Number)
 		}
 	}
-	d.registry = nil
+	for _, r := range d.last {
+		for _, name := range r.Machines {
+			if m := d.Yard.Find(name); m != nil {
+				m.Resolved = true
+				d.Leave(m, "not needed, as the term before has noted")
+				d.empty = append(d.empty, name) // for the term after this one
+			}
+		}
+	}
+	d.registry, d.last = nil, nil
+}
+
+// Hear has a machine noted on which nothing is before it is deleted.
+func (d *Duty) Hear(e cluster.Event) {
+	if e.Kind == cluster.MachineEmpty && d.Cfg.Tunables.NoteReturns == 1 {
+		e.Machine.Unwritten = true
+		d.empty = append(d.empty, e.Machine.Name)
+	}
+}
+
+// Write notes machines that are to be returned.
+func (d *Duty) Write(time.Duration) {
+	if len(d.empty) == 0 {
+		return
+	}
+	for _, part := range ledger.Split(d.empty, d.Log.Room()-2*ledger.EntryBytes) {
+		raw, err := json.Marshal(returns{d.Epoch, part})
+		if err != nil {
+			continue // strings always can be written
+		}
+		d.Log.AppendFact(ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}})
+	}
+	d.empty = nil
 }
 
-// Durable lets tasks start on a machine that is registered.
+// Durable lets tasks start on a machine that is registered, and one be deleted
+// that is noted as empty.
 func (d *Duty) Durable(_ time.Duration, _ bool, e ledger.Entry) {
+	if e.Own != nil {
+		var r returns
+		if json.Unmarshal(e.Own.Data, &r) == nil { // this term wrote it
+			for _, name := range r.Machines {
+				if m := d.Yard.Find(name); m != nil {
+					m.Unwritten = false
+				}
+			}
+		}
+		return
+	}
 	if e.Machine == nil {
 		return
 	}
@@ -125,13 +192,14 @@
 // resolved notes that what an earlier term left on a machine is known.
 func (d *Duty) resolved(now time.Duration, m *workers.Machine) {
 	d.Dirty = true
+	d.Found(m)
 	for id := range m.Grants {
 		if j := d.Jobs.Find(id); j != nil && j.Unsettled > 0 {
 			j.Unsettled--
 		}
 	}
 	d.Tell(cluster.Event{Kind: cluster.MachineResolved, At: now, Machine: m})
-	if room, _ := d.Unresolved(); room == (amounts.Amounts{}) {
+	if n, _ := d.Unresolved(); n == 0 {
 		d.Note(effects.Info, "all machines resolved", "epoch", d.Epoch, "after", (now - d.Began).Round(10*time.Millisecond))
 	}
 }
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -190,6 +190,7 @@
 	cfg := *c.cfg
 	if old {
 		cfg.Deployment.State.Next = nil // it does not know of them
+		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept = 0, 0, 0
 	}
 	c.core = node.NewCore(&cfg, c.s.now.Milliseconds())
 	c.users = map[effects.Asker]func(effects.Answer){}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -23,6 +23,8 @@
 	AimShare        float64 // for classes with aims: the share of the tightest one that takes its place
 	IdleReturnS     float64 // room of ordinary machines that was not wanted for this time is returned
 	SpotReturnS     float64 // the same of spot machines
+	NoteTasks       int     // it is noted up to which number tasks may be handed out
+	NoteReturns     int     // a machine that is returned empty is noted before
 	MoveSaved       int     // tasks that save are moved off machines that are to be returned
 	SpotTaskS       float64 // tasks that run longer and cannot save stay off spot machines
 	UsualStayS      float64 // how long a rented machine is usually kept, against which its boot is weighed
@@ -81,6 +83,7 @@
 	amount("sizing", "write_every", "s", "how often virtual sizes are written down", 5, 0.5, 3600, func(t *Tunables) *float64 { return &t.SizesEveryS }),
 	amount("blocks", "locality_delay", "s", "how long a job leaves room on machines without its image to jobs that have theirs there", 2, 0, 60, func(t *Tunables) *float64 { return &t.LocalityS }),
 	amount("blocks", "lease", "s", "how long a block of machines is leased", 20, 1, 3600, func(t *Tunables) *float64 { return &t.BlockLeaseS }),
+	whole("blocks", "note_tasks", "0 or 1", "it is noted up to which number tasks of a job may have been handed out, so that a new leader may start those above at once", 1, 0, 1, func(t *Tunables) *int { return &t.NoteTasks }),
 	amount("leadership", "hold", "s", "life of the leader's hold", 2, 1, 60, func(t *Tunables) *float64 { return &t.LeaderHoldS }),
 	whole("exceptions", "urgent_first", "0 or 1", "urgent and critical jobs go ahead of the order", 1, 0, 1, func(t *Tunables) *int { return &t.UrgentFirst }),
 	whole("exceptions", "follow_urgency", "0 or 1", "a job takes the priority of the jobs that need it", 1, 0, 1, func(t *Tunables) *int { return &t.FollowUrgency }),
@@ -98,6 +101,7 @@
 	amount("fleet", "spot_task", "s", "tasks that run longer than this and save nothing stay off spot machines: a sudden loss would cost too much", 600, 0, 1e9, func(t *Tunables) *float64 { return &t.SpotTaskS }),
 	amount("fleet", "usual_stay", "s", "how long a rented machine is usually kept; its boot is weighed against it", 120, 1, 86400, func(t *Tunables) *float64 { return &t.UsualStayS }),
 	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
+	whole("fleet", "note_returns", "0 or 1", "a machine that is returned with nothing on it is noted first, so that a new leader need not wait for it", 1, 0, 1, func(t *Tunables) *int { return &t.NoteReturns }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
 }
 
--- /dev/null
+++ b/internal/term/returns_test.go
@@ -0,0 +1,65 @@
+package term
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/roster"
+)
+
+// deletes lists the machines that a term has deleted since.
+func deletes(term *Term) []string {
+	var out []string
+	for _, e := range term.Take() {
+		if d, ok := e.(effects.Delete); ok {
+			out = append(out, d.Machines...)
+		}
+	}
+	return out
+}
+
+// A machine that is returned empty is deleted only once that is noted, and the
+// next leader neither waits for it nor holds jobs back for what it may have. A
+// later one does: a term in between may have started tasks there.
+func TestReturnedMachineIsNoted(t *testing.T) {
+	job := ledger.Job{ID: 1, Team: "team", Tasks: 9, CPUs: 1, MemoryGB: 1}
+	log := []ledger.Entry{{Types: []ledger.Type{{Name: "m", CPUs: 8, MemoryGB: 64, Zones: []string{"a"}}}},
+		{Machine: &ledger.Machine{Name: "host", Type: "m", Zone: "a", Number: 1}}, {Job: &job}, {Grant: &ledger.Grant{Job: 1, Machines: []int{1}}}}
+	term := smallTerm(log)
+	m := term.Yard.Find("host")
+	if n, _ := term.Unresolved(); n != 1 || term.Jobs.Find(1).Unsettled != 1 {
+		t.Fatal("the machine is not waited for: the test tests nothing")
+	}
+	term.Leave(m, "not needed")
+	term.Tell(cluster.Event{Kind: cluster.MachineEmpty, Machine: m})
+	term.Tick(time.Second, true)
+	if got := deletes(term); len(got) != 0 {
+		t.Errorf("deleted before it is noted: %v", got)
+	}
+	now := time.Second
+	noted := written(t, term, &now)
+	term.Tick(now+time.Second, true)
+	if got := deletes(term); len(got) != 1 {
+		t.Errorf("once it is noted, %v is deleted", got)
+	}
+	for back, free := range []bool{true, false} {
+		again := append([]ledger.Entry{}, log...)
+		for _, e := range noted {
+			if e.Own != nil && e.Own.Duty == roster.Name {
+				e = ledger.Entry{Own: &ledger.Own{Duty: roster.Name, Data: json.RawMessage(fmt.Sprintf(`{"e":%d,"m":["host"]}`, 1-back))}}
+			}
+			again = append(again, e)
+		}
+		next := smallTerm(again) // of epoch 2
+		n, _ := next.Unresolved()
+		next.Tick(time.Second, true)
+		if gone := len(deletes(next)) == 1; gone != free || (n == 0) != free || (next.Jobs.Find(1).Unsettled == 0) != free {
+			t.Errorf("noted %d terms before: deleted at once %v, %d machines are waited for", 1+back, gone, n)
+		}
+	}
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -86,8 +86,8 @@
 		owners: map[string]Duty{}}
 	t.add("", t.Users)
 	t.add("", t.order)
-	t.add("", t.roster)
-	t.add("", t.placing)
+	t.add(roster.Name, t.roster)
+	t.add(placing.Name, t.placing)
 	t.add("", t.fleet)
 	if keep := start.Cfg.Tunables.TakeoversKept; keep > 0 {
 		t.add(takeovers.Name, takeovers.New(s, keep))
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -105,6 +105,7 @@
 	past      map[*Machine]bool // machines it was offered to under this serial
 	Serial    uint64            // of the offer; a controller starts a serial once
 	Once      bool              // bound to Home: tasks of gangs and of jobs with rules on zones
+	Noted     bool              // it is noted that tasks up to its number may be handed out
 	Frozen    bool              // not offered again before no offer is open
 	Withdrawn bool              // to be taken back once no offer is open
 	seq       uint64
@@ -126,18 +127,22 @@
 
 // Machine is one machine.
 type Machine struct {
-	Index          int32
-	Name, Address  string
-	Type, Zone     int32
-	Spot           bool
-	Cap, Free      amounts.Amounts
-	CacheGB        float64
-	FetchGBPS      float64
-	Number         int             // in the registry
-	Grants         map[uint64]bool // jobs, by id, that may have tasks here; true once that is durable
-	Durable        bool            // in the registry: tasks may be started
-	Up             bool            // has reported in this term
-	Resolved       bool            // what an earlier term left on it is known
+	Index         int32
+	Name, Address string
+	Type, Zone    int32
+	Spot          bool
+	Cap, Free     amounts.Amounts
+	CacheGB       float64
+	FetchGBPS     float64
+	Number        int             // in the registry
+	Grants        map[uint64]bool // jobs, by id, that may have tasks here; true once that is durable
+	Durable       bool            // in the registry: tasks may be started
+	Up            bool            // has reported in this term
+	Resolved      bool            // what an earlier term left on it is known
+	// Claims are the teams whose tasks of earlier terms it may have while it is not
+	// resolved; AnyTeam says that they may be anybody's.
+	Claims         []int32
+	AnyTeam        bool
 	Session, Seq   uint64
 	Heard          time.Duration
 	RentedAt       time.Duration
@@ -145,6 +150,7 @@
 	TakenAt        time.Duration
 	Draining       bool // gets no new tasks, to be returned when empty
 	Leaving        bool // its deletion has been decided, for good
+	Unwritten      bool // and waits until it is noted that nothing is on it
 	Why            string
 	Tasks          map[Ref]*Placement
 	Strays         int // tasks that should not be there, still shown
@@ -231,7 +237,7 @@
 func (m *Machine) Offer(planned []*Machine, serial, attempt func() uint64) []Offer {
 	var out []Offer
 	add := func(p *Placement, here bool) {
-		if !m.Grants[p.JobID] {
+		if !m.Grants[p.JobID] || !p.Noted {
 			return // a successor must be able to know first
 		}
 		if p.Frozen || p.Withdrawn || (len(p.Offered) > 0 && p.past[m]) {
@@ -258,6 +264,9 @@
 	}
 	here := len(out)
 	for _, o := range planned {
+		if m.Draining {
+			break // it is to become empty
+		}
 		if o == m || o.Holder != m.Holder || o.Type != m.Type || o.Zone != m.Zone || o.Spot != m.Spot || m.Held {
 			continue
 		}
@@ -557,7 +566,7 @@
 		return m.registryQueued
 	}
 	for _, p := range m.Tasks {
-		if p.Planned && !m.Grants[p.JobID] {
+		if p.Planned && (!m.Grants[p.JobID] || !p.Noted) {
 			return true
 		}
 	}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// Nothing is offered to a machine before its grant is durable.
+// Nothing is offered to a machine before its grant is durable, and the job's mark
+// beyond the task.
 func TestOffersWaitForGrants(t *testing.T) {
 	_, m := machine()
 	p := &Placement{Ref: Ref{Job: 3}, JobID: 3, Need: amounts.Need(1, 0, 1)}
@@ -82,6 +83,10 @@
 		t.Errorf("offered %v before the grant is durable", got)
 	}
 	m.Grants[3] = true
+	if got := m.Offer([]*Machine{m}, next, next); len(got) != 0 || !m.Awaits() {
+		t.Errorf("offered %v before the mark is durable", got)
+	}
+	p.Noted = true
 	if got := m.Offer([]*Machine{m}, next, next); len(got) != 1 || m.Awaits() {
 		t.Errorf("offered %v once it is", got)
 	}
