Work per event: answers that wait, returns, preemption and watching follow what changed

Cause, by profile at 2,600 machines with 20,000 waiting tasks: each job looked through all machines twice a second to see whether one could take it; preemption and the watch looked through all tasks; a report looked through all answers that wait, and each machine resolved after a takeover through all machines.

Change: the first machine that fits is enough; tasks are looked through only once a job is found that may have their room, or a job is cancelled, a machine drains or has its notice; answers that wait are found by machine; what unresolved machines may have is kept as sums.

Held against plain ways on random states; allocations are asserted at 100 and 1,000 machines.

--- a/internal/blocks/blocks_test.go
+++ b/internal/blocks/blocks_test.go
@@ -1,7 +1,9 @@
 package blocks
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -95,6 +97,43 @@
 	}
 }
 
+// Preemption looks through the tasks only when it must. Held against a way that
+// always does, on random states, it stops the same tasks.
+func TestPreemptQuickAgainstPlain(t *testing.T) {
+	total := 0
+	for seed := range uint64(200) {
+		var got [2][]string
+		for i, plain := range []bool{true, false} {
+			r := rand.New(rand.NewPCG(seed, 2))
+			w, _, p := randomWorld(r, 30, 40)
+			p.plain = plain
+			p.Pass(w)
+			w.Now += 3 * time.Second
+			for _, m := range w.Yard.All() {
+				for _, ref := range slices.SortedFunc(maps.Keys(m.Tasks), func(a, b workers.Ref) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task)) }) {
+					v := m.Tasks[ref]
+					v.Planned, v.Seen, v.State, v.RanAt = false, true, workers.Running, w.Now-time.Duration(r.IntN(9))*time.Second
+					v.Attempt = uint64(len(got[i])) + uint64(ref.Job)<<16 + uint64(ref.Task)
+				}
+			}
+			// Those that came last are urgent now, and find the machines taken.
+			for _, j := range w.Jobs.All()[20:] {
+				j.Priority = uint8(r.IntN(4))
+			}
+			for _, v := range p.Preempt(w) {
+				got[i] = append(got[i], fmt.Sprintf("%d/%d on %s", v.JobID, v.Ref.Task, v.Home.Name))
+			}
+		}
+		if !slices.Equal(got[0], got[1]) {
+			t.Fatalf("seed %d: plain stops %v, quick %v", seed, got[0], got[1])
+		}
+		total += len(got[0])
+	}
+	if total < 200 {
+		t.Errorf("only %d tasks were stopped: the worlds do not tell the two apart", total)
+	}
+}
+
 // A pass at full size: a thousand machines, of which most are full, and a
 // hundred jobs with thousands of waiting tasks.
 func BenchmarkPass(b *testing.B) {
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -25,12 +25,20 @@
 func (p *Planner) Preempt(w World) []*workers.Placement {
 	var out []*workers.Placement
 	var pool []*workers.Placement
-	lowest := int8(0)
-	for n, i := range p.Order(&w) {
-		if n == 0 {
-			if pool, lowest = p.pool(&w); len(pool) == 0 {
-				return nil
-			}
+	order := p.Order(&w)
+	// The tasks are looked through only once a job is found that may have room at
+	// others' cost. Until then the lowest rank of any job with tasks stands in for
+	// that of those which may be stopped: it is no higher.
+	lowest, pooled := int8(127), false
+	for _, i := range order {
+		if w.Jobs.At(i).Placed > 0 {
+			lowest = min(lowest, p.ranks[i])
+		}
+	}
+	for _, i := range order {
+		if p.plain && !pooled {
+			pool, lowest = p.pool(&w)
+			pooled = true
 		}
 		if p.ranks[i] <= lowest {
 			break // nobody ranks below this job or those after it
@@ -40,6 +48,12 @@
 			w.Now-j.AcceptedAt < preemptAfter || (j.PreemptedAt > 0 && w.Now-j.PreemptedAt < preemptPause) {
 			continue
 		}
+		if !pooled {
+			pool, lowest = p.pool(&w)
+			if pooled = true; p.ranks[i] <= lowest {
+				break
+			}
+		}
 		if victims := p.victims(&w, j, pool); len(victims) > 0 {
 			j.PreemptedAt = w.Now
 			for _, v := range victims {
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -266,6 +266,11 @@
 	})
 }
 
+// somewhere says whether a machine that stays may take tasks of a job.
+func (d *Duty) somewhere(j *jobs.Job) bool {
+	return slices.ContainsFunc(d.Yard.All(), func(m *workers.Machine) bool { return !m.Draining && d.hasPlace(j, m) })
+}
+
 // places is how many machines that stay may take tasks of a job.
 func (d *Duty) places(j *jobs.Job) int {
 	n := 0
@@ -283,7 +288,7 @@
 // not use those waited until it was gone.
 func (d *Duty) keepFor(picky []*jobs.Job) {
 	for _, j := range picky {
-		if j.Phase != jobs.Open || d.places(j) > 0 {
+		if j.Phase != jobs.Open || d.somewhere(j) {
 			continue
 		}
 		for _, m := range d.Yard.All() {
@@ -311,7 +316,7 @@
 		return true // more may be on the way
 	}
 	if j.Rec.Kind == jobs.Array {
-		return d.places(j) > 0
+		return d.somewhere(j)
 	}
 	need := len(j.Tasks) - j.Finished
 	zones := d.slots(j)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,7 +39,8 @@
 	lives           map[string]int64         // of the controllers that hold blocks
 	seen            map[string]time.Duration // when they were last heard
 	grants, serials uint64
-	waiting         []waitingReport // reports not answered yet
+	waiting         []*waitingReport // reports not answered yet, in the order in which they came
+	waits           map[*workers.Machine]*waitingReport
 	watchedAt       time.Duration
 
 	registry map[string]ledger.Machine // while the log is replayed
@@ -61,7 +62,7 @@
 
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
-	return &Duty{State: s, lives: map[string]int64{}, seen: map[string]time.Duration{}, registry: map[string]ledger.Machine{}}
+	return &Duty{State: s, lives: map[string]int64{}, seen: map[string]time.Duration{}, waits: map[*workers.Machine]*waitingReport{}, registry: map[string]ledger.Machine{}}
 }
 
 // Replay takes an entry of the log.
@@ -175,7 +176,9 @@
 // End has all reports that wait answered without anything.
 func (d *Duty) End() {
 	for _, w := range d.waiting {
-		d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 503}})
+		if !w.over {
+			d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 503}})
+		}
 	}
 	d.waiting = nil
 }
@@ -187,6 +190,7 @@
 	m     *workers.Machine
 	cmds  []workers.Command
 	since time.Duration
+	over  bool // answered, since the machine has reported again
 }
 
 // resolved notes that what an earlier term left on a machine is known.
@@ -274,13 +278,11 @@
 		d.Emit(effects.ReplyReport{To: to, Answer: answer}) // a late report: its answer goes nowhere
 		return
 	}
-	for i, w := range d.waiting {
-		if w.m == m {
-			// The worker has given that one up: nothing may be started by it.
-			d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 200, Token: m.Token}})
-			d.waiting = slices.Delete(d.waiting, i, i+1)
-			break
-		}
+	if w := d.waits[m]; w != nil {
+		// The worker has given that one up: nothing may be started by it.
+		d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 200, Token: m.Token}})
+		w.over = true
+		delete(d.waits, m)
 	}
 	elsewhere := d.hold(now, m, in)
 	if !m.Up {
@@ -302,9 +304,10 @@
 		d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: elsewhere}})
 		return
 	}
-	w := waitingReport{to, m, cmds, now}
+	w := &waitingReport{to: to, m: m, cmds: cmds, since: now}
 	if sure && !m.Leaving && !m.Notice && (d.Dirty || m.Awaits()) {
 		d.waiting = append(d.waiting, w)
+		d.waits[m] = w
 		return
 	}
 	d.reply(sure, w)
@@ -312,7 +315,7 @@
 
 // reply answers a report: with what follows from it, the stops that are due
 // and the offers.
-func (d *Duty) reply(sure bool, w waitingReport) {
+func (d *Duty) reply(sure bool, w *waitingReport) {
 	m := w.m
 	answer := effects.ReportAnswer{Status: 200, Token: m.Token, LeaseS: d.Cfg.Tunables.BlockLeaseS, Commands: append(w.cmds, m.Stops()...)}
 	if sure && m.Durable && m.Resolved && !m.Leaving && !m.Notice {
@@ -326,10 +329,14 @@
 func (d *Duty) Release(now time.Duration, sure bool) {
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
+		if w.over {
+			continue
+		}
 		if sure && w.m.Awaits() && now-w.since < grantWait && !w.m.Leaving {
 			kept = append(kept, w)
 			continue
 		}
+		delete(d.waits, w.m)
 		d.reply(sure, w)
 	}
 	clear(d.waiting[len(kept):])
@@ -473,6 +480,7 @@
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
 	}
 	overdue := settings.Seconds(0.5 * w.CancelS)
+	cancelled := slices.ContainsFunc(d.Jobs.All(), func(j *jobs.Job) bool { return j != nil && j.Phase == jobs.Cancelled })
 	for _, m := range slices.Clone(d.Yard.All()) {
 		if m.Leaving {
 			continue
@@ -493,6 +501,9 @@
 		case m.Strays > 0 && now-m.StraysSince > overdue:
 			d.Leave(m, "tasks that do not stop")
 		}
+		if !cancelled && !m.Notice && !m.Draining {
+			continue // nothing that is on it is of any interest here
+		}
 		for _, p := range m.Tasks {
 			j := d.Jobs.At(p.Ref.Job)
 			if j.Phase == jobs.Cancelled && now-j.CancelledAt > overdue {
--- a/internal/term/report_test.go
+++ b/internal/term/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -77,6 +78,87 @@
 	}
 }
 
+// The sums of what machines that are not resolved may have, kept up as they report
+// or are gone, are those of a plain count at every step.
+func TestUnresolvedSums(t *testing.T) {
+	entries := scaleLog(60)
+	for i := range entries { // of three teams
+		if j := entries[i].Job; j != nil {
+			copied := *j
+			copied.Team = fmt.Sprint("team", j.ID%3)
+			entries[i].Job = &copied
+		}
+	}
+	_, reports := fullLog(60, 100)
+	term := New(cluster.Start{Cfg: scaleSettings(), Epoch: 2, Counts: &cluster.Counts{}})
+	term.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
+	r := rand.New(rand.NewPCG(3, 3))
+	r.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+	for i := 0; ; i++ {
+		plain := map[int32]int64{}
+		left := 0
+		for _, m := range term.Yard.All() {
+			if m.Durable && !m.Resolved {
+				left++
+				for _, team := range m.Claims {
+					plain[team] += m.Cap.CPU
+				}
+			}
+		}
+		n, _ := term.Unresolved()
+		for team, sum := range term.World(0).Missing {
+			if sum.CPU != plain[int32(team)] || n != left {
+				t.Fatalf("after %d machines: %d of team %d, plain count %d; %d machines, plain count %d", i, sum.CPU, team, plain[int32(team)], n, left)
+			}
+		}
+		if i == len(reports) {
+			if left != 0 {
+				t.Errorf("%d machines are never resolved", left)
+			}
+			return
+		}
+		if i%3 == 0 {
+			term.Deleted(time.Second, []string{reports[i].Report.Machine}, true)
+		} else {
+			term.take(time.Second, &reports[i])
+		}
+	}
+}
+
+// What a completion and the first report after a takeover cost must not grow with
+// the number of machines either: allocations at 100 and at 1,000 machines.
+func TestCompletionsAndTakeoversCostLittle(t *testing.T) {
+	completion := func(machines int) float64 {
+		term, reports := fullTerm(machines, 100)
+		for i := range reports {
+			term.take(time.Second, &reports[i])
+		}
+		term.Tick(time.Second, true)
+		n := 0
+		return testing.AllocsPerRun(machines/2, func() {
+			r := &reports[n%machines]
+			r.Report.Tasks[n/machines].State, r.Report.Tasks[n/machines].Reason = workers.Ended, workers.Completed
+			term.take(time.Second, r)
+			n++
+		})
+	}
+	resolve := func(machines int) float64 {
+		_, reports := fullLog(machines, 100)
+		term := New(cluster.Start{Cfg: scaleSettings(), Epoch: 2, Counts: &cluster.Counts{}})
+		term.Load(0, 1, Durable{First: 1, Last: 2, Entries: scaleLog(machines)})
+		n := 0
+		return testing.AllocsPerRun(machines/2, func() {
+			term.take(time.Second, &reports[n%machines])
+			n++
+		})
+	}
+	for name, cost := range map[string]func(int) float64{"a completion": completion, "a first report": resolve} {
+		if small, large := cost(100), cost(1000); large > small+6 || large > 80 {
+			t.Errorf("%s takes %v allocations with 1,000 machines, %v with 100", name, large, small)
+		}
+	}
+}
+
 // A round of reports of all machines, with a tick after each twentieth.
 func BenchmarkReports(b *testing.B) {
 	term, reports := fullTerm(1000, 100)
