--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -111,6 +111,9 @@
 // New makes the state of a term that knows nothing yet.
 func New(start Start) *State {
 	cfg := start.Cfg
+	if start.Measures == nil {
+		start.Measures = &Measures{}
+	}
 	s := &State{
 		Start: start, Token: start.Epoch << TokenBits, attempts: start.Epoch << attemptBits,
 		Jobs: jobs.NewTable(), Yard: workers.NewYard(),
--- /dev/null
+++ b/internal/scenario/scale_test.go
@@ -0,0 +1,210 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"runtime"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/term"
+	"bitternmoor/internal/wire"
+)
+
+// TestScaleDay plays a day on so many machines as SCALE_DAY says, with waves of
+// jobs, a zone cut during which the leader crashes, a state outage, and a crash of
+// all controllers. It prints what a leader sends, how large the log is, what is
+// read back at a takeover, and how much memory that takes. It is for
+// docs/scale.md; CI leaves it out.
+func TestScaleDay(t *testing.T) {
+	machines, _ := strconv.Atoi(os.Getenv("SCALE_DAY"))
+	if machines == 0 {
+		t.Skip("only to measure: SCALE_DAY=1300")
+	}
+	c := baseSettings()
+	d := &c.Deployment
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 5, 26.5, 51.5
+	d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 100, 16, 16
+	d.Cloud.RPS = 9
+	c.Tunables.TakeoversKept = 50
+	s := newSim(c, 1, 3, false)
+	s.cloud.capacity = machines
+	s.scale = &scaleCounts{sent: map[string]int{}, spent: map[string]time.Duration{}}
+	var poll func()
+	poll = func() {
+		for i, j := range s.jobs {
+			if j.accepted && !j.toldDone {
+				s.poll(j, int(i))
+			}
+		}
+		s.after(5*time.Second, poll)
+	}
+	s.after(0, poll)
+	id := uint64(0)
+	wave := func(count, tasks int, run time.Duration) {
+		for range count {
+			id++
+			job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: 1, Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: fmt.Sprint(id % 16), ImageGB: 0.3,
+				Spot: true, EstimateS: run.Seconds()}
+			j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
+			s.jobs[id] = j
+			s.submit(j, int(id), func() bool { return true })
+		}
+	}
+	report := func(what string) {
+		log, entries := 0, 0
+		for k, it := range s.state.items {
+			if _, err := ledger.Number(k); err == nil {
+				log++
+				list, err := ledger.Decode(it.value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				entries += len(list)
+			}
+		}
+		open, up := 0, 0
+		for _, j := range s.jobs {
+			if !j.toldDone {
+				open++
+			}
+		}
+		for _, m := range s.cloud.machines {
+			if m.up {
+				up++
+			}
+		}
+		t.Logf("%6.1f s %-34s machines %4d, open jobs %3d, log %3d segments with %5d entries, %d removed", s.now.Seconds(), what, up, open, log, entries, s.state.cleaned)
+	}
+	wave(machines/25, 180, 30*time.Second)
+	s.run(60 * time.Second)
+	report("full")
+	for range 12 {
+		wave(machines/100, 120, 30*time.Second)
+		s.run(5 * time.Second)
+	}
+	report("steady")
+	for name, m := range s.cloud.machines {
+		if m.zone == "b" {
+			s.cuts = append(s.cuts, &cut{host: name, hold: true})
+		}
+	}
+	s.run(8 * time.Second)
+	if l := s.leader(); l != nil {
+		l.crash()
+	}
+	s.run(30 * time.Second)
+	for _, x := range slices.Clone(s.cuts) {
+		s.heal(x.host)
+	}
+	for _, n := range s.nodes {
+		if !n.up {
+			n.start(false)
+		}
+	}
+	report("after a zone cut with a crash")
+	s.run(30 * time.Second)
+	s.state.outage = true
+	s.run(10 * time.Second)
+	s.state.recover()
+	for range 6 {
+		wave(machines/100, 120, 30*time.Second)
+		s.run(5 * time.Second)
+	}
+	report("after an outage")
+	for _, n := range s.nodes {
+		n.crash()
+	}
+	s.run(8 * time.Second)
+	for _, n := range s.nodes {
+		n.start(false)
+	}
+	s.run(60 * time.Second)
+	report("after all controllers crashed")
+	s.until(600*time.Second, func() bool {
+		for _, j := range s.jobs {
+			if !j.toldDone {
+				return false
+			}
+		}
+		return true
+	})
+	report("all done")
+	s.run(120 * time.Second)
+	report("two minutes later")
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %d, the first: %s", len(s.check.broken), s.check.broken[0])
+	}
+	if l := s.leader(); l != nil {
+		raw, _, err := l.core.Show("takeovers")
+		t.Logf("takeovers: %s %v", raw, err)
+	}
+	var total time.Duration
+	for _, k := range slices.Sorted(maps.Keys(s.scale.sent)) {
+		t.Logf("%-22s %8d, %7.1f a second", k, s.scale.sent[k], float64(s.scale.sent[k])/s.now.Seconds())
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.scale.spent)) {
+		total += s.scale.spent[k]
+		t.Logf("in the cores, %-20s %8.2f s", k, s.scale.spent[k].Seconds())
+	}
+	t.Logf("in the cores of three controllers: %.2f s of %.0f s played", total.Seconds(), s.now.Seconds())
+	measureReplay(t, s, c)
+}
+
+// measureReplay reads the whole log back, as a new leader does, and says how long
+// that takes and how much memory the term then has.
+func measureReplay(t *testing.T, s *sim, c settings.Settings) {
+	if s.scale.largest == nil {
+		t.Fatal("no leader has read the log")
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	at := time.Now()
+	x := term.New(cluster.Start{Cfg: &c, Epoch: 99, Counts: &cluster.Counts{}})
+	x.Load(0, 1, *s.scale.largest)
+	took := time.Since(at)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	t.Logf("the largest log that was read: %d segments, %d entries; replayed in %.1f ms, %.1f MB held by the term", s.scale.largest.Last-s.scale.largest.First+1,
+		len(s.scale.largest.Entries), float64(took.Microseconds())/1000, float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc))/(1<<20))
+	runtime.KeepAlive(x)
+}
+
+// scaleCounts counts what controllers send, and the time in their cores.
+type scaleCounts struct {
+	sent    map[string]int
+	spent   map[string]time.Duration
+	largest *term.Durable // the largest log that a new leader has read
+}
+
+func (x *scaleCounts) effect(e effects.Effect) {
+	if x != nil {
+		x.sent[reflect.TypeOf(e).Name()]++
+	}
+}
+
+// time runs an input and counts its time.
+func (x *scaleCounts) time(what string, f func()) {
+	if x == nil {
+		f()
+		return
+	}
+	at := time.Now()
+	f()
+	x.spent[what] += time.Since(at)
+}
+
+func (x *scaleCounts) read(d term.Durable) {
+	if x != nil && (x.largest == nil || len(d.Entries) > len(x.largest.Entries)) {
+		x.largest = &d
+	}
+}
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -268,6 +268,7 @@
 			}))
 			return
 		}
+		st.s.scale.read(r)
 		c.into(func(now time.Duration) { c.core.Loaded(now, epoch, r) })()
 	})
 }
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -60,6 +60,7 @@
 	check *checker
 	cuts  []*cut
 	jobs  map[uint64]*userJob
+	scale *scaleCounts // nil but on days that are measured
 }
 
 // newSim makes a world of so many controllers; with old they begin with the
@@ -201,7 +202,7 @@
 		if c.life != life || !c.up {
 			return
 		}
-		c.core.Tick(c.clock())
+		c.s.scale.time("ticks", func() { c.core.Tick(c.clock()) })
 		c.drain()
 		c.s.after(50*time.Millisecond, tick)
 	}
@@ -234,7 +235,7 @@
 	life := c.life
 	return func() {
 		if c.life == life && c.up {
-			f(c.clock())
+			c.s.scale.time("results", func() { f(c.clock()) })
 			c.drain()
 		}
 	}
@@ -250,6 +251,7 @@
 
 func (c *controller) do(e effects.Effect) {
 	s := c.s
+	s.scale.effect(e)
 	switch e := e.(type) {
 	case effects.Reply:
 		if f := c.users[e.To]; f != nil {
@@ -270,7 +272,7 @@
 				}
 				o.asker++
 				o.reports[o.asker] = reply
-				o.core.Relayed(o.clock(), o.asker, between(c, o, e.Report))
+				s.scale.time("reports of peers", func() { o.core.Relayed(o.clock(), o.asker, between(c, o, e.Report)) })
 				o.drain()
 			}, func(a effects.ReportAnswer, ok bool) {
 				a = answered(c, o, a)
@@ -366,7 +368,7 @@
 	c.asker++
 	to := c.asker
 	c.users[to] = done
-	f(c, c.clock(), to)
+	c.s.scale.time("users", func() { f(c, c.clock(), to) })
 	c.drain()
 }
 
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -134,7 +134,7 @@
 		}
 		c.asker++
 		c.reports[c.asker] = reply
-		c.core.Report(c.clock(), c.asker, r)
+		w.s.scale.time("reports", func() { c.core.Report(c.clock(), c.asker, r) })
 		c.drain()
 	}, func(a effects.ReportAnswer, ok bool) {
 		w.flight = false
