--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -364,13 +364,19 @@
 	return up, silent
 }
 
-// Deaf says whether most machines are silent at once.
+// Deaf says whether most machines are silent at once, and the fault may be on our
+// side. Where a zone is heard well it is not: the others are cut off. Found at
+// twice the size of a fleet with two zones, of which the larger one was cut: its
+// machines were waited for twice as long, and more were rented there.
 func (s *State) Deaf(now time.Duration) bool {
 	up, silent := 0, 0
 	byZone, silentIn := s.Heard(now)
 	for z := range byZone {
 		up += byZone[z]
 		silent += silentIn[z]
+		if byZone[z] >= fewSilent && silentIn[z]*heardWell <= byZone[z] {
+			return false
+		}
 	}
 	return Most(silent, up)
 }
@@ -420,8 +426,13 @@
 	}
 }
 
-// fewSilent: fewer silent machines are no sign of anything but themselves.
-const fewSilent = 4
+// fewSilent: fewer silent machines are no sign of anything but themselves, nor
+// fewer heard ones.
+// heardWell: a zone is if at most one in so many of its machines is silent.
+const (
+	fewSilent = 4
+	heardWell = 5
+)
 
 // Most says whether so many of so many machines are silent that the fault is
 // not theirs.
--- /dev/null
+++ b/internal/cluster/state_test.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// Most machines are silent. That is a fault of the zones they are in where another
+// one is heard well, and perhaps our own otherwise.
+func TestDeaf(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		up, mute []int // by zone
+		deaf     bool
+	}{
+		{"all are heard", []int{30, 40}, []int{0, 0}, false},
+		{"the larger zone is cut off", []int{30, 40}, []int{1, 40}, false},
+		{"two of three zones are cut off", []int{20, 40, 40}, []int{0, 40, 39}, false},
+		{"two of three controllers do not reach us", []int{30, 40}, []int{20, 27}, true},
+		{"a zone with next to nobody in it is heard", []int{3, 40}, []int{0, 40}, true},
+		{"nobody is heard", []int{30, 40}, []int{30, 40}, true},
+		{"less than half are silent", []int{30, 40}, []int{14, 19}, false},
+	} {
+		cfg := &settings.Settings{Tunables: settings.Defaults()}
+		cfg.Deployment.Workers.ReportS = 1
+		s := New(Start{Cfg: cfg, Counts: &Counts{}})
+		now := time.Minute
+		for z, n := range c.up {
+			s.Zones.Index(fmt.Sprint(z))
+			for i := range n {
+				m := s.Yard.Add(&workers.Machine{Name: fmt.Sprint(z, " ", i), Zone: int32(z), Up: true, Heard: now})
+				if i < c.mute[z] {
+					m.Heard = now - 10*time.Second
+				}
+			}
+		}
+		if got := s.Deaf(now); got != c.deaf {
+			t.Errorf("%s: deaf %v", c.name, got)
+		}
+	}
+}
