Learned run times: estimates with intervals, forecasts, warnings before a job is late

Need: when screens run slowly nobody is told until breakfast.

Events TaskGone and JobDone; views of a duty; settings that are no numbers.

--- /dev/null
+++ b/internal/calendar/calendar.go
@@ -0,0 +1,126 @@
+// Package calendar tells to which night a moment belongs, as operators count
+// nights: in their time zone, from one beginning to the next as a cron expression
+// says, whatever the clocks do in between. Some nights are holidays.
+//
+// Zones come with the program (time/tzdata), since a machine may have none.
+package calendar
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+	_ "time/tzdata" // controllers run on machines without zone files
+
+	"github.com/robfig/cron/v3"
+)
+
+// DateForm is how dates are written.
+const DateForm = "2006-01-02"
+
+// longest is the longest that a night lasts. Where the clocks skip the hour at
+// which one begins, cron leaves that beginning out: it is put where it would have
+// been.
+const longest = 26 * time.Hour
+
+// Calendar divides time into nights.
+type Calendar struct {
+	zone     *time.Location
+	begins   cron.Schedule
+	holidays []string
+
+	from, to time.Time // the night that was asked for last
+	last     Night
+}
+
+// Night is one night.
+type Night struct {
+	Day     int32 // days since 1970-01-01 of the local date on which it begins
+	Date    string
+	Holiday bool
+}
+
+// FieldError names the part of a calendar that is wrong.
+type FieldError struct{ Field, Why string }
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Why }
+
+// New makes a calendar: zone is a name of the IANA database, begins a cron
+// expression of five fields that comes true once a day, and holidays are dates on
+// which such nights begin.
+func New(zone, begins string, holidays []string) (*Calendar, error) {
+	loc, err := time.LoadLocation(zone)
+	if err != nil || zone == "" || zone == "Local" {
+		return nil, &FieldError{"time_zone", fmt.Sprintf("not a time zone of the IANA database: %q", zone)}
+	}
+	s, err := cron.ParseStandard(begins)
+	if err != nil {
+		return nil, &FieldError{"night", fmt.Sprintf("not a cron expression: %q", begins)}
+	}
+	c := &Calendar{zone: loc, begins: s}
+	// Once a day, on a day on which no clock is changed and on the one after it.
+	at := time.Date(2026, 1, 14, 0, 0, 0, 0, loc)
+	one := s.Next(at.Add(-time.Second))
+	two := s.Next(one)
+	if one.Sub(at) >= 24*time.Hour || two.Sub(one) != 24*time.Hour {
+		return nil, &FieldError{"night", fmt.Sprintf("%q does not come true once a day", begins)}
+	}
+	for _, h := range holidays {
+		if _, err := time.Parse(DateForm, h); err != nil {
+			return nil, &FieldError{"holidays", fmt.Sprintf("not a date like %s: %q", DateForm, h)}
+		}
+		c.holidays = append(c.holidays, h)
+	}
+	return c, nil
+}
+
+// Dates splits a list of dates.
+func Dates(list string) []string {
+	var out []string
+	for d := range strings.SplitSeq(list, ",") {
+		if d = strings.TrimSpace(d); d != "" {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// At is the night to which a moment belongs.
+func (c *Calendar) At(t time.Time) Night {
+	if !c.from.IsZero() && !t.Before(c.from) && t.Before(c.to) {
+		return c.last
+	}
+	t = t.In(c.zone)
+	// The last beginning up to t, each local date counting once: where the clocks
+	// go back over the hour, the second one is of the same night.
+	from := c.next(t.Add(-2 * longest))
+	for {
+		to := c.next(from)
+		for sameDate(from, to) {
+			to = c.next(to)
+		}
+		if to.After(t) {
+			c.from, c.to = from, to
+			break
+		}
+		from = to
+	}
+	y, m, d := c.from.Date()
+	date := c.from.Format(DateForm)
+	c.last = Night{Day: int32(time.Date(y, m, d, 0, 0, 0, 0, time.UTC).Unix() / 86400), Date: date, Holiday: slices.Contains(c.holidays, date)}
+	return c.last
+}
+
+// next is the first beginning after a moment.
+func (c *Calendar) next(t time.Time) time.Time {
+	n := c.begins.Next(t)
+	if n.Sub(t) > longest {
+		n = n.AddDate(0, 0, -1) // skipped by the clocks; Go puts it behind the gap
+		if !n.After(t) {
+			n = c.begins.Next(t)
+		}
+	}
+	return n
+}
+
+func sameDate(a, b time.Time) bool { return a.Format(DateForm) == b.Format(DateForm) }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -5,6 +5,7 @@
 package cluster
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -93,6 +94,8 @@
 	TaskBegan                        // Task of Job was seen to run on Machine
 	TaskDone                         // Task of Job has completed, after Took seconds of running or, below 0, after an unknown time
 	ReportTaken                      // Report of Machine, newer than all before, was taken in
+	TaskGone                         // Task of Job is not on Machine any more, and has not completed
+	JobDone                          // all tasks of Job are durably done
 	MachineEmpty                     // Machine, on which nothing is, is to be returned: nothing will be started on it
 	MachineResolved                  // what earlier terms left on Machine is known
 )
@@ -104,10 +107,17 @@
 	Job     *jobs.Job
 	Task    int
 	Took    float64
+	Mine    bool // of TaskDone: this leader has started the attempt, and seen it begin
 	Machine *workers.Machine
 	Report  *workers.Report
 }
 
+// ErrNoView is what a duty answers that is asked for a view it does not have.
+var ErrNoView = errors.New("no such view")
+
+// Mine says whether an attempt was given its number in this term.
+func (s *State) Mine(attempt uint64) bool { return attempt>>attemptBits == s.Epoch }
+
 // New makes the state of a term that knows nothing yet.
 func New(start Start) *State {
 	cfg := start.Cfg
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -178,6 +178,7 @@
 	j.Phase = jobs.Done
 	d.Jobs.Finish(done.ID, jobs.Done)
 	d.Book.Remove(j.Index, true, j.SumS, j.SumN)
+	d.Tell(cluster.Event{Kind: cluster.JobDone, At: now, Job: j})
 	d.Note(effects.Debug, "job done", "job", j.Rec.ID, "class", j.Rec.Class, "tasks", len(j.Tasks), "mean", j.Mean(), "estimate", j.Rec.EstimateS,
 		"first_start", (j.FirstAt - j.AcceptedAt).Round(100*time.Millisecond), "last_start", (j.LastAt - j.AcceptedAt).Round(100*time.Millisecond), "after", (now - j.AcceptedAt).Round(100*time.Millisecond))
 	for _, f := range d.Jobs.Unlink(j) {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -494,11 +494,11 @@
 
 // Show gives what operators may see of a duty; known is false on a node that
 // cannot tell, and the answer nil where there is no such duty.
-func (c *Core) Show(duty string) (raw json.RawMessage, known bool, err error) {
+func (c *Core) Show(now time.Duration, duty string) (raw json.RawMessage, known bool, err error) {
 	if c.term == nil || !c.term.Loaded() {
 		return nil, false, nil
 	}
-	raw, _, err = c.term.Show(duty)
+	raw, _, err = c.term.Show(now, duty)
 	return raw, true, err
 }
 
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -64,13 +64,13 @@
 		}
 		sendJSON(w, e)
 	})
-	r.Get(PathDuties+"{name}", func(w http.ResponseWriter, r *http.Request) {
-		name := chi.URLParam(r, "name")
+	r.Get(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
+		name := chi.URLParam(r, "*")
 		var raw []byte
 		var failed error
-		if err := n.whole("Controller.Show", name, &raw, func(time.Duration) bool {
+		if err := n.whole("Controller.Show", name, &raw, func(now time.Duration) bool {
 			var known bool
-			raw, known, failed = n.core.Show(name)
+			raw, known, failed = n.core.Show(now, name)
 			return known
 		}); err != nil {
 			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
@@ -150,9 +150,9 @@
 func (c *Controller) Show(name string, out *[]byte) error {
 	known := false
 	var failed error
-	if err := c.n.here(func(time.Duration) {
+	if err := c.n.here(func(now time.Duration) {
 		var raw json.RawMessage
-		raw, known, failed = c.n.core.Show(name)
+		raw, known, failed = c.n.core.Show(now, name)
 		*out = raw
 	}); err != nil {
 		return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -434,7 +434,7 @@
 		d.GangEnds(j)
 		j.Errors, m.Errors = 0, 0
 		d.Book.Completed(e.Ref.Job, k, took)
-		d.Tell(cluster.Event{Kind: cluster.TaskDone, At: now, Job: j, Task: k, Took: took, Machine: m})
+		d.Tell(cluster.Event{Kind: cluster.TaskDone, At: now, Job: j, Task: k, Took: took, Mine: d.Mine(e.Attempt), Machine: m})
 		d.Dirty = true
 	case workers.EvGone:
 		if e.Running {
@@ -444,6 +444,7 @@
 			d.Counts.TasksRerun++
 			d.Note(effects.Debug, "task to run again", "job", e.JobID, "task", k, "machine", m.Name, "why", e.Reason.String())
 		}
+		d.Tell(cluster.Event{Kind: cluster.TaskGone, At: now, Job: j, Task: k, Machine: m})
 		d.Lift(e.Ref)
 		if j.Rec.Kind == jobs.Gang && (j.Began || e.Reason == workers.Alone || e.Reason == workers.PeersLost || e.Reason == workers.Failed || e.Reason == workers.Stopped) {
 			d.BreakGang(j)
--- /dev/null
+++ b/internal/runtimes/model.go
@@ -0,0 +1,390 @@
+// Package runtimes is the duty that learns how long each kind of work usually
+// takes, from its own history, and says with it when open jobs should begin and
+// end and which of them will be late. It is pure: facts and times come in;
+// estimates, warnings and entries of the log come out. docs/run-times.md is its
+// design note and the operators' page.
+package runtimes
+
+import (
+	"cmp"
+	"fmt"
+	"math/bits"
+	"slices"
+	"strings"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+// Kind is what is taken for the same work. Ids of jobs are unique, so history goes
+// by what jobs have in common, finer or coarser.
+type Kind struct {
+	Class   string `json:"class"`
+	Team    string `json:"team,omitempty"`
+	Image   string `json:"image,omitempty"`
+	Shape   string `json:"shape,omitempty"` // tasks and processors, to a power of two
+	Holiday bool   `json:"holiday,omitempty"`
+}
+
+// shape buckets how many tasks a job has and how many thousandths of a processor
+// each takes.
+func shape(tasks int, milliCPU int64) string {
+	return fmt.Sprintf("%dx%d", bits.Len(uint(max(tasks, 1))), bits.Len64(uint64(max(milliCPU, 1))))
+}
+
+// levels lists a kind and the coarser ones that stand in for it while it has too
+// little history, the finest first.
+func (k Kind) levels() []Kind {
+	out := []Kind{k, {k.Class, k.Team, k.Image, "", k.Holiday}, {k.Class, "", k.Image, "", k.Holiday}, {k.Class, k.Team, "", "", k.Holiday}, {k.Class, "", "", "", k.Holiday}}
+	return slices.Compact(out)
+}
+
+// Level names how fine a kind is.
+func (k Kind) Level() string {
+	var parts []string
+	for _, p := range []struct {
+		set  bool
+		name string
+	}{{k.Class != "", "class"}, {k.Team != "", "team"}, {k.Image != "", "image"}, {k.Shape != "", "shape"}, {k.Holiday, "holiday"}} {
+		if p.set {
+			parts = append(parts, p.name)
+		}
+	}
+	return strings.Join(parts, "+")
+}
+
+func (k Kind) String() string {
+	s := k.Class
+	for _, p := range []string{k.Team, k.Image, k.Shape} {
+		s += "/" + p
+	}
+	if k.Holiday {
+		s += "/holiday"
+	}
+	return s
+}
+
+// Points of a distribution that a fact carries; each stands for as many values as
+// lie nearest to it.
+var (
+	points = [5]float64{.05, .25, .5, .75, .95}
+	shares = [5]float64{.15, .225, .25, .225, .15}
+)
+
+// Fact is what one job has shown, once it is done. Times are in seconds.
+type Fact struct {
+	ID       uint64
+	At       int64 // time of day, in seconds
+	Day      int32 // of the night it belongs to
+	Kind     Kind
+	N        int // tasks whose time counts
+	Task     [5]float64
+	Fetch    float64 // the median of what passed between a task's start and its running; 0: none was seen
+	Job      float64 // from its acceptance, or release, to its end
+	Estimate float64 // its owner's, of one task
+}
+
+const (
+	accuracy   = 0.02 // of sketches, relative
+	keepNights = 9    // closed ones: a freak one among them moves no median
+	enoughJobs = 2    // for a kind to speak for itself,
+	enoughN    = 20   // with so many tasks,
+	soloJobs   = 6    // or so many jobs, however few their tasks
+	nightMost  = 200  // tasks: more give a night no more weight
+)
+
+// Night is what a kind has shown in one night: all that is kept of it once it is
+// over. Times are in seconds.
+type Night struct {
+	Day                      int32
+	Jobs, N                  int
+	P50, P90                 float64 // of tasks
+	Fetch                    float64 // median
+	JobP50, JobP90           float64 // of jobs, from acceptance to end
+	RatioP10, RatioP50, RP90 float64 // of tasks, against their owners' estimates
+}
+
+// model is the history of one kind.
+type model struct {
+	nights []Night // closed ones, by day
+	open   *night
+	at     int64 // of its last fact
+}
+
+// night is one that is going on.
+type night struct {
+	day                      int32
+	jobs, n                  int
+	task, fetch, job, ratios *ddsketch.DDSketch
+}
+
+func newSketch() *ddsketch.DDSketch {
+	s, err := ddsketch.LogCollapsingLowestDenseDDSketch(accuracy, 512)
+	if err != nil {
+		panic(err) // the accuracy is a constant within its range
+	}
+	return s
+}
+
+// add counts a value; one that no sketch can hold is left out.
+func add(s *ddsketch.DDSketch, v, count float64) {
+	if v > 1e-6 && v < 1e9 && count > 0 {
+		_ = s.AddWithCount(v, count)
+	}
+}
+
+func quantile(s *ddsketch.DDSketch, q float64) float64 {
+	v, err := s.GetValueAtQuantile(q)
+	if err != nil {
+		return 0 // it is empty
+	}
+	return v
+}
+
+// take counts a fact. One of a night that is closed for this kind has been
+// counted.
+func (m *model) take(f *Fact) {
+	if len(m.nights) > 0 && f.Day <= m.nights[len(m.nights)-1].Day {
+		return
+	}
+	if m.open != nil && f.Day < m.open.day {
+		return
+	}
+	if m.open != nil && f.Day > m.open.day {
+		m.close()
+	}
+	if m.open == nil {
+		m.open = &night{day: f.Day, task: newSketch(), fetch: newSketch(), job: newSketch(), ratios: newSketch()}
+	}
+	m.at = max(m.at, f.At)
+	o := m.open
+	o.jobs++
+	o.n += f.N
+	for i, v := range f.Task {
+		add(o.task, v, shares[i]*float64(f.N))
+		if f.Estimate > 0 {
+			add(o.ratios, v/f.Estimate, shares[i]*float64(min(f.N, enoughN)))
+		}
+	}
+	add(o.fetch, f.Fetch, 1)
+	add(o.job, f.Job, 1)
+}
+
+// close ends the open night.
+func (m *model) close() {
+	if m.open == nil {
+		return
+	}
+	m.nights = append(m.nights, m.open.sum())
+	if over := len(m.nights) - keepNights; over > 0 {
+		m.nights = slices.Delete(m.nights, 0, over)
+	}
+	m.open = nil
+}
+
+func (o *night) sum() Night {
+	return Night{Day: o.day, Jobs: o.jobs, N: o.n, P50: quantile(o.task, .5), P90: quantile(o.task, .9), Fetch: quantile(o.fetch, .5),
+		JobP50: quantile(o.job, .5), JobP90: quantile(o.job, .9), RatioP10: quantile(o.ratios, .1), RatioP50: quantile(o.ratios, .5), RP90: quantile(o.ratios, .9)}
+}
+
+// all lists the nights, the open one as it stands.
+func (m *model) all() []Night {
+	if m.open == nil {
+		return m.nights
+	}
+	return append(m.nights[:len(m.nights):len(m.nights)], m.open.sum())
+}
+
+// count is how many jobs and tasks a kind has shown.
+func (m *model) count() (jobs, tasks int) {
+	for _, n := range m.all() {
+		jobs += n.Jobs
+		tasks += n.N
+	}
+	return jobs, tasks
+}
+
+func (m *model) enough() bool {
+	jobs, tasks := m.count()
+	return jobs >= enoughJobs && tasks >= enoughN || jobs >= soloJobs
+}
+
+// median is the weighted median of a value over nights: a night's weight is
+// bounded, and one freak night among several moves it to a neighbour at most.
+func median(nights []Night, of func(Night) float64) float64 {
+	type point struct{ v, w float64 }
+	var list []point
+	total := 0.0
+	for _, n := range nights {
+		if v := of(n); v > 0 {
+			w := float64(min(n.N, nightMost))
+			list = append(list, point{v, w})
+			total += w
+		}
+	}
+	if len(list) == 0 {
+		return 0
+	}
+	slices.SortFunc(list, func(a, b point) int { return cmp.Compare(a.v, b.v) })
+	// Between the two nights that the middle lies between, in proportion: so that an
+	// even number of nights does not jump.
+	sum := 0.0
+	for i, p := range list {
+		mid := sum + p.w/2
+		if mid >= total/2 {
+			if i == 0 {
+				return p.v
+			}
+			q := list[i-1]
+			from := sum - q.w/2
+			return q.v + (p.v-q.v)*(total/2-from)/(mid-from)
+		}
+		sum += p.w
+	}
+	return list[len(list)-1].v
+}
+
+// Estimate is how long tasks and jobs of a kind should take, as an interval.
+// Times are in seconds.
+type Estimate struct {
+	P50    float64 `json:"task_p50_s"`
+	P90    float64 `json:"task_p90_s"`
+	Fetch  float64 `json:"fetch_p50_s"`
+	JobP50 float64 `json:"job_p50_s,omitempty"` // from acceptance to end; 0: not known
+	JobP90 float64 `json:"job_p90_s,omitempty"`
+	Jobs   int     `json:"jobs"`
+	Tasks  int     `json:"tasks"`
+	Nights int     `json:"nights"`
+	AgeS   float64 `json:"age_s"`          // since the last of them
+	From   string  `json:"from"`           // the history that it comes from
+	Wide   string  `json:"wide,omitempty"` // why the interval is wide, where it is
+}
+
+const (
+	wideRatio = 2.5 // p90 over p50, from which on a kind is said to vary
+	// Without any history of the class: what owners are usually off by.
+	blindLow, blindHigh = 1.0, 2.0
+)
+
+// estimate makes an estimate of a kind's own history.
+func (m *model) estimate(k Kind, now int64) Estimate {
+	nights := m.all()
+	e := Estimate{Nights: len(nights), From: k.Level(), AgeS: float64(max(0, now-m.at)),
+		P50: median(nights, func(n Night) float64 { return n.P50 }), P90: median(nights, func(n Night) float64 { return n.P90 }),
+		Fetch:  median(nights, func(n Night) float64 { return n.Fetch }),
+		JobP50: median(nights, func(n Night) float64 { return n.JobP50 }), JobP90: median(nights, func(n Night) float64 { return n.JobP90 })}
+	e.Jobs, e.Tasks = m.count()
+	// Few nights have not shown how much one differs from another.
+	spread := 1 + .3/float64(len(nights))
+	e.P90 = max(e.P90, e.P50*spread)
+	e.JobP90 = max(e.JobP90, e.JobP50*spread)
+	if e.P90 > wideRatio*e.P50 {
+		e.Wide = "tasks of this kind differ widely among themselves"
+	}
+	return e
+}
+
+// Book is all history.
+type Book struct {
+	most   int // kinds
+	models map[Kind]*model
+}
+
+// NewBook makes an empty book of at most so many kinds.
+func NewBook(most int) *Book { return &Book{most: most, models: map[Kind]*model{}} }
+
+// Take counts a fact for its kind and the coarser ones. It returns the kinds for
+// which that has closed a night.
+func (b *Book) Take(f *Fact) (closed []Kind) {
+	for _, k := range f.Kind.levels() {
+		m := b.models[k]
+		if m == nil {
+			m = &model{}
+			b.models[k] = m
+		}
+		before := len(m.nights)
+		last := int32(-1)
+		if before > 0 {
+			last = m.nights[before-1].Day
+		}
+		m.take(f)
+		if n := len(m.nights); n > 0 && m.nights[n-1].Day != last {
+			closed = append(closed, k)
+		}
+	}
+	for len(b.models) > b.most {
+		b.drop()
+	}
+	return closed
+}
+
+// drop forgets the least useful kind: of those that are finest, the one that was
+// not seen for longest. Coarser ones speak for many.
+func (b *Book) drop() {
+	var worst Kind
+	var at *model
+	for k, m := range b.models {
+		if at == nil || worse(k, m, worst, at) {
+			worst, at = k, m
+		}
+	}
+	delete(b.models, worst)
+}
+
+func worse(k Kind, m *model, o Kind, n *model) bool {
+	if a, b := len(k.levels()), len(o.levels()); a != b {
+		return a > b
+	}
+	if m.at != n.at {
+		return m.at < n.at
+	}
+	return k.String() < o.String()
+}
+
+// Len is the number of kinds.
+func (b *Book) Len() int { return len(b.models) }
+
+// Estimate estimates work of a kind. owner is the owner's estimate of one task, in
+// seconds; it is used where there is no history, corrected by what this class's
+// owners have been off by.
+func (b *Book) Estimate(k Kind, owner float64, now int64) Estimate {
+	kinds := k.levels()
+	if k.Holiday {
+		ordinary := k
+		ordinary.Holiday = false
+		kinds = append(kinds, ordinary.levels()...)
+	}
+	fresh := k.Image != ""
+	for _, l := range kinds {
+		m := b.models[l]
+		if m == nil || !m.enough() {
+			continue
+		}
+		e := m.estimate(l, now)
+		if fresh && l.Image == "" && owner > 0 {
+			// A new image of a class that is known: the class's own range, about what
+			// the owner says of this one.
+			return corrected(m, e, owner)
+		}
+		return e
+	}
+	if owner <= 0 {
+		return Estimate{From: "nothing", Wide: "neither history nor an owner's estimate"}
+	}
+	return Estimate{P50: owner * blindLow, P90: owner * blindHigh, From: "owner's estimate", Wide: "no history: the owner's estimate alone"}
+}
+
+// corrected is an owner's estimate, corrected by what owners of the class were off
+// by.
+func corrected(m *model, class Estimate, owner float64) Estimate {
+	nights := m.all()
+	low, mid, high := median(nights, func(n Night) float64 { return n.RatioP10 }), median(nights, func(n Night) float64 { return n.RatioP50 }), median(nights, func(n Night) float64 { return n.RP90 })
+	if mid <= 0 {
+		return class
+	}
+	e := class
+	e.From = "owner's estimate, corrected by " + class.From
+	e.P50, e.P90 = owner*mid, max(owner*high, owner*mid*1.3)
+	e.JobP50, e.JobP90 = 0, 0
+	e.Wide = fmt.Sprintf("this image has no history: owners of the class are off by %.2g to %.2g times", low, high)
+	return e
+}
--- /dev/null
+++ b/internal/runtimes/model_test.go
@@ -0,0 +1,231 @@
+package runtimes
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// factOf makes a fact of tasks with these times.
+func factOf(id uint64, day int32, k Kind, owner float64, times []float64) *Fact {
+	slices.Sort(times)
+	f := &Fact{ID: id, At: int64(day) * 86400, Day: day, Kind: k, N: len(times), Estimate: owner, Job: times[len(times)-1] + 5, Fetch: 2}
+	for i, q := range points {
+		f.Task[i] = times[min(int(q*float64(len(times))), len(times)-1)]
+	}
+	return f
+}
+
+// normal gives n times about a mean, spread by a share of it.
+func normal(r *rand.Rand, n int, mean, spread float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = mean * math.Exp(spread*r.NormFloat64())
+	}
+	return out
+}
+
+var recon = Kind{Class: "recon", Team: "ops", Image: "img-1", Shape: "7x10"}
+
+// nights plays nights of three jobs each; of gives the mean of each night.
+func nights(b *Book, n int, k Kind, of func(day int) float64) {
+	r := rand.New(rand.NewPCG(5, 5))
+	for day := range n {
+		for j := range 3 {
+			b.Take(factOf(uint64(day*3+j+1), int32(day), k, 20, normal(r, 40, of(day), .15)))
+		}
+	}
+}
+
+// One night in thirty on which all machines are three times slower moves the next
+// estimates by less than a tenth.
+func TestFreakNight(t *testing.T) {
+	for freak := 3; freak < 30; freak++ {
+		calm, hit := NewBook(100), NewBook(100)
+		nights(calm, freak+2, recon, func(int) float64 { return 20 })
+		nights(hit, freak+2, recon, func(day int) float64 {
+			if day == freak {
+				return 60
+			}
+			return 20
+		})
+		a, b := calm.Estimate(recon, 20, 0), hit.Estimate(recon, 20, 0)
+		if d := b.P50/a.P50 - 1; math.Abs(d) > .1 {
+			t.Errorf("freak night %d: p50 moves by %.2f", freak, d)
+		}
+		if d := b.P90/a.P90 - 1; math.Abs(d) > .1 {
+			t.Errorf("freak night %d: p90 moves by %.2f", freak, d)
+		}
+	}
+}
+
+// Thirty nights of slow drift are followed within five of them.
+func TestDriftIsFollowed(t *testing.T) {
+	b := NewBook(100)
+	mean := func(day int) float64 { return 20 * math.Pow(1.02, float64(day)) }
+	nights(b, 30, recon, mean)
+	got := b.Estimate(recon, 20, 0).P50
+	if got < mean(24)*.98 || got > mean(30) {
+		t.Errorf("after 30 nights %.1f s, five nights before it was %.1f and now %.1f", got, mean(24), mean(29))
+	}
+}
+
+// A kind without history takes that of coarser ones, and says so; a new image of a
+// known class is its owner's estimate corrected by what such owners were off by.
+func TestFallingBack(t *testing.T) {
+	b := NewBook(100)
+	if e := b.Estimate(recon, 10, 0); e.P50 != 10 || e.P90 < 15 || e.Wide == "" {
+		t.Errorf("without any history: %+v", e)
+	}
+	nights(b, 5, recon, func(int) float64 { return 40 }) // owners said 20
+	if e := b.Estimate(recon, 20, 0); e.From != "class+team+image+shape" || math.Abs(e.P50-40) > 3 || e.Jobs != 15 {
+		t.Errorf("with history: %+v", e)
+	}
+	other := recon
+	other.Shape = "3x10"
+	if e := b.Estimate(other, 20, 0); e.From != "class+team+image" {
+		t.Errorf("another shape: %+v", e)
+	}
+	fresh := Kind{Class: "recon", Team: "new", Image: "img-9", Shape: "7x10"}
+	if e := b.Estimate(fresh, 10, 0); math.Abs(e.P50-20) > 2 || e.P90 <= e.P50*1.2 || !strings.Contains(e.Wide, "no history") {
+		t.Errorf("a new image whose owner says 10: %+v", e)
+	}
+	day := recon
+	day.Holiday = true
+	if e := b.Estimate(day, 20, 0); e.From != "class+team+image+shape" {
+		t.Errorf("a first holiday: %+v", e)
+	}
+	nights(b, 0, day, nil)
+	r := rand.New(rand.NewPCG(1, 1))
+	for j := range 3 {
+		b.Take(factOf(uint64(900+j), 7, day, 20, normal(r, 40, 80, .1)))
+	}
+	if e := b.Estimate(day, 20, 0); !strings.Contains(e.From, "holiday") || math.Abs(e.P50-80) > 6 {
+		t.Errorf("the next holiday: %+v", e)
+	}
+	if e := b.Estimate(recon, 20, 0); math.Abs(e.P50-40) > 3 {
+		t.Errorf("holidays count for ordinary nights: %+v", e)
+	}
+}
+
+// Two modes: the interval holds both, and says that it is wide.
+func TestTwoModes(t *testing.T) {
+	b := NewBook(100)
+	r := rand.New(rand.NewPCG(2, 2))
+	for n := range 20 {
+		times := append(normal(r, 30, 10, .1), normal(r, 10, 90, .1)...)
+		b.Take(factOf(uint64(n+1), int32(n/4), recon, 20, times))
+	}
+	if e := b.Estimate(recon, 20, 0); e.P50 > 15 || e.P90 < 70 || e.Wide == "" {
+		t.Errorf("%+v", e)
+	}
+}
+
+// Estimates land near what comes: shares within 10, 20 and 50 % for the first,
+// third and tenth run, against the owner's estimate and the mean of all before.
+func TestEstimatesLand(t *testing.T) {
+	r := rand.New(rand.NewPCG(9, 9))
+	b := NewBook(1000)
+	type score struct{ ten, twenty, fifty, n int }
+	learned, owners, means := map[int]*score{}, map[int]*score{}, map[int]*score{}
+	count := func(m map[int]*score, run int, guess, actual float64) {
+		s := m[run]
+		if s == nil {
+			s = &score{}
+			m[run] = s
+		}
+		off := math.Abs(guess/actual - 1)
+		s.n++
+		for _, x := range []struct {
+			most float64
+			n    *int
+		}{{.1, &s.ten}, {.2, &s.twenty}, {.5, &s.fifty}} {
+			if off <= x.most {
+				*x.n++
+			}
+		}
+	}
+	id := uint64(0)
+	for image := range 40 {
+		true50 := 10 * math.Exp(.7*r.NormFloat64())
+		k := Kind{Class: fmt.Sprint("class", image%4), Team: "ops", Image: fmt.Sprint("img", image), Shape: "6x10"}
+		sum, n := 0.0, 0.0
+		for run := 1; run <= 10; run++ {
+			id++
+			owner := true50 * .5 * math.Exp(.4*r.NormFloat64()) // owners estimate half
+			slow := 1.0
+			if run == 5 {
+				slow = 3 // a freak night
+			}
+			times := normal(r, 40, true50*slow*math.Exp(.05*r.NormFloat64()), .15)
+			actual := slices.Sorted(slices.Values(times))[20]
+			if slow == 1 {
+				count(learned, run, b.Estimate(k, owner, 0).P50, actual)
+				count(owners, run, owner, actual)
+				if n > 0 {
+					count(means, run, sum/n, actual)
+				}
+			}
+			b.Take(factOf(id, int32(run), k, owner, times))
+			for _, x := range times {
+				sum += x
+				n++
+			}
+		}
+	}
+	for _, run := range []int{1, 3, 10} {
+		for _, x := range []struct {
+			name string
+			m    map[int]*score
+		}{{"learned", learned}, {"owners", owners}, {"mean", means}} {
+			if s := x.m[run]; s != nil {
+				t.Logf("run %2d %-8s within 10 %%: %.2f, 20 %%: %.2f, 50 %%: %.2f of %d", run, x.name, float64(s.ten)/float64(s.n), float64(s.twenty)/float64(s.n), float64(s.fifty)/float64(s.n), s.n)
+			}
+		}
+	}
+	for _, run := range []int{3, 10} {
+		if s := learned[run]; float64(s.twenty)/float64(s.n) < .85 {
+			t.Errorf("run %d: %d of %d within a fifth", run, s.twenty, s.n)
+		}
+	}
+	if l, o := learned[1], owners[1]; l.fifty <= o.fifty {
+		t.Errorf("first runs: %d of %d within a half, owners %d", l.fifty, l.n, o.fifty)
+	}
+}
+
+// A book is bounded, and forgets fine kinds before coarse ones.
+func TestBookIsBounded(t *testing.T) {
+	b := NewBook(50)
+	r := rand.New(rand.NewPCG(4, 4))
+	for n := range 300 {
+		b.Take(factOf(uint64(n+1), int32(n), Kind{Class: "c", Team: "t", Image: fmt.Sprint(n), Shape: "1x1"}, 5, normal(r, 25, 5, .1)))
+		if b.Len() > 50 {
+			t.Fatalf("%d kinds", b.Len())
+		}
+	}
+	if e := b.Estimate(Kind{Class: "c", Team: "t"}, 0, 0); e.Nights < keepNights {
+		t.Errorf("the class is forgotten: %+v", e)
+	}
+}
+
+// What a fact costs does not grow with the number of kinds.
+func BenchmarkTake(b *testing.B) {
+	for _, kinds := range []int{100, 10000} {
+		b.Run(fmt.Sprint(kinds), func(b *testing.B) {
+			book := NewBook(5 * kinds)
+			r := rand.New(rand.NewPCG(4, 4))
+			facts := make([]*Fact, kinds)
+			for n := range facts {
+				facts[n] = factOf(uint64(n+1), 1, Kind{Class: fmt.Sprint("c", n%10), Team: "t", Image: fmt.Sprint(n), Shape: "1x1"}, 5, normal(r, 25, 5, .1))
+				book.Take(facts[n])
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				book.Take(facts[i%kinds])
+			}
+		})
+	}
+}
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,6 +12,7 @@
 	"time"
 
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/runtimes"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
 )
@@ -44,7 +46,16 @@
 		c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
 	}
 	upgrade := seed%4 < 2
-	s := newSim(c, seed, 3, upgrade)
+	learns := seed%5 == 3
+	began := time.Duration(0)
+	if learns {
+		c.Tunables.RunTimesKinds, c.Tunables.TakeoversKept = 100, 5
+		began = 12*time.Hour - 90*time.Second // the night ends in between
+	}
+	s := newSimAt(began, c, seed, 3, upgrade)
+	if learns {
+		s.state.facts = map[uint64]bool{}
+	}
 	upgraded := time.Duration(0) // nothing new is asked of the service before
 	if upgrade {
 		for i, n := range s.nodes {
@@ -214,4 +225,37 @@
 	if s.check.starts == 0 {
 		t.Error("nothing ran")
 	}
+	if learns {
+		countLearned(t, s)
+	}
+}
+
+// countLearned holds what the last leader has learned against the facts that were
+// ever durable: each counts once, whoever was killed at whatever moment.
+func countLearned(t *testing.T, s *sim) {
+	s.run(10 * time.Second)
+	if !s.until(30*time.Second, func() bool { return s.leader() != nil }) {
+		t.Fatal("nobody leads in the end")
+	}
+	l := s.leader()
+	raw, known, err := l.core.Show(l.clock(), runtimes.Name)
+	if err != nil || !known {
+		t.Fatalf("what was learned is not shown: %v", err)
+	}
+	var kinds []struct {
+		Name     string
+		Estimate runtimes.Estimate
+	}
+	if err := json.Unmarshal(raw, &kinds); err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	for _, k := range kinds {
+		if k.Name == "class///" {
+			got = k.Estimate.Jobs
+		}
+	}
+	if got != len(s.state.facts) {
+		t.Errorf("%d jobs are counted, %d facts were durable", got, len(s.state.facts))
+	}
 }
--- a/internal/scenario/scale_test.go
+++ b/internal/scenario/scale_test.go
@@ -144,7 +144,7 @@
 		t.Errorf("rules broken: %d, the first: %s", len(s.check.broken), s.check.broken[0])
 	}
 	if l := s.leader(); l != nil {
-		raw, _, err := l.core.Show("takeovers")
+		raw, _, err := l.core.Show(l.clock(), "takeovers")
 		t.Logf("takeovers: %s %v", raw, err)
 	}
 	var total time.Duration
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -268,7 +268,7 @@
 		}
 	case "takeovers": // those that the leader knows, the last one first: epoch, and how many of their steps were reached
 		l := s.leader()
-		raw, known, err := l.core.Show(takeovers.Name)
+		raw, known, err := l.core.Show(l.clock(), takeovers.Name)
 		if err != nil || !known {
 			return fmt.Sprintf("cannot tell: %v", err)
 		}
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -10,6 +10,7 @@
 
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/runtimes"
 	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 )
@@ -30,7 +31,8 @@
 	watches []func()
 	writes  int
 	cleaned int
-	lowered bool // the announced limits are in force
+	facts   map[uint64]bool // jobs whose facts of run times were durable; nil: not watched
+	lowered bool            // the announced limits are in force
 }
 
 type item struct {
@@ -136,6 +138,7 @@
 				it.hold = held
 			}
 			st.items[w.Key] = it
+			st.learned(w)
 		}
 		st.changed(w.Key)
 	}
@@ -510,6 +513,30 @@
 	})
 }
 
+// learned notes the jobs whose facts of run times were ever durable.
+func (st *stateService) learned(w ledger.Op) {
+	if _, err := ledger.Number(w.Key); st.facts == nil || err != nil {
+		return
+	}
+	list, err := ledger.Decode(w.Value)
+	if err != nil {
+		panic(err)
+	}
+	for _, e := range list {
+		if e.Own == nil || e.Own.Duty != runtimes.Name {
+			continue
+		}
+		var x struct {
+			Fact *struct {
+				ID uint64 `json:"i"`
+			} `json:"f"`
+		}
+		if json.Unmarshal(e.Own.Data, &x) == nil && x.Fact != nil {
+			st.facts[x.Fact.ID] = true
+		}
+	}
+}
+
 // owned counts the entries of a duty that are in the log.
 func (st *stateService) owned(duty string) int {
 	n := 0
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -60,13 +60,19 @@
 	check *checker
 	cuts  []*cut
 	jobs  map[uint64]*userJob
-	scale *scaleCounts // nil but on days that are measured
+	began time.Duration // time of day at time 0
+	scale *scaleCounts  // nil but on days that are measured
 }
 
 // newSim makes a world of so many controllers; with old they begin with the
 // version in production.
 func newSim(cfg settings.Settings, seed uint64, count int, old bool) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}}
+	return newSimAt(0, cfg, seed, count, old)
+}
+
+// newSimAt makes one that begins at a time of day.
+func newSimAt(began time.Duration, cfg settings.Settings, seed uint64, count int, old bool) *sim {
+	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}}
 	s.state = &stateService{s: s, items: map[string]item{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}}
 	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, capacity: 40, boot: 5 * time.Second}
 	s.check = &checker{s: s, on: map[task]map[string]bool{}}
@@ -191,9 +197,9 @@
 	cfg := *c.cfg
 	if old {
 		cfg.Deployment.State.Next = nil // it does not know of them
-		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept = 0, 0, 0
+		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept, cfg.Tunables.RunTimesKinds = 0, 0, 0, 0
 	}
-	c.core = node.NewCore(&cfg, c.s.now.Milliseconds())
+	c.core = node.NewCore(&cfg, (c.s.began + c.s.now).Milliseconds())
 	c.users = map[effects.Asker]func(effects.Answer){}
 	c.reports = map[effects.Asker]func(effects.ReportAnswer){}
 	life := c.life
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,6 +116,10 @@
 		{"", "", "[sizing]\ntraining_tasks = 1.5\n", "sizing.training_tasks"},
 		{"", "", "[sizing]\nno_such = 1\n", "sizing.no_such"},
 		{"", "", "[leadership]\nhold = soon\n", "leadership.hold"},
+		{"", "", "[calendar]\ntime_zone = Sofia\n", "calendar.time_zone"},
+		{"", "", "[calendar]\nnight = 25 o'clock\n", "calendar.night"},
+		{"", "", "[calendar]\nholidays = 2026-12-24, soon\n", "calendar.holidays"},
+		{"", "", "[run-times]\nkinds = -1\n", "run-times.kinds"},
 	}
 	for _, c := range cases {
 		_, err := load(t, strings.Replace(good, c.from, c.to, 1), c.ini)
@@ -167,6 +171,12 @@
 		}
 		n++
 	}
+	for _, k := range Texts() {
+		if got := f.Section(k.Section).Key(k.Key).String(); got != k.Default {
+			t.Errorf("%s.%s is %q in the example, %q by default", k.Section, k.Key, got, k.Default)
+		}
+		n++
+	}
 	for _, s := range f.Sections() {
 		n -= len(s.Keys())
 	}
@@ -194,6 +204,13 @@
 		}
 		fmt.Fprintf(&b, "# %s (%s, %v to %v)\n%s = %v\n", k.Help, k.Unit, k.Min, k.Max, k.Key, k.get(&d))
 	}
+	for _, k := range Texts() {
+		if k.Section != section {
+			section = k.Section
+			fmt.Fprintf(&b, "\n[%s]\n", section)
+		}
+		fmt.Fprintf(&b, "# %s\n%s = %s\n", k.Help, k.Key, k.Default)
+	}
 	if err := os.WriteFile("../../deploy/bitternmoor.ini.example", []byte(b.String()), 0o644); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"errors"
+	"slices"
 	"strconv"
 
 	"gopkg.in/ini.v1"
+
+	"bitternmoor/internal/calendar"
 )
 
 // Tunables are the operators' own settings. Names of fields that the design
@@ -36,6 +40,11 @@
 	WaitLeadS       float64 // exception: how long before their class's wait aim waiting tasks go ahead; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	TakeoversKept   int     // so many takeovers are written down
+	RunTimesKinds   int     // so many kinds of work have their run times learned
+	LateMargin      float64 // a job is late that takes this many times as long as nine in ten of its kind
+	TimeZone        string  // of the operators
+	NightBegins     string  // a cron expression
+	Holidays        string  // dates, separated by commas
 	LowLeadS        float64 // exception: how long before its tightest aim best-effort work no longer goes behind the order; 0: it never does
 }
 
@@ -54,9 +63,32 @@
 	for _, k := range table {
 		k.set(&t, k.def)
 	}
+	for _, k := range texts {
+		*k.of(&t) = k.Default
+	}
 	return t
 }
 
+// Text describes one key of the operators' file whose value is no number.
+type Text struct {
+	Section, Key, Help, Default string
+	of                          func(*Tunables) *string
+}
+
+var texts = []Text{
+	{"calendar", "time_zone", "the operators' time zone, as in the IANA database", "UTC", func(t *Tunables) *string { return &t.TimeZone }},
+	{"calendar", "night", "when a night begins: a cron expression that comes true once a day", "0 12 * * *", func(t *Tunables) *string { return &t.NightBegins }},
+	{"calendar", "holidays", "dates like 2026-12-24, separated by commas, on which nights of another kind begin", "", func(t *Tunables) *string { return &t.Holidays }},
+}
+
+// Texts lists the keys whose values are no numbers.
+func Texts() []Text { return texts }
+
+// NewCalendar makes the operators' calendar.
+func (t *Tunables) NewCalendar() (*calendar.Calendar, error) {
+	return calendar.New(t.TimeZone, t.NightBegins, calendar.Dates(t.Holidays))
+}
+
 type row struct {
 	Tunable
 	def float64
@@ -102,6 +134,8 @@
 	amount("fleet", "usual_stay", "s", "how long a rented machine is usually kept; its boot is weighed against it", 120, 1, 86400, func(t *Tunables) *float64 { return &t.UsualStayS }),
 	amount("fleet", "boot_give_up", "factor", "a machine that takes this many usual boots is given up", 4, 1.5, 100, func(t *Tunables) *float64 { return &t.BootGiveUpTimes }),
 	whole("fleet", "note_returns", "0 or 1", "a machine that is returned with nothing on it is noted first, so that a new leader need not wait for it", 1, 0, 1, func(t *Tunables) *int { return &t.NoteReturns }),
+	whole("run-times", "kinds", "kinds", "so many kinds of work have their usual run times learned, at most; 0: none, and nothing is written", 0, 0, 20000, func(t *Tunables) *int { return &t.RunTimesKinds }),
+	amount("run-times", "late_margin", "factor", "a job is warned of that will take this many times as long as nine in ten jobs of its kind", 1.3, 1, 100, func(t *Tunables) *float64 { return &t.LateMargin }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
 }
 
@@ -122,6 +156,10 @@
 	for _, sec := range f.Sections() {
 		for _, key := range sec.Keys() {
 			name := sec.Name() + "." + key.Name()
+			if i := slices.IndexFunc(texts, func(x Text) bool { return x.Section+"."+x.Key == name }); i >= 0 {
+				*texts[i].of(t) = key.Value()
+				continue
+			}
 			r := known[name]
 			if r == nil {
 				return wrong(name, "no such tunable")
@@ -139,5 +177,12 @@
 			r.set(t, v)
 		}
 	}
+	if _, err := t.NewCalendar(); err != nil {
+		var fe *calendar.FieldError
+		if errors.As(err, &fe) {
+			return wrong("calendar."+fe.Field, "%s", fe.Why)
+		}
+		return wrong("calendar", "%v", err)
+	}
 	return nil
 }
--- a/internal/takeovers/takeovers.go
+++ b/internal/takeovers/takeovers.go
@@ -276,7 +276,10 @@
 
 // Show gives the takeovers that are remembered, the newest first, as a JSON
 // list of Record. The one under way is the first as long as it is.
-func (d *Duty) Show() (json.RawMessage, error) {
+func (d *Duty) Show(_ time.Duration, view string) (json.RawMessage, error) {
+	if view != "" {
+		return nil, cluster.ErrNoView
+	}
 	out := []Record{}
 	add := func(r stored) {
 		x := Record{Epoch: r.Epoch, Node: r.Node, SilentMS: r.SilentMS, AtMS: r.AtMS, Machines: r.Machines, Jobs: r.Jobs, HeldBack: r.HeldBack, After: map[string]int64{}}
--- a/internal/takeovers/takeovers_test.go
+++ b/internal/takeovers/takeovers_test.go
@@ -35,7 +35,7 @@
 
 func shown(t *testing.T, d *Duty) []Record {
 	t.Helper()
-	raw, err := d.Show()
+	raw, err := d.Show(0, "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"strings"
 	"time"
 
 	"bitternmoor/internal/cluster"
@@ -16,6 +18,7 @@
 	"bitternmoor/internal/ordering"
 	"bitternmoor/internal/placing"
 	"bitternmoor/internal/roster"
+	"bitternmoor/internal/runtimes"
 	"bitternmoor/internal/takeovers"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
@@ -92,6 +95,9 @@
 	if keep := start.Cfg.Tunables.TakeoversKept; keep > 0 {
 		t.add(takeovers.Name, takeovers.New(s, keep))
 	}
+	if start.Cfg.Tunables.RunTimesKinds > 0 {
+		t.add(runtimes.Name, runtimes.New(s))
+	}
 	return t
 }
 
@@ -126,17 +132,21 @@
 
 // shower is a duty that operators may look into: it gives a JSON value.
 type shower interface {
-	Show() (json.RawMessage, error)
+	Show(now time.Duration, view string) (json.RawMessage, error)
 }
 
-// Show gives what operators may see of the duty with a name. It is false where
-// there is no such duty, or it is switched off.
-func (t *Term) Show(name string) (raw json.RawMessage, ok bool, err error) {
+// Show gives what operators may see: NAME of a duty, or NAME/VIEW where it has
+// several. It is false where there is no such thing, or it is switched off.
+func (t *Term) Show(now time.Duration, what string) (raw json.RawMessage, ok bool, err error) {
+	name, view, _ := strings.Cut(what, "/")
 	s, ok := t.owners[name].(shower)
 	if !ok {
 		return nil, false, nil
 	}
-	raw, err = s.Show()
+	raw, err = s.Show(now, view)
+	if errors.Is(err, cluster.ErrNoView) {
+		return nil, false, nil
+	}
 	return raw, true, err
 }
 
