--- a/cmd/bitternmoor/operate.go
+++ b/cmd/bitternmoor/operate.go
@@ -74,17 +74,22 @@
 	return nil
 }
 
-func statusCommand() *cobra.Command {
+// shows is a command that reads one page of the operators' endpoint and prints it.
+func shows[T any](use, short, path string, print func(io.Writer, T)) *cobra.Command {
 	var o operator
 	return o.flags(&cobra.Command{
-		Use: "status", Short: "Show leader, blocks, machines and the queue", Args: cobra.NoArgs,
+		Use: use, Short: short, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s node.Status
-			return o.ask(cmd.OutOrStdout(), node.PathStatus, &s, func() { printStatus(cmd.OutOrStdout(), s) })
+			var page T
+			return o.ask(cmd.OutOrStdout(), path, &page, func() { print(cmd.OutOrStdout(), page) })
 		},
 	})
 }
 
+func statusCommand() *cobra.Command {
+	return shows("status", "Show leader, blocks, machines and the queue", node.PathStatus, printStatus)
+}
+
 func printStatus(out io.Writer, s node.Status) {
 	leader := s.Leader
 	if leader == "" {
--- a/cmd/bitternmoor/runtimes.go
+++ b/cmd/bitternmoor/runtimes.go
@@ -16,14 +16,7 @@
 )
 
 func forecastCommand() *cobra.Command {
-	var o operator
-	return o.flags(&cobra.Command{
-		Use: "forecast", Short: "Show when open jobs should begin and end, and what they will miss", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []runtimes.Forecast
-			return o.ask(cmd.OutOrStdout(), node.PathDuties+runtimes.Name+"/forecast", &list, func() { printForecasts(cmd.OutOrStdout(), list) })
-		},
-	})
+	return shows("forecast", "Show when open jobs should begin and end, and what they will miss", node.PathDuties+runtimes.Name+"/forecast", printForecasts)
 }
 
 func printForecasts(out io.Writer, list []runtimes.Forecast) {
@@ -50,14 +43,7 @@
 }
 
 func lateCommand() *cobra.Command {
-	var o operator
-	return o.flags(&cobra.Command{
-		Use: "late", Short: "Show the jobs that run well past what their kind has shown, and why", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []runtimes.Late
-			return o.ask(cmd.OutOrStdout(), node.PathDuties+runtimes.Name+"/late", &list, func() { printLate(cmd.OutOrStdout(), list) })
-		},
-	})
+	return shows("late", "Show the jobs that run well past what their kind has shown, and why", node.PathDuties+runtimes.Name+"/late", printLate)
 }
 
 func printLate(out io.Writer, list []runtimes.Late) {
@@ -82,34 +68,20 @@
 
 func runTimesCommand() *cobra.Command {
 	top := &cobra.Command{Use: "run-times", Short: "Show or export what was learned of run times"}
-	var show operator
-	top.AddCommand(show.flags(&cobra.Command{
-		Use: "show", Short: "Show each kind of work with its estimate", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []shownKind
-			return show.ask(cmd.OutOrStdout(), node.PathDuties+runtimes.Name, &list, func() { printKinds(cmd.OutOrStdout(), list) })
-		},
-	}))
-	var export operator
-	c := export.flags(&cobra.Command{
-		Use: "export", Short: "Print what was learned as JSON lines, one kind a line, in order of their names", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []json.RawMessage
-			export.json = false
-			return export.ask(cmd.OutOrStdout(), node.PathDuties+runtimes.Name, &list, func() {
-				for _, k := range list {
-					var line bytes.Buffer
-					if json.Compact(&line, k) == nil { // it was read as JSON just now
-						fmt.Fprintln(cmd.OutOrStdout(), line.String())
-					}
-				}
-			})
-		},
-	})
-	top.AddCommand(c)
+	top.AddCommand(shows("show", "Show each kind of work with its estimate", node.PathDuties+runtimes.Name, printKinds),
+		shows("export", "Print what was learned as JSON lines, one kind a line, in order of their names", node.PathDuties+runtimes.Name, exportKinds))
 	return top
 }
 
+func exportKinds(out io.Writer, list []json.RawMessage) {
+	for _, k := range list {
+		var line bytes.Buffer
+		if json.Compact(&line, k) == nil { // it was read as JSON just now
+			fmt.Fprintln(out, line.String())
+		}
+	}
+}
+
 func printKinds(out io.Writer, list []shownKind) {
 	if len(list) == 0 {
 		fmt.Fprintln(out, "nothing was learned yet")
--- a/cmd/bitternmoor/takeovers.go
+++ b/cmd/bitternmoor/takeovers.go
@@ -13,14 +13,7 @@
 )
 
 func takeoversCommand() *cobra.Command {
-	var o operator
-	return o.flags(&cobra.Command{
-		Use: "takeovers", Short: "Show the last takeovers, and when each of their steps was reached", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []takeovers.Record
-			return o.ask(cmd.OutOrStdout(), node.PathDuties+takeovers.Name, &list, func() { printTakeovers(cmd.OutOrStdout(), list) })
-		},
-	})
+	return shows("takeovers", "Show the last takeovers, and when each of their steps was reached", node.PathDuties+takeovers.Name, printTakeovers)
 }
 
 func printTakeovers(out io.Writer, list []takeovers.Record) {
--- a/internal/node/loopback_test.go
+++ b/internal/node/loopback_test.go
@@ -64,6 +64,7 @@
 		d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 500, 200, 8, 12
 		d.Cloud.RPS, d.MachineLimits.FDLimit = 50, 300
 		d.Teams = []settings.Team{{Name: "team"}}
+		c.Tunables.TakeoversKept, c.Tunables.RunTimesKinds = 9, 100
 		cfgs = append(cfgs, c)
 	}
 	cfgs[0].Peers = []settings.Peer{{Node: "n1", Endpoint: cfgs[1].InternalAddr}}
@@ -172,6 +173,11 @@
 		if status != 200 || len(out["words"].([]any)) < 2 {
 			t.Errorf("n%d: explain gives %d %v", i, status, out)
 		}
+		for path, want := range map[string]int{"takeovers": 200, "run-times": 200, "run-times/late": 200, "run-times/forecast": 200, "run-times/none": 404, "none": 404, "takeovers/none": 404} {
+			if status, out, _ := ask(t, "GET", "http://"+cfgs[i].InternalAddr+PathDuties+path, ""); status != want {
+				t.Errorf("n%d: %s gives %d %v", i, path, status, out)
+			}
+		}
 		resp, err := http.Get("http://" + cfgs[i].InternalAddr + PathMetrics)
 		if err != nil {
 			t.Fatal(err)
