Warnings are told to a webhook: signed, at least once, and nobody waits for it

Need: a team without a night shift is told of late jobs. Change: package webhook (HMAC-SHA256, bounded queue, growing pauses with jitter, Retry-After, one id for repeats), settings url and key_file, checked at the start. Result: a receiver that refuses, hangs, loses its answer, asks to come back and is restarted gets every message; off by default.

--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -84,6 +84,12 @@
 		Token, Session uint64
 		Stops          []workers.Command
 	}
+	// Notify tells the operators' webhook something; the id is the same for
+	// repeats. It has no result.
+	Notify struct {
+		ID   string
+		Body []byte // JSON
+	}
 	Rent   struct{ Rental ledger.Rental }
 	Delete struct{ Machines []string }
 	List   struct{}
@@ -117,6 +123,7 @@
 func (Recheck) effect()     {}
 func (Clean) effect()       {}
 func (Direct) effect()      {}
+func (Notify) effect()      {}
 func (Rent) effect()        {}
 func (Delete) effect()      {}
 func (List) effect()        {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/term"
+	"bitternmoor/internal/webhook"
 	"bitternmoor/internal/wire"
 )
 
@@ -55,7 +56,8 @@
 	cloud   *wire.Cloud
 	peers   map[string]*peer
 	workers *wire.Workers
-	direct  chan struct{} // bounds the direct calls under way
+	hook    *webhook.Sender // nil: operators are told by logs alone
+	direct  chan struct{}   // bounds the direct calls under way
 	now     atomic.Pointer[standing]
 
 	nextAsker effects.Asker
@@ -74,6 +76,9 @@
 	for _, p := range cfg.Peers {
 		n.peers[p.Node] = &peer{addr: p.Endpoint}
 	}
+	if url := cfg.Tunables.WebhookURL; url != "" {
+		n.hook = webhook.New(url, cfg.WebhookKey, log)
+	}
 	n.now.Store(&standing{})
 	return n
 }
@@ -101,6 +106,9 @@
 	internalSrv := &http.Server{Handler: inside, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10, IdleTimeout: 60 * time.Second,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	go func() { failed <- internalSrv.Serve(netutil.LimitListener(internal, 32)) }()
+	if n.hook != nil {
+		go n.hook.Run(ctx)
+	}
 	done := make(chan struct{})
 	go func() { n.loop(ctx); close(done) }()
 	n.log.Info("serving", "node", n.cfg.Node, "zone", n.cfg.Zone, "public", n.cfg.PublicAddr, "internal", n.cfg.InternalAddr)
@@ -225,6 +233,10 @@
 			}()
 		default: // enough are under way; the answer to the next report has the stops too
 		}
+	case effects.Notify:
+		if n.hook != nil {
+			n.hook.Send(webhook.Message{ID: e.ID, Body: e.Body})
+		}
 	case effects.Rent:
 		n.outside(cloudTimeout, func(ctx context.Context) func(time.Duration) {
 			names, res := n.cloud.Rent(ctx, e.Rental)
--- a/internal/runtimes/duty_test.go
+++ b/internal/runtimes/duty_test.go
@@ -31,6 +31,7 @@
 	t.Helper()
 	cfg := &settings.Settings{Tunables: settings.Defaults()}
 	cfg.Tunables.RunTimesKinds = kinds
+	cfg.Tunables.WebhookURL = "http://127.0.0.1:9"
 	cfg.Deployment.Workers.ReportS = 1
 	w.epoch++
 	s := cluster.New(cluster.Start{Cfg: cfg, Epoch: w.epoch, Began: w.now, Counts: &cluster.Counts{}})
@@ -249,10 +250,14 @@
 	if learned < 20*time.Second || learned > 60*time.Second {
 		t.Fatalf("the learned deadline is %v", learned)
 	}
+	var told []string
 	notes := func() (out []string) {
 		for _, e := range d.Take() {
-			if n, ok := e.(effects.Note); ok {
-				out = append(out, n.Text)
+			switch e := e.(type) {
+			case effects.Note:
+				out = append(out, e.Text)
+			case effects.Notify:
+				told = append(told, e.ID)
 			}
 		}
 		return out
@@ -284,6 +289,9 @@
 	if raw, _ := d.Show(w.now, "late"); string(raw) != "[]" || !slices.Contains(notes(), "a late job is over") {
 		t.Errorf("after its end: %s", raw)
 	}
+	if !slices.Equal(told, []string{"late/j-000050/raised", "late/j-000050/done"}) {
+		t.Errorf("the webhook is told %v", told)
+	}
 	if _, err := d.Show(w.now, "nothing"); err == nil {
 		t.Error("a view that does not exist is shown")
 	}
--- a/internal/runtimes/forecast.go
+++ b/internal/runtimes/forecast.go
@@ -170,21 +170,46 @@
 		}
 		age := (now - j.AcceptedAt).Seconds()
 		why := d.why(now, j, f)
+		first := false
 		if l == nil {
 			l = &Late{Job: f.Job, Class: j.Rec.Class, Team: j.Rec.Team, RaisedMS: d.time(now).UnixMilli(), LeadS: left.Seconds()}
 			d.late[j.Rec.ID] = l
+			first = true
 			d.leads.Observe(why, max(0, left.Seconds()))
 			d.Note(effects.Warn, "a job runs late", "job", f.Job, "class", j.Rec.Class, "team", j.Rec.Team, "why", why, "age", round(age), "learned_deadline", round(learned.Seconds()),
 				"expected_end", round(age+f.EndS), "from", f.Estimate.From)
 		}
 		l.Why, l.AgeS, l.LearnedS, l.EndS = why, round(age), round(learned.Seconds()), round(age+f.EndS)
+		if first {
+			d.tell(*l, "raised")
+		}
+	}
+}
+
+// told is what the webhook is sent of a warning.
+type told struct {
+	What string `json:"what"` // raised, done or over
+	Late
+}
+
+// tell sends a warning to the operators' webhook. A job is told of once each way,
+// and again under the same id by a new leader, which does not know that it was.
+func (d *Duty) tell(l Late, what string) {
+	if d.Cfg.Tunables.WebhookURL == "" {
+		return
+	}
+	raw, err := json.Marshal(told{what, l})
+	if err != nil {
+		return // all numbers are finite
 	}
+	d.Emit(effects.Notify{ID: "late/" + l.Job + "/" + what, Body: raw})
 }
 
 // clear ends a warning.
 func (d *Duty) clear(id uint64, how string) {
 	if l := d.late[id]; l != nil {
 		delete(d.late, id)
+		d.tell(*l, how)
 		d.Note(effects.Info, "a late job is over", "job", l.Job, "class", l.Class, "how", how)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,7 +136,8 @@
 // Settings is everything a controller runs by.
 type Settings struct {
 	Platform
-	Tunables Tunables
+	Tunables   Tunables
+	WebhookKey []byte // what warnings are signed with
 }
 
 // FieldError names the setting that is wrong.
@@ -177,6 +178,9 @@
 		if err := s.Tunables.read(f); err != nil {
 			return nil, err
 		}
+		if s.WebhookKey, err = s.Tunables.webhookKey(); err != nil {
+			return nil, err
+		}
 	}
 	return s, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -120,6 +120,10 @@
 		{"", "", "[calendar]\nnight = 25 o'clock\n", "calendar.night"},
 		{"", "", "[calendar]\nholidays = 2026-12-24, soon\n", "calendar.holidays"},
 		{"", "", "[run-times]\nkinds = -1\n", "run-times.kinds"},
+		{"", "", "[webhook]\nurl = mailto:us\n", "webhook.url"},
+		{"", "", "[webhook]\nurl = http://127.0.0.1:9/hook\n", "webhook.key_file"},
+		{"", "", "[webhook]\nurl = http://127.0.0.1:9/hook\nkey_file = ../../LICENSES\n", "webhook.key_file"},
+		{"", "", "[webhook]\nurl = http://127.0.0.1:9/hook\nkey_file = ../../.gitignore\n", "webhook.key_file"},
 	}
 	for _, c := range cases {
 		_, err := load(t, strings.Replace(good, c.from, c.to, 1), c.ini)
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -1,7 +1,10 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
+	"net/url"
+	"os"
 	"slices"
 	"strconv"
 
@@ -45,6 +48,8 @@
 	TimeZone        string  // of the operators
 	NightBegins     string  // a cron expression
 	Holidays        string  // dates, separated by commas
+	WebhookURL      string  // where warnings are told; empty: nowhere
+	WebhookKeyFile  string  // with the key that they are signed with
 	LowLeadS        float64 // exception: how long before its tightest aim best-effort work no longer goes behind the order; 0: it never does
 }
 
@@ -79,6 +84,8 @@
 	{"calendar", "time_zone", "the operators' time zone, as in the IANA database", "UTC", func(t *Tunables) *string { return &t.TimeZone }},
 	{"calendar", "night", "when a night begins: a cron expression that comes true once a day", "0 12 * * *", func(t *Tunables) *string { return &t.NightBegins }},
 	{"calendar", "holidays", "dates like 2026-12-24, separated by commas, on which nights of another kind begin", "", func(t *Tunables) *string { return &t.Holidays }},
+	{"webhook", "url", "where warnings are told, by a signed POST of JSON; empty: nowhere", "", func(t *Tunables) *string { return &t.WebhookURL }},
+	{"webhook", "key_file", "file with the key that they are signed with, of 16 bytes at least", "", func(t *Tunables) *string { return &t.WebhookKeyFile }},
 }
 
 // Texts lists the keys whose values are no numbers.
@@ -184,5 +191,29 @@
 		}
 		return wrong("calendar", "%v", err)
 	}
+	if t.WebhookURL == "" {
+		return nil
+	}
+	if u, err := url.Parse(t.WebhookURL); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return wrong("webhook.url", "not an http or https URL: %q", t.WebhookURL)
+	}
 	return nil
 }
+
+// leastKey is how long a key must be, in bytes.
+const leastKey = 16
+
+// webhookKey reads the key that warnings are signed with.
+func (t *Tunables) webhookKey() ([]byte, error) {
+	if t.WebhookURL == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(t.WebhookKeyFile)
+	if err != nil {
+		return nil, wrong("webhook.key_file", "%v", err)
+	}
+	if key := bytes.TrimSpace(raw); len(key) >= leastKey {
+		return key, nil
+	}
+	return nil, wrong("webhook.key_file", "%s holds a key of less than %d bytes", t.WebhookKeyFile, leastKey)
+}
--- /dev/null
+++ b/internal/webhook/webhook_test.go
@@ -0,0 +1,167 @@
+package webhook
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// receiver is a stand-in that may refuse, hang and be away.
+type receiver struct {
+	mu    sync.Mutex
+	key   []byte
+	got   map[string]int
+	calls int
+	act   func(call int, w http.ResponseWriter) bool // false: it has answered
+	wrong int
+}
+
+func (r *receiver) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	m := Message{req.Header.Get(HeaderID), body}
+	r.mu.Lock()
+	r.calls++
+	call := r.calls
+	if !Verify(r.key, req.Header.Get(HeaderTime), req.Header.Get(HeaderSignature), m) {
+		r.wrong++
+	}
+	act := r.act
+	r.mu.Unlock()
+	if act != nil && !act(call, w) {
+		return
+	}
+	r.mu.Lock()
+	r.got[m.ID]++
+	r.mu.Unlock()
+}
+
+func (r *receiver) has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got[id] > 0
+}
+
+func start(t *testing.T, addr string, r *receiver) (*http.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: r}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return srv, l.Addr().String()
+}
+
+func sender(t *testing.T, addr string, key []byte) (*Sender, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	s := New("http://"+addr+"/hook", key, slog.New(slog.NewTextHandler(&out, nil)))
+	s.first = 5 * time.Millisecond
+	s.client.Timeout = 100 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s, &out
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// The receiver refuses, hangs, answers slowly, asks to come back later and is
+// restarted: every message arrives, signed, at least once.
+func TestAtLeastOnce(t *testing.T) {
+	key := []byte("0123456789abcdef")
+	r := &receiver{key: key, got: map[string]int{}}
+	r.act = func(call int, w http.ResponseWriter) bool {
+		switch call {
+		case 1:
+			w.WriteHeader(http.StatusInternalServerError)
+			return false
+		case 2:
+			time.Sleep(250 * time.Millisecond) // longer than the sender waits
+			return false
+		case 3:
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return false
+		case 5:
+			time.Sleep(250 * time.Millisecond) // it has taken the message, and the answer is lost
+		}
+		return true
+	}
+	srv, addr := start(t, "127.0.0.1:0", r)
+	s, _ := sender(t, addr, key)
+	for n := range 20 {
+		s.Send(Message{fmt.Sprint("m", n), []byte(`{"late":true}`)})
+	}
+	eventually(t, "the first few arrive", func() bool { return r.has("m5") })
+	_ = srv.Close()
+	time.Sleep(30 * time.Millisecond)
+	start(t, addr, r)
+	for n := range 20 {
+		eventually(t, fmt.Sprintf("m%d arrives", n), func() bool { return r.has(fmt.Sprint("m", n)) })
+	}
+	if r.wrong > 0 {
+		t.Errorf("%d signatures were wrong", r.wrong)
+	}
+}
+
+// A receiver that never answers holds up nobody who sends, and messages that find
+// the queue full are dropped and said so.
+func TestNobodyWaits(t *testing.T) {
+	r := &receiver{got: map[string]int{}, act: func(int, http.ResponseWriter) bool { time.Sleep(20 * time.Second); return false }}
+	_, addr := start(t, "127.0.0.1:0", r)
+	var out bytes.Buffer
+	s := New("http://"+addr, nil, slog.New(slog.NewTextHandler(&out, nil)))
+	for n := range queueLength + 150 {
+		s.Send(Message{ID: fmt.Sprint(n)})
+	}
+	if s.full != 150 || strings.Count(out.String(), "queue is full") != 2 {
+		t.Errorf("%d dropped, said:\n%s", s.full, out.String())
+	}
+}
+
+// What will never be taken is not tried for ever.
+func TestRefusedForGood(t *testing.T) {
+	r := &receiver{got: map[string]int{}}
+	r.act = func(call int, w http.ResponseWriter) bool {
+		if call == 1 {
+			w.WriteHeader(http.StatusNotFound)
+			return false
+		}
+		return true
+	}
+	_, addr := start(t, "127.0.0.1:0", r)
+	s, _ := sender(t, addr, nil)
+	s.Send(Message{ID: "bad"})
+	s.Send(Message{ID: "good"})
+	eventually(t, "the next one arrives", func() bool { return r.has("good") })
+	if r.has("bad") || r.calls != 2 {
+		t.Errorf("%d calls", r.calls)
+	}
+}
+
+func TestSignature(t *testing.T) {
+	m := Message{"id", []byte("body")}
+	sig := Sign([]byte("key"), "7", m)
+	if !Verify([]byte("key"), "7", sig, m) || Verify([]byte("other"), "7", sig, m) || Verify([]byte("key"), "8", sig, m) || Verify([]byte("key"), "7", sig, Message{"id", []byte("bodi")}) {
+		t.Error("a signature that is wrong is taken, or one that is right is not")
+	}
+}
