Whether a leader is reached is remembered for that leader alone

Cause, by reading: a node that had not reached one leader took the next for unreached from the start, until its first call got through: one healthz of 503, machines sent off. Change: the name stands with it.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -33,13 +33,13 @@
 	peerAt   map[string]time.Duration      // when a peer last answered a hail
 	open     map[effects.Asker]*openReport // reports of this node's workers without an answer yet
 
-	// Whether the last call did not reach the leader, since when none has, when it
-	// was last probed, and when machines were sent to it themselves.
-	apart   bool
-	lostAt  time.Duration
-	probeAt time.Duration
-	backAt  time.Duration // when one of them came back
-	sentTo  map[string]time.Duration
+	// The leader that the last call did not reach, or empty; since when none has,
+	// when it was last probed, and when machines were sent to it themselves.
+	apartFrom string
+	lostAt    time.Duration
+	probeAt   time.Duration
+	backAt    time.Duration // when one of them came back
+	sentTo    map[string]time.Duration
 }
 
 // NewCore makes the core of a controller whose time 0 is at this time of
@@ -325,9 +325,9 @@
 	switch {
 	case leader != c.lead.LeaderName():
 	case ok:
-		c.apart = false
-	case !c.apart:
-		c.apart, c.lostAt, c.probeAt = true, now, now
+		c.apartFrom = ""
+	case c.apartFrom != leader:
+		c.apartFrom, c.lostAt, c.probeAt = leader, now, now
 	}
 }
 
@@ -336,19 +336,18 @@
 // users' requests nor reports.
 func (c *Core) Apart(now time.Duration) bool {
 	leader := c.lead.LeaderName()
-	return c.apart && leader != "" && leader != c.cfg.Node && now-c.lostAt >= c.tooFar() && c.lead.Watches()
+	return leader != "" && leader == c.apartFrom && now-c.lostAt >= c.tooFar() && c.lead.Watches()
 }
 
 // probe asks now and then whether a leader that was not reached can be: there may
 // be no report or request any more by which that would show.
 func (c *Core) probe(now time.Duration) {
-	leader := c.lead.LeaderName()
-	if leader == "" || leader == c.cfg.Node {
-		c.apart = false
+	if c.apartFrom != c.lead.LeaderName() {
+		c.apartFrom = ""
 	}
-	if c.apart && now-c.probeAt >= hailEvery {
+	if c.apartFrom != "" && now-c.probeAt >= hailEvery {
 		c.probeAt = now
-		c.out = append(c.out, effects.Probe{Peer: leader})
+		c.out = append(c.out, effects.Probe{Peer: c.apartFrom})
 	}
 }
 
