run-times import: another installation's history, said and asked before it is taken in

Need: a new installation should start with an old one's history. Change: an operators' POST to a duty on the sure leader; all lines are checked on both sides before the first is taken; written down like summaries of a night. Result: the same estimates to three digits, also for the next leader; unconfirmed, nothing is sent.

--- a/cmd/bitternmoor/operate.go
+++ b/cmd/bitternmoor/operate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,42 +37,55 @@
 // ask reads a path of the operators' endpoint. With --json the body is
 // copied as it is and done is not called.
 func (o *operator) ask(out io.Writer, path string, into any, done func()) error {
+	body, err := o.call(http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if o.json {
+		_, err := fmt.Fprintf(out, "%s\n", body)
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
+	}
+	done()
+	return nil
+}
+
+// call makes one request of the operators' endpoint and returns its answer.
+func (o *operator) call(method, path string, body []byte) ([]byte, error) {
 	addr := o.address
 	if addr == "" && o.config != "" {
 		cfg, err := settings.Load(o.config, "")
 		if err != nil {
-			return err
+			return nil, err
 		}
 		addr = cfg.InternalAddr
 	}
 	if addr == "" {
-		return errors.New("--address or --config is needed")
+		return nil, errors.New("--address or --config is needed")
 	}
 	if _, _, err := net.SplitHostPort(addr); err != nil {
-		return fmt.Errorf("--address: not host:port: %q", addr)
+		return nil, fmt.Errorf("--address: not host:port: %q", addr)
+	}
+	req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure{fmt.Errorf("node %s: %w", addr, err)}
 	}
 	client := &http.Client{Timeout: operatorTimeout}
-	resp, err := client.Get("http://" + addr + path)
+	resp, err := client.Do(req)
 	if err != nil {
-		return failure{fmt.Errorf("node %s cannot be reached: %w", addr, err)}
+		return nil, failure{fmt.Errorf("node %s cannot be reached: %w", addr, err)}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, 64<<20))
 	if err != nil {
-		return failure{fmt.Errorf("node %s: %w", addr, err)}
+		return nil, failure{fmt.Errorf("node %s: %w", addr, err)}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return failure{fmt.Errorf("node %s answers %d: %s", addr, resp.StatusCode, body)}
+		return nil, failure{fmt.Errorf("node %s answers %d: %s", addr, resp.StatusCode, answer)}
 	}
-	if o.json {
-		_, err := fmt.Fprintf(out, "%s\n", body)
-		return err
-	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return failure{fmt.Errorf("node %s: %w", addr, err)}
-	}
-	done()
-	return nil
+	return answer, nil
 }
 
 // shows is a command that reads one page of the operators' endpoint and prints it.
--- a/cmd/bitternmoor/runtimes.go
+++ b/cmd/bitternmoor/runtimes.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -69,10 +74,104 @@
 func runTimesCommand() *cobra.Command {
 	top := &cobra.Command{Use: "run-times", Short: "Show or export what was learned of run times"}
 	top.AddCommand(shows("show", "Show each kind of work with its estimate", node.PathDuties+runtimes.Name, printKinds),
-		shows("export", "Print what was learned as JSON lines, one kind a line, in order of their names", node.PathDuties+runtimes.Name, exportKinds))
+		shows("export", "Print what was learned as JSON lines, one kind a line, in order of their names", node.PathDuties+runtimes.Name, exportKinds),
+		importCommand())
 	return top
 }
 
+func importCommand() *cobra.Command {
+	var o operator
+	var replace, yes bool
+	c := &cobra.Command{
+		Use: "import FILE", Short: "Take in what another installation has exported; says what it will change, and asks", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in, err := readExport(args[0])
+			if err != nil {
+				return err
+			}
+			in.Replace = replace
+			page, err := o.call(http.MethodGet, node.PathDuties+runtimes.Name, nil)
+			if err != nil {
+				return err
+			}
+			var known []shownKind
+			if err := json.Unmarshal(page, &known); err != nil {
+				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
+			}
+			there := 0
+			for _, x := range in.Kinds {
+				if slices.ContainsFunc(known, func(k shownKind) bool { return k.Name == x.Name() }) {
+					there++
+				}
+			}
+			what := "left as they are"
+			if replace {
+				what = "replaced"
+			}
+			out := cmd.OutOrStdout()
+			if !o.json {
+				fmt.Fprintf(out, "%d kinds of work are known; %d new ones would be added, %d known ones %s\n", len(known), len(in.Kinds)-there, there, what)
+			}
+			if !yes {
+				fmt.Fprint(out, "take them in? [y/N] ")
+				answer, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
+				if a := strings.ToLower(strings.TrimSpace(answer)); a != "y" && a != "yes" {
+					return failure{errors.New("nothing was changed")}
+				}
+			}
+			body, err := json.Marshal(in)
+			if err != nil {
+				return failure{err}
+			}
+			answer, err := o.call(http.MethodPost, node.PathDuties+runtimes.Name, body)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				fmt.Fprintf(out, "%s\n", answer)
+				return nil
+			}
+			var done runtimes.Imported
+			if err := json.Unmarshal(answer, &done); err != nil {
+				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
+			}
+			fmt.Fprintf(out, "%d added, %d replaced, %d left as they are, %d dropped for want of room; they are written down over the next minutes\n", done.Added, done.Replaced, done.Left, done.Dropped)
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&replace, "replace", false, "replace the history of kinds that are known already")
+	c.Flags().BoolVar(&yes, "yes", false, "do not ask")
+	return o.flags(c)
+}
+
+// readExport reads an export and checks every line before any is used.
+func readExport(path string) (in runtimes.Import, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return in, err
+	}
+	for n, line := range bytes.Split(raw, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		var x runtimes.Exported
+		if err := json.Unmarshal(line, &x); err != nil {
+			return in, fmt.Errorf("%s: line %d: not a kind of work as JSON: %w", path, n+1, err)
+		}
+		if err := x.Check(); err != nil {
+			return in, fmt.Errorf("%s: line %d: %w", path, n+1, err)
+		}
+		if slices.ContainsFunc(in.Kinds, func(o runtimes.Exported) bool { return o.Kind == x.Kind }) {
+			return in, fmt.Errorf("%s: line %d: %s is there twice", path, n+1, x.Name())
+		}
+		in.Kinds = append(in.Kinds, x)
+	}
+	if len(in.Kinds) == 0 {
+		return in, fmt.Errorf("%s: holds no kind of work", path)
+	}
+	return in, nil
+}
+
 func exportKinds(out io.Writer, list []json.RawMessage) {
 	for _, k := range list {
 		var line bytes.Buffer
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -501,6 +501,17 @@
 	return raw, true, err
 }
 
+// Change has a duty change something that an operator asked for; known is false on
+// a node that is not sure to lead, and the answer nil where there is no such duty.
+func (c *Core) Change(now time.Duration, duty string, body json.RawMessage) (raw json.RawMessage, known bool, err error) {
+	if !c.ready(now) {
+		return nil, false, nil
+	}
+	raw, _, err = c.term.Change(now, duty, body)
+	c.after(now)
+	return raw, true, err
+}
+
 // Measures gives what the duties have measured since the process began.
 func (c *Core) Measures() []cluster.Histogram { return c.measures.All() }
 
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -20,7 +21,7 @@
 	"bitternmoor/internal/wire"
 )
 
-// Paths on the internal address: peers' calls, and the operators' read-only
+// Paths on the internal address: peers' calls, and the operators'
 // endpoint.
 const (
 	PathPeers   = "/peers"
@@ -66,28 +67,57 @@
 	})
 	r.Get(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
 		name := chi.URLParam(r, "*")
-		var raw []byte
-		var failed error
-		if err := n.whole("Controller.Show", name, &raw, func(now time.Duration) bool {
-			var known bool
-			raw, known, failed = n.core.Show(now, name)
-			return known
-		}); err != nil {
-			send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
+		n.duty(w, "Controller.Show", name, name, http.StatusInternalServerError, func(now time.Duration) (json.RawMessage, bool, error) { return n.core.Show(now, name) })
+	})
+	r.Post(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
+		in := ChangeRequest{Duty: chi.URLParam(r, "*")}
+		var err error
+		if in.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, changeMost)); err != nil {
+			send(w, http.StatusBadRequest, wire.Problem("body not readable, or over 16 MiB"))
 			return
 		}
-		switch {
-		case failed != nil:
-			send(w, http.StatusInternalServerError, wire.Problem(failed.Error()))
-		case raw == nil:
-			send(w, http.StatusNotFound, wire.Problem("the leader has no such duty, or it is switched off in its settings: "+name))
-		default:
-			send(w, http.StatusOK, raw)
-		}
+		n.duty(w, "Controller.Change", in, in.Duty, http.StatusUnprocessableEntity, func(now time.Duration) (json.RawMessage, bool, error) {
+			return n.core.Change(now, in.Duty, in.Body)
+		})
 	})
 	return r, nil
 }
 
+// changeMost is how much an operator may send at once, in bytes.
+const changeMost = 16 << 20
+
+// ChangeRequest is what an operator asks of a duty, as one controller hands it to
+// another.
+type ChangeRequest struct {
+	Duty string
+	Body []byte
+}
+
+// duty answers with what a duty says, here or on the leader. refused is the status
+// of an error of its own.
+func (n *Node) duty(w http.ResponseWriter, method string, in any, name string, refused int, local func(now time.Duration) (json.RawMessage, bool, error)) {
+	var raw []byte
+	var failed error
+	err := n.whole(method, in, &raw, func(now time.Duration) bool {
+		var known bool
+		raw, known, failed = local(now)
+		return known
+	})
+	var remote rpc.ServerError
+	switch {
+	case errors.As(err, &remote) && strings.HasPrefix(remote.Error(), refusal):
+		send(w, refused, wire.Problem(strings.TrimPrefix(remote.Error(), refusal)))
+	case err != nil:
+		send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
+	case failed != nil:
+		send(w, refused, wire.Problem(failed.Error()))
+	case raw == nil:
+		send(w, http.StatusNotFound, wire.Problem("the leader has no such duty, or it is switched off in its settings: "+name))
+	default:
+		send(w, http.StatusOK, raw)
+	}
+}
+
 func sendJSON(w http.ResponseWriter, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -146,21 +176,36 @@
 	return nil
 }
 
+// refusal goes before the words of a duty that refuses, on their way to a peer.
+const refusal = "refused: "
+
 // Show tells a peer what its operator asked of a duty.
 func (c *Controller) Show(name string, out *[]byte) error {
+	return c.duty(out, func(now time.Duration) (json.RawMessage, bool, error) { return c.n.core.Show(now, name) })
+}
+
+// Change does what a peer's operator asked of a duty.
+func (c *Controller) Change(in ChangeRequest, out *[]byte) error {
+	return c.duty(out, func(now time.Duration) (json.RawMessage, bool, error) { return c.n.core.Change(now, in.Duty, in.Body) })
+}
+
+func (c *Controller) duty(out *[]byte, f func(now time.Duration) (json.RawMessage, bool, error)) error {
 	known := false
 	var failed error
 	if err := c.n.here(func(now time.Duration) {
 		var raw json.RawMessage
-		raw, known, failed = c.n.core.Show(now, name)
+		raw, known, failed = f(now)
 		*out = raw
 	}); err != nil {
 		return err
 	}
-	if !known {
+	switch {
+	case !known:
 		return errLeaderUnknown
+	case failed != nil:
+		return errors.New(refusal + failed.Error())
 	}
-	return failed
+	return nil
 }
 
 // dial opens a connection to a peer for calls, with a deadline.
--- /dev/null
+++ b/internal/runtimes/transfer_test.go
@@ -0,0 +1,93 @@
+package runtimes
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What one installation exports another takes in: the same estimates, which its
+// next leader still has. What it knows itself stays, unless it is to be replaced.
+func TestExportAndImport(t *testing.T) {
+	old := &world{values: map[string]json.RawMessage{}, bytes: 8192}
+	d := old.lead(t, 100)
+	for id := range uint64(12) {
+		old.job(d, id+1, "c", 18)
+	}
+	raw, err := d.Show(old.now, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var in Import
+	if err := json.Unmarshal(raw, &in.Kinds); err != nil || len(in.Kinds) != 5 {
+		t.Fatalf("%d kinds, %v", len(in.Kinds), err)
+	}
+	fresh := &world{values: map[string]json.RawMessage{}, bytes: 8192}
+	n := fresh.lead(t, 100)
+	change := func(in Import) (out Imported) {
+		t.Helper()
+		body, err := json.Marshal(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := n.Change(fresh.now, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(answer, &out); err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	if got := change(in); got != (Imported{Added: 5}) {
+		t.Errorf("%+v", got)
+	}
+	if got := change(in); got != (Imported{Left: 5}) {
+		t.Errorf("again: %+v", got)
+	}
+	in.Replace = true
+	if got := change(in); got != (Imported{Replaced: 5}) {
+		t.Errorf("replacing: %+v", got)
+	}
+	for range 60 {
+		fresh.now += writeEvery
+		n.Tick(fresh.now, true)
+		fresh.write(n, 1)
+	}
+	for _, x := range []*Duty{n, fresh.lead(t, 100)} {
+		a, b := d.book.Estimate(in.Kinds[0].Kind, 5, 0), x.book.Estimate(in.Kinds[0].Kind, 5, 0)
+		if math.Abs(a.P50/b.P50-1) > .005 || math.Abs(a.P90/b.P90-1) > .005 || a.Jobs != b.Jobs { // three digits are exported
+			t.Errorf("estimated there %+v, here %+v", a, b)
+		}
+	}
+	small := fresh.lead(t, 2)
+	small.book = NewBook(2)
+	body, _ := json.Marshal(in)
+	if answer, err := small.Change(0, body); err != nil || !strings.Contains(string(answer), `"added":2`) || !strings.Contains(string(answer), `"dropped":3`) {
+		t.Errorf("into a full book: %s %v", answer, err)
+	}
+}
+
+// One kind that is wrong, and nothing is taken in.
+func TestWrongImport(t *testing.T) {
+	good := `{"class":"c","nights":[[1,2,30,5,9,1,20,30,0.5,1,2]]}`
+	for bad, field := range map[string]string{
+		`{"nights":[[1,2,30,5,9,1,20,30,0.5,1,2]]}`:                                          "class",
+		`{"class":"c","nights":[]}`:                                                          "nights",
+		`{"class":"c","nights":[[1,2,30,5,9,1,20,30,0.5,1,2],[1,2,30,5,9,1,20,30,0.5,1,2]]}`: "nights[1]",
+		`{"class":"c","nights":[[1,2,30,-5,9,1,20,30,0.5,1,2]]}`:                             "nights[0]",
+		`{"class":"c","nights":[[1,2,0,5,9,1,20,30,0.5,1,2]]}`:                               "nights[0]",
+		`{"class":"c","nights":[[1,2,30,5,4,1,20,30,0.5,1,2]]}`:                              "nights[0]",
+		`{"class":"c","nights":[[1,2,30,5,1e12,1,20,30,0.5,1,2]]}`:                           "nights[0]",
+		`{"class":7}`: "class",
+	} {
+		w := &world{values: map[string]json.RawMessage{}, bytes: 8192}
+		d := w.lead(t, 100)
+		_, err := d.Change(time.Second, json.RawMessage(`{"kinds":[`+good+`,`+bad+`]}`))
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") || d.book.Len() != 0 {
+			t.Errorf("%s: %v, %d kinds", bad, err, d.book.Len())
+		}
+	}
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -150,6 +150,22 @@
 	return raw, true, err
 }
 
+// changer is a duty that operators may ask to change something.
+type changer interface {
+	Change(now time.Duration, body json.RawMessage) (json.RawMessage, error)
+}
+
+// Change has the duty with a name change something. It is false where there is no
+// such duty, it is switched off, or there is nothing that could be changed.
+func (t *Term) Change(now time.Duration, name string, body json.RawMessage) (raw json.RawMessage, ok bool, err error) {
+	c, ok := t.owners[name].(changer)
+	if !ok {
+		return nil, false, nil
+	}
+	raw, err = c.Change(now, body)
+	return raw, true, err
+}
+
 // Loaded says whether the log has been read: before, nothing is known of jobs.
 func (t *Term) Loaded() bool { return t.loaded }
 
