--- a/internal/runtimes/duty.go
+++ b/internal/runtimes/duty.go
@@ -22,7 +22,8 @@
 
 const (
 	writeEvery = 500 * time.Millisecond // summaries of closed nights, one at a time, when nothing else waits
-	kindBytes  = 700                    // rough size of a summary
+	kindBytes  = 600                    // rough sizes of a summary,
+	factBytes  = 150                    // and of a fact
 	slowAfter  = 4                      // tasks of which a machine is known to be slow
 	slowRatio  = 1.7                    // from which on it is
 	seenDays   = 2                      // for how long ids of facts are remembered
@@ -412,7 +413,7 @@
 }
 
 // Live is roughly how many bytes Keep would write for the whole log.
-func (d *Duty) Live() int { return d.book.Len()*kindBytes + d.facts*kindBytes/4 }
+func (d *Duty) Live() int { return len(d.wrote)*kindBytes + d.facts*factBytes }
 
 // Keep writes anew a fact that is in no summary yet, and the summary of a kind as
 // it is now.
