--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -501,7 +501,9 @@
 	for _, m := range d.Yard.All() {
 		if m.Draining && !m.Leaving && len(m.Tasks) == 0 && len(m.Offers) == 0 && m.Strays == 0 {
 			d.Leave(m, "not needed")
-			d.Tell(cluster.Event{Kind: cluster.MachineEmpty, At: now, Machine: m})
+			if m.Resolved { // else only its deletion proves that nothing of an earlier term is there
+				d.Tell(cluster.Event{Kind: cluster.MachineEmpty, At: now, Machine: m})
+			}
 		}
 	}
 	if d.Cfg.Tunables.MoveSaved == 1 {
