Test: a machine that is not resolved is deleted without a note

The drain of a machine that reported at an old token, and of one at the new: only the second is noted as returned empty.

--- a/internal/term/returns_test.go
+++ b/internal/term/returns_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/roster"
+	"bitternmoor/internal/workers"
 )
 
 // deletes lists the machines that a term has deleted since.
@@ -63,3 +65,43 @@
 		}
 	}
 }
+
+// A machine that has reported, but not at the new token, is drained and deleted
+// without a note: only the deletion proves what an earlier term left on it.
+func TestUnresolvedIsNotNotedAsEmpty(t *testing.T) {
+	for _, resolved := range []bool{true, false} {
+		log := []ledger.Entry{{Types: []ledger.Type{{Name: "m", CPUs: 8, MemoryGB: 64, Price: 1, SpotPrice: 1, Zones: []string{"a"}}}},
+			{Machine: &ledger.Machine{Name: "host", Type: "m", Zone: "a", Number: 1}}}
+		term := smallTerm(log)
+		r := workers.Report{Machine: "host", Address: "x", Type: "m", Zone: "a", Session: 1, Seq: 1}
+		if resolved {
+			r.Token = term.Token
+		}
+		now := time.Duration(0)
+		term.Report(now, true, 1, effects.Relayed{Via: "n", Life: 1, Report: r})
+		noted, deleted := false, false
+		for range 60 {
+			now += 250 * time.Millisecond
+			term.Yard.All()[0].Heard = now // it is not silent
+			term.Tick(now, true)
+			term.Pump(now)
+			for _, e := range term.Take() {
+				switch e := e.(type) {
+				case effects.Delete:
+					deleted = true
+				case effects.Commit:
+					for _, w := range e.Txn.Writes {
+						noted = noted || strings.Contains(string(w.Value), `"d":"roster"`)
+					}
+					term.Committed(now, true, e.Txn.Seq, ledger.Applied, uint64(now), nil)
+				}
+			}
+			if deleted {
+				break
+			}
+		}
+		if !deleted || noted != resolved {
+			t.Errorf("resolved %v: noted %v, deleted %v", resolved, noted, deleted)
+		}
+	}
+}
