One way to make a duty's own entry

Four duties encoded and wrapped their own entries in the same lines, and each further one would have again: ledger.NewOwn. The warning's flag says what it is.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,15 @@
 	Data json.RawMessage `json:"v"`
 }
 
+// NewOwn is a duty's own entry that holds a value as JSON.
+func NewOwn[T any](duty string, v T) Entry {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: an entry of %s that cannot be written: %v", duty, err)) // no duty stores such a value
+	}
+	return Entry{Own: &Own{Duty: duty, Data: raw}}
+}
+
 // known says whether anything is set that this version knows.
 func (e *Entry) known() bool {
 	return e.Job != nil || e.Cancel != nil || e.Tasks != nil || e.Size != nil || e.Machine != nil || e.Gone != nil || e.Rental != nil ||
--- a/internal/placing/marks.go
+++ b/internal/placing/marks.go
@@ -155,12 +155,8 @@
 }
 
 func (d *Duty) appendMarks(e entry, marks [][2]uint64) {
-	raw, err := json.Marshal(e)
-	if err != nil {
-		return // numbers always can be written
-	}
 	d.marks.writing = append(d.marks.writing, marks)
-	d.Log.AppendFact(ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}})
+	d.Log.AppendFact(ledger.NewOwn(Name, e))
 }
 
 // marked lets the plans be offered that the marks which are durable now cover.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -123,11 +123,7 @@
 		return
 	}
 	for _, part := range ledger.Split(d.empty, d.Log.Room()-2*ledger.EntryBytes) {
-		raw, err := json.Marshal(returns{d.Epoch, part})
-		if err != nil {
-			continue // strings always can be written
-		}
-		d.Log.AppendFact(ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}})
+		d.Log.AppendFact(ledger.NewOwn(Name, returns{d.Epoch, part}))
 	}
 	d.empty = nil
 }
--- a/internal/runtimes/duty.go
+++ b/internal/runtimes/duty.go
@@ -147,11 +147,7 @@
 }
 
 func (d *Duty) append(e entry) bool {
-	raw, err := json.Marshal(e)
-	if err != nil {
-		return false // no number that cannot be written comes this far
-	}
-	own := ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}}
+	own := ledger.NewOwn(Name, e) // round leaves no number that cannot be written
 	if !d.Log.Fits(own) {
 		return false
 	}
--- a/internal/runtimes/forecast.go
+++ b/internal/runtimes/forecast.go
@@ -170,17 +170,16 @@
 		}
 		age := (now - j.AcceptedAt).Seconds()
 		why := d.why(now, j, f)
-		first := false
-		if l == nil {
+		raised := l == nil
+		if raised {
 			l = &Late{Job: f.Job, Class: j.Rec.Class, Team: j.Rec.Team, RaisedMS: d.time(now).UnixMilli(), LeadS: left.Seconds()}
 			d.late[j.Rec.ID] = l
-			first = true
 			d.leads.Observe(why, max(0, left.Seconds()))
 			d.Note(effects.Warn, "a job runs late", "job", f.Job, "class", j.Rec.Class, "team", j.Rec.Team, "why", why, "age", round(age), "learned_deadline", round(learned.Seconds()),
 				"expected_end", round(age+f.EndS), "from", f.Estimate.From)
 		}
 		l.Why, l.AgeS, l.LearnedS, l.EndS = why, round(age), round(learned.Seconds()), round(age+f.EndS)
-		if first {
+		if raised {
 			d.tell(*l, "raised")
 		}
 	}
--- a/internal/takeovers/takeovers.go
+++ b/internal/takeovers/takeovers.go
@@ -231,11 +231,6 @@
 		return
 	}
 	d.over = true
-	raw, err := json.Marshal(d.own)
-	if err != nil {
-		d.Note(effects.Error, "the record of a takeover cannot be written", "error", err)
-		return
-	}
 	d.remember(d.own)
 	args := []any{"epoch", d.own.Epoch, "machines", d.own.Machines, "jobs", d.own.Jobs, "held_back", d.own.HeldBack}
 	for _, s := range Steps() {
@@ -244,9 +239,9 @@
 		}
 	}
 	d.Note(effects.Info, "takeover", args...)
-	e := ledger.Entry{Own: &ledger.Own{Duty: Name, Data: raw}}
+	e := ledger.NewOwn(Name, d.own)
 	if !d.Log.Fits(e) {
-		d.Note(effects.Error, "the record of a takeover is too large to be stored", "bytes", len(raw))
+		d.Note(effects.Error, "the record of a takeover is too large to be stored", "bytes", len(e.Own.Data))
 		return
 	}
 	d.Log.Append(e)
