--- a/cmd/bitternmoor/runtimes.go
+++ b/cmd/bitternmoor/runtimes.go
@@ -21,7 +21,23 @@
 )
 
 func forecastCommand() *cobra.Command {
-	return shows("forecast", "Show when open jobs should begin and end, and what they will miss", node.PathDuties+runtimes.Name+"/forecast", printForecasts)
+	c := shows("forecast", "Show when open jobs should begin and end, and what they will miss", node.PathDuties+runtimes.Name+"/forecast", printForecasts)
+	c.AddCommand(shows("ahead", "Show the work that is expected over the next twelve hours, by nights before", node.PathDuties+runtimes.Name+"/ahead", printAhead))
+	return c
+}
+
+func printAhead(out io.Writer, list []runtimes.Expected) {
+	if len(list) == 0 || list[0].Nights == 0 {
+		fmt.Fprintln(out, "no night was learned from yet: a night counts once the one after it is over")
+		return
+	}
+	fmt.Fprintf(out, "learned from %d nights; %v processors are rented\n", list[0].Nights, list[0].Now)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "FROM\tIN\tWORK, CPU S\tCPUS BUSY\tHEAVIEST NIGHT, CPU S\tCPUS BUSY")
+	for _, e := range list {
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.1f\t%.0f\t%.1f\n", e.At, seconds(e.InS), e.Work, e.CPUs, e.Most, e.CPUsMost)
+	}
 }
 
 func printForecasts(out io.Writer, list []runtimes.Forecast) {
@@ -72,10 +88,10 @@
 }
 
 func runTimesCommand() *cobra.Command {
-	top := &cobra.Command{Use: "run-times", Short: "Show or export what was learned of run times"}
+	top := &cobra.Command{Use: "run-times", Short: "Show, export, import or forget what was learned of run times"}
 	top.AddCommand(shows("show", "Show each kind of work with its estimate", node.PathDuties+runtimes.Name, printKinds),
 		shows("export", "Print what was learned as JSON lines, one kind a line, in order of their names", node.PathDuties+runtimes.Name, exportKinds),
-		importCommand())
+		importCommand(), forgetCommand())
 	return top
 }
 
@@ -112,12 +128,8 @@
 			if !o.json {
 				fmt.Fprintf(out, "%d kinds of work are known; %d new ones would be added, %d known ones %s\n", len(known), len(in.Kinds)-there, there, what)
 			}
-			if !yes {
-				fmt.Fprint(out, "take them in? [y/N] ")
-				answer, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
-				if a := strings.ToLower(strings.TrimSpace(answer)); a != "y" && a != "yes" {
-					return failure{errors.New("nothing was changed")}
-				}
+			if err := confirm(cmd, yes, "take them in?"); err != nil {
+				return err
 			}
 			body, err := json.Marshal(in)
 			if err != nil {
@@ -144,6 +156,64 @@
 	return o.flags(c)
 }
 
+// confirm asks before something is changed, unless a script has said yes.
+func confirm(cmd *cobra.Command, yes bool, question string) error {
+	if yes {
+		return nil
+	}
+	fmt.Fprint(cmd.OutOrStdout(), question+" [y/N] ")
+	answer, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
+	if a := strings.ToLower(strings.TrimSpace(answer)); a != "y" && a != "yes" {
+		return failure{errors.New("nothing was changed")}
+	}
+	return nil
+}
+
+func forgetCommand() *cobra.Command {
+	var o operator
+	var yes bool
+	c := &cobra.Command{
+		Use: "forget KEY", Short: "Forget one kind of work, by its name in show; says what it will change, and asks", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			page, err := o.call(http.MethodGet, node.PathDuties+runtimes.Name, nil)
+			if err != nil {
+				return err
+			}
+			var known []shownKind
+			if err := json.Unmarshal(page, &known); err != nil {
+				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
+			}
+			i := slices.IndexFunc(known, func(k shownKind) bool { return k.Name == args[0] })
+			if i < 0 {
+				return fmt.Errorf("KEY: no kind of work is called %q", args[0])
+			}
+			out := cmd.OutOrStdout()
+			if e := known[i].Estimate; !o.json {
+				fmt.Fprintf(out, "%s would be forgotten: %d jobs, %d tasks in %d nights, a task %s to %s; coarser kinds stay\n", args[0], e.Jobs, e.Tasks, e.Nights, seconds(e.P50), seconds(e.P90))
+			}
+			if err := confirm(cmd, yes, "forget it?"); err != nil {
+				return err
+			}
+			body, err := json.Marshal(runtimes.Import{Forget: args})
+			if err != nil {
+				return failure{err}
+			}
+			answer, err := o.call(http.MethodPost, node.PathDuties+runtimes.Name, body)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				fmt.Fprintf(out, "%s\n", answer)
+			} else {
+				fmt.Fprintln(out, "forgotten")
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&yes, "yes", false, "do not ask")
+	return o.flags(c)
+}
+
 // readExport reads an export and checks every line before any is used.
 func readExport(path string) (in runtimes.Import, err error) {
 	raw, err := os.ReadFile(path)
--- a/cmd/bitternmoor/runtimes_test.go
+++ b/cmd/bitternmoor/runtimes_test.go
@@ -67,3 +67,46 @@
 		}
 	}
 }
+
+// Forgetting says what it takes away and takes nothing away unconfirmed.
+func TestForget(t *testing.T) {
+	for _, c := range []struct {
+		key, input, said, wrong string
+		args                    []string
+		posts, exit             int
+	}{
+		{"c/t//", "y\n", "c/t// would be forgotten: 7 jobs", "", nil, 1, 0},
+		{"c/t//", "\n", "forget it? [y/N]", "nothing was changed", nil, 0, exitFailed},
+		{"c/t//", "", `{"forgotten":1}`, "", []string{"--yes", "--json"}, 1, 0},
+		{"none", "y\n", "", `KEY: no kind of work is called "none"`, nil, 0, exitUsage},
+	} {
+		posts := 0
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				posts++
+				_, _ = io.WriteString(w, `{"forgotten":1}`)
+				return
+			}
+			_, _ = io.WriteString(w, `[{"name":"c/t//","estimate":{"jobs":7}}]`)
+		}))
+		var out bytes.Buffer
+		cmd := forgetCommand()
+		cmd.SilenceUsage, cmd.SilenceErrors = true, true
+		cmd.SetOut(&out)
+		cmd.SetIn(strings.NewReader(c.input))
+		cmd.SetArgs(append([]string{c.key, "--address", srv.Listener.Addr().String()}, c.args...))
+		err := cmd.Execute()
+		srv.Close()
+		exit := 0
+		if err != nil {
+			exit = exitUsage
+			var f failure
+			if errors.As(err, &f) {
+				exit = exitFailed
+			}
+		}
+		if posts != c.posts || exit != c.exit || !strings.Contains(out.String(), c.said) || (err != nil && !strings.Contains(err.Error(), c.wrong)) {
+			t.Errorf("%+v: %d posts, exit %d, %v, said %q", c, posts, exit, err, out.String())
+		}
+	}
+}
--- a/internal/calendar/calendar.go
+++ b/internal/calendar/calendar.go
@@ -124,3 +124,19 @@
 }
 
 func sameDate(a, b time.Time) bool { return a.Format(DateForm) == b.Format(DateForm) }
+
+// Quarter is the beginning of the quarter of an hour in which a moment lies.
+func (c *Calendar) Quarter(t time.Time) time.Time {
+	t = t.In(c.zone)
+	return t.Add(-time.Duration(t.Minute()%15)*time.Minute - time.Duration(t.Second())*time.Second - time.Duration(t.Nanosecond()))
+}
+
+// Slot numbers the quarters of an hour of a day by the local clock: 0 to 95. Those of
+// an hour that the clocks repeat have the same numbers twice.
+func (c *Calendar) Slot(t time.Time) int {
+	t = t.In(c.zone)
+	return t.Hour()*4 + t.Minute()/15
+}
+
+// Clock is the local time of day.
+func (c *Calendar) Clock(t time.Time) string { return t.In(c.zone).Format("15:04") }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -98,6 +98,7 @@
 	JobDone                          // all tasks of Job are durably done
 	MachineEmpty                     // Machine, on which nothing is, is to be returned: nothing will be started on it
 	MachineResolved                  // what earlier terms left on Machine is known
+	JobOrdered                       // Job has entered the order, with a first size
 )
 
 // Event is something that has happened. What its kind does not name is not set.
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -76,6 +76,8 @@
 	Commit  struct{ Txn ledger.Txn }
 	Recheck struct{ Key string }
 	Clean   struct{ First, Count int }
+	// Values reads a page of a duty's own values, those behind a key.
+	Values struct{ Duty, Since string }
 	// Direct sends stops straight to a worker, besides the answer to its next
 	// report. It has no result: nothing is concluded from it. Starts never go
 	// this way, for they could be carried out late.
@@ -122,6 +124,7 @@
 func (Commit) effect()      {}
 func (Recheck) effect()     {}
 func (Clean) effect()       {}
+func (Values) effect()      {}
 func (Direct) effect()      {}
 func (Notify) effect()      {}
 func (Rent) effect()        {}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -207,6 +207,31 @@
 	Virtual float64 `json:"v"`
 }
 
+// OwnPrefix is where values of their own begin that a duty keeps beside the log.
+// Unlike the log they need not be read before a term begins.
+const OwnPrefix = "own/"
+
+// Value is one of them, as it is read back.
+type Value struct {
+	Key  string
+	Data json.RawMessage
+}
+
+// ValuePrefix is where a duty's values begin.
+func ValuePrefix(duty string) string { return OwnPrefix + duty + "/" }
+
+// ValueKey is the key of a duty's value with a number.
+func ValueKey(duty string, n int) string { return fmt.Sprintf("%s%06d", ValuePrefix(duty), n) }
+
+// ValueNumber is the number of a duty's value with a key.
+func ValueNumber(duty, key string) (int, error) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, ValuePrefix(duty)))
+	if err != nil {
+		return 0, fmt.Errorf("ledger: key %q: %w", key, err)
+	}
+	return n, nil
+}
+
 // Op is a put (or, without a value, a delete) of a transaction.
 type Op struct {
 	Key    string
@@ -284,8 +309,16 @@
 }
 
 type pend struct {
-	raw  []byte
-	fact *Entry // to be told once it is durable; nil: nobody waits for that
+	raw   []byte
+	fact  *Entry // to be told once it is durable; nil: nobody waits for that
+	value *Op    // a value of its own that goes into the same transaction
+}
+
+func (p *pend) bytes() int {
+	if p.value == nil {
+		return len(p.raw)
+	}
+	return len(p.raw) + len(p.value.Value)
 }
 
 type flight struct {
@@ -325,17 +358,31 @@
 
 // Append queues an entry. Entries become durable in the order they were
 // appended.
-func (l *Log) Append(e Entry) { l.append(e, nil) }
+func (l *Log) Append(e Entry) { l.append(e, nil, nil) }
 
 // AppendFact queues an entry that Result returns once it is durable.
-func (l *Log) AppendFact(e Entry) { l.append(e, &e) }
+func (l *Log) AppendFact(e Entry) { l.append(e, &e, nil) }
+
+// AppendWith queues an entry, as AppendFact does, with a value of a duty's own that
+// is written by the same transaction. It is the entry that makes this safe: it
+// changes the log, so that a late copy of the transaction, which could put an old
+// value back, fails. False: the value is larger than may be written. Should the
+// state service refuse it even so, both are left out, and the entry is never told
+// as a fact although Settled passes it.
+func (l *Log) AppendWith(e Entry, key string, value json.RawMessage) bool {
+	if len(value) > min(l.room(), txnBytes/2) {
+		return false
+	}
+	l.append(e, &e, &Op{Key: key, Value: value})
+	return true
+}
 
-func (l *Log) append(e Entry, fact *Entry) {
+func (l *Log) append(e Entry, fact *Entry, value *Op) {
 	raw, err := e.encode()
 	if err != nil {
 		panic(fmt.Sprintf("ledger: an entry that cannot be written: %v", err)) // no entry holds such a value
 	}
-	l.pending = append(l.pending, pend{raw, fact})
+	l.pending = append(l.pending, pend{raw, fact, value})
 	l.queued += len(raw) + 1
 	l.appended++
 }
@@ -444,27 +491,39 @@
 	// Where a single change can be spent and not all goes into the open segment,
 	// a new one takes more than what is left of one that is nearly full.
 	fresh := l.sealed || (l.tokens < 2 && len(l.body) > l.room()/2 && len(l.body)+l.queued > l.room())
-	for _, p := range l.pending {
-		if total+len(p.raw) > txnBytes {
+	var values []Op
+	for i := range l.pending {
+		p := &l.pending[i]
+		if total+p.bytes() > txnBytes {
 			break
 		}
+		need := ops
+		if p.value != nil {
+			need++
+		}
 		full := len(cur.body) > 0 && len(cur.body)+1+len(p.raw) > l.room()
 		if full || (fresh && cur.number == l.segment) {
 			// A segment that stays as it is costs no change.
 			if cur.number != l.segment || len(cur.body) != len(l.body) {
-				if ops+1 > l.lim.TxnOps || float64(ops+1) > l.tokens {
-					break
-				}
-				ops++
+				need++
 			}
+		}
+		if need > ops && (need > l.lim.TxnOps || float64(need) > l.tokens) {
+			break
+		}
+		ops = need
+		if full || (fresh && cur.number == l.segment) {
 			f.segments = append(f.segments, cur)
 			cur = segment{number: cur.number + 1}
 		}
+		if p.value != nil {
+			values = append(values, *p.value)
+		}
 		if len(cur.body) > 0 {
 			cur.body = append(cur.body, ',')
 		}
 		cur.body = append(cur.body, p.raw...)
-		total += len(p.raw) + 1
+		total += p.bytes() + 1
 		f.count++
 	}
 	f.segments = append(f.segments, cur)
@@ -483,6 +542,7 @@
 			}
 			txn.Writes = append(txn.Writes, Op{Key: Key(s.number), Value: wrap(s.body)})
 		}
+		txn.Writes = append(txn.Writes, values...)
 	}
 	// What entries leave is for sizes and removals. They may run up a small debt:
 	// under steady load there is never a change left over, and without one the
@@ -573,6 +633,7 @@
 		l.list++ // the next one comes in smaller pieces
 		l.sizes = nil
 		l.giveUp(f)
+		l.leaveValues()
 		return nil, Carry
 	default:
 		l.fails++
@@ -584,6 +645,18 @@
 	}
 }
 
+// leaveValues leaves out the values that wait, which may be too large now. Their
+// entries become ones that say nothing: entries are counted.
+func (l *Log) leaveValues() {
+	for i := range l.pending {
+		if p := &l.pending[i]; p.value != nil {
+			l.queued -= len(p.raw)
+			*p = pend{raw: []byte(`{"f":{}}`)}
+			l.queued += len(p.raw)
+		}
+	}
+}
+
 // giveUp takes back a transaction that was not executed, or may be executed a
 // second time: its entries are still pending.
 func (l *Log) giveUp(f *flight) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -211,3 +211,59 @@
 		t.Errorf("%d of 10 sizes", seen)
 	}
 }
+
+// A value goes into the transaction of its entry, and neither a late copy nor a lost
+// answer puts an old one back.
+func TestAppendWith(t *testing.T) {
+	s := newStore()
+	l := newLog()
+	now := time.Second
+	key := ValueKey("d", 7)
+	put := func(v string) *Txn {
+		now += time.Second
+		if !l.AppendWith(cancel(1), key, json.RawMessage(v)) {
+			t.Fatal("refused")
+		}
+		return l.Next(now)
+	}
+	first := *put(`"old"`)
+	if _, step := l.Result(now, first.Seq, Unknown, 0, nil); step != Reread {
+		t.Fatal("an unknown outcome is not read back")
+	}
+	l.ReadBack(now, true, 0, nil) // it is not there
+	now += time.Second
+	again := l.Next(now)
+	out, mark, failed := s.apply(*again)
+	if facts, _ := l.Result(now, again.Seq, out, mark, failed); len(facts) != 1 || string(s.data[key]) != `"old"` {
+		t.Errorf("%d facts, the value is %s", len(facts), s.data[key])
+	}
+	next := put(`"new"`)
+	out, mark, failed = s.apply(*next)
+	if facts, _ := l.Result(now, next.Seq, out, mark, failed); len(facts) != 1 {
+		t.Errorf("%d facts", len(facts))
+	}
+	if out, _, _ := s.apply(first); out != Conflict || string(s.data[key]) != `"new"` {
+		t.Errorf("a late copy gives %v, the value is %s", out, s.data[key])
+	}
+	if n, err := ValueNumber("d", key); n != 7 || err != nil {
+		t.Errorf("%d %v", n, err)
+	}
+	if l.AppendWith(cancel(1), key, make(json.RawMessage, lim.ValueBytes)) {
+		t.Error("a value that is too large is taken")
+	}
+	// Refused as too large after all: value and entry are left out, the others go on.
+	l.lim.ValueBytes = 4000
+	if !l.AppendWith(cancel(2), key, make(json.RawMessage, 3000)) {
+		t.Fatal("refused")
+	}
+	l.AppendFact(cancel(3))
+	now += time.Second
+	txn := l.Next(now)
+	l.Result(now, txn.Seq, Invalid, 0, nil)
+	now += time.Second
+	txn = l.Next(now)
+	out, mark, failed = s.apply(*txn)
+	if facts, _ := l.Result(now, txn.Seq, out, mark, failed); len(facts) != 1 || *facts[0].Cancel != 3 || len(txn.Writes) != 1 || l.Settled() != l.Appended() {
+		t.Errorf("%d facts in %d changes, %d of %d entries settled", len(facts), len(txn.Writes), l.Settled(), l.Appended())
+	}
+}
--- a/internal/lifecycle/follow.go
+++ b/internal/lifecycle/follow.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
@@ -120,6 +121,7 @@
 	d.Book.Age(now.Seconds(), d.CPUs())
 	if j.Rec.Kind != jobs.Service {
 		d.Book.Add(j.Index, j.Team, len(j.Tasks), j.Rec.CPUs, j.Rec.Kind == jobs.Gang)
+		d.Tell(cluster.Event{Kind: cluster.JobOrdered, At: now, Job: j})
 	}
 	d.Dirty = true
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -459,6 +459,14 @@
 	c.after(now)
 }
 
+// GotValues takes a page of a duty's own values.
+func (c *Core) GotValues(now time.Duration, epoch uint64, duty string, list []ledger.Value, more, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.GotValues(now, duty, list, more, ok)
+	}
+	c.after(now)
+}
+
 // Deleted takes the result of a deletion.
 func (c *Core) Deleted(now time.Duration, epoch uint64, list []string, ok bool) {
 	if c.term != nil && c.term.Epoch == epoch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,6 +220,14 @@
 			entries, err := n.segments(ctx, e.First, e.First+e.Count)
 			return func(now time.Duration) { n.core.Cleaned(now, epoch, e.First, e.First+e.Count, err == nil, entries) }
 		})
+	case effects.Values:
+		n.outside(stateTimeout, func(ctx context.Context) func(time.Duration) {
+			list, more, err := n.values(ctx, e.Duty, e.Since)
+			if err != nil {
+				n.log.Debug("values not read", "duty", e.Duty, "error", err)
+			}
+			return func(now time.Duration) { n.core.GotValues(now, epoch, e.Duty, list, more, err == nil) }
+		})
 	case effects.Direct:
 		select {
 		case n.direct <- struct{}{}:
@@ -404,6 +412,23 @@
 	return entries, nil
 }
 
+// pageValues is how many of a duty's own values are read at once: nothing waits for
+// them, and the answer should not crowd out others.
+const pageValues = 16
+
+// values reads a page of a duty's own values.
+func (n *Node) values(ctx context.Context, duty, since string) ([]ledger.Value, bool, error) {
+	items, more, _, err := n.state.List(ctx, ledger.ValuePrefix(duty), since, pageValues)
+	if err != nil {
+		return nil, false, err
+	}
+	list := make([]ledger.Value, len(items))
+	for i, it := range items {
+		list[i] = ledger.Value{Key: it.Key, Data: it.Value}
+	}
+	return list, more && len(items) > 0, nil
+}
+
 func (n *Node) readPrefix(prefix string, each func(wire.Item) error) error {
 	since := ""
 	for {
--- /dev/null
+++ b/internal/runtimes/demand.go
@@ -0,0 +1,158 @@
+package runtimes
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// How much work comes at which time of a night, learned from the nights before, so
+// that operators see a nightly peak ahead of it.
+
+// slots of a day: local quarters of an hour. An hour that the clocks repeat counts
+// into the same ones, one that they skip leaves them empty, for one night.
+const (
+	slots     = 96
+	slotLasts = 15 * time.Minute
+)
+
+// demandNight is the work, in processor seconds, that came in one night, by the
+// local time at which it was accepted.
+type demandNight struct {
+	day     int32
+	holiday bool
+	work    [slots]float64
+}
+
+// demand is that of the last nights. A night is closed once the one after it is
+// over too: its last jobs may end as late as that.
+type demand struct {
+	nights []*demandNight // closed ones, by day
+	open   []*demandNight
+	wrote  int32 // the last night that is written
+}
+
+// storedDemand is a night's demand as it is written, without its last empty slots.
+type storedDemand struct {
+	Day     int32     `json:"d"`
+	Holiday bool      `json:"h,omitempty"`
+	Work    []float64 `json:"w"`
+}
+
+// take counts work. That of a night that is closed has been counted.
+func (m *demand) take(day int32, holiday bool, slot int, work float64) {
+	if n := len(m.nights); (n > 0 && day <= m.nights[n-1].day) || work <= 0 {
+		return
+	}
+	i, found := slices.BinarySearchFunc(m.open, day, func(n *demandNight, day int32) int { return cmp.Compare(n.day, day) })
+	if !found {
+		m.open = slices.Insert(m.open, i, &demandNight{day: day, holiday: holiday})
+	}
+	m.open[i].work[slot] += work
+}
+
+// unwritten says whether a night is known and in no value.
+func (m *demand) unwritten(day int32) bool {
+	of := func(n *demandNight) bool { return n.day == day }
+	return day > m.wrote && (slices.ContainsFunc(m.open, of) || slices.ContainsFunc(m.nights, of))
+}
+
+// close ends nights that are long over, and gives the values they are kept in.
+func (m *demand) close(today int32) (values []int) {
+	for len(m.open) > 0 && m.open[0].day < today-1 {
+		m.keep(m.open[0])
+		values = append(values, valueOf(m.open[0].day))
+		m.open = m.open[1:]
+	}
+	return values
+}
+
+// valueOf is the number of the value that keeps a night's demand.
+func valueOf(day int32) int { return int((day%keepNights + keepNights) % keepNights) }
+
+func (m *demand) keep(n *demandNight) {
+	m.nights = append(m.nights, n)
+	if over := len(m.nights) - keepNights; over > 0 {
+		m.nights = slices.Delete(m.nights, 0, over)
+	}
+}
+
+func (m *demand) restore(s *storedDemand) {
+	n := &demandNight{day: s.Day, holiday: s.Holiday}
+	copy(n.work[:], s.Work)
+	m.nights = append(m.nights, n)
+	slices.SortFunc(m.nights, func(a, b *demandNight) int { return cmp.Compare(a.day, b.day) })
+	m.wrote = max(m.wrote, s.Day)
+}
+
+// stored is the night that a value keeps; nil if there is none.
+func (m *demand) stored(value int) *storedDemand {
+	for _, n := range m.nights {
+		if valueOf(n.day) != value {
+			continue
+		}
+		s := &storedDemand{Day: n.day, Holiday: n.holiday}
+		last := 0
+		for i, w := range n.work {
+			if w > 0 {
+				last = i + 1
+			}
+		}
+		for _, w := range n.work[:last] {
+			s.Work = append(s.Work, round(w))
+		}
+		return s
+	}
+	return nil
+}
+
+// Expected is what is expected to come in a quarter of an hour.
+type Expected struct {
+	At       string  `json:"at"` // local time at which it begins
+	InS      float64 `json:"in_s"`
+	Nights   int     `json:"nights"`      // that were learned from
+	Work     float64 `json:"work_cpu_s"`  // the median night's, in processor seconds
+	Most     float64 `json:"most_cpu_s"`  // the heaviest night's
+	CPUs     float64 `json:"cpus"`        // that the median night's work keeps busy
+	CPUsMost float64 `json:"cpus_most"`   // and the heaviest night's
+	Now      float64 `json:"cpus_rented"` // at present
+}
+
+// expect is a slot's demand, learned from nights of the same sort, or from all of
+// them while there are none of that.
+func (m *demand) expect(holiday bool, slot int) (nights int, median, most float64) {
+	var list, all []float64
+	for _, n := range m.nights {
+		all = append(all, n.work[slot])
+		if n.holiday == holiday {
+			list = append(list, n.work[slot])
+		}
+	}
+	if len(list) == 0 {
+		list = all
+	}
+	if len(list) == 0 {
+		return 0, 0, 0
+	}
+	slices.Sort(list)
+	n := len(list)
+	return n, (list[(n-1)/2] + list[n/2]) / 2, list[n-1]
+}
+
+// ahead is what is expected over the next hours.
+func (d *Duty) ahead(now time.Duration) []Expected {
+	out := []Expected{}
+	rented := d.CPUs()
+	at := d.cal.Quarter(d.time(now))
+	for range aheadSlots {
+		night := d.cal.At(at)
+		n, median, most := d.demand.expect(night.Holiday, d.cal.Slot(at))
+		out = append(out, Expected{At: d.cal.Clock(at), InS: max(0, at.Sub(d.time(now)).Seconds()), Nights: n, Work: round(median), Most: round(most),
+			CPUs: round(median / slotLasts.Seconds()), CPUsMost: round(most / slotLasts.Seconds()), Now: round(rented)})
+		at = at.Add(slotLasts)
+	}
+	return out
+}
+
+// aheadSlots is how far the expected demand is shown: twelve hours.
+const aheadSlots = 48
--- a/internal/runtimes/duty.go
+++ b/internal/runtimes/duty.go
@@ -14,6 +14,7 @@
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
 
@@ -21,12 +22,12 @@
 const Name = "run-times"
 
 const (
-	writeEvery = 500 * time.Millisecond // summaries of closed nights, one at a time, when nothing else waits
-	kindBytes  = 600                    // rough sizes of a summary,
-	factBytes  = 150                    // and of a fact
-	slowAfter  = 4                      // tasks of which a machine is known to be slow
-	slowRatio  = 1.7                    // from which on it is
-	seenDays   = 2                      // for how long ids of facts are remembered
+	nightBytes = 80  // rough sizes of a night in a value,
+	factBytes  = 160 // and of a fact in the log
+	slowAfter  = 4   // tasks of which a machine is known to be slow
+	slowRatio  = 1.7 // from which on it is
+	seenDays   = 2   // for how long ids of facts are remembered
+	closeMost  = 16  // kinds whose night is closed in one tick
 )
 
 // Duty learns in a term.
@@ -35,6 +36,7 @@
 	*cluster.State
 	cal    *calendar.Calendar
 	book   *Book
+	demand demand
 	margin float64
 
 	runs     map[uint64]*run // open jobs of which something was seen, by id
@@ -43,12 +45,17 @@
 	seen     map[uint64]int32  // jobs whose fact is counted, and its night
 	today    calendar.Night
 	facts    int     // entries of facts that may have to be kept
-	replayed []*Fact // while the log is replayed
-
-	closing   []Kind         // with a night that is closed and not written
-	wrote     map[Kind]int32 // the last night of each kind that is written
-	writtenAt time.Duration
-	kept      map[Kind]bool // by the cleaning under way
+	held     []*Fact // until the history is read
+	rolling  []Kind  // whose night is over and not closed yet
+
+	read, asked bool // the history; a page of it
+	since       string
+	askAt       time.Duration
+	shelf       *shelf
+	storing     *storing
+	wrote       map[Kind]int32 // the last night of each kind that is written
+	writtenAt   time.Duration
+	pace        time.Duration // between values
 
 	late     map[uint64]*Late
 	lookedAt time.Duration
@@ -78,16 +85,25 @@
 	if err != nil {
 		panic(err) // settings are checked when they are read
 	}
-	return &Duty{State: s, cal: cal, margin: x.LateMargin, book: NewBook(x.RunTimesKinds), runs: map[uint64]*run{}, placedAt: map[workers.Ref]time.Duration{},
+	// Each value costs a change for itself and one for the entry that goes along.
+	pace := settings.Seconds(2 / max(.01, writeShare*s.Cfg.Writes().WriteRPS))
+	return &Duty{State: s, cal: cal, margin: x.LateMargin, book: NewBook(x.RunTimesKinds), shelf: newShelf(0), pace: pace, demand: demand{wrote: math.MinInt32}, runs: map[uint64]*run{}, placedAt: map[workers.Ref]time.Duration{},
 		speeds: map[string]*speed{}, seen: map[uint64]int32{}, wrote: map[Kind]int32{}, late: map[uint64]*Late{},
 		leads: s.Measures.Histogram("bitternmoor_late_job_lead_seconds", "How long before its learned deadline a job was warned of, by why it is late.", "why", []float64{0, 5, 15, 30, 60, 120, 300, 900, 3600})}
 }
 
-// entry is one of the duty's own: what a job has shown, or what a kind has in the
-// nights that are over.
+// entry is one of the duty's own in the log: what a job has shown, that a value was
+// written, or that a kind was forgotten.
 type entry struct {
-	Fact *storedFact `json:"f,omitempty"`
-	Kind *storedKind `json:"s,omitempty"`
+	Fact   *storedFact   `json:"f,omitempty"`
+	Stored *int          `json:"w,omitempty"`
+	Forgot *storedForgot `json:"x,omitempty"`
+}
+
+type storedForgot struct {
+	Kind    [4]string `json:"k"`
+	Holiday bool      `json:"h,omitempty"`
+	At      int64     `json:"a"` // facts up to then count no more
 }
 
 type storedFact struct {
@@ -101,6 +117,7 @@
 	Fetch    float64    `json:"x,omitempty"`
 	Job      float64    `json:"j"`
 	Estimate float64    `json:"e,omitempty"`
+	Work     float64    `json:"w,omitempty"`
 }
 
 type storedKind struct {
@@ -124,7 +141,7 @@
 func kindOf(n [4]string, holiday bool) Kind { return Kind{n[0], n[1], n[2], n[3], holiday} }
 
 func (f *storedFact) fact() *Fact {
-	return &Fact{ID: f.ID, At: f.At, Day: f.Day, Kind: kindOf(f.Kind, f.Holiday), N: f.N, Task: f.Task, Fetch: f.Fetch, Job: f.Job, Estimate: f.Estimate}
+	return &Fact{ID: f.ID, At: f.At, Day: f.Day, Kind: kindOf(f.Kind, f.Holiday), N: f.N, Task: f.Task, Fetch: f.Fetch, Job: f.Job, Estimate: f.Estimate, Work: f.Work}
 }
 
 func (n Night) numbers() [11]float64 {
@@ -156,16 +173,25 @@
 }
 
 // Replay takes an entry of its own. A fact counts for a kind only if its night is
-// later than those that the kind's summary holds, and once for each job: so
-// nothing is counted twice.
+// later than those that the kind's value holds, and once for each job: so nothing
+// is counted twice.
 func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
 	x, ok := d.decode(e)
 	switch {
 	case !ok:
 	case x.Fact != nil:
-		d.replayed = append(d.replayed, x.Fact.fact())
-	case x.Kind != nil:
-		d.restore(x.Kind)
+		d.facts++
+		d.hold(x.Fact.fact())
+	case x.Forgot != nil:
+		k := kindOf(x.Forgot.Kind, x.Forgot.Holiday)
+		d.book.forgot[k] = max(d.book.forgot[k], x.Forgot.At)
+	}
+}
+
+// hold keeps a fact until the history is read.
+func (d *Duty) hold(f *Fact) {
+	if len(d.held) < heldMost {
+		d.held = append(d.held, f)
 	}
 }
 
@@ -179,52 +205,47 @@
 	if _, seen := d.seen[f.ID]; seen {
 		return
 	}
-	d.seen[f.ID] = f.Day
-	d.closing = append(d.closing, d.book.Take(f)...)
-}
-
-func (d *Duty) restore(s *storedKind) {
-	k := kindOf(s.Kind, s.Holiday)
-	if len(s.Nights) == 0 {
-		return
-	}
-	last := int32(s.Nights[len(s.Nights)-1][0])
-	if d.written(k, last) {
+	if !d.read {
+		d.hold(f)
 		return
 	}
-	m := d.book.models[k]
-	if m == nil {
-		m = &model{}
-		d.book.models[k] = m
-	}
-	m.at = max(m.at, s.At)
-	m.nights = nil
-	for _, n := range s.Nights {
-		m.nights = append(m.nights, nightOf(n))
+	d.seen[f.ID] = f.Day
+	for _, k := range d.book.Take(f) {
+		d.shelf.push(d.shelf.place(k))
 	}
-	d.wrote[k] = last
-	for len(d.book.models) > d.book.most {
-		d.book.drop()
+	d.leave(d.book.takeGone())
+	accepted := time.Unix(f.At, 0).Add(-time.Duration(f.Job * float64(time.Second)))
+	night := d.cal.At(accepted)
+	d.demand.take(night.Day, night.Holiday, d.cal.Slot(accepted), f.Work)
+}
+
+// leave has kinds that are in the book no more written nowhere.
+func (d *Duty) leave(list []Kind) {
+	for _, k := range list {
+		delete(d.wrote, k)
+		d.shelf.remove(k)
 	}
 }
 
-// Begin counts the facts, in the order of their nights: cleaning may have left an
-// older one behind a newer one. Then it settles which nights are closed and not
-// written.
-func (d *Duty) Begin(now time.Duration) {
-	slices.SortStableFunc(d.replayed, func(a, b *Fact) int { return cmp.Or(cmp.Compare(a.Day, b.Day), cmp.Compare(a.At, b.At)) })
-	for _, f := range d.replayed {
+// start counts the facts that waited for the history, in the order of their nights:
+// cleaning may have left an older one behind a newer one. What they close, and what
+// the last leader has closed and not written, is written.
+func (d *Duty) start(now time.Duration) {
+	d.book.drop()
+	d.leave(d.book.takeGone())
+	held := d.held
+	d.held = nil
+	slices.SortStableFunc(held, func(a, b *Fact) int { return cmp.Or(cmp.Compare(a.Day, b.Day), cmp.Compare(a.At, b.At)) })
+	for _, f := range held {
 		d.count(f)
 	}
-	d.facts, d.replayed = len(d.replayed), nil
-	d.closing = nil
-	for k, m := range d.book.models {
-		if n := len(m.nights); n > 0 && !d.written(k, m.nights[n-1].Day) {
-			d.closing = append(d.closing, k)
+	d.today = calendar.Night{}
+	d.newDay(now)
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Open {
+			d.expect(now, j)
 		}
 	}
-	slices.SortFunc(d.closing, func(a, b Kind) int { return cmp.Compare(a.String(), b.String()) })
-	d.newDay(now)
 }
 
 // time is the time of day.
@@ -242,11 +263,9 @@
 			delete(d.seen, id)
 		}
 	}
-	for k, m := range d.book.models {
-		if m.open != nil && m.open.day < today.Day {
-			m.close()
-			d.closing = append(d.closing, k)
-		}
+	d.rolling = append(d.rolling, d.book.over(today.Day)...)
+	for _, n := range d.demand.close(today.Day) {
+		d.shelf.push(n)
 	}
 	for name := range d.speeds {
 		if d.Yard.Find(name) == nil {
@@ -255,6 +274,18 @@
 	}
 }
 
+// roll closes the night of some of the kinds for which it is over.
+func (d *Duty) roll() {
+	n := min(closeMost, len(d.rolling))
+	for _, k := range d.rolling[:n] {
+		if m := d.book.models[k]; m != nil && m.open != nil && m.open.day < d.today.Day {
+			m.close()
+			d.shelf.push(d.shelf.place(k))
+		}
+	}
+	d.rolling = d.rolling[n:]
+}
+
 func (d *Duty) kind(j *jobs.Job) Kind {
 	return Kind{Class: j.Rec.Class, Team: j.Rec.Team, Image: j.Rec.Image, Shape: shape(len(j.Tasks), j.Need.CPU), Holiday: d.today.Holiday}
 }
@@ -278,6 +309,8 @@
 // their kind takes.
 func (d *Duty) Hear(e cluster.Event) {
 	switch e.Kind {
+	case cluster.JobOrdered:
+		d.expect(e.At, e.Job)
 	case cluster.TaskPlaced:
 		d.placedAt[workers.Ref{Job: e.Job.Index, Task: int32(e.Task)}] = e.At
 	case cluster.TaskBegan:
@@ -302,6 +335,16 @@
 	}
 }
 
+// expect has a job's size start from what its kind has shown (learned_sizes).
+func (d *Duty) expect(now time.Duration, j *jobs.Job) {
+	if d.Cfg.Tunables.LearnedSizes == 0 || !d.read {
+		return
+	}
+	if e := d.estimate(now, j); e.Tasks > 0 {
+		d.Book.Expect(j.Index, e.Mean())
+	}
+}
+
 func (d *Duty) done(e cluster.Event) {
 	if e.Took <= 0 || !e.Mine || e.Job.Rec.Kind != jobs.Array {
 		return
@@ -366,76 +409,66 @@
 	for i, q := range points {
 		s.Task[i] = round(quantile(r.task, q))
 	}
+	s.Work = round(mean(s.Task) * float64(len(j.Tasks)) * j.Need.CPUs())
 	if d.append(entry{Fact: &s}) {
 		d.count(s.fact())
 		d.facts++
 	}
 }
 
-// Tick writes what nights have shown, one kind at a time and only while nothing
-// else waits to be written, and looks after jobs that run late.
+// Tick reads the history after a takeover, writes what nights have shown, and looks
+// after jobs that run late.
 func (d *Duty) Tick(now time.Duration, sure bool) {
 	if !sure {
 		return
 	}
+	if !d.read {
+		if !d.asked && now >= d.askAt {
+			d.asked = true
+			d.Emit(effects.Values{Duty: Name, Since: d.since})
+		}
+		return
+	}
 	if now-d.lookedAt >= lookEvery {
 		d.lookedAt = now
 		d.newDay(now)
 		d.look(now)
 	}
-	if len(d.closing) > 0 && now-d.writtenAt >= writeEvery && d.Log.Pending() == 0 {
-		d.writtenAt = now
-		k := d.closing[0]
-		d.closing = d.closing[1:]
-		d.writeKind(k)
-	}
-}
-
-func (d *Duty) writeKind(k Kind) {
-	m := d.book.models[k]
-	if m == nil || len(m.nights) == 0 {
-		return
-	}
-	s := storedKind{Kind: names(k), Holiday: k.Holiday, At: m.at}
-	for _, n := range m.nights {
-		s.Nights = append(s.Nights, n.numbers())
-	}
-	for ; len(s.Nights) > 0; s.Nights = s.Nights[1:] { // in small values the oldest nights go first
-		if d.append(entry{Kind: &s}) {
-			d.wrote[k] = m.nights[len(m.nights)-1].Day
-			return
-		}
-	}
+	d.roll()
+	d.store(now)
 }
 
 // Live is roughly how many bytes Keep would write for the whole log.
-func (d *Duty) Live() int { return len(d.wrote)*kindBytes + d.facts*factBytes }
+func (d *Duty) Live() int { return d.facts * factBytes }
 
-// Keep writes anew a fact that is in no summary yet, and the summary of a kind as
-// it is now.
+// Keep writes anew a fact that is in no value yet, and for some days that a kind was
+// forgotten.
 func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
 	x, ok := d.decode(e)
 	switch {
 	case !ok:
 	case x.Fact != nil:
-		for _, k := range kindOf(x.Fact.Kind, x.Fact.Holiday).levels() {
-			if m := d.book.models[k]; m != nil && !d.written(k, x.Fact.Day) {
-				d.Log.Append(e)
-				return
-			}
+		if !d.read || d.needs(x.Fact.fact()) {
+			d.Log.Append(e)
+			return
 		}
 		d.facts = max(0, d.facts-1)
-	case x.Kind != nil:
-		k := kindOf(x.Kind.Kind, x.Kind.Holiday)
-		if d.kept == nil {
-			d.kept = map[Kind]bool{}
-		}
-		if !d.kept[k] {
-			d.kept[k] = true
-			d.writeKind(k)
+	case x.Forgot != nil:
+		k := kindOf(x.Forgot.Kind, x.Forgot.Holiday)
+		at := time.Unix(x.Forgot.At, 0)
+		if n, ok := d.shelf.home[k]; !d.read || d.cal.At(at).Day >= d.today.Day-keepForgot || (ok && d.shelf.queued[n]) {
+			d.Log.Append(e)
 		}
 	}
 }
 
-// Kept ends a cleaning.
-func (d *Duty) Kept() { d.kept = nil }
+// needs says whether a fact is not in the values of all that it counts for.
+func (d *Duty) needs(f *Fact) bool {
+	for _, k := range f.Kind.levels() {
+		if m := d.book.models[k]; m != nil && !d.written(k, f.Day) {
+			return true
+		}
+	}
+	accepted := d.cal.At(time.Unix(f.At, 0).Add(-time.Duration(f.Job * float64(time.Second))))
+	return f.Work > 0 && d.demand.unwritten(accepted.Day)
+}
--- a/internal/runtimes/forecast.go
+++ b/internal/runtimes/forecast.go
@@ -273,6 +273,8 @@
 			return cmp.Or(cmp.Compare(a.RaisedMS, b.RaisedMS), cmp.Compare(a.Job, b.Job))
 		})
 		out = list
+	case "ahead":
+		out = d.ahead(now)
 	case "":
 		list := []shownKind{}
 		for k, m := range d.book.models {
--- /dev/null
+++ b/internal/runtimes/scale_test.go
@@ -0,0 +1,133 @@
+package runtimes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// full gives the values of so many kinds of nine nights, in values of so many bytes,
+// and how large they are in all.
+func full(kinds, bytes int) (values []ledger.Value, total int) {
+	s := newShelf(bytes)
+	var v storedValue
+	flush := func(n int) {
+		raw, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		total += len(raw)
+		values = append(values, ledger.Value{Key: ledger.ValueKey(Name, n), Data: raw})
+		v.Kinds = nil
+	}
+	v.Version = valueVersion
+	last := keepNights
+	for k := range kinds {
+		kind := Kind{fmt.Sprint("class", k%20), "team", fmt.Sprint("image", k), "7x10", false}
+		if n := s.place(kind); n != last {
+			flush(last)
+			last = n
+		}
+		x := storedKind{Kind: names(kind), At: 1}
+		for n := range keepNights {
+			x.Nights = append(x.Nights, Night{Day: int32(n), Jobs: 3, N: 120, P50: 20.4, P90: 31.2, Fetch: 3.2, JobP50: 60.2, JobP90: 88.5, RatioP10: .5, RatioP50: 1.1, RP90: 1.8}.numbers())
+		}
+		v.Kinds = append(v.Kinds, x)
+	}
+	flush(last)
+	return values, total
+}
+
+func leader(kinds int) *Duty {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Tunables.RunTimesKinds = kinds
+	cfg.Deployment.State.WriteRPS = 40
+	return New(cluster.New(cluster.Start{Cfg: cfg, Epoch: 2, Counts: &cluster.Counts{}}))
+}
+
+// What a new leader reads after its term has begun, with a full book: ten thousand
+// kinds of nine nights. Nothing of it stands between its election and its work.
+func BenchmarkReadTenThousandKinds(b *testing.B) {
+	for _, bytes := range []int{960, 8128} {
+		b.Run(fmt.Sprint(bytes), func(b *testing.B) {
+			values, total := full(10000, bytes)
+			b.ReportAllocs()
+			for b.Loop() {
+				d := leader(10000)
+				d.Begin(0)
+				for i := 0; i < len(values); i += 16 {
+					d.Tick(time.Duration(i)*time.Millisecond, true)
+					d.GotValues(0, values[i:min(i+16, len(values))], i+16 < len(values), true)
+				}
+				if d.book.Len() != 10000 {
+					b.Fatal(d.book.Len())
+				}
+			}
+			b.ReportMetric(float64(total)/10000, "bytes/kind")
+			b.ReportMetric(float64(len(values)), "values")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64((len(values)+15)/16), "µs/page")
+		})
+	}
+}
+
+// What ten thousand kinds take in memory, with their night open and once it is closed.
+func BenchmarkMemoryTenThousandKinds(b *testing.B) {
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		before := heap()
+		r := rand.New(rand.NewPCG(4, 4))
+		d := leader(10000)
+		d.Begin(0)
+		d.Tick(0, true)
+		values, _ := full(9000, 8128)
+		d.GotValues(0, values, false, true)
+		values = nil
+		closed := heap()
+		for n := range 9000 {
+			d.count(factOf(uint64(n+1), 40, Kind{fmt.Sprint("class", n%20), "team", fmt.Sprint("image", n), "7x10", false}, 20, normal(r, 40, 20, .3)))
+		}
+		open := heap()
+		b.ReportMetric((closed-before)/9000, "closed-B/kind")
+		b.ReportMetric((open-closed)/9000, "open-B/kind")
+		runtime.KeepAlive(d)
+	}
+}
+
+// The end of a night of ten thousand kinds is spread over ticks.
+func BenchmarkNightEnds(b *testing.B) {
+	r := rand.New(rand.NewPCG(4, 4))
+	for b.Loop() {
+		b.StopTimer()
+		d := leader(10000)
+		d.Begin(0)
+		d.Tick(0, true)
+		d.GotValues(0, nil, false, true)
+		d.Log = ledger.NewLog(ledger.Limits{WriteRPS: 40, ValueBytes: 8192, TxnOps: 9}, "lead/epoch", 1, 1, 0)
+		for n := range 9000 {
+			d.count(factOf(uint64(n+1), 0, Kind{fmt.Sprint("class", n%20), "team", fmt.Sprint("image", n), "7x10", false}, 20, normal(r, 40, 20, .3)))
+		}
+		b.StartTimer()
+		longest, ticks := time.Duration(0), 0
+		for now := 40 * time.Hour; ticks == 0 || len(d.rolling) > 0; now += 50 * time.Millisecond {
+			from := time.Now()
+			d.Tick(now, true)
+			longest = max(longest, time.Since(from))
+			ticks++
+			d.Take()
+		}
+		b.ReportMetric(float64(longest.Microseconds()), "µs/longest-tick")
+		b.ReportMetric(float64(ticks), "ticks")
+	}
+}
--- /dev/null
+++ b/internal/runtimes/shelf.go
@@ -0,0 +1,291 @@
+package runtimes
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+)
+
+// What closed nights have shown is kept in values of the duty's own beside the log,
+// a few kinds to a value. A new leader begins its term without them and reads them
+// page by page while it works; until then facts wait, and estimates are owners'.
+
+const (
+	valueVersion = 1
+	writeShare   = 0.05        // of the changes that the state service takes
+	askAgain     = time.Second // after a page that could not be read
+	heldMost     = 20000       // facts that wait in memory for the history to be read
+	keepForgot   = 3           // days for which it is noted that a kind was forgotten
+)
+
+// storedValue is one value: some kinds, or a night's demand.
+type storedValue struct {
+	Version int           `json:"v"`
+	Kinds   []storedKind  `json:"k,omitempty"`
+	Demand  *storedDemand `json:"d,omitempty"`
+}
+
+// Values below keepNights hold the demand of one night each, the others kinds.
+
+// shelf says which value each kind is kept in, and which are to be written.
+type shelf struct {
+	room   int // of a value, in bytes
+	groups map[int]*group
+	home   map[Kind]int
+	open   int // the value that takes new kinds
+	next   int // numbers from this one on were never used
+	queue  []int
+	queued map[int]bool
+}
+
+// group is what one value holds.
+type group struct {
+	kinds []Kind
+	bytes int // when each of them has all its nights
+}
+
+func newShelf(room int) *shelf {
+	return &shelf{room: room, groups: map[int]*group{}, home: map[Kind]int{}, open: -1, next: keepNights, queued: map[int]bool{}}
+}
+
+// size is roughly what a kind takes with all its nights.
+func size(k Kind) int { return 60 + len(k.String()) + keepNights*nightBytes }
+
+// put has a kind kept in a value.
+func (s *shelf) put(n int, k Kind) {
+	g := s.groups[n]
+	if g == nil {
+		g = &group{}
+		s.groups[n] = g
+	}
+	g.kinds = append(g.kinds, k)
+	g.bytes += size(k)
+	s.home[k] = n
+	s.next = max(s.next, n+1)
+}
+
+// remove has a kind kept nowhere.
+func (s *shelf) remove(k Kind) {
+	n, ok := s.home[k]
+	if !ok {
+		return
+	}
+	delete(s.home, k)
+	g := s.groups[n]
+	g.kinds = slices.DeleteFunc(g.kinds, func(o Kind) bool { return o == k })
+	g.bytes -= size(k)
+	s.push(n)
+}
+
+// place gives the value that a kind is kept in.
+func (s *shelf) place(k Kind) int {
+	if n, ok := s.home[k]; ok {
+		return n
+	}
+	if g := s.groups[s.open]; g == nil || g.bytes+size(k) > s.room {
+		s.open = s.next
+	}
+	s.put(s.open, k)
+	return s.open
+}
+
+// push has a value written when its turn comes.
+func (s *shelf) push(n int) {
+	if !s.queued[n] {
+		s.queued[n] = true
+		s.queue = append(s.queue, n)
+	}
+}
+
+func (s *shelf) pop() int {
+	n := s.queue[0]
+	s.queue = s.queue[1:]
+	delete(s.queued, n)
+	return n
+}
+
+// spread moves kinds out of a value that is too full, into others: it may have been
+// written when values were larger. It says whether there was anything to move; the
+// others are written first then, so that every kind is always in one at least.
+func (s *shelf) spread(n int) bool {
+	g := s.groups[n]
+	if g == nil || g.bytes <= s.room || len(g.kinds) < 2 {
+		return false
+	}
+	for g.bytes > s.room && len(g.kinds) > 1 {
+		k := g.kinds[len(g.kinds)-1]
+		g.kinds = g.kinds[:len(g.kinds)-1]
+		g.bytes -= size(k)
+		delete(s.home, k)
+		if s.open == n {
+			s.open = -1
+		}
+		s.push(s.place(k))
+	}
+	s.push(n)
+	return true
+}
+
+// storing is a value on its way.
+type storing struct {
+	n      int
+	pos    int            // it is settled when the log has come so far
+	days   map[Kind]int32 // the last night of each kind in it
+	demand int32          // the night of demand in it
+}
+
+// GotValues takes a page of the history.
+func (d *Duty) GotValues(now time.Duration, list []ledger.Value, more, ok bool) {
+	if d.read || !d.asked {
+		return
+	}
+	d.asked = false
+	if !ok {
+		d.askAt = now + askAgain
+		return
+	}
+	for _, v := range list {
+		d.since = v.Key
+		n, err := ledger.ValueNumber(Name, v.Key)
+		if err != nil {
+			d.setAside(v.Key, err)
+			continue
+		}
+		d.shelf.next = max(d.shelf.next, n+1)
+		var s storedValue
+		if err := json.Unmarshal(v.Data, &s); err != nil {
+			d.setAside(v.Key, err)
+			continue
+		}
+		if s.Version != valueVersion {
+			d.setAside(v.Key, fmt.Errorf("it is of version %d", s.Version))
+			continue
+		}
+		for _, k := range s.Kinds {
+			d.restore(n, &k)
+		}
+		if s.Demand != nil {
+			d.demand.restore(s.Demand)
+		}
+	}
+	if !more {
+		d.read = true
+		d.start(now)
+	}
+}
+
+// setAside leaves a value as it is: another version may know it, or somebody may
+// want to see what has become of it. Its number is not used again.
+func (d *Duty) setAside(key string, err error) {
+	d.Note(effects.Warn, "a value of learned run times cannot be read: it is set aside, and learning goes on", "key", key, "error", err)
+}
+
+// restore takes a kind of a value. It may be in two, while it moved: then the one
+// with the later nights counts, and the other one is written anew.
+func (d *Duty) restore(n int, s *storedKind) {
+	k := kindOf(s.Kind, s.Holiday)
+	if at, ok := d.book.forgot[k]; (ok && s.At <= at) || len(s.Nights) == 0 {
+		d.shelf.push(n)
+		return
+	}
+	last := int32(s.Nights[len(s.Nights)-1][0])
+	if d.written(k, last) {
+		d.shelf.push(n)
+		return
+	}
+	d.shelf.remove(k)
+	d.shelf.put(n, k)
+	m := d.book.models[k]
+	if m == nil {
+		m = &model{}
+		d.book.models[k] = m
+	}
+	m.at, m.shown = max(m.at, s.At), nil
+	m.nights = nil
+	for _, x := range s.Nights {
+		m.nights = append(m.nights, nightOf(x))
+	}
+	d.wrote[k] = last
+}
+
+// store writes one value, when nothing else waits and not too often.
+func (d *Duty) store(now time.Duration) {
+	if d.storing != nil {
+		if d.Log.Settled() < d.storing.pos {
+			return
+		}
+		d.shelf.push(d.storing.n) // refused: with smaller values it is tried again
+		d.storing = nil
+	}
+	if len(d.shelf.queue) == 0 || now-d.writtenAt < d.pace || d.Log.Pending() > 0 {
+		return
+	}
+	d.shelf.room = d.Log.Room()
+	n := d.shelf.pop()
+	if n >= keepNights && d.shelf.spread(n) {
+		return
+	}
+	d.writtenAt = now
+	v, st := d.value(n)
+	raw, err := json.Marshal(v)
+	for cut := 1; err == nil && len(raw) > d.shelf.room && cut < keepNights; cut++ {
+		for i := range v.Kinds { // in small values the oldest nights go first
+			if k := &v.Kinds[i]; len(k.Nights) > 1 {
+				k.Nights = k.Nights[1:]
+			}
+		}
+		raw, err = json.Marshal(v)
+	}
+	if err != nil || !d.Log.AppendWith(ledger.NewOwn(Name, entry{Stored: &n}), ledger.ValueKey(Name, n), raw) {
+		d.Note(effects.Warn, "learned run times that do not fit into a value are not kept", "value", n, "bytes", len(raw))
+		return
+	}
+	st.pos = d.Log.Appended()
+	d.storing = st
+}
+
+// value is what a value holds now.
+func (d *Duty) value(n int) (storedValue, *storing) {
+	v, st := storedValue{Version: valueVersion}, &storing{n: n, days: map[Kind]int32{}, demand: math.MinInt32}
+	if n < keepNights {
+		v.Demand = d.demand.stored(n)
+		if v.Demand != nil {
+			st.demand = v.Demand.Day
+		}
+		return v, st
+	}
+	g := d.shelf.groups[n]
+	if g == nil {
+		return v, st // all that it held is elsewhere
+	}
+	for _, k := range g.kinds {
+		m := d.book.models[k]
+		if m == nil || len(m.nights) == 0 {
+			continue
+		}
+		s := storedKind{Kind: names(k), Holiday: k.Holiday, At: m.at}
+		for _, x := range m.nights {
+			s.Nights = append(s.Nights, x.numbers())
+		}
+		v.Kinds = append(v.Kinds, s)
+		st.days[k] = m.nights[len(m.nights)-1].Day
+	}
+	return v, st
+}
+
+// Durable notes what is written.
+func (d *Duty) Durable(_ time.Duration, _ bool, e ledger.Entry) {
+	x, ok := d.decode(e)
+	if !ok || x.Stored == nil || d.storing == nil || *x.Stored != d.storing.n {
+		return
+	}
+	maps.Copy(d.wrote, d.storing.days)
+	d.demand.wrote = max(d.demand.wrote, d.storing.demand)
+	d.storing = nil
+}
--- a/internal/runtimes/transfer.go
+++ b/internal/runtimes/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -52,6 +53,7 @@
 type Import struct {
 	Kinds   []Exported `json:"kinds"`
 	Replace bool       `json:"replace"`
+	Forget  []string   `json:"forget,omitempty"` // names of kinds, as they are shown
 }
 
 // Imported says what an import has changed.
@@ -60,11 +62,14 @@
 	Replaced int `json:"replaced"`
 	Left     int `json:"left_as_they_are"`
 	Dropped  int `json:"dropped"` // for want of room
+	Forgot   int `json:"forgotten,omitempty"`
 }
 
-// Change takes kinds in. All are checked before the first is taken; they are
-// written down one at a time like summaries of a night that has ended.
-func (d *Duty) Change(_ time.Duration, body json.RawMessage) (json.RawMessage, error) {
+var errReading = errors.New("run-times: the history is still being read: try again in a few seconds")
+
+// Change takes kinds in, or forgets some. All are checked before the first is
+// touched; what is taken in is written down like nights that have ended.
+func (d *Duty) Change(now time.Duration, body json.RawMessage) (json.RawMessage, error) {
 	var in Import
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, fmt.Errorf("run-times: %w", err)
@@ -74,7 +79,14 @@
 			return nil, fmt.Errorf("run-times: kinds[%d]: %w", i, err)
 		}
 	}
+	if !d.read {
+		return nil, errReading
+	}
 	var out Imported
+	if err := d.forget(now, in.Forget); err != nil {
+		return nil, err
+	}
+	out.Forgot = len(in.Forget)
 	for _, x := range in.Kinds {
 		m, known := d.book.models[x.Kind]
 		switch {
@@ -95,9 +107,9 @@
 		for _, n := range x.Nights[max(0, len(x.Nights)-keepNights):] {
 			m.nights = append(m.nights, nightOf(n))
 		}
-		m.at = int64(m.nights[len(m.nights)-1].Day) * 86400
+		m.at, m.shown = max(int64(m.nights[len(m.nights)-1].Day)*86400, d.book.forgot[x.Kind]+1), nil
 		delete(d.wrote, x.Kind)
-		d.closing = append(d.closing, x.Kind)
+		d.shelf.push(d.shelf.place(x.Kind))
 	}
 	raw, err := json.Marshal(out)
 	if err != nil {
@@ -105,3 +117,29 @@
 	}
 	return raw, nil
 }
+
+// forget forgets the kinds of these names, and notes that it has: facts that are
+// still in the log count for them no more. Coarser kinds stay.
+func (d *Duty) forget(now time.Duration, list []string) error {
+	if len(list) == 0 {
+		return nil
+	}
+	byName := map[string]Kind{}
+	for k := range d.book.models {
+		byName[k.String()] = k
+	}
+	for i, name := range list {
+		if _, ok := byName[name]; !ok {
+			return fmt.Errorf("run-times: forget[%d]: no kind of work is called %q", i, name)
+		}
+	}
+	for _, name := range list {
+		k := byName[name]
+		s := storedForgot{Kind: names(k), Holiday: k.Holiday, At: max(d.time(now).Unix(), d.book.models[k].at)}
+		d.append(entry{Forgot: &s})
+		d.book.forgot[k] = s.At
+		delete(d.book.models, k)
+		d.leave([]Kind{k})
+	}
+	return nil
+}
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -222,6 +222,36 @@
 	})
 }
 
+// values reads a page of a duty's own values, a few at a time.
+func (st *stateService) values(c *controller, duty, since string) {
+	type page struct {
+		list []ledger.Value
+		more bool
+	}
+	epoch, life := epochOf(c), c.life
+	call(st.s, c.name, "state", wait, func(reply func(page)) {
+		if st.down(c) {
+			return
+		}
+		var keys []string
+		for k := range st.items {
+			if strings.HasPrefix(k, ledger.ValuePrefix(duty)) && k > since {
+				keys = append(keys, k)
+			}
+		}
+		slices.Sort(keys)
+		p := page{more: len(keys) > 3}
+		for _, k := range keys[:min(len(keys), 3)] {
+			p.list = append(p.list, ledger.Value{Key: k, Data: st.items[k].value})
+		}
+		reply(p)
+	}, func(p page, ok bool) {
+		if c.life == life {
+			c.into(func(now time.Duration) { c.core.GotValues(now, epoch, duty, p.list, p.more, ok) })()
+		}
+	})
+}
+
 func (st *stateService) load(c *controller, epoch uint64) {
 	life := c.life
 	call(st.s, c.name, "state", wait, func(reply func(term.Durable)) {
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -319,6 +319,8 @@
 		s.state.commit(c, e.Txn)
 	case effects.Recheck:
 		s.state.recheck(c, e.Key)
+	case effects.Values:
+		s.state.values(c, e.Duty, e.Since)
 	case effects.Direct:
 		if w := s.cloud.machines[e.Address]; w != nil {
 			s.send(c.name, w.name, func() {
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -44,6 +44,7 @@
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	TakeoversKept   int     // so many takeovers are written down
 	RunTimesKinds   int     // so many kinds of work have their run times learned
+	LearnedSizes    int     // exception: sizes start from what a job's kind has shown (0 or 1)
 	LateMargin      float64 // a job is late that takes this many times as long as nine in ten of its kind
 	TimeZone        string  // of the operators
 	NightBegins     string  // a cron expression
@@ -131,6 +132,7 @@
 	amount("exceptions", "wait_lead", "s", "tasks still waiting this long before their class's wait aim go ahead of the order until it is missed, and long best-effort ones before their aim for the end; 0: never", 85, 0, 86400, func(t *Tunables) *float64 { return &t.WaitLeadS }),
 	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
 	amount("exceptions", "low_lead", "s", "best-effort jobs go behind the order until this long before their class's tightest aim; 0: never", 110, 0, 86400, func(t *Tunables) *float64 { return &t.LowLeadS }),
+	whole("exceptions", "learned_sizes", "0 or 1", "a job's size starts from the run times learned of its kind, where there are any, instead of those of all jobs", 0, 0, 1, func(t *Tunables) *int { return &t.LearnedSizes }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
 	amount("fleet", "aim_share", "share", "dear_backlog of a class with aims: this share of the tightest one", 1.1, 0.1, 10, func(t *Tunables) *float64 { return &t.AimShare }),
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -100,6 +100,15 @@
 	b.sorted = false
 }
 
+// Expect has a job that is not trained yet start from what its kind of work has
+// shown: n·ξ·mean in place of n·ξ·s̄.
+func (b *Book) Expect(j int32, mean float64) {
+	if job := b.job(j); job != nil && !job.final {
+		job.size = float64(job.tasks) * b.p.Xi * mean
+		b.sorted = false
+	}
+}
+
 // Restore puts back what an earlier term had written down.
 func (b *Book) Restore(j int32, final bool, size, virtual float64) {
 	if job := b.job(j); job != nil {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -210,6 +210,20 @@
 	t.Note(effects.Warn, "the log has entries that this version does not know: they are kept as they are", "first", string(e.Unknown[:min(len(e.Unknown), 80)]))
 }
 
+// reader is a duty that reads values of its own, after its term has begun.
+type reader interface {
+	// GotValues takes a page of them, in the order of their keys; ok is false for
+	// one that could not be read.
+	GotValues(now time.Duration, list []ledger.Value, more, ok bool)
+}
+
+// GotValues takes a page of a duty's own values.
+func (t *Term) GotValues(now time.Duration, duty string, list []ledger.Value, more, ok bool) {
+	if r, known := t.owners[duty].(reader); known {
+		r.GotValues(now, list, more, ok)
+	}
+}
+
 // Pump hands what has gathered to the log and sends what the log allows.
 func (t *Term) Pump(now time.Duration) {
 	if !t.loaded {
