Pools: operators' listener with certificates, command line, receipts, loopback runs

Changes go over Connect RPC with mutual TLS and roles by certificate name (certs ca, certs issue); each carries an id and the version it was planned for, and is answered as done once it is durable. Receipts are JSON Web Tokens whose unit numbers are noted before they are given. Loopback: a dozen workers killed or cut off, a leader that ends, a pool made smaller: never more held than there are.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/certs"
+)
+
+type backend struct {
+	calls atomic.Int32
+	fails int32 // so many calls at first
+}
+
+func (b *backend) ShowDuty(what string) (json.RawMessage, error) {
+	if what == "none" {
+		return nil, ErrUnknown
+	}
+	return json.RawMessage(fmt.Sprintf("%q", what)), nil
+}
+
+func (b *backend) ChangeDuty(duty string, body json.RawMessage) (json.RawMessage, error) {
+	if b.calls.Add(1) <= b.fails {
+		return nil, errors.New("no leader is known at present")
+	}
+	if string(body) == `"bad"` {
+		return nil, fmt.Errorf("units: more than there may be (%w)", ErrRefused)
+	}
+	return body, nil
+}
+
+// Only those with a certificate may call, each within its role; what cannot be told
+// now is tried again, what is refused is not.
+func TestRoles(t *testing.T) {
+	dir, elsewhere := t.TempDir(), t.TempDir()
+	for _, d := range []string{dir, elsewhere} {
+		if err := certs.MakeCA(d, "test CA", time.Hour); err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{"looker", "operator", "boss", "stranger"} {
+			if err := certs.Issue(d, name, nil, time.Hour); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := certs.Issue(dir, "n0", []string{"127.0.0.1"}, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	of := func(d, name string) certs.Files {
+		return certs.Files{Cert: filepath.Join(d, name+".pem"), Key: filepath.Join(d, name+".key"), CA: filepath.Join(dir, "ca.pem")}
+	}
+	store, err := certs.NewStore(of(dir, "n0"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{fails: 2}
+	srv := httptest.NewUnstartedServer(Handler(b, Roles{Read: []string{"looker"}, Operate: []string{"operator"}, Admin: []string{"boss"}, Operable: []string{"pools"}}))
+	srv.TLS = store.Server()
+	srv.StartTLS()
+	defer srv.Close()
+	client := func(d, name string) *Client {
+		pair, err := of(d, name).Read()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return NewClient(srv.Listener.Addr().String(), pair.Client())
+	}
+	ctx := context.Background()
+	for _, c := range []struct {
+		name, duty   string
+		show, change bool
+	}{{"looker", "pools", true, false}, {"operator", "pools", true, true}, {"operator", "run-times", true, false}, {"boss", "run-times", true, true}, {"stranger", "pools", false, false}} {
+		_, err := client(dir, c.name).Show(ctx, c.duty)
+		if (err == nil) != c.show {
+			t.Errorf("%s shows %s: %v", c.name, c.duty, err)
+		}
+		raw, err := client(dir, c.name).Change(ctx, c.duty, json.RawMessage(`{"id":"x"}`))
+		if (err == nil) != c.change || (c.change && string(raw) != `{"id":"x"}`) {
+			t.Errorf("%s changes %s: %s %v", c.name, c.duty, raw, err)
+		}
+	}
+	if _, err := client(elsewhere, "boss").Show(ctx, "pools"); err == nil {
+		t.Error("a certificate of another CA is taken")
+	}
+	if _, err := http.Get("https://" + srv.Listener.Addr().String() + procedureShow); err == nil {
+		t.Error("a caller without a certificate is taken")
+	}
+	before := b.calls.Load()
+	if _, err := client(dir, "boss").Change(ctx, "pools", json.RawMessage(`"bad"`)); err == nil || !strings.Contains(err.Error(), "units: more") || b.calls.Load() != before+1 {
+		t.Errorf("refused: %v, after %d calls", err, b.calls.Load()-before)
+	}
+	if _, err := client(dir, "boss").Show(ctx, "none"); err == nil || !strings.Contains(err.Error(), "no such duty") {
+		t.Errorf("unknown: %v", err)
+	}
+}
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -24,6 +24,9 @@
 	r.Post(wire.PathAbort, func(w http.ResponseWriter, r *http.Request) { n.onJob(w, r, opAbort) })
 	r.Get(wire.PathHealth, n.health)
 	r.Post(wire.PathReports, n.report)
+	if len(n.cfg.Tunables.Pools) > 0 && len(n.cfg.Tunables.ReceiptKeys()) > 0 {
+		r.Post(PathReceipts, n.receipt)
+	}
 	return r
 }
 
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/rpc"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -20,6 +19,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/control"
+	"bitternmoor/internal/pools"
 	"bitternmoor/internal/wire"
 )
 
@@ -68,19 +69,22 @@
 		sendJSON(w, e)
 	})
 	r.Get(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
-		name := chi.URLParam(r, "*")
-		n.duty(w, "Controller.Show", name, name, http.StatusInternalServerError, func(now time.Duration) (json.RawMessage, bool, error) { return n.core.Show(now, name) })
+		raw, err := n.ShowDuty(chi.URLParam(r, "*"))
+		sendDuty(w, raw, err, http.StatusInternalServerError)
 	})
 	r.Post(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
-		in := ChangeRequest{Duty: chi.URLParam(r, "*")}
-		var err error
-		if in.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, changeMost)); err != nil {
+		duty := chi.URLParam(r, "*")
+		if duty == pools.Name {
+			send(w, http.StatusForbidden, wire.Problem("pools are changed at the operators' listener, with a certificate"))
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, changeMost))
+		if err != nil {
 			send(w, http.StatusBadRequest, wire.Problem("body not readable, or over 16 MiB"))
 			return
 		}
-		n.duty(w, "Controller.Change", in, in.Duty, http.StatusUnprocessableEntity, func(now time.Duration) (json.RawMessage, bool, error) {
-			return n.core.Change(now, in.Duty, in.Body)
-		})
+		raw, err := n.ChangeDuty(duty, body)
+		sendDuty(w, raw, err, http.StatusUnprocessableEntity)
 	})
 	return r, nil
 }
@@ -95,26 +99,15 @@
 	Body []byte
 }
 
-// duty answers with what a duty says, here or on the leader. refused is the status
-// of an error of its own.
-func (n *Node) duty(w http.ResponseWriter, method string, in any, name string, refused int, local func(now time.Duration) (json.RawMessage, bool, error)) {
-	var raw []byte
-	var failed error
-	err := n.whole(method, in, &raw, func(now time.Duration) bool {
-		var known bool
-		raw, known, failed = local(now)
-		return known
-	})
-	var remote rpc.ServerError
+// sendDuty answers with what a duty says. refused is the status of an error of its own.
+func sendDuty(w http.ResponseWriter, raw json.RawMessage, err error, refused int) {
 	switch {
-	case errors.As(err, &remote) && strings.HasPrefix(remote.Error(), refusal):
-		send(w, refused, wire.Problem(strings.TrimPrefix(remote.Error(), refusal)))
+	case errors.Is(err, control.ErrUnknown):
+		send(w, http.StatusNotFound, wire.Problem("the leader: "+err.Error()))
+	case errors.Is(err, control.ErrRefused):
+		send(w, refused, wire.Problem(err.Error()))
 	case err != nil:
 		send(w, http.StatusServiceUnavailable, wire.Problem(err.Error()))
-	case failed != nil:
-		send(w, refused, wire.Problem(failed.Error()))
-	case raw == nil:
-		send(w, http.StatusNotFound, wire.Problem("the leader has no such duty, or it is switched off in its settings: "+name))
 	default:
 		send(w, http.StatusOK, raw)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,8 +57,10 @@
 	peers   map[string]*peer
 	workers *wire.Workers
 	hook    *webhook.Sender // nil: operators are told by logs alone
-	direct  chan struct{}   // bounds the direct calls under way
-	now     atomic.Pointer[standing]
+
+	receiptKeys keyCache
+	direct      chan struct{} // bounds the direct calls under way
+	now         atomic.Pointer[standing]
 
 	nextAsker effects.Asker
 	users     map[effects.Asker]chan effects.Answer
@@ -97,7 +99,7 @@
 	room := max(16, n.cfg.Deployment.MachineLimits.FDLimit-80)
 	srv := &http.Server{Handler: n.door(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- srv.Serve(netutil.LimitListener(public, room)) }()
 	inside, err := n.inside()
 	if err != nil {
@@ -106,6 +108,11 @@
 	internalSrv := &http.Server{Handler: inside, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 8 << 10, IdleTimeout: 60 * time.Second,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	go func() { failed <- internalSrv.Serve(netutil.LimitListener(internal, 32)) }()
+	closeOperators, err := n.operators(ctx, failed)
+	if err != nil {
+		return err
+	}
+	defer closeOperators()
 	if n.hook != nil {
 		go n.hook.Run(ctx)
 	}
--- /dev/null
+++ b/internal/node/pools_test.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/certs"
+	"bitternmoor/internal/control"
+	"bitternmoor/internal/pools"
+	"bitternmoor/internal/receipts"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/standin"
+)
+
+// TestPoolsLoopback takes counted units through real sockets: the door, workers that are
+// killed and cut off, a leader that ends, the operators' listener with certificates, and
+// receipts. What workers really run is counted at every start. A long run with processes
+// that are killed is in internal/upgrade.
+func TestPoolsLoopback(t *testing.T) {
+	dir := t.TempDir()
+	if err := certs.MakeCA(dir, "test CA", time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	for name, hosts := range map[string][]string{"node": {"127.0.0.1"}, "ann": nil} {
+		if err := certs.Issue(dir, name, hosts, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+	}
+	key := filepath.Join(dir, "receipt.key")
+	if err := os.WriteFile(key, []byte("0123456789abcdef"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cloud := &standin.Cloud{}
+	store := &standin.State{}
+	state, clouds := httptest.NewServer(store), httptest.NewServer(cloud)
+	defer state.Close()
+	defer clouds.Close()
+	fleet := &standin.Fleet{Every: 200 * time.Millisecond, Lease: 6 * time.Second,
+		Runs:  func(string) (time.Duration, []string) { return 700 * time.Millisecond, nil },
+		Tasks: func(string) int { return 3 }, Units: func(string) map[string]int { return map[string]int{"licence": 1} }}
+	cloud.Up, cloud.Down = fleet.Up, fleet.Down
+	fleet.Limit("licence", 3)
+	var cfgs []*settings.Settings
+	for i := range 2 {
+		c := &settings.Settings{Tunables: settings.Defaults()}
+		c.Node, c.PublicAddr, c.InternalAddr = fmt.Sprintf("n%d", i), freeAddr(t), freeAddr(t)
+		c.External.Cloud, c.External.State = clouds.Listener.Addr().String(), state.Listener.Addr().String()
+		d := &c.Deployment
+		d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = .5, 6, 30
+		d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 500, 200, 8, 12
+		d.Cloud.RPS, d.MachineLimits.FDLimit = 50, 300
+		d.Teams = []settings.Team{{Name: "team"}}
+		x := &c.Tunables
+		x.Pools = []settings.Pool{{Name: "licence", Units: 3}}
+		x.ReceiptKeyFiles, x.OperatorsListen, x.OperatorsOperate = key, freeAddr(t), "ann"
+		x.OperatorsCert, x.OperatorsKey, x.OperatorsCA = filepath.Join(dir, "node.pem"), filepath.Join(dir, "node.key"), filepath.Join(dir, "ca.pem")
+		cfgs = append(cfgs, c)
+		fleet.Doors = append(fleet.Doors, "http://"+c.PublicAddr)
+	}
+	cfgs[0].Peers = []settings.Peer{{Node: "n1", Endpoint: cfgs[1].InternalAddr}}
+	cfgs[1].Peers = []settings.Peer{{Node: "n0", Endpoint: cfgs[0].InternalAddr}}
+	var running sync.WaitGroup
+	run := func(c *settings.Settings) context.CancelFunc {
+		ctx, cancel := context.WithCancel(context.Background())
+		running.Go(func() {
+			if err := New(c, slog.New(slog.DiscardHandler)).Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+		return cancel
+	}
+	ends := []context.CancelFunc{run(cfgs[0]), run(cfgs[1])}
+	defer running.Wait()
+	defer func() {
+		for _, end := range ends {
+			end()
+		}
+	}()
+	eventually := func(what string, f func() bool) {
+		t.Helper()
+		for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+			if f() {
+				return
+			}
+		}
+		for id := 1; id <= 5; id++ {
+			_, out, _ := ask(t, "GET", fmt.Sprintf("http://%s%sj-%06d", cfgs[1].InternalAddr, PathExplain, id), "")
+			t.Log(out["words"])
+		}
+		_, out, _ := ask(t, "GET", "http://"+cfgs[1].InternalAddr+PathDuties+"pools/licence", "")
+		_, st, _ := ask(t, "GET", "http://"+cfgs[1].InternalAddr+PathStatus, "")
+		t.Fatalf("never: %s; %v; %v", what, out, st["machines"])
+	}
+	door := func(i int) string { return "http://" + cfgs[i%2].PublicAddr }
+	submit := func(id int, counted string) int {
+		status, _, _ := ask(t, "POST", door(id)+"/api/jobs", fmt.Sprintf(`{"name_id":"j-%06d","herd":"c","keeper":"team","gait":"sweep","urgency":"normal","head":3,"vcpus":1,"gpus":0,"memory_gb":1,
+		  "brand":"i","size_gb":0.1,"breeds":null,"together":false,"scatter":false,"loaned_stock":true,"trek_s":1,"waypoint_s":0,"stow_s":0,"counted":[%s]}`, id, counted))
+		return status
+	}
+	for id := 1; id <= 5; id++ {
+		eventually("a submission is accepted", func() bool { return submit(id, `{"pool":"licence","units":1,"per":"task"}`) == 201 })
+	}
+	for counted, want := range map[string]int{`{"pool":"none","units":1,"per":"task"}`: 422, `{"pool":"licence","units":4,"per":"job"}`: 422,
+		`{"pool":"licence","units":0,"per":"task"}`: 400, `{"pool":"licence","units":1,"per":"day"}`: 400} {
+		if status := submit(99, counted); status != want {
+			t.Errorf("%s gives %d", counted, status)
+		}
+	}
+	pair, err := certs.Files{Cert: filepath.Join(dir, "ann.pem"), Key: filepath.Join(dir, "ann.key"), CA: filepath.Join(dir, "ca.pem")}.Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(body string) (out pools.Changed, err error) {
+		raw, err := control.NewClient(cfgs[1].Tunables.OperatorsListen, pair.Client()).Change(context.Background(), pools.Name, json.RawMessage(`{"change":`+body+`}`))
+		if err == nil {
+			err = json.Unmarshal(raw, &out)
+		}
+		return out, err
+	}
+	if status, _, _ := ask(t, "POST", "http://"+cfgs[0].InternalAddr+PathDuties+"pools", `{}`); status != 403 {
+		t.Errorf("a change without a certificate gives %d", status)
+	}
+	for k := range 12 { // workers killed, and cut off past their lease
+		eventually("something runs", func() bool { return len(fleet.Busy()) > 0 })
+		if m := fleet.Busy(); len(m) > 0 && k%2 == 0 {
+			fleet.Down(standin.Machine{Name: m[0]})
+		} else if len(m) > 0 {
+			fleet.Pause(m[0], 7*time.Second)
+		}
+		switch k {
+		case 3:
+			eventually("the pool is made smaller", func() bool {
+				done, err := change(`{"id":"smaller","pool":"licence","version":0,"units":2}`)
+				return err == nil && done.Durable && done.Pool.Units == 2
+			})
+		case 6:
+			ends[0]()
+			ends[0] = func() {}
+			time.Sleep(300 * time.Millisecond)
+			cfgs[0].Tunables.OperatorsListen = freeAddr(t)
+			ends = append(ends, run(cfgs[0]))
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	if _, err := change(`{"id":"late","pool":"licence","version":0,"units":3}`); err == nil || !strings.Contains(err.Error(), "version") {
+		t.Errorf("planned for a version that has passed: %v", err)
+	}
+	var view pools.View
+	certified := false
+	eventually("a holder is certified", func() bool {
+		if !getJSON(cfgs[0].InternalAddr, "pools/licence", &view) || len(view.Holders) == 0 {
+			return false
+		}
+		for ref, attempt := range fleet.Attempts() {
+			job, number, _ := strings.Cut(ref, "/")
+			task, err := strconv.Atoi(number)
+			if err != nil {
+				t.Fatal(err)
+			}
+			status, out, _ := ask(t, "POST", door(0)+PathReceipts, fmt.Sprintf(`{"job":%q,"task":%d,"attempt":%d}`, job, task, attempt))
+			if status != 200 {
+				continue
+			}
+			keys, err := receipts.Read([]string{key})
+			if err != nil {
+				t.Fatal(err)
+			}
+			claims, _, err := keys.Verify(out["receipt"].(string), time.Now())
+			if err != nil || claims.Subject != fmt.Sprintf("%s/%d", job, task) || len(claims.Units) != 1 || len(claims.Units[0].Numbers) != 1 {
+				t.Errorf("%+v %v", claims, err)
+			}
+			if status, _, _ := ask(t, "POST", door(0)+PathReceipts, fmt.Sprintf(`{"job":%q,"task":%d,"attempt":%d}`, job, task, attempt+1)); status != 409 {
+				t.Errorf("another attempt gets %d", status)
+			}
+			certified = true
+			return true
+		}
+		return false
+	})
+	for id := 1; id <= 5; id++ {
+		eventually("the job is done", func() bool {
+			_, out, _ := ask(t, "GET", fmt.Sprintf("%s/api/jobs/j-%06d", door(1), id), "")
+			return out["standing"] == "done"
+		})
+	}
+	for _, b := range append(fleet.Broken(), store.Refused()...) {
+		t.Error(b)
+	}
+	if fleet.Peak("licence") != 3 || !certified {
+		t.Errorf("at most %d licences were held", fleet.Peak("licence"))
+	}
+}
--- a/internal/settings/pools.go
+++ b/internal/settings/pools.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"gopkg.in/ini.v1"
+
+	"bitternmoor/internal/certs"
 )
 
 // Pool is a counted thing that tasks may need besides room.
@@ -176,6 +178,9 @@
 			return wrong("operators."+x.key, "missing: the operators' listener takes nobody without a certificate")
 		}
 	}
+	if _, err := (certs.Files{Cert: o.CertFile, Key: o.KeyFile, CA: o.CAFile}).Read(); err != nil {
+		return wrong("operators.cert_file", "%v", err)
+	}
 	if len(o.Operate)+len(o.Admin) == 0 {
 		return wrong("operators.operate", "names nobody, and neither does operators.admin: nothing could be changed")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -181,6 +181,11 @@
 		if err := s.checkPools(); err != nil {
 			return nil, err
 		}
+		for _, file := range s.Tunables.ReceiptKeys() {
+			if _, err := readKey("pools.receipt_keys", file); err != nil {
+				return nil, err
+			}
+		}
 		if s.WebhookKey, err = s.Tunables.webhookKey(); err != nil {
 			return nil, err
 		}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -236,12 +236,17 @@
 	if t.WebhookURL == "" {
 		return nil, nil
 	}
-	raw, err := os.ReadFile(t.WebhookKeyFile)
+	return readKey("webhook.key_file", t.WebhookKeyFile)
+}
+
+// readKey reads a key from a file that a field names.
+func readKey(field, file string) ([]byte, error) {
+	raw, err := os.ReadFile(file)
 	if err != nil {
-		return nil, wrong("webhook.key_file", "%v", err)
+		return nil, wrong(field, "%v", err)
 	}
 	if key := bytes.TrimSpace(raw); len(key) >= leastKey {
 		return key, nil
 	}
-	return nil, wrong("webhook.key_file", "%s holds a key of less than %d bytes", t.WebhookKeyFile, leastKey)
+	return nil, wrong(field, "%s holds a key of less than %d bytes", file, leastKey)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"iter"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,12 +26,20 @@
 	Took func(task string) time.Duration
 	// Tasks is how many tasks a job has.
 	Tasks func(job string) int
+	// Units, where it is set, says how many units of which pools each task of a job
+	// holds while it runs; more than Limit allows are a broken rule.
+	Units func(job string) map[string]int
 
 	mu     sync.Mutex
+	most   map[string]int
+	peak   map[string]int
+	paused map[string]time.Time // machines whose workers make no reports until then
 	gone   map[string]bool
 	on     map[string]string // task -> machine
-	done   map[string]bool   // tasks
-	broken []string
+
+	attempts map[string]uint64 // of the tasks that run
+	done     map[string]bool   // tasks
+	broken   []string
 }
 
 // Broken lists the rules that were broken.
@@ -39,6 +49,64 @@
 	return append([]string(nil), f.broken...)
 }
 
+// Limit says how many units of a pool there are.
+func (f *Fleet) Limit(pool string, units int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.most == nil {
+		f.most, f.peak = map[string]int{}, map[string]int{}
+	}
+	f.most[pool] = units
+}
+
+// Peak is the most units of a pool that were ever held at once.
+func (f *Fleet) Peak(pool string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peak[pool]
+}
+
+// count holds what is held by what really runs against the limits of the pools that a
+// task needs which has just started.
+func (f *Fleet) count(started string) {
+	held := map[string]int{}
+	for t := range f.on {
+		id, _, _ := strings.Cut(t, "/")
+		for pool, n := range f.Units(id) {
+			held[pool] += n
+		}
+	}
+	id, _, _ := strings.Cut(started, "/")
+	for pool := range f.Units(id) {
+		f.peak[pool] = max(f.peak[pool], held[pool])
+		if held[pool] > f.most[pool] {
+			f.broken = append(f.broken, fmt.Sprintf("overdrawn: %d units of %s are held, there are %d", held[pool], pool, f.most[pool]))
+		}
+	}
+}
+
+// Busy lists the machines on which something runs, in no order.
+func (f *Fleet) Busy() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, m := range f.on {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Pause has a machine's worker make no reports for a while; what runs there runs on
+// until its lease is over.
+func (f *Fleet) Pause(machine string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.paused == nil {
+		f.paused = map[string]time.Time{}
+	}
+	f.paused[machine] = time.Now().Add(d)
+}
+
 // Down has a machine's worker end.
 func (f *Fleet) Down(m Machine) {
 	f.mu.Lock()
@@ -106,11 +174,16 @@
 	client := &http.Client{Timeout: 4 * time.Second}
 	for {
 		w.f.mu.Lock()
-		over := w.f.gone[w.m.Name]
+		over, until := w.f.gone[w.m.Name], w.f.paused[w.m.Name]
 		w.f.mu.Unlock()
 		if over {
 			return
 		}
+		if time.Now().Before(until) {
+			w.advance()
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		pause := w.f.Every
 		if !w.report(client) {
 			pause = time.Second
@@ -213,6 +286,13 @@
 			}
 		}
 		w.f.on[c.Task] = w.m.Name
+		if w.f.attempts == nil {
+			w.f.attempts = map[string]uint64{}
+		}
+		w.f.attempts[c.Task] = c.Attempt
+		if w.f.Units != nil {
+			w.f.count(c.Task)
+		}
 		w.tasks[key] = &running{Task: c.Task, Attempt: c.Attempt, State: "running", ends: time.Now().Add(run)}
 	case "stop":
 		if t != nil && t.State == "running" {
@@ -225,3 +305,14 @@
 		}
 	}
 }
+
+// Attempts gives the tasks that run now, with their attempts.
+func (f *Fleet) Attempts() iter.Seq2[string, uint64] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := map[string]uint64{}
+	for t := range f.on {
+		list[t] = f.attempts[t]
+	}
+	return maps.All(list)
+}
--- /dev/null
+++ b/internal/upgrade/pools_test.go
@@ -0,0 +1,164 @@
+//go:build upgrade
+
+package upgrade
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/standin"
+)
+
+// TestPoolsUnderKills runs real processes with pools against stand-ins for minutes:
+// workers are killed, cut off and come back, leaders are killed, an operator changes a
+// pool by the command line, and what workers really run is counted all the time.
+func TestPoolsUnderKills(t *testing.T) {
+	kills, takeovers := 200, 20
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "bitternmoor")
+	must(t, root, "go", "build", "-o", binary, "./cmd/bitternmoor")
+	must(t, dir, binary, "certs", "ca", "--dir", dir)
+	must(t, dir, binary, "certs", "issue", "node", "--dir", dir, "--hosts", "127.0.0.1")
+	must(t, dir, binary, "certs", "issue", "ann", "--dir", dir)
+	key := filepath.Join(dir, "receipt.key")
+	if err := os.WriteFile(key, []byte("0123456789abcdef"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	store, cloud := &standin.State{}, &standin.Cloud{}
+	state, clouds := httptest.NewServer(store), httptest.NewServer(cloud)
+	defer state.Close()
+	defer clouds.Close()
+	c := newCluster(t, state.Listener.Addr().String(), clouds.Listener.Addr().String())
+	var listen []string
+	for i := range 3 {
+		listen = append(listen, free(t))
+		ini := fmt.Sprintf("[pool licence]\nunits = 6\n[pool token]\nunits = 9\n[pools]\nreceipt_keys = %s\n[operators]\nlisten = %s\ncert_file = %s\nkey_file = %s\nca_file = %s\noperate = ann\n",
+			key, listen[i], filepath.Join(dir, "node.pem"), filepath.Join(dir, "node.key"), filepath.Join(dir, "ca.pem"))
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("n%d.ini", i)), []byte(ini), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.extra = func(i int) []string { return []string{"--tunables", filepath.Join(dir, fmt.Sprintf("n%d.ini", i))} }
+	units := func(id string) map[string]int {
+		if strings.HasSuffix(id, "5") {
+			return map[string]int{"licence": 2, "token": 1}
+		}
+		return map[string]int{"licence": 1}
+	}
+	fleet := &standin.Fleet{Every: 400 * time.Millisecond, Lease: 10 * time.Second, Units: units,
+		Runs:  func(id string) (time.Duration, []string) { return c.get(id).run, nil },
+		Tasks: func(id string) int { return c.get(id).tasks }}
+	for _, d := range c.doors {
+		fleet.Doors = append(fleet.Doors, "http://"+d)
+	}
+	cloud.Up, cloud.Down = fleet.Up, fleet.Down
+	fleet.Limit("licence", 6)
+	fleet.Limit("token", 9)
+	for i := range 3 {
+		c.start(i, binary)
+	}
+	c.leader()
+	// An operator makes the pool smaller and larger again.
+	var changes atomic.Int32
+	stop := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		now := 6
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(6 * time.Second):
+			}
+			want := []int{3, 6}[n%2]
+			if want > now {
+				fleet.Limit("licence", want)
+			}
+			out, err := exec.Command(binary, "pools", "set", "licence", "--units", fmt.Sprint(want), "--control", listen[n%3], "--cert", filepath.Join(dir, "ann.pem"),
+				"--key", filepath.Join(dir, "ann.key"), "--ca", filepath.Join(dir, "ca.pem"), "--yes", "--json").CombinedOutput()
+			if err != nil {
+				t.Logf("the change is refused for now: %s", out)
+				if want > now {
+					fleet.Limit("licence", now)
+				}
+				n++ // the other way next, which changes nothing
+				continue
+			}
+			changes.Add(1)
+			if want < now {
+				time.Sleep(5 * time.Second) // starts that were sent before
+				fleet.Limit("licence", want)
+			}
+			now = want
+		}
+	}()
+	r := rand.New(rand.NewPCG(1, 1))
+	n, killed, led := 0, 0, 0
+	next := time.Now().Add(8 * time.Second)
+	submitted := map[string]bool{}
+	for killed < kills || led < takeovers {
+		if n < killed/2+12 {
+			n++
+			submitted[c.counted(n, 4, 1500*time.Millisecond, units)] = true
+		}
+		if busy := fleet.Busy(); len(busy) > 0 {
+			m := busy[r.IntN(len(busy))]
+			switch killed++; r.IntN(3) {
+			case 0:
+				fleet.Down(standin.Machine{Name: m})
+			case 1:
+				fleet.Pause(m, 3*time.Second)
+			default:
+				fleet.Pause(m, 13*time.Second) // past its lease
+			}
+		}
+		if time.Now().After(next) && led < takeovers {
+			led++
+			l := c.leader()
+			c.kill(l)
+			c.start(l, binary)
+			next = time.Now().Add(7 * time.Second)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	close(stop)
+	<-stopped
+	for id := range submitted {
+		c.eventually(id+" is done", 300*time.Second, func() bool { return c.state(id) == "done" })
+	}
+	for _, b := range append(fleet.Broken(), store.Refused()...) {
+		t.Error(b)
+	}
+	if fleet.Peak("licence") < 5 || changes.Load() < 3 {
+		t.Errorf("at most %d licences were held, %d changes", fleet.Peak("licence"), changes.Load())
+	}
+	t.Logf("%d workers killed or cut off, %d leaders killed, %d jobs, %d changes of the pool; at most %d licences were held", killed, led, len(submitted), changes.Load(), fleet.Peak("licence"))
+}
+
+// counted submits a job that needs units.
+func (c *cluster) counted(n, tasks int, run time.Duration, units func(string) map[string]int) string {
+	c.t.Helper()
+	id := fmt.Sprintf("j-%06d", n)
+	c.mu.Lock()
+	c.jobs[id] = job{tasks: tasks, run: run}
+	c.mu.Unlock()
+	var counted []string
+	for pool, k := range units(id) {
+		counted = append(counted, fmt.Sprintf(`{"pool":%q,"units":%d,"per":"task"}`, pool, k))
+	}
+	body := fmt.Sprintf(`{"name_id":%q,"herd":"c","keeper":"team","gait":"sweep","urgency":"normal","head":%d,"vcpus":1,"gpus":0,"memory_gb":1,"brand":"i","size_gb":0.1,
+	  "breeds":null,"together":false,"scatter":false,"loaned_stock":true,"trek_s":%f,"waypoint_s":0,"stow_s":0,"counted":[%s]}`, id, tasks, run.Seconds(), strings.Join(counted, ","))
+	if status, _ := c.post("/api/jobs", body); status != 200 && status != 201 {
+		c.t.Fatalf("%s is answered %d", id, status)
+	}
+	return id
+}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -55,6 +55,7 @@
 
 type cluster struct {
 	t      *testing.T
+	extra  func(i int) []string // further arguments of node i
 	config []string
 	doors  []string
 	inside []string
@@ -145,7 +146,11 @@
 }
 
 func (c *cluster) start(i int, binary string) {
-	cmd := exec.Command(binary, "--config", c.config[i])
+	args := []string{"--config", c.config[i]}
+	if c.extra != nil {
+		args = append(args, c.extra(i)...)
+	}
+	cmd := exec.Command(binary, args...)
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
