--- a/internal/scenario/pools_test.go
+++ b/internal/scenario/pools_test.go
@@ -247,3 +247,30 @@
 		}
 	}
 }
+
+// Starts with units write nothing that starts without them do not.
+func TestPoolsWriteNothing(t *testing.T) {
+	writes := func(counted []ledger.Counted) int {
+		c := baseSettings()
+		c.Tunables.Pools = []settings.Pool{{Name: "licence", Units: 100}}
+		s := newSim(c, 1, 1, false)
+		s.poolUnits = map[string]int{"licence": 100}
+		s.run(10 * time.Second)
+		before := s.state.writes
+		for id := range uint64(5) {
+			job := &ledger.Job{ID: id + 1, Class: "class", Team: "team", Priority: 1, Tasks: 6, CPUs: 1, MemoryGB: 1, Image: "i", Spot: true, EstimateS: 9, Counted: counted}
+			s.jobs[id+1] = &userJob{id: id + 1, run: 9 * time.Second, spec: wire.Submission{ID: id + 1, HasID: true, Job: job}}
+			s.submit(s.jobs[id+1], 0, func() bool { return true })
+		}
+		if !s.until(5*time.Minute, func() bool { return s.check.over(5) && s.check.over(1) }) {
+			t.Fatal("the jobs are not done")
+		}
+		s.run(5 * time.Second)
+		return s.state.writes - before
+	}
+	with, without := writes([]ledger.Counted{{Pool: "licence", Units: 1}}), writes(nil)
+	if with > without+without/10 {
+		t.Errorf("%d changes with units, %d without", with, without)
+	}
+	t.Logf("%d changes with units, %d without", with, without)
+}
--- /dev/null
+++ b/internal/term/pools_scale_test.go
@@ -0,0 +1,116 @@
+package term
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// What pools cost at the size of the larger fleet: 1,300 machines, a thousand pools,
+// and a thousand jobs of ten tasks that wait for units: go test -bench Pools. Each is
+// measured without pools, with pools that nobody needs, and with those demands.
+var poolCases = []struct {
+	name           string
+	pools, waiting int
+}{{"none", 0, 0}, {"idle", 1000, 0}, {"demands", 1000, 1000}}
+
+func poolTerm(pools, waiting int) (*Term, []ledger.Entry) {
+	entries, _ := fullLog(1300, 100)
+	for i := range waiting {
+		rec := ledger.Job{ID: uint64(10000 + i), Class: "c", Team: "team", Priority: 1, Tasks: 10, CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: .3, Spot: true, EstimateS: 60,
+			Counted: []ledger.Counted{{Pool: fmt.Sprint("pool", i%pools), Units: 1 + i%3}, {Pool: fmt.Sprint("pool", (i*7+1)%pools), Units: 1}}}
+		rec.Guard()
+		entries = append(entries, ledger.Entry{Job: &rec})
+	}
+	cfg := scaleSettings()
+	for i := range pools {
+		cfg.Tunables.Pools = append(cfg.Tunables.Pools, settings.Pool{Name: fmt.Sprint("pool", i), Units: 2})
+	}
+	t := New(cluster.Start{Cfg: cfg, Epoch: 2, Counts: &cluster.Counts{}})
+	t.Load(0, 1, Durable{First: 1, Last: 2, Entries: entries})
+	return t, entries
+}
+
+func BenchmarkPoolsTick(b *testing.B) {
+	for _, c := range poolCases {
+		b.Run(c.name, func(b *testing.B) {
+			t, _ := poolTerm(c.pools, c.waiting)
+			_, reports := fullLog(1300, 100)
+			now := time.Second
+			for i := range reports {
+				t.take(now, &reports[i])
+			}
+			t.Tick(now, true)
+			t.GotValues(now, "pools", nil, false, true)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 500 * time.Millisecond
+				b.StopTimer()
+				for i := range reports {
+					t.Yard.Find(reports[i].Report.Machine).Heard = now
+				}
+				b.StartTimer()
+				t.Tick(now, true)
+				t.Take()
+			}
+		})
+	}
+}
+
+// A report that brings nothing new, and one with an end in it and the pass that
+// follows.
+func BenchmarkPoolsReport(b *testing.B) {
+	for _, c := range poolCases {
+		for _, what := range []string{"nothing new", "an end"} {
+			b.Run(c.name+"/"+what, func(b *testing.B) {
+				t, _ := poolTerm(c.pools, c.waiting)
+				_, reports := fullLog(1300, 100)
+				now := time.Second
+				for i := range reports {
+					t.take(now, &reports[i])
+				}
+				t.Tick(now, true)
+				t.Take()
+				t.GotValues(now, "pools", nil, false, true)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					r := &reports[i%1300]
+					if what == "an end" {
+						if k := &r.Report.Tasks[i/1300%8]; k.State == workers.Running {
+							k.State, k.Reason = workers.Ended, workers.Completed
+						}
+						now += 5 * time.Millisecond
+					}
+					t.take(now, r)
+				}
+			})
+		}
+	}
+}
+
+// What a job's demands take in the log, and replaying them.
+func BenchmarkPoolsReplay(b *testing.B) {
+	for _, c := range poolCases {
+		b.Run(c.name, func(b *testing.B) {
+			_, entries := poolTerm(c.pools, c.waiting)
+			size := 0
+			for _, e := range entries[len(entries)-c.waiting:] {
+				raw, err := json.Marshal(e)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size += len(raw)
+			}
+			for b.Loop() {
+				poolTerm(c.pools, c.waiting)
+			}
+			b.ReportMetric(float64(size)/max(1, float64(c.waiting)), "bytes/job")
+		})
+	}
+}
