Pools: the field is only read where there are pools; first in order shown; receipts by job

A rolling restart that switches pools on harms no other work: a controller without pools says when it has overlooked the field. A malformed field means nothing where pools are off. Numbers of receipts are kept by job, so that an end costs work for its own job only.

--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -45,7 +45,7 @@
 		write(w, effects.Answer{Status: http.StatusBadRequest, Why: s.Bad})
 		return
 	}
-	write(w, n.route(UserRequest{Op: opSubmit, ID: s.ID, Submission: s, Pools: len(n.cfg.Tunables.Pools) > 0}))
+	write(w, n.route(UserRequest{Op: opSubmit, ID: s.ID, Submission: s, Whole: !s.Overlooked}))
 }
 
 func (n *Node) onJob(w http.ResponseWriter, r *http.Request, op string) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -564,10 +564,9 @@
 	Op         string
 	ID         uint64
 	Submission wire.Submission
-	// Pools says that the controller which took the request knows of pools: what a
-	// job needs of them is in its submission. Older ones, and those without pools in
-	// their settings, leave it out.
-	Pools bool
+	// Whole says that the controller which took the request has read all that it asks
+	// for. Older ones, which do not know of pools, leave it out.
+	Whole bool
 }
 
 // Operations of a UserRequest.
@@ -583,7 +582,7 @@
 // Ask serves a request that another controller's user made. It is never
 // handed on a second time.
 func (c *Controller) Ask(in UserRequest, out *effects.Answer) error {
-	if in.Op == opSubmit && !in.Pools && len(c.n.cfg.Tunables.Pools) > 0 {
+	if in.Op == opSubmit && !in.Whole && len(c.n.cfg.Tunables.Pools) > 0 {
 		// What the job needs of pools may have been overlooked at the door.
 		*out = effects.Unavailable("the controller that took this knows nothing of pools")
 		return nil
--- a/internal/pools/papers.go
+++ b/internal/pools/papers.go
@@ -29,8 +29,28 @@
 	durable bool
 }
 
+// papers are kept by job, so that an end costs work for its own job only.
 type papers struct {
-	by map[paperKey]*paper
+	of map[uint64]map[paperKey]*paper
+	n  int
+}
+
+func (p *papers) get(key paperKey) *paper { return p.of[key.job][key] }
+
+func (p *papers) set(key paperKey, x *paper) {
+	if p.of[key.job] == nil {
+		p.of[key.job] = map[paperKey]*paper{}
+	}
+	p.drop(key)
+	p.of[key.job][key] = x
+	p.n++
+}
+
+func (p *papers) drop(key paperKey) {
+	if p.of[key.job][key] != nil {
+		delete(p.of[key.job], key)
+		p.n--
+	}
 }
 
 // storedPaper notes which units a task, or a job as a whole, was told to have.
@@ -90,17 +110,17 @@
 		if n.perJob {
 			key.task, attempt = -1, 0
 		}
-		p := d.papers.by[key]
+		p := d.papers.get(key)
 		if p == nil || p.attempt != attempt {
 			p = &paper{attempt: attempt, numbers: d.choose(n)}
-			d.papers.by[key] = p
+			d.papers.set(key, p)
 			fresh = append(fresh, key)
 		}
 		out.Durable = out.Durable && p.durable
 		out.Units = append(out.Units, ReceiptUnits{d.pools[n.pool].name, p.numbers, n.perJob})
 	}
 	for _, key := range fresh {
-		p := d.papers.by[key]
+		p := d.papers.get(key)
 		d.Log.AppendFact(ledger.NewOwn(Name, entry{Paper: &storedPaper{key.job, key.task, p.attempt, d.pools[key.pool].name, p.numbers}}))
 	}
 	return out, nil
@@ -109,16 +129,18 @@
 // choose picks the lowest numbers that nobody may have.
 func (d *Duty) choose(n need) (out []int64) {
 	taken := map[int64]bool{}
-	for key, p := range d.papers.by {
-		if key.pool != n.pool {
-			continue
-		}
-		if !d.alive(key, p) {
-			delete(d.papers.by, key)
-			continue
-		}
-		for _, x := range p.numbers {
-			taken[x] = true
+	for _, list := range d.papers.of {
+		for key, p := range list {
+			if key.pool != n.pool {
+				continue
+			}
+			if !d.alive(key, p) {
+				d.papers.drop(key)
+				continue
+			}
+			for _, x := range p.numbers {
+				taken[x] = true
+			}
 		}
 	}
 	for x := int64(1); int64(len(out)) < n.units; x++ {
@@ -154,15 +176,18 @@
 // dropPapers forgets the numbers of a task, or with -1 of a job that has left, unless
 // its units stay out.
 func (d *Duty) dropPapers(job uint64, task int) {
-	for key, p := range d.papers.by {
-		if key.job == job && (task < 0 || key.task == int32(task)) && d.pools[key.pool].conf.HoldAfterLossS == 0 && p.durable {
-			delete(d.papers.by, key)
+	for key, p := range d.papers.of[job] {
+		if (task < 0 || key.task == int32(task)) && d.pools[key.pool].conf.HoldAfterLossS == 0 && p.durable {
+			d.papers.drop(key)
 		}
 	}
+	if len(d.papers.of[job]) == 0 {
+		delete(d.papers.of, job)
+	}
 }
 
 func (d *Duty) paperDurable(s *storedPaper) {
-	if p := d.papers.by[paperKey{s.Job, s.Task, d.pool(s.Pool).index(d)}]; p != nil && p.attempt == s.Attempt && slices.Equal(p.numbers, s.Numbers) {
+	if p := d.papers.get(paperKey{s.Job, s.Task, d.pool(s.Pool).index(d)}); p != nil && p.attempt == s.Attempt && slices.Equal(p.numbers, s.Numbers) {
 		p.durable = true
 	}
 }
@@ -174,7 +199,7 @@
 	if json.Unmarshal(own.Data, &e) != nil || e.Paper == nil {
 		return
 	}
-	d.papers.by[paperKey{e.Paper.Job, e.Paper.Task, d.pool(e.Paper.Pool).index(d)}] = &paper{e.Paper.Attempt, e.Paper.Numbers, true}
+	d.papers.set(paperKey{e.Paper.Job, e.Paper.Task, d.pool(e.Paper.Pool).index(d)}, &paper{e.Paper.Attempt, e.Paper.Numbers, true})
 }
 
 // keepPaper writes anew the numbers of a holder that may be there.
@@ -184,14 +209,14 @@
 		return
 	}
 	key := paperKey{x.Paper.Job, x.Paper.Task, d.pool(x.Paper.Pool).index(d)}
-	if p := d.papers.by[key]; p != nil && p.attempt == x.Paper.Attempt && d.alive(key, p) {
+	if p := d.papers.get(key); p != nil && p.attempt == x.Paper.Attempt && d.alive(key, p) {
 		d.Log.Append(e)
 	}
 }
 
 // numbers are those that a holder was given, if it asked.
 func (d *Duty) numbers(job uint64, task int, pool int32) []int64 {
-	if p := d.papers.by[paperKey{job, int32(task), pool}]; p != nil {
+	if p := d.papers.get(paperKey{job, int32(task), pool}); p != nil {
 		return p.numbers
 	}
 	return nil
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -105,7 +105,7 @@
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
 	d := &Duty{State: s, byName: map[string]int32{}, byJob: map[int32]*holder{}, over: map[uint64][]need{}, strays: map[*workers.Machine]*strays{}}
-	d.papers.by = map[paperKey]*paper{}
+	d.papers.of = map[uint64]map[paperKey]*paper{}
 	for _, c := range s.Cfg.Tunables.Pools {
 		p := d.pool(c.Name)
 		p.conf, p.known, p.size = c, true, int64(c.Units)
@@ -195,6 +195,7 @@
 	case cluster.JobLeft:
 		if h := d.byJob[e.Job.Index]; h != nil && h.job == e.Job {
 			delete(d.byJob, e.Job.Index)
+			d.forget(h)
 			d.holders = slices.DeleteFunc(d.holders, func(o *holder) bool { return o == h })
 		}
 		d.dropPapers(e.Job.Rec.ID, -1)
@@ -229,6 +230,20 @@
 	}
 }
 
+// forget takes a job that has left out of all that refers to it.
+func (d *Duty) forget(h *holder) {
+	d.order = slices.DeleteFunc(d.order, func(o *holder) bool { return o == h })
+	for _, n := range h.needs {
+		p := d.pools[n.pool]
+		if p.claim == h {
+			p.claim = nil
+		}
+		if t := p.teams[h.job.Team]; t != nil && t.claim == h {
+			t.claim = nil
+		}
+	}
+}
+
 // strays are tasks that a machine shows and that no placement stands for.
 type strays struct {
 	needs   []need
@@ -280,9 +295,9 @@
 // count finds out what is out.
 func (d *Duty) count(now time.Duration) {
 	for _, p := range d.pools {
-		p.tally, p.uncertain, p.lost, p.waiting = tally{}, 0, 0, 0
+		p.tally, p.uncertain, p.lost, p.waiting = tally{claim: p.claim}, 0, 0, 0
 		for _, t := range p.teams {
-			*t = tally{}
+			*t = tally{claim: t.claim}
 		}
 	}
 	unresolved, _ := d.Unresolved()
@@ -408,6 +423,12 @@
 // back.
 func (d *Duty) Pass(now time.Duration, list []*jobs.Job) {
 	d.count(now)
+	for _, p := range d.pools {
+		p.claim = nil
+		for _, t := range p.teams {
+			t.claim = nil
+		}
+	}
 	d.order = d.order[:0]
 	for _, first := range []bool{true, false} {
 		for _, j := range list {
--- a/internal/pools/shelf.go
+++ b/internal/pools/shelf.go
@@ -217,7 +217,7 @@
 }
 
 // Live is roughly how many bytes Keep would write for the whole log.
-func (d *Duty) Live() int { return len(d.papers.by) * paperBytes }
+func (d *Duty) Live() int { return d.papers.n * paperBytes }
 
 // Request is what the duty can be asked to do: one of its fields is set.
 type Request struct {
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -61,11 +61,14 @@
 	SaveS      *float64 `json:"stow_s"`
 	DeadlineS  *float64 `json:"market_s"`
 	Follows    []string `json:"follows"`
-	Counted    []struct {
-		Pool  *string `json:"pool"`
-		Units *int    `json:"units"`
-		Per   *string `json:"per"`
-	} `json:"counted"`
+
+	Counted json.RawMessage `json:"counted"` // read only where there are pools
+}
+
+type counted struct {
+	Pool  *string `json:"pool"`
+	Units *int    `json:"units"`
+	Per   *string `json:"per"`
 }
 
 // ParseID reads a job's id, which has exactly one form for each number.
@@ -93,6 +96,9 @@
 	HasID bool
 	Job   *ledger.Job
 	Bad   string
+	// Overlooked says that it asks for units of pools which were not read: there are
+	// no pools here.
+	Overlooked bool
 }
 
 // ParseSubmission reads and checks the body of a submission. Units of pools are read
@@ -129,6 +135,7 @@
 	if err == nil && pools {
 		err = s.counted(job)
 	}
+	out.Overlooked = !pools && len(s.Counted) > 0 && string(s.Counted) != "null"
 	if err != nil {
 		out.Bad = err.Error()
 		return out
@@ -144,10 +151,16 @@
 
 // counted reads the units of pools that a job needs.
 func (s *submission) counted(j *ledger.Job) error {
-	if len(s.Counted) > countedMost {
+	var list []counted
+	if len(s.Counted) > 0 {
+		if err := json.Unmarshal(s.Counted, &list); err != nil {
+			return errors.New("counted: not a list of pools with their units")
+		}
+	}
+	if len(list) > countedMost {
 		return fmt.Errorf("counted: more than %d pools", countedMost)
 	}
-	for i, c := range s.Counted {
+	for i, c := range list {
 		field := fmt.Sprintf("counted[%d].", i)
 		switch {
 		case c.Pool == nil || *c.Pool == "" || len(*c.Pool) > maxName:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -115,3 +115,26 @@
 		}
 	})
 }
+
+// Units of pools are read, and checked, only where there are pools.
+func TestCounted(t *testing.T) {
+	with := func(v string, pools bool) Submission {
+		return ParseSubmission([]byte(strings.Replace(job, `"new_field":1`, `"counted":`+v, 1)), pools)
+	}
+	s := with(`[{"pool":"p","units":2,"per":"task"},{"pool":"p","units":1,"per":"job"}]`, true)
+	if s.Bad != "" || len(s.Job.Counted) != 2 || s.Job.Counted[0].PerJob || !s.Job.Counted[1].PerJob || s.Job.Counted[0].Units != 2 {
+		t.Errorf("%+v", s)
+	}
+	for v, field := range map[string]string{`7`: "counted", `[7]`: "counted", `[{}]`: "counted[0].pool", `[{"pool":"p"}]`: "counted[0].units", `[{"pool":"p","units":0,"per":"task"}]`: "counted[0].units",
+		`[{"pool":"p","units":1}]`: "counted[0].per", `[{"pool":"p","units":1,"per":"day"}]`: "counted[0].per", `[{"pool":"p","units":1,"per":"job"},{"pool":"p","units":1,"per":"job"}]`: "counted[1].pool"} {
+		if s := with(v, true); !strings.HasPrefix(s.Bad, field) {
+			t.Errorf("%s: %q", v, s.Bad)
+		}
+		if s := with(v, false); s.Bad != "" || !s.Overlooked || len(s.Job.Counted) != 0 {
+			t.Errorf("%s without pools: %+v", v, s)
+		}
+	}
+	if s := with(`null`, false); s.Overlooked || s.Bad != "" {
+		t.Errorf("%+v", s)
+	}
+}
