--- a/internal/pools/loss.go
+++ b/internal/pools/loss.go
@@ -1,6 +1,7 @@
 package pools
 
 import (
+	"slices"
 	"time"
 
 	"bitternmoor/internal/blocks"
@@ -20,6 +21,15 @@
 	Until int64  `json:"t"` // time of day, in milliseconds
 }
 
+// lossesOpen says whether losses are known that a new leader would not know of. Until
+// they are written no unit of a pool that waits for them goes out: the tasks that died
+// still wait then, and the new leader counts them as lost itself. Found by a random day
+// with two crashes in ten seconds: the first leader had started them anew elsewhere, and
+// the second took their units for free.
+func (d *Duty) lossesOpen() bool {
+	return d.shelf.lossesDue || slices.ContainsFunc(d.shelf.writing, func(w *writing) bool { return w.pool == nil })
+}
+
 // clockSlack is how far the times of day of two controllers may differ.
 const clockSlack = time.Second
 
@@ -46,17 +56,16 @@
 // loseUnseen does so for what may have been on a machine that is gone, or whose worker
 // began anew, before it was ever heard in this term.
 func (d *Duty) loseUnseen(now time.Duration, m *workers.Machine) {
+	for _, l := range d.left {
+		if slices.Contains(l.on, m) {
+			d.lose(now, l.h.job, l.h.needs, int64(min(l.n, blocks.Slots(l.h.job.Need, m.Cap))))
+		}
+	}
 	for _, h := range d.holders {
 		if !m.Grants[h.job.Rec.ID] && m.Number != 0 {
 			continue
 		}
-		waiting := 0
-		for k, s := range h.job.Tasks {
-			if s == jobs.Waiting && (k < h.job.FreshFrom || h.job.Rec.Kind == jobs.Gang || h.job.ZoneRule()) {
-				waiting++
-			}
-		}
-		if n := min(waiting, blocks.Slots(h.job.Need, m.Cap)); n > 0 {
+		if n := min(mayRun(h.job), blocks.Slots(h.job.Need, m.Cap)); n > 0 {
 			d.lose(now, h.job, h.needs, int64(n))
 		}
 	}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -94,6 +95,7 @@
 	byJob   map[int32]*holder
 	over    map[uint64][]need // what cancelled jobs of earlier terms need, by id
 	strays  map[*workers.Machine]*strays
+	left    []leftover
 	closed  bool // a machine may have units of any pool
 
 	losses   []loss
@@ -194,6 +196,7 @@
 		d.enter(e.Job)
 	case cluster.JobLeft:
 		if h := d.byJob[e.Job.Index]; h != nil && h.job == e.Job {
+			d.leaveOver(h)
 			delete(d.byJob, e.Job.Index)
 			d.forget(h)
 			d.holders = slices.DeleteFunc(d.holders, func(o *holder) bool { return o == h })
@@ -285,6 +288,53 @@
 	}
 }
 
+// leftover is a job that was cancelled, and has left, while machines were not heard
+// that may have its tasks: nothing else stands for those. Found by a random day on
+// which a job was cancelled half a second after a takeover.
+type leftover struct {
+	h  *holder
+	n  int // tasks that may be somewhere
+	on []*workers.Machine
+}
+
+// leaveOver keeps what a job that leaves may have on machines that were not heard.
+func (d *Duty) leaveOver(h *holder) {
+	j := h.job
+	_, blind := d.Unresolved()
+	if n := mayRun(j); j.Phase == jobs.Cancelled && j.Earlier && n > 0 && (j.Unsettled > 0 || blind) {
+		l := leftover{h: h, n: n}
+		for _, m := range d.Yard.All() {
+			if m.Durable && !m.Resolved {
+				l.on = append(l.on, m)
+			}
+		}
+		d.left = append(d.left, l)
+		d.over[j.Rec.ID] = h.needs
+	}
+}
+
+// countLeft counts it until those machines are heard or gone.
+func (d *Duty) countLeft() {
+	d.left = slices.DeleteFunc(d.left, func(l leftover) bool {
+		room := 0
+		for _, m := range l.on {
+			if !m.Resolved && d.Yard.Find(m.Name) == m {
+				room += blocks.Slots(l.h.job.Need, m.Cap)
+			}
+		}
+		n := int64(min(l.n, room))
+		for _, x := range l.h.needs {
+			units := x.units * n
+			if x.perJob {
+				units = min(units, x.units)
+			}
+			d.pools[x.pool].add(l.h.job.Team, units)
+			d.pools[x.pool].uncertain += units
+		}
+		return n == 0
+	})
+}
+
 // mayNeed says whether a job that is in no table may have needed units: its entry
 // may have been cleaned away.
 func (d *Duty) mayNeed(id uint64) bool {
@@ -313,9 +363,16 @@
 			}
 		}
 	}
+	var perhaps []*holder // with tasks that may be on those
 	for _, h := range d.holders {
-		d.countHolder(h, unheard)
+		if d.countHolder(h, unheard) > 0 {
+			perhaps = append(perhaps, h)
+		}
+	}
+	if len(perhaps) > 1 {
+		d.fitUnseen(perhaps, unheard)
 	}
+	d.countLeft()
 	for _, s := range d.strays {
 		for _, n := range s.needs {
 			d.pools[n.pool].add(-1, n.units)
@@ -356,7 +413,51 @@
 	}
 }
 
-func (d *Duty) countHolder(h *holder, unheard []*workers.Machine) {
+// fitUnseen takes back what counts as out perhaps beyond what the machines that were
+// not heard could hold all together: each job was counted as if it had them for itself.
+// What runs on a machine fits its processors, so it holds no more units than if all of
+// them went to the job that needs most units for a processor.
+func (d *Duty) fitUnseen(perhaps []*holder, unheard []*workers.Machine) {
+	most := map[int32]float64{}
+	for _, m := range unheard {
+		here := map[int32]float64{}
+		for _, h := range perhaps {
+			if !m.Grants[h.job.Rec.ID] && m.Number != 0 {
+				continue
+			}
+			for _, n := range h.needs {
+				if n.perJob {
+					continue
+				}
+				units := float64(n.units * int64(blocks.Slots(h.job.Need, m.Cap)))
+				if h.job.Need.CPU > 0 {
+					units = float64(n.units) * float64(m.Cap.CPU) / float64(h.job.Need.CPU)
+				}
+				here[n.pool] = max(here[n.pool], units)
+			}
+		}
+		for pool, units := range here {
+			most[pool] += units
+		}
+	}
+	whole := map[int32]int64{} // for jobs as a whole: these stay
+	for _, h := range perhaps {
+		for _, n := range h.needs {
+			if n.perJob && !h.begun {
+				whole[n.pool] += n.units
+			}
+		}
+	}
+	for i, p := range d.pools {
+		if over := p.uncertain - whole[int32(i)] - int64(math.Ceil(most[int32(i)])); over > 0 {
+			p.uncertain -= over
+			p.out -= over
+		}
+	}
+}
+
+// countHolder counts a job, and says how many tasks of it run perhaps unseen.
+func (d *Duty) countHolder(h *holder, unheard []*workers.Machine) int64 {
 	j := h.job
 	unseen := int64(d.unseen(j, unheard))
 	h.begun = j.Placed > 0 || ((h.started || j.Finished > 0) && j.Finished < len(j.Tasks))
@@ -382,6 +483,7 @@
 			p.raise(j.Team, n.units*together(j))
 		}
 	}
+	return unseen
 }
 
 // together is how many of a job's tasks start together.
@@ -395,25 +497,35 @@
 // unseen is how many tasks of a job at most run on machines that have not reported
 // in this term.
 func (d *Duty) unseen(j *jobs.Job, unheard []*workers.Machine) int {
-	if !j.Earlier || len(unheard) == 0 {
+	if _, blind := d.Unresolved(); !j.Earlier || len(unheard) == 0 || (j.Unsettled == 0 && !blind) {
 		return 0
 	}
-	room := 0
+	n, room := mayRun(j), 0
 	for _, m := range unheard {
+		if room >= n {
+			break
+		}
 		if m.Grants[j.Rec.ID] || m.Number == 0 {
 			room += blocks.Slots(j.Need, m.Cap)
 		}
 	}
-	if room == 0 {
-		return 0
+	return min(n, room)
+}
+
+// mayRun is how many tasks of a job have no place and may have been started by an
+// earlier term.
+func mayRun(j *jobs.Job) int {
+	list := j.Tasks
+	if j.Rec.Kind != jobs.Gang && !j.ZoneRule() {
+		list = list[:min(j.FreshFrom, len(list))]
 	}
 	n := 0
-	for k, s := range j.Tasks {
-		if s == jobs.Waiting && (k < j.FreshFrom || j.Rec.Kind == jobs.Gang || j.ZoneRule()) {
+	for _, s := range list {
+		if s == jobs.Waiting {
 			n++
 		}
 	}
-	return min(n, room)
+	return n
 }
 
 // Pass begins a pass of the planner. list has the jobs that could start a task if
@@ -532,7 +644,7 @@
 	case h.begun:
 		return true
 	}
-	if p.drained {
+	if p.drained || (p.conf.HoldAfterLossS > 0 && d.lossesOpen()) {
 		return false
 	}
 	d.claims(x, j.Team)
@@ -774,6 +886,9 @@
 	if p.drained {
 		return fmt.Sprintf("it needs %d units of %s, which is drained", h.next(x), p.name)
 	}
+	if p.conf.HoldAfterLossS > 0 && d.lossesOpen() {
+		return fmt.Sprintf("it needs %d units of %s; none go out before it is written which are lost", h.next(x), p.name)
+	}
 	why := fmt.Sprintf("it waits for units of %s: it needs %d, and %d of %d are out", p.name, h.next(x), p.out, p.size)
 	if p.uncertain > 0 {
 		why += fmt.Sprintf(", %d of them perhaps, on machines that have not reported yet", p.uncertain)
--- a/internal/pools/show.go
+++ b/internal/pools/show.go
@@ -11,6 +11,7 @@
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
 )
 
 // View is a pool as operators see it.
@@ -134,8 +135,10 @@
 
 func (d *Duty) tasksOf(now time.Duration, h *holder, one Holder, index int32) (out []Holder) {
 	j := h.job
-	for ref, t := range d.Where {
-		if ref.Job != j.Index {
+	for k, s := range j.Tasks {
+		ref := workers.Ref{Job: j.Index, Task: int32(k)}
+		t := d.Where[ref]
+		if s != jobs.Placed || t == nil {
 			continue
 		}
 		x := one
