--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -100,6 +100,7 @@
 	MachineEmpty                     // Machine, on which nothing is, is to be returned: nothing will be started on it
 	MachineResolved                  // what earlier terms left on Machine is known
 	JobOrdered                       // Job has entered the order, with a first size, or is a service
+	OfferLost                        // Task of Job was on offer to Machine, whose worker has died since: it may have run there
 	MachineGone                      // Machine is proved gone; TaskGone of all that was on it came before
 )
 
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -213,6 +213,10 @@
 		if h := d.byJob[e.Job.Index]; h != nil && e.Lost {
 			d.lose(e.At, h.job, h.needs, 1)
 		}
+	case cluster.OfferLost:
+		if h := d.byJob[e.Job.Index]; h != nil {
+			d.lose(e.At, h.job, h.needs, 1)
+		}
 	case cluster.ReportTaken:
 		d.look(e.Machine, e.Report)
 		if d.resolved == e.Machine && e.Machine.Session > firstSession {
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -348,6 +348,20 @@
 	expect(t, "until the time is over", w.out("p"), 0)
 }
 
+// A task that was on offer to a machine whose worker has died may have run there, while
+// its plan goes on elsewhere: its units stay out besides those of the plan.
+func TestOfferLost(t *testing.T) {
+	w := newWorld(t, settings.Pool{Name: "p", Units: 4, HoldAfterLossS: 30}, settings.Pool{Name: "q", Units: 4})
+	j := w.job("a", 1, 1, jobs.Array, per("p", 1), per("q", 1))
+	w.pass(j)
+	w.d.Hear(cluster.Event{Kind: cluster.OfferLost, At: w.now, Job: j, Task: 0, Machine: w.m})
+	expect(t, "the plan and the loss", []int64{w.out("p"), w.out("q")}, "[2 1]")
+	other := w.job("a", 9, 1, jobs.Array, per("p", 1))
+	expect(t, "none before the loss is written", w.pass(other), "[0]")
+	w.write()
+	expect(t, "then the others", w.pass(other), "[2]")
+}
+
 // A cancelled job's task that a machine still shows keeps its units.
 func TestStrays(t *testing.T) {
 	w := newWorld(t, settings.Pool{Name: "p", Units: 4})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -285,6 +285,9 @@
 		m.UpSince = now
 		d.Dirty = true
 	}
+	if r.Session > m.Session && m.Session != 0 {
+		d.offersLost(now, m)
+	}
 	before := m.Resolved
 	events, cmds := m.Absorb(now, r, m.Token, func(job uint64, task int, here bool) (workers.Known, bool) {
 		return d.known(m, job, task, here)
@@ -467,6 +470,16 @@
 	}
 }
 
+// offersLost tells of the tasks that were on offer to a machine whose worker has died:
+// another controller may have started them there, and no report will say so any more.
+func (d *Duty) offersLost(now time.Duration, m *workers.Machine) {
+	for ref, p := range m.Offers {
+		if j := d.Jobs.At(ref.Job); p.Planned && j != nil {
+			d.Tell(cluster.Event{Kind: cluster.OfferLost, At: now, Job: j, Task: int(ref.Task), Machine: m})
+		}
+	}
+}
+
 // watch looks after every machine: silent ones, boots that take too long,
 // spot notices, tasks that were to be stopped and are still there.
 func (d *Duty) watch(now time.Duration, sure bool) {
@@ -529,6 +542,7 @@
 		if m == nil {
 			continue
 		}
+		d.offersLost(now, m)
 		for _, p := range m.CloseOffers() {
 			d.event(now, m, workers.Event{Kind: workers.EvOfferOver, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Placement: p})
 		}
