--- a/internal/upgrade/pools_test.go
+++ b/internal/upgrade/pools_test.go
@@ -40,7 +40,7 @@
 	var listen []string
 	for i := range 3 {
 		listen = append(listen, free(t))
-		ini := fmt.Sprintf("[pool licence]\nunits = 6\n[pool token]\nunits = 9\n[pools]\nreceipt_keys = %s\n[operators]\nlisten = %s\ncert_file = %s\nkey_file = %s\nca_file = %s\noperate = ann\n",
+		ini := fmt.Sprintf("[pool licence]\nunits = 24\n[pool token]\nunits = 40\n[pools]\nreceipt_keys = %s\n[operators]\nlisten = %s\ncert_file = %s\nkey_file = %s\nca_file = %s\noperate = ann\n",
 			key, listen[i], filepath.Join(dir, "node.pem"), filepath.Join(dir, "node.key"), filepath.Join(dir, "ca.pem"))
 		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("n%d.ini", i)), []byte(ini), 0o600); err != nil {
 			t.Fatal(err)
@@ -60,8 +60,8 @@
 		fleet.Doors = append(fleet.Doors, "http://"+d)
 	}
 	cloud.Up, cloud.Down = fleet.Up, fleet.Down
-	fleet.Limit("licence", 6)
-	fleet.Limit("token", 9)
+	fleet.Limit("licence", 24)
+	fleet.Limit("token", 40)
 	for i := range 3 {
 		c.start(i, binary)
 	}
@@ -72,14 +72,14 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		now := 6
+		now := 24
 		for n := 0; ; n++ {
 			select {
 			case <-stop:
 				return
 			case <-time.After(6 * time.Second):
 			}
-			want := []int{3, 6}[n%2]
+			want := []int{12, 24}[n%2]
 			if want > now {
 				fleet.Limit("licence", want)
 			}
@@ -102,13 +102,13 @@
 		}
 	}()
 	r := rand.New(rand.NewPCG(1, 1))
-	n, killed, led := 0, 0, 0
+	n, killed, led, said := 0, 0, 0, 0
 	next := time.Now().Add(8 * time.Second)
 	submitted := map[string]bool{}
 	for killed < kills || led < takeovers {
-		if n < killed/4+12 {
+		if n < killed/3+30 {
 			n++
-			submitted[c.counted(n, 4, time.Second, units)] = true
+			submitted[c.counted(n, 8, time.Second, units)] = true
 		}
 		if busy := fleet.Busy(); len(busy) > 0 {
 			m := busy[r.IntN(len(busy))]
@@ -128,10 +128,11 @@
 			c.start(l, binary)
 			next = time.Now().Add(15 * time.Second)
 		}
-		if killed%25 == 0 {
+		if killed >= said {
 			t.Logf("%d workers and %d leaders killed", killed, led)
+			said += 25
 		}
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 	}
 	close(stop)
 	<-stopped
@@ -141,7 +142,7 @@
 	for _, b := range append(fleet.Broken(), store.Refused()...) {
 		t.Error(b)
 	}
-	if fleet.Peak("licence") < 5 || changes.Load() < 3 {
+	if fleet.Peak("licence") < 20 || changes.Load() < 3 {
 		t.Errorf("at most %d licences were held, %d changes", fleet.Peak("licence"), changes.Load())
 	}
 	t.Logf("%d workers killed or cut off, %d leaders killed, %d jobs, %d changes of the pool; at most %d licences were held", killed, led, len(submitted), changes.Load(), fleet.Peak("licence"))
