--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -278,6 +278,7 @@
 			})
 			w.pass(left...)
 			w.verify(seed, list)
+			w.nobodyWaitsInVain(seed, left)
 			if running := slices.IndexFunc(left, func(j *jobs.Job) bool { return j.Placed > 0 }); running < 0 {
 				t.Fatalf("seed %d: nothing runs, and %d jobs wait: %s", seed, len(left), w.d.Why(left[0]))
 			}
@@ -293,6 +294,27 @@
 	t.Logf("the longest day had %d steps", longest)
 }
 
+// nobodyWaitsInVain: after a pass, the first job in order that still waits does so for
+// units that are out, or, if it would hold some as a whole, for others that do.
+func (w *world) nobodyWaitsInVain(seed uint64, left []*jobs.Job) {
+	w.t.Helper()
+	for _, h := range w.d.order {
+		j := h.job
+		if !slices.Contains(left, j) || j.Waiting == 0 {
+			continue
+		}
+		lacks := h.whole && !h.begun
+		for _, n := range h.needs {
+			p := w.d.pools[n.pool]
+			lacks = lacks || p.out+h.next(n) > p.size
+		}
+		if !lacks {
+			w.t.Fatalf("seed %d: %+v waits, and all that it needs is free", seed, j.Rec.Counted)
+		}
+		return
+	}
+}
+
 // verify counts the holders by what runs.
 func (w *world) verify(seed uint64, list []*jobs.Job) {
 	w.t.Helper()
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -87,6 +87,23 @@
 			})
 		}
 	}
+	// Back to the version in production for a while, and forth again: with pools, and
+	// with nothing else that it does not know.
+	back := counted && upgrade && !learns && seed%8 == 1
+	if back {
+		for i, n := range s.nodes {
+			for k, old := range []bool{true, false} {
+				at := upgraded + time.Duration(10+35*k+9*i+r.IntN(8))*time.Second
+				s.after(at, func() {
+					n.crash()
+					s.after(8*time.Second, func() {
+						n.crash() // it may have come back from another trouble
+						n.start(old)
+					})
+				})
+			}
+		}
+	}
 	s.after(upgraded+time.Duration(r.IntN(60))*time.Second, func() { s.state.lowered = true })
 	var log []string
 	say := func(f string, a ...any) {
@@ -110,7 +127,7 @@
 		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
 		s.jobs[id] = j
 		at := sometime()
-		follows := r.IntN(5) < 2
+		follows := r.IntN(5) < 2 && !back
 		s.after(at, func() {
 			if follows && s.now >= upgraded {
 				// A user names what was accepted, in whatever state it is.
