--- a/cmd/bitternmoor/pools.go
+++ b/cmd/bitternmoor/pools.go
@@ -138,6 +138,9 @@
 		return err
 	}
 	raw, err := client.Show(cmd.Context(), pools.Name+"/"+pool)
+	if errors.Is(err, control.ErrUnknown) {
+		return fmt.Errorf("POOL: the leader has no pool called %q", pool)
+	}
 	if err != nil {
 		return failure{err}
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -154,6 +154,9 @@
 		if err == nil {
 			return resp.Msg.Body, nil
 		}
+		if connect.CodeOf(err) == connect.CodeNotFound {
+			return nil, fmt.Errorf("control: %w", ErrUnknown)
+		}
 		if try == triesMost || connect.CodeOf(err) != connect.CodeUnavailable {
 			return nil, fmt.Errorf("control: %w", err)
 		}
