One piece of code where two stood: keys from files, answers, losses, machines unresolved

Keys were read by settings and by receipts, each with its own least length; the bound of units stood three times; run-times import and forget asked and changed the same way twice, and their tests worked out exit codes twice; a loss was noted in two places; whether a machine is unresolved, and whether it may have a job's tasks, was spelled out in eight. A pool knows its index, a fact when its job was accepted, and numbers of receipts are appended where they are chosen. Counting a loss without a team no longer enters an empty team's name.

--- a/cmd/bitternmoor/operate.go
+++ b/cmd/bitternmoor/operate.go
@@ -45,13 +45,21 @@
 		_, err := fmt.Fprintf(out, "%s\n", body)
 		return err
 	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
+	if err := understand("node", body, into); err != nil {
+		return err
 	}
 	done()
 	return nil
 }
 
+// understand reads the answer of a node or a controller.
+func understand(who string, raw []byte, into any) error {
+	if err := json.Unmarshal(raw, into); err != nil {
+		return failure{fmt.Errorf("the %s's answer is not understood: %w", who, err)}
+	}
+	return nil
+}
+
 // call makes one request of the operators' endpoint and returns its answer.
 func (o *operator) call(method, path string, body []byte) ([]byte, error) {
 	addr := o.address
--- a/cmd/bitternmoor/pools.go
+++ b/cmd/bitternmoor/pools.go
@@ -145,8 +145,8 @@
 		return failure{err}
 	}
 	var p pools.View
-	if err := json.Unmarshal(raw, &p); err != nil {
-		return failure{fmt.Errorf("the controller's answer is not understood: %w", err)}
+	if err := understand("controller", raw, &p); err != nil {
+		return err
 	}
 	words, change := plan(&p)
 	change.ID, change.Pool, change.Version = rand.Text(), pool, p.Version
@@ -169,8 +169,8 @@
 			return failure{err}
 		}
 		var done pools.Changed
-		if err := json.Unmarshal(raw, &done); err != nil {
-			return failure{fmt.Errorf("the controller's answer is not understood: %w", err)}
+		if err := understand("controller", raw, &done); err != nil {
+			return err
 		}
 		if done.Durable {
 			if c.json {
--- a/cmd/bitternmoor/runtimes.go
+++ b/cmd/bitternmoor/runtimes.go
@@ -95,6 +95,38 @@
 	return top
 }
 
+// kinds lists what the leader has learned.
+func (o *operator) kinds() (list []shownKind, err error) {
+	page, err := o.call(http.MethodGet, node.PathDuties+runtimes.Name, nil)
+	if err != nil {
+		return nil, err
+	}
+	return list, understand("node", page, &list)
+}
+
+// changeKinds has the leader change what it has learned. With --json its answer is
+// printed as it is, otherwise said.
+func (o *operator) changeKinds(out io.Writer, in runtimes.Import, say func(done runtimes.Imported)) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return failure{err}
+	}
+	answer, err := o.call(http.MethodPost, node.PathDuties+runtimes.Name, body)
+	if err != nil {
+		return err
+	}
+	if o.json {
+		fmt.Fprintf(out, "%s\n", answer)
+		return nil
+	}
+	var done runtimes.Imported
+	if err := understand("node", answer, &done); err != nil {
+		return err
+	}
+	say(done)
+	return nil
+}
+
 func importCommand() *cobra.Command {
 	var o operator
 	var replace, yes bool
@@ -106,14 +138,10 @@
 				return err
 			}
 			in.Replace = replace
-			page, err := o.call(http.MethodGet, node.PathDuties+runtimes.Name, nil)
+			known, err := o.kinds()
 			if err != nil {
 				return err
 			}
-			var known []shownKind
-			if err := json.Unmarshal(page, &known); err != nil {
-				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
-			}
 			there := 0
 			for _, x := range in.Kinds {
 				if slices.ContainsFunc(known, func(k shownKind) bool { return k.Name == x.Name() }) {
@@ -131,24 +159,9 @@
 			if err := confirm(cmd, yes, "take them in?"); err != nil {
 				return err
 			}
-			body, err := json.Marshal(in)
-			if err != nil {
-				return failure{err}
-			}
-			answer, err := o.call(http.MethodPost, node.PathDuties+runtimes.Name, body)
-			if err != nil {
-				return err
-			}
-			if o.json {
-				fmt.Fprintf(out, "%s\n", answer)
-				return nil
-			}
-			var done runtimes.Imported
-			if err := json.Unmarshal(answer, &done); err != nil {
-				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
-			}
-			fmt.Fprintf(out, "%d added, %d replaced, %d left as they are, %d dropped for want of room; they are written down over the next minutes\n", done.Added, done.Replaced, done.Left, done.Dropped)
-			return nil
+			return o.changeKinds(out, in, func(done runtimes.Imported) {
+				fmt.Fprintf(out, "%d added, %d replaced, %d left as they are, %d dropped for want of room; they are written down over the next minutes\n", done.Added, done.Replaced, done.Left, done.Dropped)
+			})
 		},
 	}
 	c.Flags().BoolVar(&replace, "replace", false, "replace the history of kinds that are known already")
@@ -175,14 +188,10 @@
 	c := &cobra.Command{
 		Use: "forget KEY", Short: "Forget one kind of work, by its name in show; says what it will change, and asks", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			page, err := o.call(http.MethodGet, node.PathDuties+runtimes.Name, nil)
+			known, err := o.kinds()
 			if err != nil {
 				return err
 			}
-			var known []shownKind
-			if err := json.Unmarshal(page, &known); err != nil {
-				return failure{fmt.Errorf("the node's answer is not understood: %w", err)}
-			}
 			i := slices.IndexFunc(known, func(k shownKind) bool { return k.Name == args[0] })
 			if i < 0 {
 				return fmt.Errorf("KEY: no kind of work is called %q", args[0])
@@ -194,20 +203,7 @@
 			if err := confirm(cmd, yes, "forget it?"); err != nil {
 				return err
 			}
-			body, err := json.Marshal(runtimes.Import{Forget: args})
-			if err != nil {
-				return failure{err}
-			}
-			answer, err := o.call(http.MethodPost, node.PathDuties+runtimes.Name, body)
-			if err != nil {
-				return err
-			}
-			if o.json {
-				fmt.Fprintf(out, "%s\n", answer)
-			} else {
-				fmt.Fprintln(out, "forgotten")
-			}
-			return nil
+			return o.changeKinds(out, runtimes.Import{Forget: args}, func(runtimes.Imported) { fmt.Fprintln(out, "forgotten") })
 		},
 	}
 	c.Flags().BoolVar(&yes, "yes", false, "do not ask")
--- a/cmd/bitternmoor/runtimes_test.go
+++ b/cmd/bitternmoor/runtimes_test.go
@@ -12,6 +12,18 @@
 	"testing"
 )
 
+// exitOf is the status that the program would end with.
+func exitOf(err error) int {
+	var f failure
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &f):
+		return exitFailed
+	}
+	return exitUsage
+}
+
 // An import says what it will change and changes nothing unconfirmed; a line that
 // is wrong is named, and nothing is sent.
 func TestImport(t *testing.T) {
@@ -54,14 +66,7 @@
 		cmd.SetArgs(append([]string{path, "--address", srv.Listener.Addr().String()}, c.args...))
 		err := cmd.Execute()
 		srv.Close()
-		exit := 0
-		if err != nil {
-			exit = exitUsage
-			var f failure
-			if errors.As(err, &f) {
-				exit = exitFailed
-			}
-		}
+		exit := exitOf(err)
 		if posts != c.posts || exit != c.exit || !strings.Contains(out.String(), c.said) || (err != nil && (!strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n"))) {
 			t.Errorf("%s: %d posts, exit %d, %v, said %q", c.name, posts, exit, err, out.String())
 		}
@@ -97,14 +102,7 @@
 		cmd.SetArgs(append([]string{c.key, "--address", srv.Listener.Addr().String()}, c.args...))
 		err := cmd.Execute()
 		srv.Close()
-		exit := 0
-		if err != nil {
-			exit = exitUsage
-			var f failure
-			if errors.As(err, &f) {
-				exit = exitFailed
-			}
-		}
+		exit := exitOf(err)
 		if posts != c.posts || exit != c.exit || !strings.Contains(out.String(), c.said) || (err != nil && !strings.Contains(err.Error(), c.wrong)) {
 			t.Errorf("%+v: %d posts, exit %d, %v, said %q", c, posts, exit, err, out.String())
 		}
--- a/internal/ledger/counted.go
+++ b/internal/ledger/counted.go
@@ -14,6 +14,9 @@
 	PerJob bool   `json:"j,omitempty"`
 }
 
+// UnitsMost is how many units there may be of anything counted.
+const UnitsMost = 1_000_000_000
+
 // guard begins the one name of a machine type that stands in for those of a job
 // that needs counted units. A version that knows nothing of such units finds no
 // machine of that type, and so never starts a task of the job; it keeps the name,
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -94,7 +94,7 @@
 	}
 	d.noted = nil
 	for _, m := range d.Yard.All() {
-		if m.Durable && !m.Resolved {
+		if m.Unresolved() {
 			d.Expect(m)
 		}
 	}
--- a/internal/pools/loss.go
+++ b/internal/pools/loss.go
@@ -39,16 +39,22 @@
 // Units that the job holds as a whole stay with it, unless it is over.
 func (d *Duty) lose(now time.Duration, j *jobs.Job, needs []need, tasks int64) {
 	for _, n := range needs {
-		p := d.pools[n.pool]
-		after := settings.Seconds(p.conf.HoldAfterLossS)
-		if after <= 0 || (n.perJob && (j.Phase == jobs.Open || j.Placed > 1)) {
+		if n.perJob && (j.Phase == jobs.Open || j.Placed > 1) {
 			continue
 		}
 		units := n.units
 		if !n.perJob {
 			units *= tasks
 		}
-		d.losses = append(d.losses, loss{p.name, d.Teams.Name(j.Team), units, d.timeMS(now + after + clockSlack)})
+		d.stayOut(now, d.pools[n.pool], d.Teams.Name(j.Team), units)
+	}
+}
+
+// stayOut has units stay out after a loss, where their pool says so. The team may be
+// unknown.
+func (d *Duty) stayOut(now time.Duration, p *pool, team string, units int64) {
+	if after := settings.Seconds(p.conf.HoldAfterLossS); after > 0 {
+		d.losses = append(d.losses, loss{p.name, team, units, d.timeMS(now + after + clockSlack)})
 		d.shelf.lossesDue = true
 	}
 }
@@ -62,7 +68,7 @@
 		}
 	}
 	for _, h := range d.holders {
-		if !m.Grants[h.job.Rec.ID] && m.Number != 0 {
+		if !m.MayHave(h.job.Rec.ID) {
 			continue
 		}
 		if n := min(mayRun(h.job), blocks.Slots(h.job.Need, m.Cap)); n > 0 {
@@ -80,10 +86,6 @@
 		return
 	}
 	for _, n := range s.needs {
-		p := d.pools[n.pool]
-		if after := settings.Seconds(p.conf.HoldAfterLossS); after > 0 {
-			d.losses = append(d.losses, loss{Pool: p.name, Units: n.units, Until: d.timeMS(now + after + clockSlack)})
-			d.shelf.lossesDue = true
-		}
+		d.stayOut(now, d.pools[n.pool], "", n.units)
 	}
 }
--- a/internal/pools/papers.go
+++ b/internal/pools/papers.go
@@ -103,7 +103,6 @@
 	}
 	d.count(now)
 	out := &Receipt{Durable: true, Job: in.Job, Task: in.Task, Attempt: in.Attempt, Epoch: d.Epoch}
-	var fresh []paperKey
 	for _, n := range h.needs {
 		key := paperKey{in.Job, int32(in.Task), n.pool}
 		attempt := in.Attempt
@@ -114,15 +113,11 @@
 		if p == nil || p.attempt != attempt {
 			p = &paper{attempt: attempt, numbers: d.choose(n)}
 			d.papers.set(key, p)
-			fresh = append(fresh, key)
+			d.Log.AppendFact(ledger.NewOwn(Name, entry{Paper: &storedPaper{key.job, key.task, p.attempt, d.pools[key.pool].name, p.numbers}}))
 		}
 		out.Durable = out.Durable && p.durable
 		out.Units = append(out.Units, ReceiptUnits{d.pools[n.pool].name, p.numbers, n.perJob})
 	}
-	for _, key := range fresh {
-		p := d.papers.get(key)
-		d.Log.AppendFact(ledger.NewOwn(Name, entry{Paper: &storedPaper{key.job, key.task, p.attempt, d.pools[key.pool].name, p.numbers}}))
-	}
 	return out, nil
 }
 
@@ -187,19 +182,17 @@
 }
 
 func (d *Duty) paperDurable(s *storedPaper) {
-	if p := d.papers.get(paperKey{s.Job, s.Task, d.pool(s.Pool).index(d)}); p != nil && p.attempt == s.Attempt && slices.Equal(p.numbers, s.Numbers) {
+	if p := d.papers.get(paperKey{s.Job, s.Task, d.pool(s.Pool).index}); p != nil && p.attempt == s.Attempt && slices.Equal(p.numbers, s.Numbers) {
 		p.durable = true
 	}
 }
 
-func (p *pool) index(d *Duty) int32 { return d.byName[p.name] }
-
 func (d *Duty) replayPaper(own *ledger.Own) {
 	var e entry
 	if json.Unmarshal(own.Data, &e) != nil || e.Paper == nil {
 		return
 	}
-	d.papers.set(paperKey{e.Paper.Job, e.Paper.Task, d.pool(e.Paper.Pool).index(d)}, &paper{e.Paper.Attempt, e.Paper.Numbers, true})
+	d.papers.set(paperKey{e.Paper.Job, e.Paper.Task, d.pool(e.Paper.Pool).index}, &paper{e.Paper.Attempt, e.Paper.Numbers, true})
 }
 
 // keepPaper writes anew the numbers of a holder that may be there.
@@ -208,7 +201,7 @@
 	if json.Unmarshal(e.Own.Data, &x) != nil || x.Paper == nil {
 		return
 	}
-	key := paperKey{x.Paper.Job, x.Paper.Task, d.pool(x.Paper.Pool).index(d)}
+	key := paperKey{x.Paper.Job, x.Paper.Task, d.pool(x.Paper.Pool).index}
 	if p := d.papers.get(key); p != nil && p.attempt == x.Paper.Attempt && d.alive(key, p) {
 		d.Log.Append(e)
 	}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -39,6 +39,7 @@
 // pool is one pool, and what a count has found of it.
 type pool struct {
 	name     string
+	index    int32
 	conf     settings.Pool
 	known    bool // in the operators' settings
 	size     int64
@@ -129,7 +130,7 @@
 	if !ok {
 		i = int32(len(d.pools))
 		d.byName[name] = i
-		d.pools = append(d.pools, &pool{name: name})
+		d.pools = append(d.pools, &pool{name: name, index: i})
 	}
 	return d.pools[i]
 }
@@ -165,15 +166,11 @@
 
 func (d *Duty) needs(list []ledger.Counted) (out []need, unknown string) {
 	for _, c := range list {
-		i, ok := d.byName[c.Pool]
-		if !ok {
-			d.pool(c.Pool) // it may be in no settings any more, and units of it out
-			i = d.byName[c.Pool]
-		}
-		if !d.pools[i].known {
+		p := d.pool(c.Pool) // it may be in no settings any more, and units of it out
+		if !p.known {
 			unknown = c.Pool
 		}
-		out = append(out, need{i, int64(c.Units), c.PerJob})
+		out = append(out, need{p.index, int64(c.Units), c.PerJob})
 	}
 	return out, unknown
 }
@@ -308,7 +305,7 @@
 	if n := mayRun(j); j.Phase == jobs.Cancelled && j.Earlier && n > 0 && (j.Unsettled > 0 || blind) {
 		l := leftover{h: h, n: n}
 		for _, m := range d.Yard.All() {
-			if m.Durable && !m.Resolved {
+			if m.Unresolved() {
 				l.on = append(l.on, m)
 			}
 		}
@@ -359,7 +356,7 @@
 	var unheard []*workers.Machine
 	if unresolved > 0 {
 		for _, m := range d.Yard.All() {
-			if m.Durable && !m.Resolved {
+			if m.Unresolved() {
 				unheard = append(unheard, m)
 				// A cancelled job whose needs are not known any more may be there, or
 				// no grants were noted at all.
@@ -386,8 +383,12 @@
 	at := d.timeMS(now)
 	for _, l := range d.losses {
 		if l.Until > at {
+			team, ok := d.Teams.Find(l.Team)
+			if !ok {
+				team = -1
+			}
 			p := d.pool(l.Pool)
-			p.add(d.Teams.Index(l.Team), l.Units)
+			p.add(team, l.Units)
 			p.lost += l.Units
 		}
 	}
@@ -409,7 +410,7 @@
 	}
 }
 
-// needs most counts what a task needs of a job that holds units as a whole.
+// raise counts what a task needs of a job that holds units as a whole.
 func (p *pool) raise(team int32, units int64) {
 	p.most = max(p.most, units)
 	if t := p.teams[team]; t != nil {
@@ -426,7 +427,7 @@
 	for _, m := range unheard {
 		here := map[int32]float64{}
 		for _, h := range perhaps {
-			if !m.Grants[h.job.Rec.ID] && m.Number != 0 {
+			if !m.MayHave(h.job.Rec.ID) {
 				continue
 			}
 			for _, n := range h.needs {
@@ -509,7 +510,7 @@
 		if room >= n {
 			break
 		}
-		if m.Grants[j.Rec.ID] || m.Number == 0 {
+		if m.MayHave(j.Rec.ID) {
 			room += blocks.Slots(j.Need, m.Cap)
 		}
 	}
--- a/internal/pools/shelf.go
+++ b/internal/pools/shelf.go
@@ -243,8 +243,6 @@
 	Pool    View   `json:"pool"`
 }
 
-const unitsMost = 1_000_000_000
-
 // Change does what it is asked to.
 func (d *Duty) Change(now time.Duration, body json.RawMessage) (json.RawMessage, error) {
 	var in Request
@@ -284,8 +282,8 @@
 		return nil, fmt.Errorf("pools: what was changed before is still being read: try again in a second")
 	case c.ID == "" || len(c.ID) > 64:
 		return nil, fmt.Errorf("pools: id: has 1 to 64 bytes")
-	case c.Units != nil && *c.Units > unitsMost:
-		return nil, fmt.Errorf("pools: units: more than %d", unitsMost)
+	case c.Units != nil && *c.Units > ledger.UnitsMost:
+		return nil, fmt.Errorf("pools: units: more than %d", ledger.UnitsMost)
 	case c.Units == nil && c.Drain == nil:
 		return nil, fmt.Errorf("pools: neither units nor drain is to be changed")
 	}
--- a/internal/pools/show.go
+++ b/internal/pools/show.go
@@ -97,7 +97,7 @@
 // holding lists who has units of a pool out, since when, and what would prove that
 // they are back.
 func (d *Duty) holding(now time.Duration, p *pool) (out []Holder) {
-	index := d.byName[p.name]
+	index := p.index
 	for _, h := range d.holders {
 		for _, n := range h.needs {
 			if n.pool != index {
--- a/internal/receipts/receipts.go
+++ b/internal/receipts/receipts.go
@@ -5,19 +5,16 @@
 package receipts
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
-)
 
-// LeastKey is how long a key must be, in bytes.
-const LeastKey = 16
+	"bitternmoor/internal/keys"
+)
 
 const issuer = "bitternmoor"
 
@@ -50,14 +47,10 @@
 func Read(files []string) (Keys, error) {
 	var out Keys
 	for _, f := range files {
-		raw, err := os.ReadFile(f)
+		secret, err := keys.Read(f)
 		if err != nil {
 			return nil, fmt.Errorf("receipts: %w", err)
 		}
-		secret := bytes.TrimSpace(raw)
-		if len(secret) < LeastKey {
-			return nil, fmt.Errorf("receipts: %s holds a key of less than %d bytes", f, LeastKey)
-		}
 		sum := sha256.Sum256(append([]byte("receipt key "), secret...))
 		out = append(out, Key{hex.EncodeToString(sum[:4]), secret})
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -557,7 +557,7 @@
 			d.event(now, m, ev)
 		}
 		d.Yard.Remove(name)
-		if m.Durable && !m.Resolved {
+		if m.Unresolved() {
 			d.resolved(now, m)
 		}
 		d.Tell(cluster.Event{Kind: cluster.MachineGone, At: now, Machine: m})
--- a/internal/runtimes/duty.go
+++ b/internal/runtimes/duty.go
@@ -212,7 +212,7 @@
 		d.shelf.push(d.shelf.place(k))
 	}
 	d.leave(d.book.takeGone())
-	accepted := time.Unix(f.At, 0).Add(-time.Duration(f.Job * float64(time.Second)))
+	accepted := f.accepted()
 	night := d.cal.At(accepted)
 	d.demand.take(night.Day, night.Holiday, d.cal.Slot(accepted), f.Work)
 }
@@ -464,6 +464,5 @@
 			return true
 		}
 	}
-	accepted := d.cal.At(time.Unix(f.At, 0).Add(-time.Duration(f.Job * float64(time.Second))))
-	return f.Work > 0 && d.demand.unwritten(accepted.Day)
+	return f.Work > 0 && d.demand.unwritten(d.cal.At(f.accepted()).Day)
 }
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -12,6 +12,7 @@
 	"math/bits"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
 )
@@ -85,6 +86,11 @@
 	Work     float64 // of all its tasks, in processor seconds
 }
 
+// accepted is when its job was accepted, or released.
+func (f *Fact) accepted() time.Time {
+	return time.Unix(f.At, 0).Add(-time.Duration(f.Job * float64(time.Second)))
+}
+
 // mean is the mean of a job's tasks by what is kept of them.
 func mean(task [5]float64) float64 {
 	sum := 0.0
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -1,10 +1,8 @@
 package settings
 
 import (
-	"bytes"
 	"errors"
 	"net/url"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +10,7 @@
 	"gopkg.in/ini.v1"
 
 	"bitternmoor/internal/calendar"
+	"bitternmoor/internal/keys"
 )
 
 // Tunables are the operators' own settings. Names of fields that the design
@@ -228,9 +227,6 @@
 	return nil
 }
 
-// leastKey is how long a key must be, in bytes.
-const leastKey = 16
-
 // webhookKey reads the key that warnings are signed with.
 func (t *Tunables) webhookKey() ([]byte, error) {
 	if t.WebhookURL == "" {
@@ -241,12 +237,9 @@
 
 // readKey reads a key from a file that a field names.
 func readKey(field, file string) ([]byte, error) {
-	raw, err := os.ReadFile(file)
+	key, err := keys.Read(file)
 	if err != nil {
 		return nil, wrong(field, "%v", err)
 	}
-	if key := bytes.TrimSpace(raw); len(key) >= leastKey {
-		return key, nil
-	}
-	return nil, wrong(field, "%s holds a key of less than %d bytes", file, leastKey)
+	return key, nil
 }
--- a/internal/takeovers/takeovers.go
+++ b/internal/takeovers/takeovers.go
@@ -151,7 +151,7 @@
 // has taken nothing over.
 func (d *Duty) Begin(now time.Duration) {
 	for _, m := range d.Yard.All() {
-		if m.Durable && !m.Resolved {
+		if m.Unresolved() {
 			d.unknown++
 		}
 	}
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -144,10 +144,7 @@
 	return out
 }
 
-const (
-	countedMost = 16 // pools of a job
-	unitsMost   = 1_000_000_000
-)
+const countedMost = 16 // pools of a job
 
 // counted reads the units of pools that a job needs.
 func (s *submission) counted(j *ledger.Job) error {
@@ -165,8 +162,8 @@
 		switch {
 		case c.Pool == nil || *c.Pool == "" || len(*c.Pool) > maxName:
 			return fmt.Errorf("%spool: missing, empty or over %d bytes", field, maxName)
-		case c.Units == nil || *c.Units < 1 || *c.Units > unitsMost:
-			return fmt.Errorf("%sunits: missing or not between 1 and %d", field, unitsMost)
+		case c.Units == nil || *c.Units < 1 || *c.Units > ledger.UnitsMost:
+			return fmt.Errorf("%sunits: missing or not between 1 and %d", field, ledger.UnitsMost)
 		case c.Per == nil || (*c.Per != "task" && *c.Per != "job"):
 			return fmt.Errorf("%sper: neither \"task\" nor \"job\"", field)
 		}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -173,6 +173,14 @@
 	return m.Durable && m.Up && m.Resolved && !m.Leaving && !m.Draining && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
+// Unresolved says whether an earlier term may have left something on the machine that is
+// not known.
+func (m *Machine) Unresolved() bool { return m.Durable && !m.Resolved }
+
+// MayHave says whether tasks of a job may be on a machine that is unresolved: it has a
+// grant, or none were noted there at all.
+func (m *Machine) MayHave(job uint64) bool { return m.Grants[job] || m.Number == 0 }
+
 // HasImage says whether the machine has or is fetching an image.
 func (m *Machine) HasImage(id int32) bool {
 	for _, im := range m.images {
