Squaring: one table for what reports show against what is stored

Need: roster, workers, placing and pools each decided for themselves what follows from a report that differs from the stored state. Held against a plain second version on 200,000 random states and against the table in docs/cold-start.md.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -17,6 +17,7 @@
 	"bitternmoor/internal/names"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/sizing"
+	"bitternmoor/internal/squaring"
 	"bitternmoor/internal/workers"
 )
 
@@ -72,6 +73,8 @@
 	Units    blocks.Units // nil: there are no pools
 	attempts uint64
 
+	Squared *squaring.Tally // differences between what was stored and reports, in this term
+
 	TypeNames names.Table
 	PlannedOn []*workers.Machine // all on which tasks may be planned
 
@@ -134,7 +137,7 @@
 		Jobs: jobs.NewTable(), Yard: workers.NewYard(),
 		Book: sizing.New(sizing.Params{Train: cfg.Tunables.TrainingTasks,
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
-		Where: map[workers.Ref]*workers.Placement{},
+		Where: map[workers.Ref]*workers.Placement{}, Squared: &squaring.Tally{},
 	}
 	var limits []blocks.Limit
 	for _, team := range cfg.Deployment.Teams {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -10,6 +10,7 @@
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/squaring"
 	"bitternmoor/internal/term"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
@@ -253,7 +254,8 @@
 
 // met ends the term when a worker has seen a token of a later one.
 func (c *Core) met(now time.Duration, r *workers.Report) {
-	if epoch := r.Token >> cluster.TokenBits; epoch > c.lead.Epoch() && c.term != nil {
+	epoch := r.Token >> cluster.TokenBits
+	if c.term != nil && squaring.Report(squaring.Machine{Epoch: c.lead.Epoch(), ReportEpoch: epoch}).Settlement() == squaring.StepDown {
 		c.lead.Superseded(now, epoch)
 		c.after(now)
 	}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -275,7 +275,7 @@
 		if h == nil {
 			continue
 		}
-		if p := m.Tasks[workers.Ref{Job: j.Index, Task: int32(t.Task)}]; p == nil || p.Planned || p.Attempt != t.Attempt {
+		if !m.Stands(workers.Ref{Job: j.Index, Task: int32(t.Task)}, t.Attempt) {
 			s.needs = append(s.needs, h.needs...)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,7 @@
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
+	"bitternmoor/internal/squaring"
 	"bitternmoor/internal/workers"
 )
 
@@ -250,7 +251,15 @@
 	answer := effects.ReportAnswer{Status: 200, Token: d.Token}
 	rec := ledger.Machine{Name: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
 	m := d.Yard.Find(r.Machine)
-	if m == nil {
+	diff := d.Squared.Found(d.square(m, r))
+	switch diff.Settlement() {
+	case squaring.Ignore:
+		if m != nil {
+			answer.Token = m.Token // its answer goes nowhere
+		}
+		d.Emit(effects.ReplyReport{To: to, Answer: answer})
+		return
+	case squaring.Register:
 		if m = d.AddMachine(now, rec); m == nil {
 			d.Emit(effects.ReplyReport{To: to, Answer: answer})
 			return
@@ -269,11 +278,6 @@
 			d.Log.AppendFact(ledger.Entry{Machine: &rec})
 		}
 	}
-	if !m.Fresh(r) {
-		answer.Token = m.Token
-		d.Emit(effects.ReplyReport{To: to, Answer: answer}) // a late report: its answer goes nowhere
-		return
-	}
 	if w := d.waits[m]; w != nil {
 		// The worker has given that one up: nothing may be started by it.
 		d.Emit(effects.ReplyReport{To: w.to, Answer: effects.ReportAnswer{Status: 200, Token: m.Token}})
@@ -285,11 +289,11 @@
 		m.UpSince = now
 		d.Dirty = true
 	}
-	if r.Session > m.Session && m.Session != 0 {
+	if diff.Settlement() == squaring.Forget {
 		d.offersLost(now, m)
 	}
 	before := m.Resolved
-	events, cmds := m.Absorb(now, r, m.Token, func(job uint64, task int, here bool) (workers.Known, bool) {
+	events, cmds := m.Absorb(now, r, m.Token, d.Squared, func(job uint64, task int, here bool) (workers.Known, bool) {
 		return d.known(m, job, task, here)
 	})
 	if m.Resolved != before {
@@ -312,6 +316,17 @@
 	d.reply(sure, w)
 }
 
+// square names the difference between a machine, nil if it is not entered, and its report.
+func (d *Duty) square(m *workers.Machine, r *workers.Report) squaring.Diff {
+	_, typed := d.TypeNames.Find(r.Type)
+	x := squaring.Machine{Gone: d.Yard.Gone(r.Machine), Typed: typed, Epoch: d.Epoch,
+		ReportSession: r.Session, ReportNumber: r.Seq, ReportToken: r.Token, ReportEpoch: r.Token >> cluster.TokenBits}
+	if m != nil {
+		x.Known, x.Leaving, x.Session, x.Number, x.Token = true, m.Leaving, m.Session, m.Seq, m.Token
+	}
+	return squaring.Report(x)
+}
+
 // reply answers a report: with what follows from it, the stops that are due
 // and the offers.
 func (d *Duty) reply(sure bool, w *waitingReport) {
@@ -370,7 +385,7 @@
 	s := j.Tasks[task]
 	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
 		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && !elsewhere,
-		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Elsewhere: elsewhere}, true
+		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Cancelled: j.Phase == jobs.Cancelled, Held: j.Phase == jobs.Held, Elsewhere: elsewhere}, true
 }
 
 func (d *Duty) event(now time.Duration, m *workers.Machine, e workers.Event) {
@@ -383,11 +398,12 @@
 		j.MoveZone(m.Zone, 1)
 		d.Where[e.Ref] = e.Placement
 		if j.Rec.Kind == jobs.Gang {
-			if j.Launch == 0 {
+			diff := d.Squared.Found(squaring.Gang(j.Launch, e.Attempt))
+			if diff == squaring.GangFound {
 				j.Launch = e.Attempt
 			}
 			j.Began = true // or so it must be taken: it is not known whether it ran
-			if j.Launch != e.Attempt {
+			if diff.Settlement() == squaring.Break {
 				d.BreakGang(j)
 			}
 		}
--- /dev/null
+++ b/internal/squaring/squaring_test.go
@@ -0,0 +1,147 @@
+package squaring
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+)
+
+// plainTask is a second version of Task: what is to be done, from the promises alone,
+// without naming any difference.
+func plainTask(st Stored, sh Shown) Settlement {
+	counts := st.Known && st.Here && st.Attempt == sh.Attempt
+	if !sh.Ended {
+		if counts {
+			return Keep
+		}
+		// It may stay only if nothing else stands for it and its job wants it.
+		if st.Known && st.Open && !st.Here && !st.Elsewhere && !st.Cancelled && !st.Held {
+			return Adopt
+		}
+		return Stop
+	}
+	if !st.Known {
+		return Reap
+	}
+	if sh.Done && st.Open {
+		return Complete
+	}
+	if sh.Done && !st.Durable {
+		return Wait // a result that is nowhere durable must not be reaped
+	}
+	if counts {
+		return LeaveReap
+	}
+	return Reap
+}
+
+func plainReport(m Machine) Settlement {
+	if m.ReportEpoch > m.Epoch {
+		return StepDown
+	}
+	if m.Gone || (!m.Known && !m.Typed) {
+		return Ignore
+	}
+	if !m.Known {
+		return Register
+	}
+	if later := m.ReportSession > m.Session || (m.ReportSession == m.Session && m.ReportNumber > m.Number); !later {
+		return Ignore
+	}
+	if m.Session > 0 && m.ReportSession != m.Session {
+		return Forget
+	}
+	if m.Leaving {
+		return Delete
+	}
+	if m.ReportToken == m.Token {
+		return Keep
+	}
+	return Listen
+}
+
+// On random states the table decides what the plain version does, and every one of its
+// lines is met.
+func TestAgainstPlain(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	coin := func() bool { return r.IntN(2) == 0 }
+	var met Tally
+	for range 200_000 {
+		st := Stored{Known: r.IntN(8) > 0}
+		if st.Known {
+			st.Cancelled, st.Held = r.IntN(5) == 0, r.IntN(8) == 0
+			st.Durable = st.Cancelled || r.IntN(4) == 0
+			st.Elsewhere = r.IntN(4) == 0
+			st.Here = !st.Elsewhere && coin()
+			st.Open = !st.Cancelled && !st.Held && !st.Durable && !st.Elsewhere && r.IntN(5) > 0
+			if st.Here {
+				st.Attempt = uint64(1 + r.IntN(2))
+			}
+		}
+		sh := Shown{Attempt: uint64(1 + r.IntN(2)), Ended: coin()}
+		if sh.Ended {
+			sh.Done = coin()
+			sh.Saved = !sh.Done && coin()
+		} else {
+			sh.Saving = coin()
+		}
+		d := met.Found(Task(st, sh))
+		if got, want := d.Settlement(), plainTask(st, sh); got != want {
+			t.Fatalf("%+v shown as %+v: %v, so %v; plainly %v", st, sh, d, got, want)
+		}
+		m := Machine{Gone: r.IntN(6) == 0, Known: coin(), Typed: coin(), Leaving: r.IntN(4) == 0, Epoch: 2, ReportEpoch: uint64(r.IntN(4)),
+			Session: uint64(r.IntN(3)), Number: uint64(r.IntN(3)), Token: uint64(r.IntN(2)), ReportSession: uint64(r.IntN(3)), ReportNumber: uint64(r.IntN(3)), ReportToken: uint64(r.IntN(2))}
+		d = met.Found(Report(m))
+		if got, want := d.Settlement(), plainReport(m); got != want {
+			t.Fatalf("%+v: %v, so %v; plainly %v", m, d, got, want)
+		}
+		met.Found(Absent(coin(), coin()))
+		met.Found(Gang(uint64(r.IntN(3)), uint64(1+r.IntN(2))))
+	}
+	for d := range Kinds {
+		if met[d] == 0 {
+			t.Errorf("%v was never met", d)
+		}
+	}
+}
+
+// Two things must never be told to a worker, whatever is stored: to forget a result
+// that is nowhere durable, and to go on with a task that counts elsewhere.
+func TestNeverTold(t *testing.T) {
+	for bits := range 1 << 11 {
+		on := func(i int) bool { return bits>>i&1 == 1 }
+		st := Stored{Known: on(0), Open: on(1), Durable: on(2), Cancelled: on(3), Held: on(4), Elsewhere: on(5), Here: on(6), Attempt: 1}
+		if (st.Open && (st.Durable || st.Elsewhere)) || (st.Here && st.Elsewhere) || (st.Cancelled && !st.Durable) {
+			continue // no such state
+		}
+		sh := Shown{Attempt: 1 + uint64(bits>>7&1), Ended: on(8), Done: on(8) && on(9), Saving: !on(8) && on(10)}
+		s := Task(st, sh).Settlement()
+		if sh.Done && st.Known && !st.Durable && (s == Reap || s == LeaveReap) {
+			t.Errorf("%+v, %+v: a result is lost", st, sh)
+		}
+		if !sh.Ended && st.Elsewhere && s != Stop {
+			t.Errorf("%+v, %+v: it would run twice", st, sh)
+		}
+	}
+}
+
+// The note has the table as the code has it.
+func TestTableInNote(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/cold-start.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for _, r := range Table() {
+		line := fmt.Sprintf("| `%s` | %s | %s | %v | %s |", r.Name, r.Stored, r.Shown, r.Settlement, r.Proof)
+		if r.Name == "" || r.Proof == "" || seen[r.Name] {
+			t.Errorf("%q: a name of its own and a proof are needed", r.Name)
+		}
+		seen[r.Name] = true
+		if !strings.Contains(string(raw), line) {
+			t.Errorf("docs/cold-start.md lacks\n%s", line)
+		}
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/squaring"
 )
 
 // TaskState is a task's state as its worker reports it.
@@ -422,6 +423,8 @@
 	ImageGB   float64
 	Open      bool // the job is open and the task not finished
 	Noted     bool // the task's end is durable, or the job is over
+	Cancelled bool // the job is
+	Held      bool // the job waits for others
 	Elsewhere bool // it counts as being on another machine
 }
 
@@ -457,25 +460,26 @@
 }
 
 // Absorb takes in a fresh report. known tells what the leader knows of a
-// task that is here, or whose result is. It returns the events and the commands that follow from the report
-// alone: reaps and the stops of tasks that should not be there.
-func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, known func(job uint64, task int, here bool) (Known, bool)) ([]Event, []Command) {
+// task that is here, or whose result is; tally counts the differences found and may
+// be nil. It returns the events and the commands that follow from the report
+// alone: reaps and the stops of tasks that should not be there. What follows from
+// which difference is package squaring's table.
+func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, tally *squaring.Tally, known func(job uint64, task int, here bool) (Known, bool)) ([]Event, []Command) {
 	var events []Event
 	var cmds []Command
-	gone := func(p *Placement, why Reason) {
+	gone := func(p *Placement, why Reason) *Event {
 		ran := time.Duration(-1)
 		if p.Runs() {
 			ran = now - p.RanAt
 		}
 		events = append(events, Event{Kind: EvGone, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Reason: why, Ran: ran, Running: p.Runs()})
 		m.Take(p.Ref)
+		return &events[len(events)-1]
 	}
 	if r.Session > m.Session && m.Session != 0 {
-		// A later session: the worker killed and forgot every task.
 		for _, p := range m.Tasks {
-			if !p.Planned {
-				gone(p, Vanished)
-				events[len(events)-1].Died = true
+			if !p.Planned && tally.Found(squaring.Absent(true, false)).Settlement() == squaring.Leave {
+				gone(p, Vanished).Died = true
 			}
 		}
 		m.images = nil
@@ -494,72 +498,54 @@
 	strays := 0
 	for _, t := range r.Tasks {
 		k, ok := known(t.Job, t.Task, t.State != Ended || t.Reason == Completed)
-		reap := Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt}
-		if !ok {
-			if t.State == Ended {
-				cmds = append(cmds, reap)
-			} else {
-				strays++
-				cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		var p *Placement
+		if ok {
+			if p = m.Tasks[k.Ref]; p != nil && p.Planned {
+				p = nil
 			}
-			continue
-		}
-		if t.State != Fetching && t.State != Ended {
-			m.UseImage(k.Image, k.ImageGB, now)
-		}
-		p := m.Tasks[k.Ref]
-		if p != nil && p.Planned {
-			p = nil
-		}
-		if t.State == Ended {
-			mine := p != nil && p.Attempt == t.Attempt
-			if t.Reason == Completed && k.Open {
-				ev := Event{Kind: EvCompleted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Ran: -1}
-				if mine && p.Runs() {
-					ev.Ran, ev.Running = now-p.RanAt, true
-				}
-				m.Take(k.Ref)
-				events = append(events, ev)
-				continue // reaped once that is durable
-			}
-			if mine {
-				gone(p, t.Reason)
-			}
-			if t.Reason != Completed || k.Noted {
-				cmds = append(cmds, reap)
+			if t.State != Fetching && t.State != Ended {
+				m.UseImage(k.Image, k.ImageGB, now)
 			}
-			continue
 		}
-		if p == nil {
-			if !k.Open || k.Elsewhere {
-				strays++
-				cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
-				continue
+		st := squaring.Stored{Known: ok, Open: k.Open, Durable: k.Noted, Cancelled: k.Cancelled, Held: k.Held, Elsewhere: k.Elsewhere, Here: p != nil}
+		if p != nil {
+			st.Attempt = p.Attempt
+		}
+		diff := tally.Found(squaring.Task(st, squaring.Shown{Attempt: t.Attempt, Ended: t.State == Ended, Done: t.State == Ended && t.Reason == Completed, Saved: t.Saved, Saving: t.State == Saving}))
+		switch diff.Settlement() {
+		case squaring.Complete:
+			ev := Event{Kind: EvCompleted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Ran: -1}
+			if diff == squaring.Completed && p.Runs() {
+				ev.Ran, ev.Running = now-p.RanAt, true
 			}
-			// A task of an earlier term: it counts here from now on.
+			m.Take(k.Ref)
+			events = append(events, ev)
+		case squaring.LeaveReap:
+			gone(p, t.Reason)
+			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Reap:
+			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Stop:
+			strays++
+			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Adopt:
 			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, Home: m, State: Fetching}
 			m.Tasks[k.Ref] = p
 			m.Free = m.Free.Minus(p.Need)
 			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Placement: p})
+			fallthrough
+		case squaring.Keep:
+			if t.State == Running && (!p.Seen || p.State != Running) {
+				p.RanAt = now
+				events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
+			}
+			p.State, p.Seen, p.seq = t.State, true, r.Seq
 		}
-		if p.Attempt != t.Attempt {
-			strays++
-			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
-			continue
-		}
-		if t.State == Running && (!p.Seen || p.State != Running) {
-			p.RanAt = now
-			events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
-		}
-		p.State, p.Seen, p.seq = t.State, true, r.Seq
 	}
-	if current {
-		for _, p := range m.Tasks {
-			// Sent with an earlier answer and not shown by this report: it
-			// never started, for a start in an answer cannot run late.
-			if !p.Planned && p.seq < r.Seq {
-				gone(p, Vanished)
-			}
+	for _, p := range m.Tasks {
+		// Sent with an earlier answer and not shown by this report.
+		if !p.Planned && p.seq < r.Seq && tally.Found(squaring.Absent(false, current)).Settlement() == squaring.Leave {
+			gone(p, Vanished)
 		}
 	}
 	if strays > 0 && m.Strays == 0 {
@@ -569,6 +555,12 @@
 	return events, cmds
 }
 
+// Stands says whether an attempt of a task is the one that counts as being here.
+func (m *Machine) Stands(ref Ref, attempt uint64) bool {
+	p := m.Tasks[ref]
+	return p != nil && !p.Planned && squaring.Task(squaring.Stored{Known: true, Here: true, Attempt: p.Attempt}, squaring.Shown{Attempt: attempt}) == squaring.AsStored
+}
+
 // Awaits says whether something must become durable before the machine can be
 // told to start what is planned on it.
 func (m *Machine) Awaits() bool {
