--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,90 @@
+// Package admission says to users who cannot be served now when to come back, so that
+// those who were all turned away at once do not all come back at once. It is pure; the
+// time comes in. The answer itself is final and goes out at once: nobody is held.
+package admission
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind of a request, in the order in which they are let in.
+type Kind uint8
+
+// Kinds.
+const (
+	Submit Kind = iota // submissions and cancellations
+	Poll
+	kinds
+)
+
+const (
+	longest = 30 // seconds; users wait no longer, whatever they are told
+	slices  = 8  // of the window over which those turned away are counted
+	slice   = time.Second / 2
+)
+
+// Door counts who was turned away lately, and spreads them out.
+type Door struct {
+	rate  float64 // requests a second that are taken when all goes well
+	count [kinds][slices]float64
+	at    int64 // the current slice
+}
+
+// NewDoor makes a door behind which so many requests a second can be taken.
+func NewDoor(rate float64) *Door { return &Door{rate: max(rate, 1)} }
+
+// Turned notes that a request about a job is turned away, and gives after how many
+// seconds, 1 to 30, it should come back. least is what the refusal itself asks for.
+//
+// Those who were turned away in the last four seconds are the ones who will come back.
+// They are spread over as many seconds as it takes to serve them at the door's rate,
+// submissions over the first of them and polls over those that follow. Where in its span
+// a request falls is the hash of its job and of the time: it differs from try to try, so
+// that two who met once do not meet for ever, and needs no randomness.
+func (d *Door) Turned(now time.Duration, kind Kind, job uint64, least int) int {
+	d.turn(now)
+	d.count[kind][d.at%slices]++
+	before, span := 0.0, d.seconds(Submit)
+	if kind == Poll {
+		before, span = span-1, d.seconds(Poll)
+	}
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:], job)
+	binary.LittleEndian.PutUint64(key[8:], uint64(now/time.Millisecond))
+	pick := float64(xxhash.Sum64(key[:])%1024) / 1024
+	return min(longest, max(least, 1)+int(before+pick*span))
+}
+
+// seconds is how long those turned away take to be served.
+func (d *Door) seconds(kind Kind) float64 {
+	sum := 0.0
+	for _, n := range d.count[kind] {
+		sum += n
+	}
+	return math.Max(1, math.Ceil(sum/d.rate))
+}
+
+// turn forgets what is over.
+func (d *Door) turn(now time.Duration) {
+	at := int64(now / slice)
+	for n := min(at-d.at, slices); n > 0; n-- {
+		for k := range d.count {
+			d.count[k][(at-n+1)%slices] = 0
+		}
+	}
+	d.at = max(d.at, at)
+}
+
+// Shares of a bounded queue, by kind: a request is turned away where more is in it, so
+// that submissions find room where polls do not, and workers' reports and results of
+// calls find some always.
+var queueShare = [kinds]float64{Submit: 0.75, Poll: 0.5}
+
+// LetIn says whether a request may enter a queue of so many places with so many taken.
+func LetIn(kind Kind, taken, places int) bool {
+	return float64(taken) < queueShare[kind]*float64(places)
+}
--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -35,6 +35,7 @@
 	ranks    []int8 // by job index, as of the last call of Order
 	scratch  []int32
 	refusals []refusal // of this pass
+	paced    bool      // a place was left out in the last try of give, since starts are paced
 	plain    bool      // tests hold the quick path against one that remembers nothing
 }
 
@@ -132,8 +133,9 @@
 	Units   Units             // nil: there are none
 	Zone    func(string) int32
 	Place   func(j *jobs.Job, k int, m *workers.Machine)
-	local   bool                     // jobs that have not waited long leave machines without their image
-	Unplace func(j *jobs.Job, k int) // takes back a plan that was not sent
+	Pace    func(j *jobs.Job, m *workers.Machine) bool // whether a task may be started now; nil: any
+	local   bool                                       // jobs that have not waited long leave machines without their image
+	Unplace func(j *jobs.Job, k int)                   // takes back a plan that was not sent
 }
 
 // missing is what machines that are not resolved may be using of a team.
@@ -397,7 +399,7 @@
 			}
 			// Room is held only for a job that has its units: what it waits for then is
 			// the end of other tasks, and none of them waits for it.
-			if !held && !w.local && p.ready(w, j) && !w.unsettled(j) && w.units(j, j.Together()) && p.Within(j.Team, j.Need, w.missing(j.Team)) {
+			if !held && !w.local && !p.paced && p.ready(w, j) && !w.unsettled(j) && w.units(j, j.Together()) && p.Within(j.Team, j.Need, w.missing(j.Team)) {
 				held = p.hold(w, j)
 			}
 			break
@@ -473,15 +475,21 @@
 
 // give places one task on the best machine, if there is one.
 func (p *Planner) give(w *World, j *jobs.Job, k int, machines []*workers.Machine) bool {
+	p.paced = false
 	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.missing(j.Team)) || p.refused(j) || !w.units(j, 1) {
 		return false
 	}
 	var best *workers.Machine
 	var bestScore int64
+	paces := w.Pace != nil && j.Rec.Kind == jobs.Array // gangs start as a whole, services first of all
 	for _, m := range machines {
 		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) {
 			continue
 		}
+		if paces && !w.Pace(j, m) {
+			p.paced = true
+			continue
+		}
 		// The earliest start, then the tightest fit: a second of fetching
 		// weighs as much as ten processors left over.
 		score := m.Free.CPU - j.Need.CPU
@@ -493,7 +501,7 @@
 		}
 	}
 	if best == nil {
-		if !j.ZoneRule() && !p.plain {
+		if !j.ZoneRule() && !p.plain && !p.paced { // there may be room that is only not given yet
 			p.refusals = append(p.refusals, refusal{j.Need, j.Spot, j.Types, j.Rec.Zone})
 		}
 		return false
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -13,6 +13,7 @@
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/names"
 	"bitternmoor/internal/settings"
@@ -49,6 +50,7 @@
 	// LastLed is when this node last heard of a leader, 0 if it never did; Noticed
 	// when it found that nobody led, Began when it was elected.
 	LastLed, Noticed, Began time.Duration
+	Before                  leadership.Led // the leader before, as this node heard it
 	// Counts and Measures outlive the term.
 	Counts   *Counts
 	Measures *Measures
@@ -71,6 +73,8 @@
 	Types    []ledger.Type // by index of TypeNames
 	Where    map[workers.Ref]*workers.Placement
 	Units    blocks.Units // nil: there are no pools
+	Gate     Gate         // nil: nothing is held back
+	Pacer    Pacer        // nil: starts are not paced
 	attempts uint64
 
 	Squared *squaring.Tally // differences between what was stored and reports, in this term
@@ -105,6 +109,10 @@
 	JobOrdered                       // Job has entered the order, with a first size, or is a service
 	OfferLost                        // Task of Job was on offer to Machine, whose worker has died since: it may have run there
 	MachineGone                      // Machine is proved gone; TaskGone of all that was on it came before
+	TaskAdopted                      // Task of Job, which an earlier leader had started, was found on Machine
+	TaskStopped                      // Task of Job on Machine is told to stop, by Order
+	MachineRented                    // Machine was rented by a request of this term
+	MachineLeft                      // the deletion of Machine is decided, by Order
 )
 
 // Event is something that has happened. What its kind does not name is not set.
@@ -116,10 +124,44 @@
 	Took    float64
 	Mine    bool // of TaskDone: this leader has started the attempt, and seen it begin
 	Lost    bool // of TaskGone: its worker has died under it
+	Order   Order
 	Machine *workers.Machine
 	Report  *workers.Report
 }
 
+// Order is a kind of thing that a leader orders.
+type Order uint8
+
+// Kinds of orders.
+const (
+	StartNew   Order = iota // a task that no earlier term can have handed out
+	StartAgain              // one that may have been handed out before
+	Rent                    // machines
+	Return                  // a machine that is not wanted, or that the cloud takes
+	Delete                  // a machine that is given up
+	Preempt                 // tasks, for others that go ahead of them
+	Move                    // tasks, off a machine that is returned
+)
+
+var orderWords = [...]string{"start_new", "start_again", "rent", "return", "delete", "preempt", "move"}
+
+func (o Order) String() string { return orderWords[o] }
+
+// Gate holds orders back for a while, after a start in which nobody led before.
+type Gate interface {
+	// May says whether orders of a kind may be given now.
+	May(now time.Duration, o Order) bool
+	// Patience is how long after the beginning of the term a machine that was not heard
+	// in it may be one that lives.
+	Patience() time.Duration
+}
+
+// Pacer bounds how fast tasks are started.
+type Pacer interface {
+	Allows(now time.Duration, j *jobs.Job, m *workers.Machine) bool
+	Took(now time.Duration, m *workers.Machine)
+}
+
 // ErrNoView is what a duty answers that is asked for a view it does not have.
 var ErrNoView = errors.New("no such view")
 
@@ -279,11 +321,27 @@
 	}
 }
 
+// May says whether orders of a kind may be given now.
+func (s *State) May(now time.Duration, o Order) bool { return s.Gate == nil || s.Gate.May(now, o) }
+
+// Patience is how long a machine may be silent that was not heard in this term yet.
+func (s *State) Patience() time.Duration {
+	if s.Gate == nil {
+		return 0
+	}
+	return s.Gate.Patience()
+}
+
+var stopWords = map[Order]string{Preempt: "task stopped for another job", Move: "task moved off a machine that is returned"}
+
 // StopAll stops tasks with time to save, and says why.
-func (s *State) StopAll(now time.Duration, list []*workers.Placement, why string) {
+func (s *State) StopAll(now time.Duration, list []*workers.Placement, o Order) {
 	on := map[*workers.Machine]bool{}
+	why := stopWords[o]
 	for _, p := range list {
-		s.SaveAndStop(now, s.Jobs.At(p.Ref.Job), p)
+		j := s.Jobs.At(p.Ref.Job)
+		s.SaveAndStop(now, j, p)
+		s.Tell(Event{Kind: TaskStopped, At: now, Job: j, Task: int(p.Ref.Task), Machine: p.Home, Order: o})
 		on[p.Home] = true
 		s.Note(effects.Debug, why, "job", p.JobID, "task", p.Ref.Task, "machine", p.Home.Name)
 	}
@@ -353,8 +411,8 @@
 	}
 }
 
-// Leave decides, for good, that a machine is to be deleted.
-func (s *State) Leave(m *workers.Machine, why string) {
+// Leave decides, for good, that a machine is to be deleted: it is returned, or given up.
+func (s *State) Leave(now time.Duration, m *workers.Machine, o Order, why string) {
 	if m.Leaving {
 		return
 	}
@@ -365,6 +423,7 @@
 		s.Counts.MachinesLost++
 	}
 	s.Note(effects.Info, "machine returned", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+	s.Tell(Event{Kind: MachineLeft, At: now, Machine: m, Order: o})
 }
 
 // Heard counts the machines that should be heard, and those of them that are
@@ -412,7 +471,11 @@
 
 // World is what the planner looks at.
 func (s *State) World(now time.Duration) blocks.World {
-	return blocks.World{Now: now, Quiet: s.Quiet(), Jobs: s.Jobs, Yard: s.Yard, Book: s.Book, Missing: s.missing, Blind: s.blind > 0, Zone: s.Zones.Index, Units: s.Units}
+	w := blocks.World{Now: now, Quiet: s.Quiet(), Jobs: s.Jobs, Yard: s.Yard, Book: s.Book, Missing: s.missing, Blind: s.blind > 0, Zone: s.Zones.Index, Units: s.Units}
+	if s.Pacer != nil {
+		w.Pace = func(j *jobs.Job, m *workers.Machine) bool { return s.Pacer.Allows(now, j, m) }
+	}
+	return w
 }
 
 // AddMachine enters a machine; nil if it is there already, is gone for good, or
--- /dev/null
+++ b/internal/coldstart/account.go
@@ -0,0 +1,335 @@
+package coldstart
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/squaring"
+	"bitternmoor/internal/workers"
+)
+
+// Record is the account of one cold start.
+type Record struct {
+	Epoch   uint64 `json:"epoch"`
+	Node    string `json:"node"`
+	AtMS    int64  `json:"at_ms"`            // time of day when the log was read
+	LeastMS int64  `json:"down_at_least_ms"` // for how long nobody led, as this node knows
+	MostMS  int64  `json:"down_at_most_ms"`  // since the last durable sign of a leader; -1: there is none
+	// Machines that were registered, jobs that were open, and their tasks that may have
+	// been handed out and had not ended.
+	Machines int `json:"machines"`
+	Jobs     int `json:"jobs"`
+	Tasks    int `json:"tasks"`
+	// After the beginning of the term, in milliseconds; -1: not reached.
+	SettledMS int64 `json:"settled_ms"`
+	HalfMS    int64 `json:"work_half_ms"` // half of those tasks are seen, done, or given a machine again
+	NinetyMS  int64 `json:"work_ninety_ms"`
+	BackMS    int64 `json:"work_all_ms"`
+	// Differences, orders, and orders found needless afterwards, by name.
+	Differences map[string]uint64 `json:"differences"`
+	Orders      map[string]uint64 `json:"orders"`
+	Needless    map[string]uint64 `json:"needless"`
+}
+
+func (r *Record) least() time.Duration { return time.Duration(r.LeastMS) * time.Millisecond }
+
+func (r *Record) most() time.Duration { return time.Duration(r.MostMS) * time.Millisecond }
+
+// Needless kinds of orders.
+const (
+	RentedUnused  = "rented_unused"     // rented, and returned without having had a task
+	DeletedAlive  = "deleted_alive"     // given up as silent, and heard again before it was gone
+	StartedDone   = "started_done"      // started, and at once over with a result that was there already
+	StoppedSoon   = "stopped_soon"      // started, and stopped for another job or moved within seconds
+	ReturnedSoon  = "returned_and_rent" // returned, and a machine of its type and kind rented within seconds
+	soon          = 10 * time.Second
+	keptMost      = 1000
+	doneAtOnce    = 1.5 // seconds
+	longEnough    = 5   // seconds: shorter tasks end between two reports by themselves
+	recordReserve = 512 // bytes left beside the maps
+)
+
+type account struct {
+	over    bool // closed, or there is nothing to keep
+	own     Record
+	past    []Record
+	hist    *cluster.Histogram
+	tasks   map[workers.Ref]struct{} // that are not back yet
+	rented  map[*workers.Machine]bool
+	started map[workers.Ref]time.Duration
+	left    map[string]time.Duration // when machines of a type and kind were last returned
+	deleted map[*workers.Machine]bool
+}
+
+func (a *account) init(s *cluster.State) {
+	a.own = Record{Epoch: s.Epoch, Node: s.Cfg.Node, SettledMS: -1, HalfMS: -1, NinetyMS: -1, BackMS: -1, Orders: map[string]uint64{}, Needless: map[string]uint64{}}
+	a.tasks, a.rented, a.started = map[workers.Ref]struct{}{}, map[*workers.Machine]bool{}, map[workers.Ref]time.Duration{}
+	a.left, a.deleted = map[string]time.Duration{}, map[*workers.Machine]bool{}
+	if s.Cfg.Tunables.ColdKept > 0 {
+		a.hist = s.Measures.Histogram("bitternmoor_cold_start_seconds", "Time from the beginning of a term in which nobody led before to each step.", "step",
+			[]float64{.5, 1, 2, 3, 5, 7.5, 10, 15, 20, 30, 60, 120})
+	}
+}
+
+func (a *account) replay(s *cluster.State, e ledger.Entry) {
+	var r Record
+	if err := json.Unmarshal(e.Own.Data, &r); err != nil {
+		s.Note(effects.Warn, "the account of a cold start cannot be read: it is left out", "error", err)
+		return
+	}
+	a.remember(r, s.Cfg.Tunables.ColdKept)
+}
+
+func (a *account) remember(r Record, keep int) {
+	i, found := slices.BinarySearchFunc(a.past, r, func(x, y Record) int { return cmp.Compare(x.Epoch, y.Epoch) })
+	if !found {
+		a.past = slices.Insert(a.past, i, r)
+	}
+	if more := len(a.past) - keep; more > 0 {
+		a.past = slices.Delete(a.past, 0, more)
+	}
+}
+
+// begin notes the work that may have been under way: what earlier terms may have
+// handed out and is not known to have ended. What was reported while the others were
+// asked is back already.
+func (a *account) begin(d *Duty, now time.Duration) {
+	a.own.AtMS = d.Zero + d.Began.Milliseconds()
+	if d.LastLed > 0 {
+		a.own.LeastMS = (d.Noticed - d.LastLed).Milliseconds()
+	}
+	a.own.MostMS = -1
+	if d.newest > 0 {
+		a.own.MostMS = max(0, d.Zero+now.Milliseconds()-d.newest)
+	}
+	a.own.Machines, _ = d.census.Counts()
+	for _, j := range d.Jobs.All() {
+		if j == nil || j.Phase != jobs.Open || !j.Earlier {
+			continue
+		}
+		a.own.Jobs++
+		for k, s := range j.Tasks {
+			if s == jobs.Waiting && (k < j.FreshFrom || j.Rec.Kind == jobs.Gang) {
+				a.tasks[workers.Ref{Job: j.Index, Task: int32(k)}] = struct{}{}
+			}
+			if s != jobs.Noted && k < j.FreshFrom {
+				a.own.Tasks++
+			}
+		}
+	}
+	a.own.Tasks = max(a.own.Tasks, len(a.tasks))
+	a.progress(d, now)
+}
+
+// back says whether all the work that may have been under way is.
+func (a *account) back() bool { return a.over || len(a.tasks) == 0 }
+
+func (a *account) isBack(d *Duty, now time.Duration, j *jobs.Job, k int) {
+	ref := workers.Ref{Job: j.Index, Task: int32(k)}
+	if _, open := a.tasks[ref]; open {
+		delete(a.tasks, ref)
+		a.progress(d, now)
+	}
+}
+
+// progress notes the steps that are reached.
+func (a *account) progress(d *Duty, now time.Duration) {
+	done := a.own.Tasks - len(a.tasks)
+	for _, s := range []struct {
+		name  string
+		at    *int64
+		share int
+	}{{"work_half", &a.own.HalfMS, 50}, {"work_ninety", &a.own.NinetyMS, 90}, {"work_all", &a.own.BackMS, 100}} {
+		if *s.at < 0 && done*100 >= a.own.Tasks*s.share {
+			a.reach(d, now, s.name, s.at)
+		}
+	}
+}
+
+func (a *account) reach(d *Duty, now time.Duration, step string, at *int64) {
+	*at = max(0, (now - d.Began).Milliseconds())
+	if a.hist != nil {
+		a.hist.Observe(step, float64(*at)/1000)
+	}
+}
+
+func kindOf(m *workers.Machine) string { return fmt.Sprint(m.Type, m.Spot) }
+
+// hear counts orders, and finds out which were needless.
+func (a *account) hear(d *Duty, e cluster.Event) {
+	if a.over {
+		return
+	}
+	switch e.Kind {
+	case cluster.TaskAdopted:
+		a.isBack(d, e.At, e.Job, e.Task)
+	case cluster.TaskPlaced:
+		o := cluster.StartNew
+		if e.Job.Earlier && e.Task < e.Job.FreshFrom {
+			o = cluster.StartAgain
+		}
+		a.own.Orders[o.String()]++
+		a.started[workers.Ref{Job: e.Job.Index, Task: int32(e.Task)}] = e.At
+		delete(a.rented, e.Machine)
+		a.isBack(d, e.At, e.Job, e.Task)
+	case cluster.TaskDone:
+		a.isBack(d, e.At, e.Job, e.Task)
+		ref := workers.Ref{Job: e.Job.Index, Task: int32(e.Task)}
+		if _, here := a.started[ref]; here && e.Took < doneAtOnce && e.Job.Rec.EstimateS > longEnough && e.Job.Earlier && e.Task < e.Job.FreshFrom {
+			a.own.Needless[StartedDone]++
+		}
+		delete(a.started, ref)
+	case cluster.TaskStopped:
+		a.own.Orders[e.Order.String()]++
+		ref := workers.Ref{Job: e.Job.Index, Task: int32(e.Task)}
+		if at, here := a.started[ref]; here && e.At-at < soon {
+			a.own.Needless[StoppedSoon]++
+		}
+	case cluster.MachineRented:
+		a.own.Orders[cluster.Rent.String()]++
+		a.rented[e.Machine] = true
+		if at, ok := a.left[kindOf(e.Machine)]; ok && e.At-at < soon {
+			a.own.Needless[ReturnedSoon]++
+		}
+	case cluster.MachineLeft:
+		a.own.Orders[e.Order.String()]++
+		if e.Order == cluster.Return {
+			a.left[kindOf(e.Machine)] = e.At
+			if a.rented[e.Machine] {
+				a.own.Needless[RentedUnused]++
+			}
+		} else if e.Order == cluster.Delete {
+			a.deleted[e.Machine] = true
+		}
+	case cluster.ReportTaken:
+		if a.deleted[e.Machine] {
+			delete(a.deleted, e.Machine)
+			a.own.Needless[DeletedAlive]++
+		}
+	case cluster.JobLeft:
+		for k := range e.Job.Tasks {
+			a.isBack(d, d.Began, e.Job, k)
+			delete(a.started, workers.Ref{Job: e.Job.Index, Task: int32(k)})
+		}
+	}
+}
+
+// tick closes the account.
+func (a *account) tick(d *Duty, now time.Duration, sure bool) {
+	if d.kind != cold || a.over || !sure {
+		return
+	}
+	if d.census.done && a.own.SettledMS < 0 {
+		a.own.SettledMS = (d.census.at - d.Began).Milliseconds()
+		if a.hist != nil {
+			a.hist.Observe("settled", float64(a.own.SettledMS)/1000)
+		}
+	}
+	if now-d.Began < lookFor {
+		return
+	}
+	a.over = true
+	a.count(d)
+	keep := d.Cfg.Tunables.ColdKept
+	d.Note(effects.Info, "cold start", "epoch", a.own.Epoch, "machines", a.own.Machines, "jobs", a.own.Jobs, "tasks", a.own.Tasks, "settled_ms", a.own.SettledMS,
+		"work_half_ms", a.own.HalfMS, "work_ninety_ms", a.own.NinetyMS, "work_all_ms", a.own.BackMS, "differences", words(a.own.Differences), "orders", words(a.own.Orders), "needless", words(a.own.Needless))
+	a.tasks, a.rented, a.started, a.left, a.deleted = nil, nil, nil, nil, nil
+	if keep == 0 {
+		return
+	}
+	a.remember(a.own, keep)
+	e := ledger.NewOwn(Name, a.own)
+	if !d.Log.Fits(e) { // its differences are the longest part, and the least needed
+		short := a.own
+		short.Differences = nil
+		e = ledger.NewOwn(Name, short)
+	}
+	if !d.Log.Fits(e) {
+		d.Note(effects.Error, "the account of a cold start is too large to be stored", "bytes", len(e.Own.Data))
+		return
+	}
+	d.Log.Append(e)
+}
+
+// count takes over what was found different so far.
+func (a *account) count(d *Duty) {
+	a.own.Differences = map[string]uint64{}
+	d.Squared.Each(func(x squaring.Diff, n uint64) {
+		if s := x.Settlement(); s != squaring.Keep {
+			a.own.Differences[x.String()] = n
+		}
+	})
+}
+
+func words(m map[string]uint64) string {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int { return len(d.account.past) * recordReserve }
+
+// Keep writes an account anew that is remembered still.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	var r Record
+	if e.Own == nil || json.Unmarshal(e.Own.Data, &r) != nil {
+		return
+	}
+	if slices.ContainsFunc(d.account.past, func(x Record) bool { return x.Epoch == r.Epoch }) {
+		d.Log.Append(e)
+	}
+}
+
+// Show gives the cold starts that are remembered, the newest first, as a JSON list of
+// Record. The one under way is the first as long as it is.
+func (d *Duty) Show(_ time.Duration, view string) (json.RawMessage, error) {
+	if view != "" {
+		return nil, cluster.ErrNoView
+	}
+	out := []Record{}
+	if d.kind == cold && !d.account.over {
+		d.account.count(d)
+		out = append(out, d.account.own)
+	}
+	for _, r := range slices.Backward(d.account.past) {
+		out = append(out, r)
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("cold starts: %w", err)
+	}
+	return raw, nil
+}
+
+// Gauges gives the numbers of the last cold start of this term.
+func (d *Duty) Gauges(time.Duration) []cluster.Gauge {
+	if d.kind != cold {
+		return nil
+	}
+	if !d.account.over {
+		d.account.count(d)
+	}
+	all := func(m map[string]uint64) map[string]float64 {
+		out := map[string]float64{}
+		for k, n := range m {
+			out[k] = float64(n)
+		}
+		return out
+	}
+	a := &d.account.own
+	return []cluster.Gauge{
+		{Name: "bitternmoor_cold_start_differences", Help: "Differences between what was stored and what workers reported, since the last cold start.", Label: "difference", Values: all(a.Differences)},
+		{Name: "bitternmoor_cold_start_orders", Help: "Orders given since the last cold start.", Label: "order", Values: all(a.Orders)},
+		{Name: "bitternmoor_cold_start_needless", Help: "Orders since the last cold start that turned out to be needless.", Label: "why", Values: all(a.Needless)},
+	}
+}
--- /dev/null
+++ b/internal/coldstart/census.go
@@ -0,0 +1,119 @@
+package coldstart
+
+import "time"
+
+// Census follows which of the registered machines have been heard since a leader began,
+// and says when the picture is settled. It is pure; the time comes in.
+//
+// A machine counts as heard once what it has is known: it has reported at this term's
+// token, or is proved gone. A zone is settled once so large a share of its machines is
+// heard, or, where half of the fleet is, once nobody new has come from it for so long
+// that those who are missing do not merely come late: they are dead, hung or cut off. The
+// picture is settled once all zones are, and in any case after Patience.
+type Census struct {
+	p     Params
+	began time.Duration
+	zones []zone
+	whole time.Duration // since when all other controllers are reached
+	all   bool          // they are
+	done  bool
+	at    time.Duration // when it was settled
+}
+
+// Params of a census.
+type Params struct {
+	Share    float64       // of a zone's machines, 0 to 1, that must be heard
+	Interval time.Duration // between a worker's reports
+	Peers    int           // other controllers
+}
+
+type zone struct {
+	registered, heard int
+	last              time.Duration // when the last one was heard
+}
+
+// What the platform's workers do: a report comes up to a quarter later than its
+// interval; one without an answer is given up after four seconds, and the next
+// controller is tried a second later.
+const (
+	lateReport = 1.25
+	perAway    = 5 * time.Second
+	slack      = time.Second
+)
+
+// NewCensus begins one. registered counts the machines that are to be heard, by zone.
+func NewCensus(now time.Duration, p Params, registered []int) *Census {
+	c := &Census{p: p, began: now, all: p.Peers == 0, whole: now}
+	for _, n := range registered {
+		c.zones = append(c.zones, zone{registered: n, last: now})
+	}
+	c.Settled(now)
+	return c
+}
+
+// Heard notes that a machine of a zone is known.
+func (c *Census) Heard(now time.Duration, z int32) {
+	if int(z) < len(c.zones) {
+		c.zones[z].heard++
+		c.zones[z].last = now
+	}
+}
+
+// Away says how many of the other controllers are not reached. A worker that tries one of
+// those takes so much longer to find its way here; and one that tried it just before it
+// was back does so still.
+func (c *Census) Away(now time.Duration, n int) {
+	if all := n == 0; all != c.all {
+		c.all, c.whole = all, now
+	}
+}
+
+// Counts gives the machines that are to be heard, and those that are.
+func (c *Census) Counts() (registered, heard int) {
+	for _, z := range c.zones {
+		registered += z.registered
+		heard += z.heard
+	}
+	return registered, heard
+}
+
+// Patience is how long after the beginning a worker that lives and reaches any
+// controller may come for the first time.
+func (c *Census) Patience() time.Duration {
+	longest := c.Longest()
+	if !c.all {
+		return longest
+	}
+	return min(longest, c.whole-c.began+c.next()+slack)
+}
+
+// next is how long a worker takes to its next try: it is between two reports, or waits
+// at a controller that was away when it came.
+func (c *Census) next() time.Duration {
+	return max(time.Duration(lateReport*float64(c.p.Interval)), perAway)
+}
+
+// Longest is what Patience is at most, whoever is away: after it every kind of order is
+// allowed.
+func (c *Census) Longest() time.Duration {
+	return c.next() + time.Duration(c.p.Peers)*perAway + slack
+}
+
+// Settled says whether the picture is settled. Once it is, it stays so.
+func (c *Census) Settled(now time.Duration) bool {
+	if c.done {
+		return true
+	}
+	quiet := time.Duration(lateReport*float64(c.p.Interval)) + slack
+	registered, heard := c.Counts()
+	all := true
+	for _, z := range c.zones {
+		if float64(z.heard) < c.p.Share*float64(z.registered) && (now-z.last < quiet || heard*2 < registered) {
+			all = false
+		}
+	}
+	if all || now-c.began >= c.Patience() {
+		c.done, c.at = true, now
+	}
+	return c.done
+}
--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,281 @@
+package coldstart
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// Whatever share of the machines is silent for ever, in whatever zones, and whichever
+// controllers come and go: the picture is settled after Longest at the latest, no sooner
+// than the share is heard or what is missing does not merely come late, and stays so.
+func TestCensusEnds(t *testing.T) {
+	early := 0
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		p := Params{Share: []float64{0, .5, .9, 1}[r.IntN(4)], Interval: time.Duration(1+r.IntN(5)) * time.Second, Peers: r.IntN(4)}
+		began := time.Duration(r.IntN(100)) * time.Second
+		var zones []int
+		for range 1 + r.IntN(4) {
+			zones = append(zones, r.IntN(60))
+		}
+		c := NewCensus(began, p, zones)
+		left := append([]int(nil), zones...)
+		lost := r.Float64() // so many never come
+		registered, heard, was := 0, 0, false
+		for _, n := range zones {
+			registered += n
+		}
+		for now := began; now <= began+c.Longest()+time.Second; now += 50 * time.Millisecond {
+			if r.IntN(10) == 0 {
+				c.Away(now, r.IntN(p.Peers+1))
+			}
+			if z := r.IntN(len(zones)); left[z] > int(lost*float64(zones[z])) {
+				left[z]--
+				heard++
+				c.Heard(now, int32(z))
+			}
+			if c.Patience() > c.Longest() {
+				t.Fatalf("seed %d: patience of %v, at most %v", seed, c.Patience(), c.Longest())
+			}
+			is := c.Settled(now)
+			if was && !is {
+				t.Fatalf("seed %d: settled no more", seed)
+			}
+			if is && !was && now-began < c.Patience() {
+				early++
+				if p.Share == 1 && heard*2 < registered {
+					t.Fatalf("seed %d: settled with %d of %d heard", seed, heard, registered)
+				}
+			}
+			was = is
+		}
+		if !was {
+			t.Fatalf("seed %d: %+v never ends", seed, p)
+		}
+	}
+	if early < 100 {
+		t.Errorf("settled before its time in only %d of 500", early)
+	}
+}
+
+// A worker that lives is heard within Patience, whatever it was doing when the leader
+// began: between reports, waiting at a dead controller, or at one that came back after.
+func TestPatienceIsEnough(t *testing.T) {
+	for seed := range uint64(3000) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		const n = 3
+		interval := time.Duration(1+r.IntN(5)) * time.Second
+		c := NewCensus(0, Params{Share: 1, Interval: interval, Peers: n - 1}, []int{1})
+		var up [n]time.Duration // when each is back; the first one leads
+		for i := 1; i < n; i++ {
+			up[i] = time.Duration(r.IntN(20000)) * time.Millisecond
+		}
+		// The worker: at the node it tries, from when on, as the platform has it.
+		at, node := -time.Duration(r.IntN(4000))*time.Millisecond, r.IntN(n)
+		for {
+			if at >= up[node] { // it is answered, by way of that node if it is not ours
+				break
+			}
+			at += 5 * time.Second // four without an answer, one more before the next
+			node = (node + 1) % n
+		}
+		if at < 0 {
+			at += time.Duration(lateReport * float64(interval)) // answered just before we began: it comes with its next report
+		}
+		var now time.Duration
+		for ; now < at; now += 50 * time.Millisecond {
+			away := 0
+			for _, u := range up {
+				if now < u {
+					away++
+				}
+			}
+			c.Away(now, away)
+			if now > c.Patience() {
+				t.Fatalf("seed %d: given up after %v, it comes at %v: %v", seed, now, at, up)
+			}
+		}
+	}
+}
+
+// begun is the duty of a term that has read ten registered machines and a job with tasks
+// that may run on all of them.
+func begun(change func(*cluster.Start, *settings.Tunables)) *Duty {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Peers = []settings.Peer{{Node: "n1"}, {Node: "n2"}}
+	cfg.Deployment.Workers.ReportS = 2
+	cfg.Tunables.ColdListen, cfg.Tunables.ColdKept = 1, 3
+	start := cluster.Start{Cfg: cfg, Zero: 1e6, Epoch: 7, Noticed: 99 * time.Second, Began: 100 * time.Second, Counts: &cluster.Counts{}, Measures: &cluster.Measures{}}
+	change(&start, &cfg.Tunables)
+	s := cluster.New(start)
+	s.Log = ledger.NewLog(ledger.Limits{WriteRPS: 1e6, ValueBytes: 8192, TxnOps: 4}, "lead/epoch", 1, 0, 0)
+	s.Zones.Index("a")
+	j := s.Jobs.Add(ledger.Job{ID: 1, Tasks: 20, EstimateS: 60})
+	j.Phase, j.Earlier, j.Unsettled, j.FreshFrom = jobs.Open, true, 10, 10
+	for n := range 10 {
+		s.Yard.Add(&workers.Machine{Name: fmt.Sprint(n), Durable: true, Number: n + 1})
+	}
+	d := New(s)
+	d.Replay(0, ledger.Entry{Job: &ledger.Job{ID: 1, AtMS: 1e6 + 60_000}})
+	d.Begin(100 * time.Second)
+	return d
+}
+
+// What tells a cold start from a takeover: what this process has heard itself, and
+// otherwise what the others say. One that says nothing proves nothing.
+func TestTold(t *testing.T) {
+	at := 100 * time.Second
+	long := leadership.Led{Ever: true, Since: 10 * time.Second, Until: 98 * time.Second}
+	for _, c := range []struct {
+		name   string
+		before leadership.Led
+		answer func(d *Duty)
+		want   kind
+	}{
+		{"it heard a leader until now", long, func(*Duty) {}, ordinary},
+		{"it never did, and nobody answers", leadership.Led{}, func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+		{"the others have not answered yet", leadership.Led{}, func(d *Duty) { d.PeerLed(at, "n1", 0, 0, false, true) }, undecided},
+		{"nor did the others", leadership.Led{}, func(d *Duty) {
+			d.PeerLed(at, "n1", 0, 0, false, true)
+			d.PeerLed(at, "n2", 0, 0, false, false)
+		}, cold},
+		{"another one did", leadership.Led{}, func(d *Duty) {
+			d.PeerLed(at, "n1", 0, 0, false, true)
+			d.PeerLed(at, "n2", time.Second, time.Minute, true, true)
+		}, ordinary},
+		{"another one did, long ago", leadership.Led{}, func(d *Duty) {
+			d.PeerLed(at, "n1", 9*time.Second, time.Minute, true, true)
+			d.PeerLed(at, "n2", 0, 0, false, true)
+		}, cold},
+		{"another one did, but that leader did not last", leadership.Led{}, func(d *Duty) {
+			d.PeerLed(at, "n1", time.Second, 3*time.Second, true, true)
+			d.PeerLed(at, "n2", 0, 0, false, true)
+		}, cold},
+		{"it heard one for a moment, another one for long", leadership.Led{Ever: true, Since: 97 * time.Second, Until: 98 * time.Second}, func(d *Duty) {
+			d.PeerLed(at, "n1", time.Second, time.Minute, true, true)
+		}, ordinary},
+		{"it heard one long ago", leadership.Led{Ever: true, Since: 10 * time.Second, Until: 50 * time.Second}, func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+	} {
+		d := begun(func(s *cluster.Start, _ *settings.Tunables) { s.Before = c.before })
+		if c.answer(d); d.kind != c.want {
+			t.Errorf("%s: %v, want %v", c.name, d.kind, c.want)
+		}
+		if open := d.kind == ordinary; d.May(at, cluster.Rent) != open || d.May(at, cluster.Return) != open || d.May(at, cluster.Preempt) != open || d.May(at, cluster.Move) != open {
+			t.Errorf("%s: it may rent: %v", c.name, !open)
+		}
+		if !d.May(at, cluster.StartAgain) || !d.May(at, cluster.Delete) {
+			t.Errorf("%s: what is proved must not wait", c.name)
+		}
+	}
+}
+
+// The account: work that comes back by being seen, done, and started again; orders, and
+// which of them turned out to be needless; one entry in the end, which the next leaders
+// remember.
+func TestAccount(t *testing.T) {
+	d := begun(func(s *cluster.Start, _ *settings.Tunables) { s.Cfg.Peers = nil })
+	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
+	j, all := d.Jobs.Find(1), d.Yard.All()
+	if d.kind != cold || d.account.own.Tasks != 10 || d.account.own.MostMS != 40_000 {
+		t.Fatalf("kind %v, account %+v", d.kind, d.account.own)
+	}
+	for i, m := range all[:9] {
+		d.Hear(cluster.Event{Kind: cluster.MachineResolved, At: at(101), Machine: m})
+		switch {
+		case i < 5:
+			d.Hear(cluster.Event{Kind: cluster.TaskAdopted, At: at(101), Job: j, Task: i, Machine: m})
+		case i < 8:
+			d.Hear(cluster.Event{Kind: cluster.TaskDone, At: at(102), Job: j, Task: i, Took: -1, Machine: m})
+		default:
+			d.Hear(cluster.Event{Kind: cluster.TaskPlaced, At: at(103), Job: j, Task: i, Machine: m})
+			d.Hear(cluster.Event{Kind: cluster.TaskDone, At: at(104), Job: j, Task: i, Took: -1, Machine: m})
+		}
+	}
+	d.Tick(at(104), true)
+	rented, used := &workers.Machine{Name: "new"}, &workers.Machine{Name: "used"}
+	for _, e := range []cluster.Event{
+		{Kind: cluster.MachineLeft, Machine: all[8], Order: cluster.Return},
+		{Kind: cluster.MachineRented, Machine: rented},
+		{Kind: cluster.MachineRented, Machine: used},
+		{Kind: cluster.TaskPlaced, Machine: used, Job: j, Task: 9},
+		{Kind: cluster.TaskPlaced, Machine: used, Job: j, Task: 15},
+		{Kind: cluster.TaskStopped, Machine: used, Job: j, Task: 15, Order: cluster.Preempt},
+		{Kind: cluster.MachineLeft, Machine: used, Order: cluster.Return},
+		{Kind: cluster.MachineLeft, Machine: rented, Order: cluster.Return},
+		{Kind: cluster.MachineLeft, Machine: all[9], Order: cluster.Delete},
+		{Kind: cluster.ReportTaken, Machine: all[9], Report: &workers.Report{}},
+		{Kind: cluster.ReportTaken, Machine: all[9], Report: &workers.Report{}},
+	} {
+		e.At = at(110)
+		d.Hear(e)
+	}
+	d.Tick(at(100)+lookFor, true)
+	d.Tick(at(200)+lookFor, true)
+	raw, err := d.Show(0, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Record
+	if err := json.Unmarshal(raw, &list); err != nil || len(list) != 1 {
+		t.Fatalf("%s: %v", raw, err)
+	}
+	r := list[0]
+	if r.Machines != 10 || r.Jobs != 1 || r.SettledMS != 4000 || r.HalfMS != 1000 || r.NinetyMS != 3000 || r.BackMS != 10000 {
+		t.Errorf("%+v", r)
+	}
+	if fmt.Sprint(r.Orders) != "map[delete:1 preempt:1 rent:2 return:3 start_again:2 start_new:1]" {
+		t.Errorf("orders: %v", r.Orders)
+	}
+	if fmt.Sprint(r.Needless) != "map[deleted_alive:1 rented_unused:1 returned_and_rent:2 started_done:1 stopped_soon:1]" {
+		t.Errorf("needless: %v", r.Needless)
+	}
+	if d.Log.Pending() != 1 {
+		t.Errorf("%d entries are written", d.Log.Pending())
+	}
+	// A successor remembers it, once, and no more than it is to keep.
+	next := begun(func(s *cluster.Start, _ *settings.Tunables) {
+		s.Before = leadership.Led{Ever: true, Until: 99 * time.Second}
+	})
+	for _, epoch := range []uint64{1, 2, 7, 7} {
+		r.Epoch = epoch
+		data, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Replay(0, ledger.Entry{Own: &ledger.Own{Duty: Name, Data: data}})
+	}
+	next.Replay(0, ledger.Entry{Own: &ledger.Own{Duty: Name, Data: json.RawMessage(`"?"`)}})
+	if len(next.account.past) != 3 || next.account.past[2].Epoch != 7 {
+		t.Errorf("%d are remembered", len(next.account.past))
+	}
+}
+
+// Where nothing was left behind there is nothing to listen to: the very first start of an
+// installation rents at once.
+func TestFirstStart(t *testing.T) {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Peers = []settings.Peer{{Node: "n1"}}
+	cfg.Tunables.ColdListen = 1
+	s := cluster.New(cluster.Start{Cfg: cfg, Epoch: 1, Counts: &cluster.Counts{}})
+	d := New(s)
+	d.Begin(0)
+	if d.kind != ordinary || !s.May(0, cluster.Rent) || s.Patience() != 0 {
+		t.Errorf("kind %v", d.kind)
+	}
+	for _, e := range s.Take() {
+		if _, asks := e.(effects.AskLed); asks {
+			t.Error("the others are asked")
+		}
+	}
+}
--- /dev/null
+++ b/internal/coldstart/duty.go
@@ -0,0 +1,227 @@
+// Package coldstart is the duty that begins a term after a time in which nobody led.
+// The leader then listens before it orders: a census of the registered machines says
+// when the picture is settled enough for which kind of order; starts are paced while it
+// catches up; and one account is kept of the whole, with the orders that turned out to
+// be needless. docs/cold-start.md is its design note and the operators' page.
+//
+// What proves anything stays as it is (package squaring, grants and marks): the census
+// only ever holds back orders that are allowed, and none for longer than a bounded time.
+package coldstart
+
+import (
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/pacing"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// Name is that of the duty, and of its entries.
+const Name = "cold-start"
+
+// kind says what sort of a beginning this is.
+type kind uint8
+
+const (
+	undecided kind = iota // the others have not said yet whether they heard a leader
+	cold                  // nobody led before it
+	ordinary              // a takeover from a leader, or the very first start
+)
+
+const (
+	// askedFor is how long the others have for their word. One that does not answer
+	// says nothing: it is down, cut off, or of a version that does not know the question.
+	askedFor = 1500 * time.Millisecond
+	// catchUp ends pacing, and needless orders are looked for a while longer.
+	catchUp  = time.Minute
+	lookFor  = 2 * time.Minute
+	awayFrom = 3 * time.Second // without an answer to a hail
+)
+
+// Duty begins a term. It is the term's gate (cluster.Gate) and pacer (cluster.Pacer).
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	kind    kind
+	asked   map[string]bool // others whose word is waited for
+	askedAt time.Duration
+	heard   map[string]time.Duration // when the others last answered
+	census  *Census
+	starts  *pacing.Starts
+	newest  int64 // time of day of the newest entry that has one, in milliseconds
+	account account
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	d := &Duty{State: s, asked: map[string]bool{}, heard: map[string]time.Duration{}}
+	d.account.init(s)
+	if s.Cfg.Tunables.ColdListen == 1 {
+		s.Gate, s.Pacer = d, d
+	}
+	return d
+}
+
+// Replay looks for the last sign of the leaders before, and takes accounts.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	switch {
+	case e.Job != nil:
+		d.newest = max(d.newest, e.Job.AtMS)
+	case e.Tasks != nil:
+		d.newest = max(d.newest, e.Tasks.AtMS)
+	case e.Own != nil:
+		d.account.replay(d.State, e)
+	}
+}
+
+// Begin settles what sort of a beginning this is, as far as it can be told from here:
+// what is stored says whether there is anything to find out, and this process whether
+// it has heard a leader lately. Otherwise the others are asked.
+func (d *Duty) Begin(now time.Duration) {
+	t := &d.Cfg.Tunables
+	unheard := make([]int, d.Zones.Len())
+	n := 0
+	for _, m := range d.Yard.All() {
+		if m.Unresolved() {
+			unheard[m.Zone]++
+			n++
+		}
+	}
+	d.census = NewCensus(now, Params{Share: t.ColdSettled, Interval: settings.Seconds(d.Cfg.Deployment.Workers.ReportS), Peers: len(d.Cfg.Peers)}, unheard)
+	d.starts = pacing.NewStarts(pacing.Limits{Zone: t.ColdStarts, Images: t.ColdImages})
+	switch {
+	case n == 0 && d.Jobs.Len() == 0:
+		d.decide(now, ordinary) // there is nothing to find out
+	case d.takenOver(d.Noticed-d.Before.Until, d.Before.Until-d.Before.Since, d.Before.Ever):
+		d.decide(now, ordinary)
+	case len(d.Cfg.Peers) == 0:
+		d.decide(now, cold)
+	default:
+		d.askedAt = now
+		for _, p := range d.Cfg.Peers {
+			d.asked[p.Node] = true
+			d.Emit(effects.AskLed{Peer: p.Node, Epoch: d.Epoch})
+		}
+	}
+}
+
+// takenOver says whether a leader that was heard so long ago, and for so long, knew what
+// the fleet does: it led until lately, and for long enough to have heard all of it. Found
+// by a random day on which the first leader after a cold start fell in the middle of its
+// census: the next one took over as from any other, and deleted machines that were on
+// their way.
+func (d *Duty) takenOver(ago, lasted time.Duration, ever bool) bool {
+	return ever && ago < settings.Seconds(d.Cfg.Tunables.ColdAfterS) && lasted >= d.census.Longest()
+}
+
+// PeerLed takes another controller's word on the last leader before this one: that it
+// heard it so long ago, and for so long, or never. known is false where there was no
+// answer.
+func (d *Duty) PeerLed(now time.Duration, peer string, ago, lasted time.Duration, ever, known bool) {
+	if known {
+		d.heard[peer] = now
+	}
+	if !d.asked[peer] {
+		return
+	}
+	delete(d.asked, peer)
+	if d.kind != undecided {
+		return
+	}
+	if known && d.takenOver(ago, lasted, ever) {
+		d.decide(now, ordinary)
+	} else if len(d.asked) == 0 {
+		d.decide(now, cold)
+	}
+}
+
+// PeerHeard notes that another controller has answered a hail.
+func (d *Duty) PeerHeard(now time.Duration, peer string) { d.heard[peer] = now }
+
+func (d *Duty) decide(now time.Duration, k kind) {
+	d.kind = k
+	d.Dirty = true
+	if k != cold {
+		d.account.over = true
+		return
+	}
+	d.account.begin(d, now)
+	registered, _ := d.census.Counts()
+	d.Note(effects.Info, "cold start: nobody led before this term; the fleet is listened to first", "epoch", d.Epoch, "machines", registered,
+		"jobs", d.Jobs.Len(), "down_at_least", d.account.own.least().String(), "down_at_most", d.account.own.most().String(), "at_longest", d.census.Longest().String())
+}
+
+// Tick settles what is due.
+func (d *Duty) Tick(now time.Duration, sure bool) {
+	if d.kind == undecided && now-d.askedAt >= askedFor {
+		d.decide(now, cold)
+	}
+	if d.kind == ordinary {
+		return
+	}
+	away := 0
+	for _, p := range d.Cfg.Peers {
+		if at, ok := d.heard[p.Node]; !ok || now-at > awayFrom {
+			away++
+		}
+	}
+	d.census.Away(now, away)
+	if before := d.census.done; d.census.Settled(now) && !before {
+		registered, heard := d.census.Counts()
+		d.Dirty = true
+		d.Note(effects.Info, "cold start: the picture is settled", "epoch", d.Epoch, "heard", heard, "of", registered, "after", (now - d.Began).Round(10*time.Millisecond).String())
+	}
+	d.account.tick(d, now, sure)
+}
+
+// May says whether orders of a kind may be given now. Starts always may: what proves
+// that a task may be started proves it here as well. Machines are rented and returned,
+// and tasks stopped for others or moved, only once the picture is settled.
+func (d *Duty) May(now time.Duration, o cluster.Order) bool {
+	if d.kind == ordinary || o == cluster.StartNew || o == cluster.StartAgain || o == cluster.Delete {
+		return true
+	}
+	return d.census.Settled(now)
+}
+
+// Patience is how long after the beginning a machine that has not been heard in this
+// term may yet be one that lives.
+func (d *Duty) Patience() time.Duration {
+	if d.kind == ordinary {
+		return 0
+	}
+	return d.census.Patience()
+}
+
+// Allows says whether a task of a job may be given a machine now. While the leader
+// catches up, starts are bounded by zone and by images under way.
+func (d *Duty) Allows(now time.Duration, j *jobs.Job, m *workers.Machine) bool {
+	return !d.paces(now) || d.starts.Allows(now, m.Zone, m.HasImage(j.Image), m.Fetching())
+}
+
+// Took counts a start.
+func (d *Duty) Took(now time.Duration, m *workers.Machine) {
+	if d.paces(now) {
+		d.starts.Spend(now, m.Zone)
+	}
+}
+
+// paces says whether starts are paced: after a cold start, until the work is back.
+func (d *Duty) paces(now time.Duration) bool {
+	return d.kind == cold && !d.account.back() && now-d.Began < catchUp
+}
+
+// Hear follows the census and keeps account.
+func (d *Duty) Hear(e cluster.Event) {
+	if d.kind == ordinary {
+		return
+	}
+	if e.Kind == cluster.MachineResolved && d.census != nil {
+		d.census.Heard(e.At, e.Machine.Zone)
+	}
+	d.account.hear(d, e)
+}
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -70,7 +70,12 @@
 		Epoch uint64
 	}
 	// Probe asks whether a peer can be reached at all.
-	Probe   struct{ Peer string }
+	Probe struct{ Peer string }
+	// AskLed asks a peer when it last heard a leader of an epoch before this one.
+	AskLed struct {
+		Peer  string
+		Epoch uint64
+	}
 	Lead    struct{ Order leadership.Order }
 	Load    struct{ Epoch uint64 }
 	Commit  struct{ Txn ledger.Txn }
@@ -119,6 +124,7 @@
 func (Relay) effect()       {}
 func (Hail) effect()        {}
 func (Probe) effect()       {}
+func (AskLed) effect()      {}
 func (Lead) effect()        {}
 func (Load) effect()        {}
 func (Commit) effect()      {}
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/pacing"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
 )
@@ -18,23 +20,37 @@
 	typesEvery = 60 * time.Second
 )
 
+// newCalls is the budget of calls: less than the cloud's rate, and nothing at first,
+// since the leader before may have used up what had gathered.
+func newCalls(s *cluster.State) pacing.Adaptive {
+	rate := s.Cfg.Deployment.Cloud.RPS * 0.8
+	a := pacing.NewAdaptive(s.Began, rate, max(1, rate))
+	a.Take(s.Began, a.Burst)
+	return a
+}
+
+// answered has the rate of calls follow what the cloud makes of them.
+func (d *Duty) answered(now time.Duration, ok bool) {
+	switch {
+	case d.Cfg.Tunables.AdaptCalls == 0:
+	case ok:
+		d.calls.Good(now)
+	default:
+		d.calls.Bad(now)
+	}
+}
+
 // Deleted notes that a deletion has had its answer, or none; the machines that
 // are still there are asked for again at the next tick.
-func (d *Duty) Deleted() { d.deleteBusy = false }
+func (d *Duty) Deleted(now time.Duration, ok bool) {
+	d.deleteBusy = false
+	d.answered(now, ok)
+}
 
 // callCloud sends what is due to the cloud, within its rate. When unsure of
 // the term it still deletes: that can lose work but break nothing.
 func (d *Duty) callCloud(now time.Duration, sure bool) {
-	rate := d.Cfg.Deployment.Cloud.RPS * 0.8
-	d.cloudRoom = min(max(1, rate), d.cloudRoom+(now-d.cloudAt).Seconds()*rate)
-	d.cloudAt = now
-	spend := func() bool {
-		if d.cloudRoom < 1 {
-			return false
-		}
-		d.cloudRoom--
-		return true
-	}
+	spend := func() bool { return d.calls.Take(now, 1) }
 	if !d.deleteBusy {
 		var list []string
 		for _, m := range d.Yard.All() {
@@ -68,6 +84,7 @@
 
 // Rented takes the answer to a rental request.
 func (d *Duty) Rented(now time.Duration, name string, machines []string, res wire.RentResult) {
+	d.answered(now, res != wire.NoAnswer)
 	r, ok := d.rentals[name]
 	if !ok {
 		return
@@ -82,6 +99,7 @@
 	for _, n := range machines {
 		if m := d.AddMachine(now, ledger.Machine{Name: n, Type: r.Type, Zone: r.Zone, Spot: r.Spot}); m != nil {
 			m.Resolved = true
+			d.Tell(cluster.Event{Kind: cluster.MachineRented, At: now, Machine: m})
 		}
 	}
 	d.appendAnswered(r, machines)
@@ -94,6 +112,7 @@
 // GotTypes takes the machine types; an empty list is a failure.
 func (d *Duty) GotTypes(now time.Duration, list []ledger.Type) {
 	d.typesAsked = false
+	d.answered(now, len(list) > 0)
 	if len(list) == 0 {
 		return
 	}
@@ -117,6 +136,7 @@
 // Listed takes the cloud's list of machines.
 func (d *Duty) Listed(now time.Duration, list []wire.Listed, ok bool) {
 	d.listBusy = false
+	d.answered(now, ok)
 	if !ok {
 		return
 	}
@@ -130,9 +150,40 @@
 			}
 		}
 		if m != nil && l.Failed {
-			d.Leave(m, "failed")
+			d.Leave(now, m, cluster.Delete, "failed")
+		}
+	}
+	if d.Cfg.Tunables.ListFirst == 1 {
+		d.dropMissing(now, list)
+	}
+}
+
+// dropMissing gives up silent machines that the cloud's list lacks. The list describes
+// one moment, in the order in which machines were created, and one that was listed stays
+// until it is gone. So where a later machine is listed, an earlier one that is not has
+// been taken or deleted, however old the list is. What proves that nothing runs there is
+// still the answer to its deletion. Found on days with crashes of all controllers: what
+// the cloud took meanwhile held back most jobs until it had been silent for long enough.
+func (d *Duty) dropMissing(now time.Duration, list []wire.Listed) {
+	if len(list) == 0 {
+		return
+	}
+	there := make(map[string]bool, len(list))
+	last := ""
+	for _, l := range list {
+		there[l.Machine.Name] = true
+		last = max(last, l.Machine.Name)
+	}
+	n := 0
+	for _, m := range d.Yard.All() {
+		if m.Durable && !m.Leaving && m.Name < last && !there[m.Name] && (!m.Up || now-m.Heard > d.Quiet()) {
+			d.Leave(now, m, cluster.Delete, "not in the cloud's list any more")
+			n++
 		}
 	}
+	if n > 0 {
+		d.Note(effects.Info, "silent machines are not in the cloud's list any more: they are not waited for", "machines", n)
+	}
 }
 
 func (d *Duty) setTypes(list []ledger.Type) {
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -13,6 +13,7 @@
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/pacing"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -20,6 +21,8 @@
 const (
 	rentEvery = 500 * time.Millisecond
 	avoidFor  = 45 * time.Second // a zone whose machines were silent together
+
+	urgent = 2 // the priority from which on a job is
 )
 
 // Duty rents and returns machines in a term.
@@ -38,8 +41,7 @@
 	dearPeak   peak
 	spotPeak   peak
 	boundPeak  peak // of jobs that may not use spot machines
-	cloudRoom  float64
-	cloudAt    time.Duration
+	calls      pacing.Adaptive
 
 	// While the log is replayed: rented machines that are not registered, those
 	// that are, and requests without an answer.
@@ -52,7 +54,7 @@
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
 	return &Duty{State: s, buyer: NewBuyer(fmt.Sprintf("r-%d", s.Epoch)), rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
-		cloudAt: s.Began, listAt: s.Began, booting: map[string]ledger.Machine{}, registered: map[string]bool{}}
+		calls: newCalls(s), listAt: s.Began, booting: map[string]ledger.Machine{}, registered: map[string]bool{}}
 }
 
 // Replay takes an entry of the log.
@@ -92,6 +94,9 @@
 	for _, r := range d.rentals {
 		d.buyer.Restore(r)
 	}
+	if d.Cfg.Tunables.ListFirst == 1 && len(d.registered) > 0 {
+		d.listAt = d.Began - listEvery // what the cloud has taken meanwhile need not be waited for
+	}
 	d.booting, d.registered = nil, nil
 }
 
@@ -162,8 +167,11 @@
 		return
 	}
 	var open []*jobs.Job
+	// Until it is known what runs, machines are rented only for urgent work that not
+	// even the whole fleet could hold: those not heard yet count as there.
+	settled := d.May(now, cluster.Rent)
 	for _, j := range d.Jobs.All() {
-		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) {
+		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) && (settled || j.Priority >= urgent) {
 			open = append(open, j)
 		}
 	}
@@ -238,10 +246,13 @@
 		}
 		d.request("renting for jobs that fit nowhere", requests)
 	}
-	if cheap <= have && len(stuck) == 0 {
+	// Jobs that fit nowhere keep the machines that they could use, and no others: found on
+	// a day on which ordinary machines were refused as long as idle spot ones were there,
+	// and those stayed for a gang that may not use them.
+	if cheap <= have && (len(stuck) == 0 || len(requests) == 0) && d.May(now, cluster.Return) {
 		// Against what is up: what is only asked for or boots may never come,
 		// while the cloud is out for instance.
-		d.shrink(now, up, ordinary, picky)
+		d.shrink(now, up, ordinary, picky, stuck)
 	}
 }
 
@@ -454,7 +465,7 @@
 	return p.demand[0]
 }
 
-func (d *Duty) shrink(now time.Duration, have, ordinary float64, picky []*jobs.Job) {
+func (d *Duty) shrink(now time.Duration, have, ordinary float64, picky, stuck []*jobs.Job) {
 	places := make([]int, len(picky))
 	for i, j := range picky {
 		places[i] = d.places(j)
@@ -469,7 +480,8 @@
 		return false
 	}
 	list := slices.DeleteFunc(slices.Clone(d.Yard.All()), func(m *workers.Machine) bool {
-		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS)
+		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS) ||
+			slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return d.mayTake(j, m) })
 	})
 	ends := map[*workers.Machine]time.Duration{}
 	for _, m := range list {
@@ -513,14 +525,14 @@
 	}
 	for _, m := range d.Yard.All() {
 		if m.Draining && !m.Leaving && len(m.Tasks) == 0 && len(m.Offers) == 0 && m.Strays == 0 {
-			d.Leave(m, "not needed")
+			d.Leave(now, m, cluster.Return, "not needed")
 			if m.Resolved { // else only its deletion proves that nothing of an earlier term is there
 				d.Tell(cluster.Event{Kind: cluster.MachineEmpty, At: now, Machine: m})
 			}
 		}
 	}
-	if d.Cfg.Tunables.MoveSaved == 1 {
-		d.StopAll(now, d.Plan.Moves(d.World(now)), "task moved off a machine that is returned")
+	if d.Cfg.Tunables.MoveSaved == 1 && d.May(now, cluster.Move) {
+		d.StopAll(now, d.Plan.Moves(d.World(now)), cluster.Move)
 	}
 }
 
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -91,6 +91,9 @@
 	nextTry  time.Duration
 
 	led    time.Duration // when a leader was last heard of, 0: never
+	ledIn  uint64        // its epoch
+	last   Led           // the leader of that epoch
+	before Led           // and of the one before it
 	vacant time.Duration // since when nobody has led, as far as this node saw
 	empty  bool
 }
@@ -135,6 +138,30 @@
 // since when it has seen that nobody leads. A new leader asks for it.
 func (c *Core) Vacancy() (led, since time.Duration) { return c.led, c.vacant }
 
+// heard notes that somebody leads, or led until now.
+func (c *Core) heard(now time.Duration, epoch uint64) {
+	if epoch != c.ledIn {
+		c.before, c.last, c.ledIn = c.last, Led{Ever: true, Since: now}, epoch
+	}
+	c.led, c.empty = now, false
+	c.last.Until = now
+}
+
+// Led is what a node knows of a leader: that there ever was one, and from when to when
+// it was heard.
+type Led struct {
+	Ever         bool
+	Since, Until time.Duration
+}
+
+// LedBefore is what this node knows of the last leader of an epoch before the given one.
+func (c *Core) LedBefore(epoch uint64) Led {
+	if c.ledIn >= epoch {
+		return c.before
+	}
+	return c.last
+}
+
 // Highest gives the highest epoch known.
 func (c *Core) Highest() uint64 { return max(c.epoch, c.view.Epoch) }
 
@@ -181,7 +208,7 @@
 	c.known = true
 	c.view = v
 	if v.Holder != nil {
-		c.led, c.empty = now, false
+		c.heard(now, v.Holder.Epoch)
 	} else if !c.empty {
 		c.vacant, c.empty = now, true
 	}
@@ -297,7 +324,7 @@
 		c.stepDown(now)
 	}
 	if c.role == Follower {
-		c.led, c.empty = now, false
+		c.heard(now, epoch)
 		c.view.Epoch = epoch
 		c.view.Holder = &Holder{node, epoch}
 	}
@@ -328,7 +355,7 @@
 
 func (c *Core) stepDown(now time.Duration) {
 	c.role = Follower
-	c.led, c.empty = now, false
+	c.heard(now, c.epoch)
 	c.hold, c.renewing = 0, nil
 	c.view.Holder = nil
 	c.sure = 0
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -84,7 +84,7 @@
 	if c.term == nil && leading {
 		c.counts.Terms++
 		led, vacant := c.lead.Vacancy()
-		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), LastLed: led, Noticed: vacant, Began: now, Counts: &c.counts, Measures: &c.measures})
+		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), LastLed: led, Before: c.lead.LedBefore(c.lead.Epoch()), Noticed: vacant, Began: now, Counts: &c.counts, Measures: &c.measures})
 		c.out = append(c.out, effects.Note{Level: effects.Info, Text: "leading", Args: []any{"epoch", c.term.Epoch}}, effects.Load{Epoch: c.term.Epoch})
 	}
 	if c.term != nil {
@@ -180,6 +180,21 @@
 // HailAnswered takes a peer's answer to a hail.
 func (c *Core) HailAnswered(now time.Duration, peer string) {
 	c.peerAt[peer] = now
+	if c.term != nil {
+		c.term.PeerHeard(now, peer)
+	}
+}
+
+// LedBefore is what this node knows of the last leader of an epoch before the given one.
+func (c *Core) LedBefore(epoch uint64) leadership.Led { return c.lead.LedBefore(epoch) }
+
+// PeerLed takes a peer's answer to AskLed: how long ago it heard the last leader before
+// this one, and for how long; known is false where there was no answer.
+func (c *Core) PeerLed(now time.Duration, epoch uint64, peer string, ago, lasted time.Duration, ever, known bool) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.PeerLed(now, peer, ago, lasted, ever, known)
+	}
+	c.after(now)
 }
 
 // Hailed takes a hail of the leader.
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -45,7 +45,7 @@
 		write(w, effects.Answer{Status: http.StatusBadRequest, Why: s.Bad})
 		return
 	}
-	write(w, n.route(UserRequest{Op: opSubmit, ID: s.ID, Submission: s, Whole: !s.Overlooked}))
+	n.answer(w, UserRequest{Op: opSubmit, ID: s.ID, Submission: s, Whole: !s.Overlooked})
 }
 
 func (n *Node) onJob(w http.ResponseWriter, r *http.Request, op string) {
@@ -54,9 +54,11 @@
 		write(w, effects.Answer{Status: http.StatusNotFound, Why: "no such job"})
 		return
 	}
-	write(w, n.route(UserRequest{Op: op, ID: id}))
+	n.answer(w, UserRequest{Op: op, ID: id})
 }
 
+func (n *Node) answer(w http.ResponseWriter, in UserRequest) { write(w, n.turned(in, n.route(in))) }
+
 func (n *Node) health(w http.ResponseWriter, _ *http.Request) {
 	// Where the leader is not reached no request can be taken: users are better
 	// served by it, or by a node that reaches it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,13 @@
 	"net/http"
 	"net/rpc"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
 
+	"bitternmoor/internal/admission"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
@@ -58,6 +60,8 @@
 	workers *wire.Workers
 	hook    *webhook.Sender // nil: operators are told by logs alone
 
+	admit       *admission.Door // nil: users who are turned away are told the least there is
+	admitMu     sync.Mutex
 	receiptKeys keyCache
 	direct      chan struct{} // bounds the direct calls under way
 	now         atomic.Pointer[standing]
@@ -81,6 +85,9 @@
 	if url := cfg.Tunables.WebhookURL; url != "" {
 		n.hook = webhook.New(url, cfg.WebhookKey, log)
 	}
+	if rate := cfg.Tunables.DoorRate; rate > 0 {
+		n.admit = admission.NewDoor(rate)
+	}
 	n.now.Store(&standing{})
 	return n
 }
@@ -207,6 +214,16 @@
 				n.post(func(now time.Duration) { n.core.Reached(now, e.Peer, ok) })
 			}()
 		}
+	case effects.AskLed:
+		if p := n.peers[e.Peer]; p != nil {
+			go func() {
+				var a LedAnswer
+				err := p.call("Controller.LedBefore", e.Epoch, &a)
+				n.post(func(now time.Duration) {
+					n.core.PeerLed(now, e.Epoch, e.Peer, time.Duration(a.AgoMS)*time.Millisecond, time.Duration(a.LastedMS)*time.Millisecond, a.Ever, err == nil)
+				})
+			}()
+		}
 	case effects.Lead:
 		go n.lead(e.Order)
 	case effects.Load:
@@ -459,16 +476,39 @@
 
 var errBusy = errors.New("node: the loop is behind")
 
+// kindOf is a request's kind at the door.
+func kindOf(op string) admission.Kind {
+	if op == opQuery {
+		return admission.Poll
+	}
+	return admission.Submit
+}
+
+// turned has those who are turned away together come back apart. The answer is final
+// and goes out at once all the same.
+func (n *Node) turned(in UserRequest, a effects.Answer) effects.Answer {
+	if n.admit != nil && a.RetryAfter > 0 {
+		n.admitMu.Lock()
+		defer n.admitMu.Unlock()
+		a.RetryAfter = n.admit.Turned(time.Since(n.start), kindOf(in.Op), in.ID, a.RetryAfter)
+	}
+	return a
+}
+
 // ask hands a user's request to the loop and waits for its answer.
-func (n *Node) ask(limit time.Duration, f func(now time.Duration, to effects.Asker)) effects.Answer {
+func (n *Node) ask(limit time.Duration, kind admission.Kind, f func(now time.Duration, to effects.Asker)) effects.Answer {
 	ch := make(chan effects.Answer, 1)
 	var id effects.Asker
-	if err := n.try(func(now time.Duration) {
-		n.nextAsker++
-		id = n.nextAsker
-		n.users[id] = ch
-		f(now, id)
-	}); err != nil {
+	err := errBusy
+	if n.admit == nil || admission.LetIn(kind, len(n.in), cap(n.in)) {
+		err = n.try(func(now time.Duration) {
+			n.nextAsker++
+			id = n.nextAsker
+			n.users[id] = ch
+			f(now, id)
+		})
+	}
+	if err != nil {
 		return effects.Answer{Status: 429, Why: "too many requests at once", RetryAfter: 1}
 	}
 	timer := time.NewTimer(limit)
@@ -595,6 +635,21 @@
 // so that a leader that knows nothing of them refuses it.
 func (c *Controller) AskCounted(in UserRequest, out *effects.Answer) error { return c.Ask(in, out) }
 
+// LedAnswer says how long ago a controller last heard a leader, if it ever did, and for
+// how long it heard that one.
+type LedAnswer struct {
+	Ever            bool
+	AgoMS, LastedMS int64
+}
+
+// LedBefore tells a new leader when this controller last heard one of an earlier epoch.
+func (c *Controller) LedBefore(epoch uint64, out *LedAnswer) error {
+	return c.n.here(func(now time.Duration) {
+		led := c.n.core.LedBefore(epoch)
+		*out = LedAnswer{led.Ever, (now - led.Until).Milliseconds(), (led.Until - led.Since).Milliseconds()}
+	})
+}
+
 // HailMessage says who leads, and in which epoch.
 type HailMessage struct {
 	Node  string
@@ -618,7 +673,7 @@
 
 // serve answers a request here, whoever leads.
 func (n *Node) serve(in UserRequest) effects.Answer {
-	return n.ask(askLimit, func(now time.Duration, to effects.Asker) {
+	return n.ask(askLimit, kindOf(in.Op), func(now time.Duration, to effects.Asker) {
 		switch in.Op {
 		case opSubmit:
 			n.core.Submit(now, to, in.Submission)
--- /dev/null
+++ b/internal/pacing/pacing.go
@@ -0,0 +1,123 @@
+// Package pacing bounds how fast a leader orders, for each receiver apart: the cloud's
+// calls, and starts by zone and by image. It is pure; the time comes in. Nothing is
+// queued here: what a budget does not let pass now is computed anew at the next try,
+// in the order that holds then.
+package pacing
+
+import (
+	"math"
+	"time"
+)
+
+// Bucket is a budget that refills at a steady rate. The zero value lets nothing pass.
+type Bucket struct {
+	Rate  float64 // a second
+	Burst float64 // most that may have gathered
+	room  float64
+	at    time.Duration
+}
+
+// NewBucket makes one that is full.
+func NewBucket(now time.Duration, rate, burst float64) Bucket {
+	return Bucket{Rate: rate, Burst: burst, room: burst, at: now}
+}
+
+// Take spends n if there is as much.
+func (b *Bucket) Take(now time.Duration, n float64) bool {
+	b.room = min(b.Burst, b.room+max(0, (now-b.at).Seconds())*b.Rate)
+	b.at = max(b.at, now)
+	if b.room < n {
+		return false
+	}
+	b.room -= n
+	return true
+}
+
+// Adaptive is a budget whose rate is halved when its receiver refuses, hangs or errs,
+// and grows again by a steady step while it answers: additive increase, multiplicative
+// decrease. Several leaders' worth of callers that share a receiver come to share it
+// evenly that way, which a fixed pause after each failure does not do.
+type Adaptive struct {
+	Bucket
+	top    float64 // the rate that is announced or agreed on
+	bad    time.Duration
+	wasBad bool
+	good   time.Duration
+}
+
+const (
+	leastShare  = 1.0 / 4         // of the top rate
+	growthIn    = 8 * time.Second // from nothing to the top rate
+	oneSetback  = time.Second     // failures this close together are one
+	holdOffDown = 2 * time.Second // after a failure the rate does not grow yet
+)
+
+// NewAdaptive makes a full budget at its top rate.
+func NewAdaptive(now time.Duration, top, burst float64) Adaptive {
+	return Adaptive{Bucket: NewBucket(now, top, burst), top: top, good: now}
+}
+
+// Bad notes that the receiver refused, did not answer in time, or was in trouble.
+func (a *Adaptive) Bad(now time.Duration) {
+	if a.wasBad && now-a.bad < oneSetback {
+		return
+	}
+	a.wasBad, a.bad, a.good = true, now, now
+	a.Rate = max(a.top*leastShare, a.Rate/2)
+	a.room = min(a.room, 1)
+}
+
+// Good notes an answer.
+func (a *Adaptive) Good(now time.Duration) {
+	if a.wasBad && now-a.bad < holdOffDown {
+		a.good = now
+		return
+	}
+	a.Rate = min(a.top, a.Rate+a.top*(now-a.good).Seconds()/growthIn.Seconds())
+	a.good = now
+}
+
+// Limits says how fast tasks may be started while a leader catches up.
+type Limits struct {
+	Zone   float64 // starts a second in one zone; 0: any number
+	Images int     // images that a machine may be fetching at once; 0: any number
+}
+
+// Starts is the budget of starts. A pass asks it for each place that it would give; a
+// machine that may not take a task now is left out for this pass.
+type Starts struct {
+	limits Limits
+	zones  map[int32]*Bucket
+}
+
+// zoneBurst is for how many seconds' worth a zone's starts may gather.
+const zoneBurst = 1
+
+// NewStarts makes a full budget.
+func NewStarts(l Limits) *Starts { return &Starts{limits: l, zones: map[int32]*Bucket{}} }
+
+// Allows says whether a task may be started in a zone, on a machine that is fetching so
+// many images and has the task's or not. It spends nothing.
+func (s *Starts) Allows(now time.Duration, zone int32, has bool, fetching int) bool {
+	if !has && s.limits.Images > 0 && fetching >= s.limits.Images {
+		return false // one fetch is shared by all who wait for it; two share the rate
+	}
+	return s.limits.Zone == 0 || s.zone(now, zone).Take(now, 0) && s.zone(now, zone).room >= 1
+}
+
+// Spend counts a start.
+func (s *Starts) Spend(now time.Duration, zone int32) {
+	if s.limits.Zone > 0 {
+		s.zone(now, zone).Take(now, 1)
+	}
+}
+
+func (s *Starts) zone(now time.Duration, zone int32) *Bucket {
+	b := s.zones[zone]
+	if b == nil {
+		x := NewBucket(now, s.limits.Zone, math.Max(1, s.limits.Zone*zoneBurst))
+		b = &x
+		s.zones[zone] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/pacing/pacing_test.go
@@ -0,0 +1,118 @@
+package pacing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// No second lets more pass than the rate and what had gathered.
+func TestBucket(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	b := NewBucket(0, 7, 14)
+	var took []time.Duration
+	for now := time.Duration(0); now < time.Minute; now += time.Duration(r.IntN(40)) * time.Millisecond {
+		if b.Take(now, 1) {
+			took = append(took, now)
+		}
+	}
+	for i, from := range took {
+		n := 0
+		for _, at := range took[i:] {
+			if at < from+time.Second {
+				n++
+			}
+		}
+		if n > 22 {
+			t.Fatalf("%d within a second from %v", n, from)
+		}
+	}
+	if len(took) < 7*59 {
+		t.Errorf("only %d in a minute: the rate is not used", len(took))
+	}
+	if b.Take(59*time.Second, 1000) {
+		t.Error("a clock that stands still gives room")
+	}
+}
+
+// Failures halve the rate, a burst of them once; answers bring it back, and never over
+// the top.
+func TestAdaptive(t *testing.T) {
+	a := NewAdaptive(0, 8, 8)
+	for i := range 10 {
+		a.Bad(time.Duration(i) * 50 * time.Millisecond)
+	}
+	if a.Rate != 4 {
+		t.Errorf("a burst of failures leaves %v of 8", a.Rate)
+	}
+	for s := 2; s < 20; s++ {
+		a.Bad(time.Duration(s) * time.Second)
+	}
+	if a.Rate != 2 {
+		t.Errorf("trouble for long leaves %v of 8: it would stop, or go on as before", a.Rate)
+	}
+	steps := 0
+	for now := 20 * time.Second; now < 60*time.Second; now += 500 * time.Millisecond {
+		before := a.Rate
+		if a.Good(now); a.Rate > 8 || a.Rate < before {
+			t.Fatalf("%v after %v", a.Rate, before)
+		}
+		if a.Rate < 8 {
+			steps++
+		}
+	}
+	if a.Rate != 8 || steps < 10 {
+		t.Errorf("it is back at %v, after %d steps", a.Rate, steps)
+	}
+}
+
+// Two callers at a receiver that serves ten a second and refuses the rest come to
+// share it, whatever they began with.
+func TestAdaptiveShares(t *testing.T) {
+	one, two := NewAdaptive(0, 10, 1), NewAdaptive(0, 10, 1)
+	two.Rate = 1
+	serve := NewBucket(0, 10, 2)
+	var got [2]int
+	for now := time.Duration(0); now < 5*time.Minute; now += 10 * time.Millisecond {
+		for i, a := range []*Adaptive{&one, &two} {
+			if !a.Take(now, 1) {
+				continue
+			}
+			if serve.Take(now, 1) {
+				a.Good(now)
+				got[i]++
+			} else {
+				a.Bad(now)
+			}
+		}
+	}
+	if got[0]*3 < got[1]*2 || got[1]*3 < got[0]*2 || got[0]+got[1] < 1200 {
+		t.Errorf("served %d and %d of 3000", got[0], got[1])
+	}
+}
+
+func TestStarts(t *testing.T) {
+	s := NewStarts(Limits{Zone: 5, Images: 1})
+	n := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 20 * time.Millisecond {
+		for range 3 {
+			if s.Allows(now, 1, true, 4) {
+				s.Spend(now, 1)
+				n++
+			}
+		}
+	}
+	if n < 50 || n > 55 {
+		t.Errorf("%d starts in ten seconds at five a second", n)
+	}
+	if !s.Allows(10*time.Second, 2, true, 9) || s.Allows(10*time.Second, 2, false, 1) || !s.Allows(10*time.Second, 2, false, 0) {
+		t.Error("a second image is fetched beside the first, or one that is there is refused")
+	}
+	free := NewStarts(Limits{})
+	for range 1000 {
+		if !free.Allows(0, 1, false, 99) {
+			t.Fatal("no limit, and yet refused")
+		}
+		free.Spend(0, 1)
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -154,9 +154,9 @@
 		return
 	}
 	d.pass(now)
-	if d.Cfg.Tunables.Preempt == 1 && now-d.preemptAt >= preemptEvery {
+	if d.Cfg.Tunables.Preempt == 1 && now-d.preemptAt >= preemptEvery && d.May(now, cluster.Preempt) {
 		d.preemptAt = now
-		d.StopAll(now, d.Plan.Preempt(d.World(now)), "task stopped for another job")
+		d.StopAll(now, d.Plan.Preempt(d.World(now)), cluster.Preempt)
 	}
 }
 
@@ -225,6 +225,9 @@
 		}
 		m.Plan(p)
 		d.planned = append(d.planned, p)
+		if d.Pacer != nil {
+			d.Pacer.Took(now, m)
+		}
 		if d.Units != nil {
 			d.Units.Took(j)
 		}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -865,7 +865,7 @@
 		}
 		if on {
 			d.Note(effects.Info, "a silent machine is given up early: others wait for counted units there", "machine", m.Name)
-			d.Leave(m, "silent, and others wait for counted units there")
+			d.Leave(now, m, cluster.Delete, "silent, and others wait for counted units there")
 		}
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -102,7 +102,7 @@
 		for _, name := range r.Machines {
 			if m := d.Yard.Find(name); m != nil {
 				m.Resolved = true
-				d.Leave(m, "not needed, as the term before has noted")
+				d.Leave(now, m, cluster.Return, "not needed, as the term before has noted")
 				d.empty = append(d.empty, name) // for the term after this one
 			}
 		}
@@ -271,7 +271,7 @@
 		m.Resolved = true // no task is ever started on a machine before it is registered
 		rec.Number = d.Numbers + 1
 		if !d.Log.Fits(ledger.Entry{Machine: &rec}) {
-			d.Leave(m, "its names are too long to be stored")
+			d.Leave(now, m, cluster.Delete, "its names are too long to be stored")
 		} else if m.QueueRegistry() {
 			d.Numbers++
 			m.Number = d.Numbers
@@ -397,6 +397,7 @@
 		d.Plan.Charge(j.Team, j.Need)
 		j.MoveZone(m.Zone, 1)
 		d.Where[e.Ref] = e.Placement
+		d.Tell(cluster.Event{Kind: cluster.TaskAdopted, At: now, Job: j, Task: k, Machine: m})
 		if j.Rec.Kind == jobs.Gang {
 			diff := d.Squared.Found(squaring.Gang(j.Launch, e.Attempt))
 			if diff == squaring.GangFound {
@@ -516,16 +517,17 @@
 			d.TakeBackAll(m)
 		}
 		switch {
+		case sure && !m.Up && m.Durable && now-d.Began <= d.Patience(): // it may live, and be on its way here
 		case sure && (m.Up || m.Durable) && now-heard > limit:
-			d.Leave(m, "silent")
+			d.Leave(now, m, cluster.Delete, "silent")
 		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
-			d.Leave(m, "never came up")
+			d.Leave(now, m, cluster.Delete, "never came up")
 		case m.Notice && now > m.TakenAt:
-			d.Leave(m, "taken by the cloud")
+			d.Leave(now, m, cluster.Return, "taken by the cloud")
 		case m.Notice && len(m.Tasks) == 0:
-			d.Leave(m, "to be taken by the cloud")
+			d.Leave(now, m, cluster.Return, "to be taken by the cloud")
 		case m.Strays > 0 && now-m.StraysSince > overdue:
-			d.Leave(m, "tasks that do not stop")
+			d.Leave(now, m, cluster.Delete, "tasks that do not stop")
 		}
 		if !cancelled && !m.Notice && !m.Draining {
 			continue // nothing that is on it is of any interest here
@@ -534,7 +536,7 @@
 			j := d.Jobs.At(p.Ref.Job)
 			if j.Phase == jobs.Cancelled && now-j.CancelledAt > overdue {
 				// Its task is not proved gone: the deletion will prove it.
-				d.Leave(m, "a cancelled job's task not proved gone")
+				d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
 				break
 			}
 			if p.Planned || p.Stopping {
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -17,7 +17,9 @@
 	broken    []string
 	starts    int
 	ghosts    []ghost
-	began     map[string]int // how many units there were when a job began, by job and pool
+	began     map[string]int     // how many units there were when a job began, by job and pool
+	use       map[string]float64 // processors that each team's tasks have, kept up start by start
+	idle      map[idleKind]int   // what really happened, for needless orders: see cold_test.go
 }
 
 func (c *checker) fail(rule, format string, a ...any) {
@@ -41,8 +43,15 @@
 			c.fail("too_early", "%d/%d started before %d was done", t.job, t.k, f)
 		}
 	}
+	if c.completeN[t] {
+		c.count(startedDone)
+	}
 	inZone := 0
-	for k := range spec.Tasks {
+	tasks := spec.Tasks
+	if !spec.OneZone && !spec.Spread {
+		tasks = 0 // nobody asks where the others are
+	}
+	for k := range tasks {
 		for m := range c.on[task{t.job, k}] {
 			z := c.zones[m]
 			if spec.OneZone && z != w.zone && k != t.k {
@@ -62,6 +71,12 @@
 	if c.zones == nil {
 		c.zones = map[string]string{}
 	}
+	if c.use == nil {
+		c.use = map[string]float64{}
+	}
+	if !c.on[t][w.name] {
+		c.use[spec.Team] += spec.CPUs
+	}
 	c.on[t][w.name] = true
 	c.zones[w.name] = w.zone
 	if j.gone && c.s.now > j.goneAt+settingsSeconds(c.s.cfg.Deployment.Workers.CancelS) {
@@ -82,19 +97,47 @@
 			c.fail("overdrawn", "%d units of %s are out, there are %d: %d/%d on %s", units[x.Pool], x.Pool, most, t.job, t.k, w.name)
 		}
 	}
-	use := map[string]float64{}
-	for t, ms := range c.on {
-		sp := c.s.jobs[t.job].spec.Job
-		use[sp.Team] += sp.CPUs * float64(len(ms))
-	}
 	for _, team := range c.s.cfg.Deployment.Teams {
-		if team.CPUsMax > 0 && use[team.Name] > team.CPUsMax {
-			c.fail("quota", "%s uses %v of %v", team.Name, use[team.Name], team.CPUsMax)
+		if team.CPUsMax > 0 && c.use[team.Name] > team.CPUsMax {
+			c.fail("quota", "%s uses %v of %v", team.Name, c.use[team.Name], team.CPUsMax)
 		}
 	}
 }
 
-func (c *checker) left(t task, w *worker) { delete(c.on[t], w.name) }
+func (c *checker) left(t task, w *worker) {
+	if c.on[t][w.name] {
+		spec := c.s.jobs[t.job].spec.Job
+		c.use[spec.Team] -= spec.CPUs
+		delete(c.on[t], w.name)
+	}
+}
+
+// served holds what each class and each team got against what it asked for: a day on
+// which less than half of the accepted jobs of any one of them are done has failed.
+// Jobs that their users cancelled do not count, nor those that came after a time.
+func (c *checker) served(until time.Duration) {
+	type sum struct{ asked, done int }
+	by := map[string]*sum{}
+	for _, j := range c.s.jobs {
+		if j.spec.Job == nil || !j.accepted || j.asked || j.gone || j.spec.Job.Kind == 2 || j.acceptedAt > until {
+			continue
+		}
+		for _, who := range []string{"class " + j.spec.Job.Class, "team " + j.spec.Job.Team} {
+			if by[who] == nil {
+				by[who] = &sum{}
+			}
+			by[who].asked++
+			if j.toldDone {
+				by[who].done++
+			}
+		}
+	}
+	for who, n := range by {
+		if n.done*2 < n.asked {
+			c.fail("served", "%d of %d jobs of %s are done", n.done, n.asked, who)
+		}
+	}
+}
 
 // over says whether all tasks of a job have completed.
 func (c *checker) over(id uint64) bool {
--- /dev/null
+++ b/internal/scenario/cold_test.go
@@ -0,0 +1,307 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// idleKind is an order that somebody who sees everything would not have given.
+type idleKind uint8
+
+const (
+	startedDone  idleKind = iota // a task that had its result already
+	resultsLost                  // no order: results that nobody had heard, gone with their machine or session
+	deletedBusy                  // a machine that ran something, could be heard, and was not taken by the cloud
+	rentedUnused                 // a machine that came up, and was deleted without ever having had a task
+	stopped                      // a running task whose user had not cancelled it
+)
+
+func (c *checker) count(k idleKind) {
+	if c.idle == nil {
+		c.idle = map[idleKind]int{}
+	}
+	c.idle[k]++
+}
+
+// reachable says whether a machine has been up, awake and connected for a while.
+func (s *sim) reachable(w *worker) bool {
+	return w.up && !w.hung && w.notice == 0 && s.between(w.name, "cloud") == nil && s.now-w.fineSince > 20*time.Second
+}
+
+// deleted holds a deletion against what was really on the machine.
+func (c *checker) deleted(w *worker) {
+	busy := false
+	for t := range w.tasks {
+		busy = busy || !c.s.jobs[t.job].asked
+	}
+	if busy && c.s.reachable(w) {
+		c.count(deletedBusy)
+	}
+	if w.up && !w.used {
+		c.count(rentedUnused)
+	}
+}
+
+// coldSettings is a deployment with two teams and the cold start switched on.
+func coldSettings(on bool) settings.Settings {
+	c := baseSettings()
+	c.Deployment.Teams = []settings.Team{{Name: "team", CPUs: 40, CPUsMax: 160}, {Name: "other", CPUs: 40, CPUsMax: 120}}
+	c.Deployment.State.WriteRPS = 40
+	if on {
+		c.Tunables.ColdListen, c.Tunables.ColdKept, c.Tunables.ListFirst, c.Tunables.AdaptCalls = 1, 5, 1, 1
+	}
+	return c
+}
+
+// coldDay plays a day on which all controllers go down at once, come back one by one,
+// and a share of the machines has died, hung, been cut off or been taken meanwhile.
+func coldDay(t *testing.T, seed uint64, machines int, on bool) *sim {
+	r := rand.New(rand.NewPCG(seed, 22))
+	s := newSim(coldSettings(on), seed, 3, false)
+	s.cloud.capacity = machines
+	s.slow = map[string]time.Duration{}
+	var log []string
+	say := func(f string, a ...any) {
+		log = append(log, fmt.Sprintf("%v ", s.now.Round(time.Millisecond))+fmt.Sprintf(f, a...))
+	}
+	id := uint64(0)
+	submit := func(at time.Duration) {
+		id++
+		i := id
+		run := time.Duration(4000+r.IntN(30000)) * time.Millisecond
+		job := &ledger.Job{ID: i, Class: []string{"quick", "usual", "long"}[i%3], Team: []string{"team", "other"}[i%2], Priority: []uint8{2, 1, 0}[i%3], Tasks: 1 + r.IntN(machines*3/4), CPUs: 1, MemoryGB: 1,
+			Image: fmt.Sprint(r.IntN(6)), ImageGB: 0.3, Spot: r.IntN(5) > 0, EstimateS: run.Seconds(), Checkpoint: float64(r.IntN(2) * 5), SaveS: 1}
+		if r.IntN(10) == 0 {
+			job.Kind, job.Tasks = 1, 1+r.IntN(12)
+		}
+		j := &userJob{id: i, run: run, spec: wire.Submission{ID: i, HasID: true, Job: job}}
+		s.after(at, func() {
+			s.jobs[i] = j
+			s.submit(j, r.IntN(3), func() bool { return s.now < at+60*time.Second })
+		})
+		if r.IntN(9) == 0 {
+			s.after(at+time.Duration(r.IntN(50))*time.Second, func() {
+				if j.accepted {
+					s.abort(j, r.IntN(3))
+				}
+			})
+		}
+	}
+	for range 14 {
+		submit(time.Duration(r.IntN(35000)) * time.Millisecond)
+	}
+	lease := settingsSeconds(s.cfg.Deployment.Workers.LeaseS)
+	down := []time.Duration{2 * time.Second, 8 * time.Second, lease - time.Second, lease + 1500*time.Millisecond, time.Minute}[r.IntN(5)]
+	if seed%20 == 19 {
+		down = 5 * time.Minute
+	}
+	crash := 45*time.Second + time.Duration(r.IntN(5000))*time.Millisecond
+	for range 8 {
+		submit(crash + time.Duration(r.IntN(60000))*time.Millisecond)
+	}
+	old := seed%6 == 1
+	s.after(crash, func() {
+		for _, n := range s.nodes {
+			n.crash()
+		}
+		say("all controllers are down for %v", down)
+		names := make([]string, 0, len(s.cloud.machines))
+		for n, w := range s.cloud.machines {
+			if w.up {
+				names = append(names, n)
+			}
+		}
+		slices.Sort(names)
+		r.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+		hit := names[:len(names)*[]int{0, 3, 20}[r.IntN(3)]/60]
+		for i, n := range hit {
+			w := s.cloud.machines[n]
+			at, length := time.Duration(r.Int64N(int64(down))), time.Duration(2+r.IntN(25))*time.Second
+			what := (i + int(seed)) % 5
+			s.after(at, func() {
+				switch what {
+				case 0:
+					w.vanish()
+				case 1:
+					w.hung = true
+					s.after(length, func() { w.hung, w.fineSince = false, s.now })
+				case 2:
+					s.cuts = append(s.cuts, &cut{host: n, hold: r.IntN(2) == 0})
+					s.after(length, func() { s.heal(n); w.fineSince = s.now })
+				case 3: // taken by the cloud
+					w.vanish()
+					delete(s.cloud.machines, n)
+				default: // its last report and what follows are lost: it only comes late
+					w.at = r.IntN(3)
+				}
+			})
+		}
+		say("%d of %d machines are hit meanwhile", len(hit), len(names))
+	})
+	back := crash + down
+	switch r.IntN(5) { // an outage that ends before, during and after
+	case 0:
+		s.after(crash, func() { s.state.outage = true })
+		s.after(back-time.Second, func() { s.state.recover() })
+	case 1:
+		s.after(back-time.Second, func() { s.state.outage = true })
+		s.after(back+4*time.Second, func() { s.state.recover() })
+	case 2:
+		s.after(back+2*time.Second, func() { s.state.outage = true })
+		s.after(back+14*time.Second, func() { s.state.recover() })
+	}
+	returns := func(from time.Duration) {
+		at := from
+		for i, k := range r.Perm(3) {
+			n := s.nodes[k]
+			s.after(at, func() {
+				if n.up {
+					return
+				}
+				n.start(old && i == 2)
+				if r.IntN(6) == 0 {
+					s.slow[n.name] = 700 * time.Millisecond
+					s.after(15*time.Second, func() { delete(s.slow, n.name) })
+					say("%s is slow", n.name)
+				}
+				if i > 0 && r.IntN(6) == 0 {
+					s.state.refuse[n.name] = true
+					s.after(12*time.Second, func() { delete(s.state.refuse, n.name) })
+					say("%s is refused by the state service", n.name)
+				}
+			})
+			at += time.Duration(r.IntN(9000)) * time.Millisecond
+		}
+	}
+	returns(back)
+	for again := r.IntN(3); again > 0; again-- { // down again before the census is over
+		at := back + time.Duration(r.IntN(9000))*time.Millisecond
+		s.after(at, func() {
+			for _, n := range s.nodes {
+				n.crash()
+			}
+			say("all controllers are down again")
+		})
+		returns(at + 3*time.Second)
+	}
+	if old { // in the end all are new
+		s.after(back+40*time.Second, func() {
+			for _, n := range s.nodes {
+				if n.old {
+					n.crash()
+					s.after(2*time.Second, func() { n.start(false) })
+				}
+			}
+		})
+	}
+	var poll func()
+	poll = func() {
+		for i := range id {
+			if j := s.jobs[i+1]; j != nil && j.accepted && !j.toldDone && !j.gone {
+				s.poll(j, int(i))
+			}
+		}
+		s.after(2*time.Second, poll)
+	}
+	s.after(0, poll)
+	s.run(back + 70*time.Second)
+	over := s.until(900*time.Second, func() bool {
+		for _, j := range s.jobs {
+			if j.accepted && !j.toldDone && !j.gone {
+				return false
+			}
+		}
+		return true
+	})
+	s.check.served(s.now)
+	if !over {
+		log = append(log, s.stuck()...)
+	}
+	if len(s.check.broken) > 0 || !over {
+		t.Errorf("over %v; rules broken: %s\n%s", over, strings.Join(s.check.broken, "\n"), strings.Join(log, "\n"))
+	}
+	if s.check.starts == 0 {
+		t.Error("nothing ran")
+	}
+	// Nobody could have known of results that went with their machines; every other
+	// task is started only as often as it has to be.
+	if s.check.idle[startedDone] > s.check.idle[resultsLost] {
+		t.Errorf("%d tasks were started that were done, though only %d results were lost\n%s", s.check.idle[startedDone], s.check.idle[resultsLost], strings.Join(log, "\n"))
+	}
+	return s
+}
+
+// stuck says what the leader has to say of jobs that do not come to their end.
+func (s *sim) stuck() (out []string) {
+	for id, j := range s.jobs {
+		if !j.accepted || j.toldDone || j.gone {
+			continue
+		}
+		out = append(out, fmt.Sprintf("job %d is %s: %+v", id, j.state, *j.spec.Job))
+		if l := s.leader(); l != nil {
+			if e, ok := l.core.Explain(l.clock(), id); ok {
+				out = append(out, e.Words...)
+			}
+		}
+	}
+	return out
+}
+
+// TestColdDays plays random cold starts of fifty machines. Nothing runs twice, nothing is
+// forgotten, each class and team is served, and needless orders stay within a bound,
+// over all days: no machine is deleted that ran something and could be heard, and hardly
+// any is rented that is not used. SCENARIO_DAYS sets how many days, COLD_MACHINES of how
+// many machines.
+func TestColdDays(t *testing.T) {
+	days, machines := 40, 50
+	if v, err := strconv.Atoi(os.Getenv("SCENARIO_DAYS")); err == nil {
+		days = v
+	}
+	if v, err := strconv.Atoi(os.Getenv("COLD_MACHINES")); err == nil {
+		machines = v
+	}
+	on := os.Getenv("COLD_OFF") == "" // to compare
+	sums := make([]map[idleKind]int, days)
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				sums[seed] = coldDay(t, seed, machines, on).check.idle
+			})
+		}
+	})
+	all := map[idleKind]int{}
+	for i, x := range sums {
+		for k, n := range x {
+			all[k] += n
+		}
+		if on && x[deletedBusy] > 0 && i%6 != 1 { // there a leader of the version in production does as it always did
+			t.Errorf("day %d: %d machines were deleted that ran something and could be heard", i, x[deletedBusy])
+		}
+	}
+	t.Logf("%d days: tasks started that were done %d (results lost %d), busy machines deleted %d, machines rented and not used %d, tasks stopped %d",
+		days, all[startedDone], all[resultsLost], all[deletedBusy], all[rentedUnused], all[stopped])
+	if on && all[rentedUnused] > days*machines/10 {
+		t.Errorf("%d machines were rented and not used on %d days", all[rentedUnused], days)
+	}
+}
+
+// results counts those that go with a machine or a session before anybody has heard them.
+func (w *worker) results() {
+	for _, x := range w.ended {
+		if x.reason == workers.Completed {
+			w.s.check.count(resultsLost)
+		}
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"bitternmoor/internal/coldstart"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
@@ -84,6 +86,10 @@
 		c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
 	}
 	c.Tunables.TakeoversKept = arg(t, d, "takeovers", 0)
+	if d.HasArg("cold") {
+		c.Tunables.ColdListen, c.Tunables.ColdKept, c.Tunables.ListFirst, c.Tunables.AdaptCalls = 1, 5, 1, 1
+		c.Tunables.ColdStarts, c.Tunables.ColdImages = float64(arg(t, d, "starts", 0)), arg(t, d, "images", 0)
+	}
 	units := map[string]int{}
 	if list := arg(t, d, "pools", ""); list != "" { // NAME:UNITS, …
 		for x := range strings.SplitSeq(list, ",") {
@@ -301,6 +307,39 @@
 			out = append(out, fmt.Sprintf("epoch %d: %d steps", r.Epoch, len(r.After)))
 		}
 		return strings.Join(out, "\n")
+	case "cold": // the leader's account: whether it was a cold start, differences by name, needless orders
+		l := s.leader()
+		if l == nil {
+			return "nobody leads"
+		}
+		raw, known, err := l.core.Show(l.clock(), coldstart.Name)
+		if err != nil || !known {
+			return fmt.Sprintf("cannot tell: %v", err)
+		}
+		var list []coldstart.Record
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return err.Error()
+		}
+		if len(list) == 0 || list[0].Epoch != l.core.Epoch() {
+			return "an ordinary takeover"
+		}
+		out := []string{fmt.Sprintf("settled %v, all work back %v", list[0].SettledMS >= 0, list[0].BackMS >= 0)}
+		for name := range strings.SplitSeq(arg(t, d, "difference", ""), ",") {
+			if name != "" {
+				out = append(out, fmt.Sprintf("%s: %v", name, list[0].Differences[name] > 0))
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(list[0].Needless)) {
+			out = append(out, fmt.Sprintf("needless: %s %d", name, list[0].Needless[name]))
+		}
+		return strings.Join(out, "\n")
+	case "take": // the cloud takes machines that run tasks of a job, without notice
+		for _, h := range p.hosts(t, d) {
+			s.cloud.machines[h].vanish()
+			delete(s.cloud.machines, h)
+		}
+	case "started": // how many tasks have started so far
+		return fmt.Sprint(s.check.starts)
 	case "noted":
 		for _, c := range s.nodes {
 			for _, n := range c.notes {
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -492,6 +492,7 @@
 		}
 		for _, n := range names {
 			if w := cl.machines[n]; w != nil {
+				cl.s.check.deleted(w)
 				w.vanish()
 				delete(cl.machines, n)
 				cl.deleted++
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -59,6 +59,9 @@
 	cloud *cloud
 	check *checker
 	cuts  []*cut
+	cutAt map[string][]*cut // by host, of the first so many cuts; made anew when their number differs
+	cutN  int
+	slow  map[string]time.Duration // hosts that take so much longer for everything
 	jobs  map[uint64]*userJob
 	began time.Duration // time of day at time 0
 	scale *scaleCounts  // nil but on days that are measured
@@ -121,9 +124,17 @@
 }
 
 func (s *sim) between(a, b string) *cut {
-	for _, c := range s.cuts {
-		if (c.host == a && (c.with == "" || c.with == b)) || (c.host == b && (c.with == "" || c.with == a)) {
-			return c
+	if len(s.cuts) != s.cutN { // half of a large fleet may be cut off: not all are looked through for each packet
+		s.cutAt, s.cutN = map[string][]*cut{}, len(s.cuts)
+		for _, c := range s.cuts {
+			s.cutAt[c.host] = append(s.cutAt[c.host], c)
+		}
+	}
+	for _, x := range [2][2]string{{a, b}, {b, a}} {
+		for _, c := range s.cutAt[x[0]] {
+			if c.with == "" || c.with == x[1] {
+				return c
+			}
 		}
 	}
 	return nil
@@ -137,10 +148,11 @@
 		}
 		return
 	}
-	s.after(time.Millisecond+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
+	s.after(time.Millisecond+s.slow[to]+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
 }
 
 func (s *sim) heal(host string) {
+	s.cutN = -1
 	s.cuts = slices.DeleteFunc(s.cuts, func(c *cut) bool {
 		if c.host != host {
 			return false
@@ -201,6 +213,7 @@
 	if old {
 		cfg.Deployment.State.Next = nil // it does not know of them
 		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept, cfg.Tunables.RunTimesKinds = 0, 0, 0, 0
+		cfg.Tunables.ColdListen, cfg.Tunables.ColdKept, cfg.Tunables.ListFirst, cfg.Tunables.AdaptCalls = 0, 0, 0, 0
 		cfg.Tunables.Pools = nil
 	}
 	c.core = node.NewCore(&cfg, (c.s.began + c.s.now).Milliseconds())
@@ -315,6 +328,24 @@
 				c.into(func(now time.Duration) { c.core.Reached(now, o.name, ok) })()
 			})
 		}
+	case effects.AskLed:
+		type answer struct {
+			ago, lasted time.Duration
+			ever        bool
+		}
+		if o := s.node(e.Peer); o != nil {
+			life := c.life
+			call(s, c.name, o.name, wait, func(reply func(answer)) {
+				if o.up && !o.old {
+					led := o.core.LedBefore(e.Epoch)
+					reply(answer{o.clock() - led.Until, led.Until - led.Since, led.Ever})
+				}
+			}, func(a answer, ok bool) {
+				if c.life == life {
+					c.into(func(now time.Duration) { c.core.PeerLed(now, e.Epoch, o.name, a.ago, a.lasted, a.ever, ok) })()
+				}
+			})
+		}
 	case effects.Lead:
 		s.state.lead(c, e.Order)
 	case effects.Load:
@@ -386,15 +417,16 @@
 
 // userJob is a job as its user sees it.
 type userJob struct {
-	id       uint64
-	spec     wire.Submission
-	run      time.Duration
-	accepted bool
-	toldDone bool
-	gone     bool // told cancelled
-	asked    bool // its user asked to cancel it
-	goneAt   time.Duration
-	state    string
+	id         uint64
+	spec       wire.Submission
+	run        time.Duration
+	accepted   bool
+	acceptedAt time.Duration
+	toldDone   bool
+	gone       bool // told cancelled
+	asked      bool // its user asked to cancel it
+	goneAt     time.Duration
+	state      string
 }
 
 // request carries a user's request to a node.
@@ -416,7 +448,9 @@
 		c.core.Submit(now, to, forwarded(door, c, j.spec))
 	}, func(a effects.Answer, ok bool) {
 		if ok && (a.Status == 200 || a.Status == 201) {
-			j.accepted = true
+			if !j.accepted {
+				j.accepted, j.acceptedAt = true, s.now
+			}
 			s.check.told(j, a, sent)
 			return
 		}
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -23,24 +23,26 @@
 
 // worker is a stand-in for a machine's worker.
 type worker struct {
-	s       *sim
-	name    string
-	zone    string
-	spot    bool
-	up      bool
-	hung    bool
-	session uint64
-	seq     uint64
-	token   uint64
-	tasks   map[task]*run
-	ended   []endedRun
-	at      int // node it reports to
-	flight  bool
-	last    time.Duration
-	renewed time.Duration // when the last answered report was sent
-	notice  time.Duration // when the cloud takes it; 0: no notice
-	plan    int           // counts planned reports: only the last counts
-	faulty  bool
+	s         *sim
+	name      string
+	zone      string
+	spot      bool
+	up        bool
+	hung      bool
+	session   uint64
+	seq       uint64
+	token     uint64
+	tasks     map[task]*run
+	ended     []endedRun
+	at        int // node it reports to
+	flight    bool
+	last      time.Duration
+	renewed   time.Duration // when the last answered report was sent
+	notice    time.Duration // when the cloud takes it; 0: no notice
+	plan      int           // counts planned reports: only the last counts
+	faulty    bool
+	used      bool          // it has had a task
+	fineSince time.Duration // since when it was neither hung nor cut off
 }
 
 type endedRun struct {
@@ -61,6 +63,7 @@
 
 // vanish: the machine and everything on it are gone.
 func (w *worker) vanish() {
+	w.results()
 	for t := range w.tasks {
 		w.end(t, workers.Vanished)
 	}
@@ -77,6 +80,7 @@
 			for t := range w.tasks {
 				w.end(t, workers.Vanished)
 			}
+			w.results()
 			w.tasks = map[task]*run{}
 			w.ended = nil
 			w.session++
@@ -182,6 +186,9 @@
 		if x == nil || x.attempt != c.Attempt {
 			return false
 		}
+		if !w.s.jobs[t.job].asked && x.state == workers.Running {
+			w.s.check.count(stopped)
+		}
 		w.finish(t, workers.Stopped)
 		return true
 	default:
@@ -214,6 +221,7 @@
 		w.ended = append(w.ended, endedRun{t, run{attempt: attempt, reason: workers.NoRoom}})
 		return true
 	}
+	w.used = true
 	x := &run{attempt: attempt, state: workers.Fetching}
 	w.tasks[t] = x
 	session := w.session
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -44,6 +44,15 @@
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	TakeoversKept   int     // so many takeovers are written down
 	RunTimesKinds   int     // so many kinds of work have their run times learned
+	ColdListen      int     // after a start in which nobody led the leader listens before it orders
+	ColdSettled     float64 // share of each zone's machines that must be heard for that
+	ColdAfterS      float64 // for how long nobody must have led
+	ColdStarts      float64 // starts a second by zone while it catches up; 0: any number
+	ColdImages      int     // images that one machine fetches at once meanwhile; 0: any number
+	ColdKept        int     // so many accounts of cold starts are written down
+	ListFirst       int     // silent machines that the cloud's list lacks are given up at once
+	AdaptCalls      int     // the rate of cloud calls follows the cloud's answers
+	DoorRate        float64 // requests a second that users who were turned away are spread over; 0: they are not
 	LearnedSizes    int     // exception: sizes start from what a job's kind has shown (0 or 1)
 	LateMargin      float64 // a job is late that takes this many times as long as nine in ten of its kind
 	TimeZone        string  // of the operators
@@ -161,6 +170,15 @@
 	amount("pools", "receipt_life", "s", "for how long a receipt for units is good", 60, 5, 86400, func(t *Tunables) *float64 { return &t.ReceiptLifeS }),
 	whole("run-times", "kinds", "kinds", "so many kinds of work have their usual run times learned, at most; 0: none, and nothing is written", 0, 0, 20000, func(t *Tunables) *int { return &t.RunTimesKinds }),
 	amount("run-times", "late_margin", "factor", "a job is warned of that will take this many times as long as nine in ten jobs of its kind", 1.3, 1, 100, func(t *Tunables) *float64 { return &t.LateMargin }),
+	whole("cold-start", "listen", "0 or 1", "after a start in which nobody led before, machines are rented and returned, and tasks stopped or moved, only once the fleet is heard", 0, 0, 1, func(t *Tunables) *int { return &t.ColdListen }),
+	amount("cold-start", "settled", "share", "of each zone's registered machines that must be heard for that, unless nobody new comes any more", 0.9, 0, 1, func(t *Tunables) *float64 { return &t.ColdSettled }),
+	amount("cold-start", "after", "s", "a start counts as one when nobody led for so long", 5, 0, 3600, func(t *Tunables) *float64 { return &t.ColdAfterS }),
+	amount("cold-start", "starts", "a second", "most starts in one zone until the work is back, for a minute at most; 0: any number", 0, 0, 1e6, func(t *Tunables) *float64 { return &t.ColdStarts }),
+	whole("cold-start", "images", "images", "most that one machine fetches at once meanwhile; 0: any number", 0, 0, 100, func(t *Tunables) *int { return &t.ColdImages }),
+	whole("cold-start", "keep", "accounts", "so many accounts of cold starts are written down; 0: none, and nothing is written", 0, 0, 100, func(t *Tunables) *int { return &t.ColdKept }),
+	whole("fleet", "list_first", "0 or 1", "a new leader asks the cloud for its list at once, and silent machines that it lacks are given up", 0, 0, 1, func(t *Tunables) *int { return &t.ListFirst }),
+	whole("fleet", "adapt_calls", "0 or 1", "the rate of calls to the cloud is halved when it refuses or does not answer, and grows again while it does", 0, 0, 1, func(t *Tunables) *int { return &t.AdaptCalls }),
+	amount("door", "spread", "requests a second", "users who are turned away are told to come back spread over this rate; 0: they are told the least there is", 0, 0, 1e6, func(t *Tunables) *float64 { return &t.DoorRate }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
 }
 
--- a/internal/term/returns_test.go
+++ b/internal/term/returns_test.go
@@ -37,7 +37,7 @@
 	if n, _ := term.Unresolved(); n != 1 || term.Jobs.Find(1).Unsettled != 1 {
 		t.Fatal("the machine is not waited for: the test tests nothing")
 	}
-	term.Leave(m, "not needed")
+	term.Leave(0, m, cluster.Return, "not needed")
 	term.Tell(cluster.Event{Kind: cluster.MachineEmpty, Machine: m})
 	term.Tick(time.Second, true)
 	if got := deletes(term); len(got) != 0 {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/coldstart"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/fleet"
 	"bitternmoor/internal/leadership"
@@ -71,6 +72,7 @@
 	roster  *roster.Duty
 	placing *placing.Duty
 	fleet   *fleet.Duty
+	cold    *coldstart.Duty // nil: switched off
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
 	loaded  bool
@@ -96,6 +98,10 @@
 	if keep := start.Cfg.Tunables.TakeoversKept; keep > 0 {
 		t.add(takeovers.Name, takeovers.New(s, keep))
 	}
+	if start.Cfg.Tunables.ColdListen == 1 || start.Cfg.Tunables.ColdKept > 0 {
+		t.cold = coldstart.New(s)
+		t.add(coldstart.Name, t.cold)
+	}
 	if len(start.Cfg.Tunables.Pools) > 0 {
 		t.add(pools.Name, pools.New(s))
 	}
@@ -243,6 +249,20 @@
 	}
 }
 
+// PeerLed takes another controller's word on when it last heard a leader before this one.
+func (t *Term) PeerLed(now time.Duration, peer string, ago, lasted time.Duration, ever, known bool) {
+	if t.cold != nil && t.loaded {
+		t.cold.PeerLed(now, peer, ago, lasted, ever, known)
+	}
+}
+
+// PeerHeard notes that another controller has answered a hail.
+func (t *Term) PeerHeard(now time.Duration, peer string) {
+	if t.cold != nil {
+		t.cold.PeerHeard(now, peer)
+	}
+}
+
 // Pump hands what has gathered to the log and sends what the log allows.
 func (t *Term) Pump(now time.Duration) {
 	if !t.loaded {
@@ -334,7 +354,7 @@
 
 // Deleted takes the result of a deletion.
 func (t *Term) Deleted(now time.Duration, list []string, ok bool) {
-	t.fleet.Deleted()
+	t.fleet.Deleted(now, ok)
 	if ok {
 		t.roster.Deleted(now, list)
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -192,6 +192,27 @@
 	return false
 }
 
+// Fetching counts the images that the machine is fetching, or will once what is planned
+// on it starts.
+func (m *Machine) Fetching() int {
+	var under, there []int32
+	for _, p := range m.Tasks {
+		if p.Planned || p.State == Fetching {
+			under = append(under, p.Image)
+		} else {
+			there = append(there, p.Image)
+		}
+	}
+	slices.Sort(under)
+	n := 0
+	for _, id := range slices.Compact(under) {
+		if !slices.Contains(there, id) {
+			n++
+		}
+	}
+	return n
+}
+
 // UseImage notes that an image is on, or on its way to, the machine; the
 // least recently used ones are taken to be dropped when the cache is full.
 func (m *Machine) UseImage(id int32, gb float64, now time.Duration) {
