--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -37,11 +37,12 @@
 
 func main() {
 	var config, tunables string
+	var set []string
 	root := &cobra.Command{
 		Use: "bitternmoor", Short: "Cluster scheduler with size-based scheduling", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := load(config, tunables)
+			cfg, err := load(config, tunables, set)
 			if err != nil {
 				return err
 			}
@@ -53,10 +54,11 @@
 	}
 	root.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
 	root.PersistentFlags().StringVar(&tunables, "tunables", "", "the operators' settings file (INI)")
+	root.PersistentFlags().StringArrayVar(&set, "set", nil, "SECTION.KEY=VALUE: one operators' setting, over that of the file; may be given several times")
 	check := &cobra.Command{
 		Use: "check-config", Short: "Check settings and say what is wrong", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := load(config, tunables)
+			cfg, err := load(config, tunables, set)
 			if err != nil {
 				return err
 			}
@@ -85,11 +87,11 @@
 	}
 }
 
-func load(config, tunables string) (*settings.Settings, error) {
+func load(config, tunables string, set []string) (*settings.Settings, error) {
 	if config == "" {
 		return nil, errors.New("--config FILE is needed")
 	}
-	return settings.Load(config, tunables)
+	return settings.Load(config, tunables, set...)
 }
 
 func serve(ctx context.Context, cfg *settings.Settings) error {
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -136,36 +136,42 @@
 // otherwise what the others say. One that says nothing proves nothing.
 func TestTold(t *testing.T) {
 	at := 100 * time.Second
-	long := leadership.Led{Ever: true, Since: 10 * time.Second, Until: 98 * time.Second}
+	led := func(ago, lasted time.Duration, f leadership.Fleet) leadership.Led {
+		return leadership.Led{Ever: true, Since: at - ago - lasted, Until: at - ago, Fleet: f}
+	}
+	none := leadership.Led{}
 	for _, c := range []struct {
 		name   string
 		before leadership.Led
 		answer func(d *Duty)
 		want   kind
 	}{
-		{"it heard a leader until now", long, func(*Duty) {}, ordinary},
-		{"it never did, and nobody answers", leadership.Led{}, func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
-		{"the others have not answered yet", leadership.Led{}, func(d *Duty) { d.PeerLed(at, "n1", 0, 0, false, true) }, undecided},
-		{"nor did the others", leadership.Led{}, func(d *Duty) {
-			d.PeerLed(at, "n1", 0, 0, false, true)
-			d.PeerLed(at, "n2", 0, 0, false, false)
+		{"it heard a leader until now that knew its fleet", led(2*time.Second, time.Second, leadership.Known), func(*Duty) {}, ordinary},
+		{"it heard one that says nothing of its fleet", led(2*time.Second, 9*time.Second, leadership.Unsaid), func(*Duty) {}, ordinary},
+		{"that one was gone before it could", led(2*time.Second, time.Second, leadership.Unsaid), func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+		{"it heard one that was listening still", led(2*time.Second, 9*time.Second, leadership.Listening), func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+		{"it heard one long ago", led(50*time.Second, time.Minute, leadership.Known), func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+		{"it never did, and nobody answers", none, func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
+		{"the others have not answered yet", none, func(d *Duty) { d.PeerLed(at, "n1", none, true) }, undecided},
+		{"nor did the others", none, func(d *Duty) {
+			d.PeerLed(at, "n1", none, true)
+			d.PeerLed(at, "n2", none, false)
 		}, cold},
-		{"another one did", leadership.Led{}, func(d *Duty) {
-			d.PeerLed(at, "n1", 0, 0, false, true)
-			d.PeerLed(at, "n2", time.Second, time.Minute, true, true)
+		{"another one did", none, func(d *Duty) {
+			d.PeerLed(at, "n1", none, true)
+			d.PeerLed(at, "n2", led(time.Second, time.Minute, leadership.Known), true)
 		}, ordinary},
-		{"another one did, long ago", leadership.Led{}, func(d *Duty) {
-			d.PeerLed(at, "n1", 9*time.Second, time.Minute, true, true)
-			d.PeerLed(at, "n2", 0, 0, false, true)
+		{"another one did, long ago", none, func(d *Duty) {
+			d.PeerLed(at, "n1", led(9*time.Second, time.Minute, leadership.Known), true)
+			d.PeerLed(at, "n2", none, true)
 		}, cold},
-		{"another one did, but that leader did not last", leadership.Led{}, func(d *Duty) {
-			d.PeerLed(at, "n1", time.Second, 3*time.Second, true, true)
-			d.PeerLed(at, "n2", 0, 0, false, true)
+		{"another one heard one that was listening", none, func(d *Duty) {
+			d.PeerLed(at, "n1", led(time.Second, 3*time.Second, leadership.Listening), true)
+			d.PeerLed(at, "n2", none, true)
 		}, cold},
-		{"it heard one for a moment, another one for long", leadership.Led{Ever: true, Since: 97 * time.Second, Until: 98 * time.Second}, func(d *Duty) {
-			d.PeerLed(at, "n1", time.Second, time.Minute, true, true)
+		{"it met a leader for a moment, another one knows it", led(2*time.Second, 0, leadership.Unsaid), func(d *Duty) {
+			d.PeerLed(at, "n1", led(time.Second, time.Minute, leadership.Known), true)
 		}, ordinary},
-		{"it heard one long ago", leadership.Led{Ever: true, Since: 10 * time.Second, Until: 50 * time.Second}, func(d *Duty) { d.Tick(at+2*time.Second, true) }, cold},
 	} {
 		d := begun(func(s *cluster.Start, _ *settings.Tunables) { s.Before = c.before })
 		if c.answer(d); d.kind != c.want {
@@ -245,7 +251,7 @@
 	}
 	// A successor remembers it, once, and no more than it is to keep.
 	next := begun(func(s *cluster.Start, _ *settings.Tunables) {
-		s.Before = leadership.Led{Ever: true, Until: 99 * time.Second}
+		s.Before = leadership.Led{Ever: true, Until: 99 * time.Second, Fleet: leadership.Known}
 	})
 	for _, epoch := range []uint64{1, 2, 7, 7} {
 		r.Epoch = epoch
--- a/internal/coldstart/duty.go
+++ b/internal/coldstart/duty.go
@@ -14,6 +14,7 @@
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/pacing"
 	"bitternmoor/internal/settings"
@@ -40,6 +41,8 @@
 	catchUp  = time.Minute
 	lookFor  = 2 * time.Minute
 	awayFrom = 3 * time.Second // without an answer to a hail
+	// saysWithin is how long after its election a leader has told the others so.
+	saysWithin = 2 * time.Second
 )
 
 // Duty begins a term. It is the term's gate (cluster.Gate) and pacer (cluster.Pacer).
@@ -96,7 +99,7 @@
 	switch {
 	case n == 0 && d.Jobs.Len() == 0:
 		d.decide(now, ordinary) // there is nothing to find out
-	case d.takenOver(d.Noticed-d.Before.Until, d.Before.Until-d.Before.Since, d.Before.Ever):
+	case d.takenOver(d.Noticed, d.Before):
 		d.decide(now, ordinary)
 	case len(d.Cfg.Peers) == 0:
 		d.decide(now, cold)
@@ -109,19 +112,28 @@
 	}
 }
 
-// takenOver says whether a leader that was heard so long ago, and for so long, knew what
-// the fleet does: it led until lately, and for long enough to have heard all of it. Found
-// by a random day on which the first leader after a cold start fell in the middle of its
-// census: the next one took over as from any other, and deleted machines that were on
-// their way.
-func (d *Duty) takenOver(ago, lasted time.Duration, ever bool) bool {
-	return ever && ago < settings.Seconds(d.Cfg.Tunables.ColdAfterS) && lasted >= d.census.Longest()
+// takenOver says whether a leader that was heard before knew what the fleet does: it led
+// until lately, and said so. One that says nothing of its fleet, being of an older version
+// or set otherwise, is taken for one that did, unless it was gone before it could have
+// said anything. Found by a random day on which the first leader after a cold start fell
+// in the middle of its census: the next one took over as from any other, and deleted
+// machines that were on their way.
+func (d *Duty) takenOver(now time.Duration, led leadership.Led) bool {
+	return led.Ever && now-led.Until < settings.Seconds(d.Cfg.Tunables.ColdAfterS) &&
+		(led.Fleet == leadership.Known || (led.Fleet == leadership.Unsaid && led.Until-led.Since >= saysWithin))
 }
 
-// PeerLed takes another controller's word on the last leader before this one: that it
-// heard it so long ago, and for so long, or never. known is false where there was no
-// answer.
-func (d *Duty) PeerLed(now time.Duration, peer string, ago, lasted time.Duration, ever, known bool) {
+// Fleet is what this leader says of itself.
+func (d *Duty) Fleet() leadership.Fleet {
+	if d.kind == ordinary || (d.census != nil && d.census.done) {
+		return leadership.Known
+	}
+	return leadership.Listening
+}
+
+// PeerLed takes another controller's word on the last leader before this one. known is
+// false where there was no answer.
+func (d *Duty) PeerLed(now time.Duration, peer string, led leadership.Led, known bool) {
 	if known {
 		d.heard[peer] = now
 	}
@@ -132,7 +144,7 @@
 	if d.kind != undecided {
 		return
 	}
-	if known && d.takenOver(ago, lasted, ever) {
+	if known && d.takenOver(now, led) {
 		d.decide(now, ordinary)
 	} else if len(d.asked) == 0 {
 		d.decide(now, cold)
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -68,6 +68,7 @@
 	Hail struct {
 		Peer  string
 		Epoch uint64
+		Fleet leadership.Fleet
 	}
 	// Probe asks whether a peer can be reached at all.
 	Probe struct{ Peer string }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -147,11 +147,22 @@
 	c.last.Until = now
 }
 
-// Led is what a node knows of a leader: that there ever was one, and from when to when
-// it was heard.
+// Fleet is what a leader says of itself: whether it knows what its machines do.
+type Fleet uint8
+
+// What a leader may say.
+const (
+	Unsaid    Fleet = iota // nothing: it is of a version, or has settings, that do not
+	Listening              // not yet
+	Known                  // it does
+)
+
+// Led is what a node knows of a leader: that there ever was one, from when to when it was
+// heard, and what it last said of its fleet.
 type Led struct {
 	Ever         bool
 	Since, Until time.Duration
+	Fleet        Fleet
 }
 
 // LedBefore is what this node knows of the last leader of an epoch before the given one.
@@ -313,7 +324,7 @@
 // Hailed takes a leader's word, from the leader itself, that it leads: a node
 // that the state service does not serve learns so where to send users and
 // workers. It is a hint for routing; nothing else depends on it.
-func (c *Core) Hailed(now time.Duration, node string, epoch uint64) {
+func (c *Core) Hailed(now time.Duration, node string, epoch uint64, fleet Fleet) {
 	if epoch < c.Highest() || node == c.node {
 		return
 	}
@@ -325,6 +336,7 @@
 	}
 	if c.role == Follower {
 		c.heard(now, epoch)
+		c.last.Fleet = fleet
 		c.view.Epoch = epoch
 		c.view.Holder = &Holder{node, epoch}
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -147,7 +147,7 @@
 	if now-c.hailAt >= hailEvery {
 		c.hailAt = now
 		for _, p := range c.cfg.Peers {
-			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch})
+			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch, Fleet: c.term.Fleet()})
 		}
 	}
 	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || now-c.term.Began < cutOffAfter || c.heardOf(now) || !c.term.Deaf(now) {
@@ -188,18 +188,18 @@
 // LedBefore is what this node knows of the last leader of an epoch before the given one.
 func (c *Core) LedBefore(epoch uint64) leadership.Led { return c.lead.LedBefore(epoch) }
 
-// PeerLed takes a peer's answer to AskLed: how long ago it heard the last leader before
-// this one, and for how long; known is false where there was no answer.
-func (c *Core) PeerLed(now time.Duration, epoch uint64, peer string, ago, lasted time.Duration, ever, known bool) {
+// PeerLed takes a peer's answer to AskLed, with its times on this node's clock; known is
+// false where there was none.
+func (c *Core) PeerLed(now time.Duration, epoch uint64, peer string, led leadership.Led, known bool) {
 	if c.term != nil && c.term.Epoch == epoch {
-		c.term.PeerLed(now, peer, ago, lasted, ever, known)
+		c.term.PeerLed(now, peer, led, known)
 	}
 	c.after(now)
 }
 
 // Hailed takes a hail of the leader.
-func (c *Core) Hailed(now time.Duration, node string, epoch uint64) {
-	c.lead.Hailed(now, node, epoch)
+func (c *Core) Hailed(now time.Duration, node string, epoch uint64, fleet leadership.Fleet) {
+	c.lead.Hailed(now, node, epoch, fleet)
 	c.after(now)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 	case effects.Hail:
 		if p := n.peers[e.Peer]; p != nil {
 			go func() {
-				if err := p.call("Controller.Hail", HailMessage{n.cfg.Node, e.Epoch}, new(bool)); err == nil {
+				if err := p.call("Controller.Hail", HailMessage{n.cfg.Node, e.Epoch, e.Fleet}, new(bool)); err == nil {
 					n.post(func(now time.Duration) { n.core.HailAnswered(now, e.Peer) })
 				}
 			}()
@@ -220,7 +220,8 @@
 				var a LedAnswer
 				err := p.call("Controller.LedBefore", e.Epoch, &a)
 				n.post(func(now time.Duration) {
-					n.core.PeerLed(now, e.Epoch, e.Peer, time.Duration(a.AgoMS)*time.Millisecond, time.Duration(a.LastedMS)*time.Millisecond, a.Ever, err == nil)
+					until := now - time.Duration(a.AgoMS)*time.Millisecond
+					n.core.PeerLed(now, e.Epoch, e.Peer, leadership.Led{Ever: a.Ever, Since: until - time.Duration(a.LastedMS)*time.Millisecond, Until: until, Fleet: a.Fleet}, err == nil)
 				})
 			}()
 		}
@@ -635,18 +636,19 @@
 // so that a leader that knows nothing of them refuses it.
 func (c *Controller) AskCounted(in UserRequest, out *effects.Answer) error { return c.Ask(in, out) }
 
-// LedAnswer says how long ago a controller last heard a leader, if it ever did, and for
-// how long it heard that one.
+// LedAnswer says how long ago a controller last heard a leader, if it ever did, for how
+// long it heard that one, and what that said of its fleet.
 type LedAnswer struct {
 	Ever            bool
 	AgoMS, LastedMS int64
+	Fleet           leadership.Fleet
 }
 
 // LedBefore tells a new leader when this controller last heard one of an earlier epoch.
 func (c *Controller) LedBefore(epoch uint64, out *LedAnswer) error {
 	return c.n.here(func(now time.Duration) {
 		led := c.n.core.LedBefore(epoch)
-		*out = LedAnswer{led.Ever, (now - led.Until).Milliseconds(), (led.Until - led.Since).Milliseconds()}
+		*out = LedAnswer{led.Ever, (now - led.Until).Milliseconds(), (led.Until - led.Since).Milliseconds(), led.Fleet}
 	})
 }
 
@@ -654,11 +656,12 @@
 type HailMessage struct {
 	Node  string
 	Epoch uint64
+	Fleet leadership.Fleet // left out where nothing is said
 }
 
 // Hail takes the leader's word that it leads.
 func (c *Controller) Hail(in HailMessage, _ *bool) error {
-	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch) })
+	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch, in.Fleet) })
 }
 
 // Relay serves a report that another controller received. It is never handed
--- a/internal/scenario/cold_test.go
+++ b/internal/scenario/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -103,17 +104,32 @@
 	}
 	lease := settingsSeconds(s.cfg.Deployment.Workers.LeaseS)
 	down := []time.Duration{2 * time.Second, 8 * time.Second, lease - time.Second, lease + 1500*time.Millisecond, time.Minute}[r.IntN(5)]
-	if seed%20 == 19 {
+	switch seed % 40 {
+	case 19:
 		down = 5 * time.Minute
+	case 39:
+		down = time.Hour
 	}
 	crash := 45*time.Second + time.Duration(r.IntN(5000))*time.Millisecond
 	for range 8 {
 		submit(crash + time.Duration(r.IntN(60000))*time.Millisecond)
 	}
-	old := seed%6 == 1
+	old, apart := seed%6 == 1, seed%7 == 3
 	s.after(crash, func() {
-		for _, n := range s.nodes {
-			n.crash()
+		kept := r.IntN(3) // goes on answering its workers, cut off from everybody else
+		for i, n := range s.nodes {
+			if !apart || i != kept {
+				n.crash()
+				continue
+			}
+			s.cuts = append(s.cuts, &cut{host: n.name, with: "state"}, &cut{host: n.name, with: "cloud"}, &cut{host: n.name, with: "users"})
+			for _, o := range s.nodes {
+				if o != n {
+					s.cuts = append(s.cuts, &cut{host: n.name, with: o.name})
+				}
+			}
+			s.after(down+12*time.Second, func() { s.heal(n.name) })
+			say("%s is cut off from all but its workers", n.name)
 		}
 		say("all controllers are down for %v", down)
 		names := make([]string, 0, len(s.cloud.machines))
@@ -163,13 +179,14 @@
 	}
 	returns := func(from time.Duration) {
 		at := from
+		first := r.IntN(3) // which of them is old
 		for i, k := range r.Perm(3) {
 			n := s.nodes[k]
 			s.after(at, func() {
 				if n.up {
 					return
 				}
-				n.start(old && i == 2)
+				n.start(old && i == first)
 				if r.IntN(6) == 0 {
 					s.slow[n.name] = 700 * time.Millisecond
 					s.after(15*time.Second, func() { delete(s.slow, n.name) })
@@ -305,3 +322,99 @@
 		}
 	}
 }
+
+// TestColdScale plays one cold start of so many machines as COLD_SCALE says, with and
+// without what is new, and prints what is ordered, at most in a second and in all, and when
+// the work is back. It is for docs/cold-start.md; CI leaves it out.
+func TestColdScale(t *testing.T) {
+	machines, _ := strconv.Atoi(os.Getenv("COLD_SCALE"))
+	if machines == 0 {
+		t.Skip("only to measure: COLD_SCALE=1300")
+	}
+	for _, down := range []time.Duration{8 * time.Second, 40 * time.Second} {
+		for _, on := range []bool{false, true} {
+			coldScale(t, machines, down, on)
+		}
+	}
+}
+
+func coldScale(t *testing.T, machines int, down time.Duration, on bool) {
+	c := coldSettings(on)
+	c.Deployment.Teams = []settings.Team{{Name: "team"}}
+	d := &c.Deployment
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 5, 26.5, 51.5
+	d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 100, 16, 16
+	d.Cloud.RPS = 9
+	s := newSim(c, 1, 3, false)
+	s.cloud.capacity = machines
+	s.scale = &scaleCounts{sent: map[string]int{}, spent: map[string]time.Duration{}}
+	for i := range uint64(machines / 25) {
+		job := &ledger.Job{ID: i + 1, Class: "class", Team: "team", Priority: 1, Tasks: 110, CPUs: 1, MemoryGB: 1, Image: fmt.Sprint(i % 16), ImageGB: 0.3, Spot: true, EstimateS: 60}
+		j := &userJob{id: i + 1, run: 60 * time.Second, spec: wire.Submission{ID: i + 1, HasID: true, Job: job}}
+		s.jobs[i+1] = j
+		s.after(time.Duration(i%40)*500*time.Millisecond, func() { s.submit(j, int(i), func() bool { return true }) })
+	}
+	s.run(70 * time.Second)
+	for _, n := range s.nodes {
+		n.crash()
+	}
+	running := map[task]bool{}
+	for i, n := range slices.Sorted(maps.Keys(s.cloud.machines)) {
+		w := s.cloud.machines[n]
+		switch i % 30 {
+		case 0: // killed
+			w.vanish()
+		case 1: // taken by the cloud
+			w.vanish()
+			delete(s.cloud.machines, n)
+		case 2: // cut off, and back later
+			s.cuts = append(s.cuts, &cut{host: n})
+			s.after(down+20*time.Second, func() { s.heal(n) })
+		}
+	}
+	for t := range s.check.on {
+		if !s.check.completeN[t] {
+			running[t] = true // was under way when the controllers went down
+		}
+	}
+	s.run(down)
+	for i, n := range s.nodes {
+		s.after(time.Duration(i)*700*time.Millisecond, func() { n.start(false) })
+	}
+	began, before := s.now, maps.Clone(s.scale.sent)
+	starts, deleted, writes := s.check.starts, s.cloud.deleted, s.state.writes
+	peak := map[string]int{}
+	back := map[int]time.Duration{}
+	for s.now < began+90*time.Second {
+		last, lastStarts, lastWrites := maps.Clone(s.scale.sent), s.check.starts, s.state.writes
+		s.run(time.Second)
+		for k, n := range s.scale.sent {
+			peak[k] = max(peak[k], n-last[k])
+		}
+		peak["starts"] = max(peak["starts"], s.check.starts-lastStarts)
+		peak["changes"] = max(peak["changes"], s.state.writes-lastWrites)
+		n := 0
+		for t := range running {
+			if s.check.completeN[t] || len(s.check.on[t]) > 0 {
+				n++
+			}
+		}
+		for _, share := range []int{50, 90, 100} {
+			if _, there := back[share]; !there && n*100 >= len(running)*share {
+				back[share] = s.now - began
+			}
+		}
+	}
+	var spent time.Duration
+	for _, x := range s.scale.spent {
+		spent += x
+	}
+	sent := func(k string) int { return s.scale.sent[k] - before[k] }
+	t.Logf("%d machines, down for %v, on %v: %d tasks under way, back 50 %% %v, 90 %% %v, all %v; starts %d (peak %d), rental requests %d (peak %d), deletions %d machines, %d requests (peak %d), "+
+		"changes written %d (peak %d), answers to users %d (peak %d); busy machines deleted %d, rented and not used %d, done tasks started %d; in the cores %.1f s in all",
+		machines, down, on, len(running), back[50], back[90], back[100], s.check.starts-starts, peak["starts"], sent("Rent"), peak["Rent"], s.cloud.deleted-deleted, sent("Delete"), peak["Delete"],
+		s.state.writes-writes, peak["changes"], sent("Reply"), peak["Reply"], s.check.idle[deletedBusy], s.check.idle[rentedUnused], s.check.idle[startedDone], spent.Seconds())
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %d, the first: %s", len(s.check.broken), s.check.broken[0])
+	}
+}
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bitternmoor/internal/effects"
+	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/node"
 	"bitternmoor/internal/settings"
@@ -308,7 +309,7 @@
 		if o := s.node(e.Peer); o != nil {
 			call(s, c.name, o.name, wait, func(reply func(bool)) {
 				if o.up {
-					o.core.Hailed(o.clock(), c.name, e.Epoch)
+					o.core.Hailed(o.clock(), c.name, e.Epoch, e.Fleet)
 					o.drain()
 					reply(true)
 				}
@@ -329,20 +330,20 @@
 			})
 		}
 	case effects.AskLed:
-		type answer struct {
-			ago, lasted time.Duration
-			ever        bool
-		}
 		if o := s.node(e.Peer); o != nil {
 			life := c.life
-			call(s, c.name, o.name, wait, func(reply func(answer)) {
+			call(s, c.name, o.name, wait, func(reply func(leadership.Led)) {
 				if o.up && !o.old {
-					led := o.core.LedBefore(e.Epoch)
-					reply(answer{o.clock() - led.Until, led.Until - led.Since, led.Ever})
+					led, now := o.core.LedBefore(e.Epoch), o.clock()
+					led.Since, led.Until = led.Since-now, led.Until-now // so long before
+					reply(led)
 				}
-			}, func(a answer, ok bool) {
+			}, func(led leadership.Led, ok bool) {
 				if c.life == life {
-					c.into(func(now time.Duration) { c.core.PeerLed(now, e.Epoch, o.name, a.ago, a.lasted, a.ever, ok) })()
+					c.into(func(now time.Duration) {
+						led.Since, led.Until = now+led.Since, now+led.Until
+						c.core.PeerLed(now, e.Epoch, o.name, led, ok)
+					})()
 				}
 			})
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,8 +153,9 @@
 }
 
 // Load reads the platform's file and, where iniPath is not empty, the
-// operators' file, and checks both.
-func Load(path, iniPath string) (*Settings, error) {
+// operators' file, and checks both. set has operators' settings of the form
+// SECTION.KEY=VALUE that go over those of the file.
+func Load(path, iniPath string, set ...string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -167,13 +168,22 @@
 		return nil, err
 	}
 	s.Tunables = Defaults()
-	if iniPath != "" {
-		f, err := ini.Load(iniPath)
-		if errors.Is(err, fs.ErrNotExist) {
-			return nil, fmt.Errorf("settings: %w", err)
+	if iniPath != "" || len(set) > 0 {
+		f := ini.Empty()
+		if iniPath != "" {
+			if f, err = ini.Load(iniPath); errors.Is(err, fs.ErrNotExist) {
+				return nil, fmt.Errorf("settings: %w", err)
+			} else if err != nil {
+				return nil, wrong(iniPath, "not valid INI: %s", firstLine(err.Error()))
+			}
 		}
-		if err != nil {
-			return nil, wrong(iniPath, "not valid INI: %s", firstLine(err.Error()))
+		for _, x := range set {
+			name, value, ok := strings.Cut(x, "=")
+			section, key, dotted := strings.Cut(name, ".")
+			if !ok || !dotted || section == "" || key == "" {
+				return nil, wrong(x, "not of the form SECTION.KEY=VALUE")
+			}
+			f.Section(section).Key(key).SetValue(value)
 		}
 		if err := s.Tunables.read(f); err != nil {
 			return nil, err
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -219,3 +219,21 @@
 		t.Fatal(err)
 	}
 }
+
+// A setting on the command line goes over that of the file, and is checked like it.
+func TestSet(t *testing.T) {
+	dir := t.TempDir()
+	path, iniPath := filepath.Join(dir, "s.toml"), filepath.Join(dir, "t.ini")
+	if err := errors.Join(os.WriteFile(path, []byte(good), 0o600), os.WriteFile(iniPath, []byte("[fleet]\nidle_return = 9\nspot_return = 8\n"), 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path, iniPath, "fleet.idle_return=5", "cold-start.listen=1", "calendar.time_zone=Europe/Sofia")
+	if err != nil || s.Tunables.IdleReturnS != 5 || s.Tunables.SpotReturnS != 8 || s.Tunables.ColdListen != 1 || s.Tunables.TimeZone != "Europe/Sofia" {
+		t.Errorf("%v: %+v", err, s)
+	}
+	for set, want := range map[string]string{"fleet.idle_return": "SECTION.KEY=VALUE", "idle_return=3": "SECTION.KEY=VALUE", "fleet.idle=3": "fleet.idle", "fleet.idle_return=x": "fleet.idle_return", "cold-start.listen=2": "cold-start.listen"} {
+		if _, err := Load(path, "", set); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("--set %s: %v", set, err)
+		}
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -85,3 +85,13 @@
 	}
 	return struct{}{}
 }
+
+// Take has the cloud take a machine back, without a word to its worker's controllers.
+func (c *Cloud) Take(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.machines[name]; ok {
+		delete(c.machines, name)
+		c.Down(m)
+	}
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -250,12 +250,23 @@
 }
 
 // PeerLed takes another controller's word on when it last heard a leader before this one.
-func (t *Term) PeerLed(now time.Duration, peer string, ago, lasted time.Duration, ever, known bool) {
+func (t *Term) PeerLed(now time.Duration, peer string, led leadership.Led, known bool) {
 	if t.cold != nil && t.loaded {
-		t.cold.PeerLed(now, peer, ago, lasted, ever, known)
+		t.cold.PeerLed(now, peer, led, known)
 	}
 }
 
+// Fleet is what this leader tells the others of whether it knows what its machines do.
+func (t *Term) Fleet() leadership.Fleet {
+	switch {
+	case t.cold == nil:
+		return leadership.Unsaid
+	case !t.loaded:
+		return leadership.Listening
+	}
+	return t.cold.Fleet()
+}
+
 // PeerHeard notes that another controller has answered a hail.
 func (t *Term) PeerHeard(now time.Duration, peer string) {
 	if t.cold != nil {
--- /dev/null
+++ b/internal/upgrade/cold_test.go
@@ -0,0 +1,91 @@
+//go:build upgrade
+
+package upgrade
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/coldstart"
+	"bitternmoor/internal/standin"
+)
+
+// TestColdStarts kills all three controllers at once under load, ten times over, for less
+// and for longer than a lease, with a third of the busy workers killed, hung or cut off
+// meanwhile, and brings them back one by one. No task runs twice, every job comes to its
+// end, and no worker that could be heard is given up.
+func TestColdStarts(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "bitternmoor")
+	must(t, root, "go", "build", "-o", binary, "./cmd/bitternmoor")
+	store, cloud := &standin.State{}, &standin.Cloud{}
+	state, clouds := httptest.NewServer(store), httptest.NewServer(cloud)
+	defer state.Close()
+	defer clouds.Close()
+	c := newCluster(t, state.Listener.Addr().String(), clouds.Listener.Addr().String())
+	c.extra = func(int) []string { return []string{"--tunables", filepath.Join(root, "deploy/cold-start.ini")} }
+	fleet := &standin.Fleet{Every: 500 * time.Millisecond, Lease: 10 * time.Second,
+		Runs:  func(id string) (time.Duration, []string) { return c.get(id).run, nil },
+		Tasks: func(id string) int { return c.get(id).tasks }}
+	for _, d := range c.doors {
+		fleet.Doors = append(fleet.Doors, "http://"+d)
+	}
+	cloud.Up, cloud.Down = fleet.Up, fleet.Down
+	for i := range 3 {
+		c.start(i, binary)
+	}
+	c.leader()
+	r := rand.New(rand.NewPCG(1, 22))
+	var ids []string
+	n, hit := 0, 0
+	for round := range 10 {
+		for range 8 {
+			n++
+			ids = append(ids, c.submit(n, 8, time.Duration(2+r.IntN(8))*time.Second))
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			c.kill(i)
+		}
+		seen := map[string]bool{}
+		for _, m := range fleet.Busy() {
+			if seen[m] {
+				continue
+			}
+			if seen[m] = true; len(seen)%3 != 0 {
+				continue
+			}
+			switch hit++; r.IntN(3) {
+			case 0: // taken by the cloud, as its list shows
+				cloud.Take(m)
+			case 1:
+				fleet.Pause(m, 3*time.Second)
+			default:
+				fleet.Pause(m, 13*time.Second) // past its lease
+			}
+		}
+		time.Sleep([]time.Duration{time.Second, 4 * time.Second, 12 * time.Second}[round%3])
+		for _, i := range r.Perm(3) {
+			c.start(i, binary)
+			time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		}
+		c.leader()
+	}
+	for _, id := range ids {
+		c.eventually(id+" is done", 120*time.Second, func() bool { return c.state(id) == "done" })
+	}
+	for _, b := range append(fleet.Broken(), store.Refused()...) {
+		t.Error(b)
+	}
+	var list []coldstart.Record
+	c.eventually("the accounts", 10*time.Second, func() bool {
+		return get(fmt.Sprintf("http://%s/duties/%s", c.inside[c.leader()], coldstart.Name), &list) == 200 && len(list) > 0
+	})
+	t.Logf("%d jobs, %d workers killed, hung or cut off; the last cold start: %+v", len(ids), hit, list[0])
+	if list[0].Needless[coldstart.DeletedAlive] > 0 || hit < 20 {
+		t.Errorf("given up though alive: %v; %d workers hit", list[0].Needless, hit)
+	}
+}
