--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -75,6 +75,7 @@
 	Units    blocks.Units // nil: there are no pools
 	Gate     Gate         // nil: nothing is held back
 	Pacer    Pacer        // nil: starts are not paced
+	Spreader Spreader     // nil: machines stay where they report
 	attempts uint64
 
 	Squared *squaring.Tally // differences between what was stored and reports, in this term
@@ -162,6 +163,13 @@
 	Took(now time.Duration, m *workers.Machine)
 }
 
+// Spreader spreads reports over controllers.
+type Spreader interface {
+	// Elsewhere says to which controller a machine that has just reported should go
+	// instead; empty: it stays.
+	Elsewhere(now time.Duration, m *workers.Machine) string
+}
+
 // ErrNoView is what a duty answers that is asked for a view it does not have.
 var ErrNoView = errors.New("no such view")
 
@@ -314,6 +322,20 @@
 // grants were noted for it.
 func (s *State) Unresolved() (machines int, blind bool) { return s.unresolved, s.blind > 0 }
 
+// mostMissing is the share of a team's limit that machines may take of which it is not
+// known what they have, before the team is held back by them.
+const mostMissing = 0.25
+
+// Crowded says whether machines that are not resolved hold a team back at its limit.
+func (s *State) Crowded() bool {
+	for team, x := range s.missing {
+		if l := s.Plan.Limits[team]; (l.CPU > 0 && float64(x.CPU) > mostMissing*float64(l.CPU)) || (l.GPU > 0 && float64(x.GPU) > mostMissing*float64(l.GPU)) {
+			return true
+		}
+	}
+	return false
+}
+
 // StopNow sends a machine's stops without waiting for its next report.
 func (s *State) StopNow(m *workers.Machine) {
 	if m.Address != "" && m.Up && !m.Leaving {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -72,6 +72,9 @@
 type Core struct {
 	node string
 	life time.Duration
+	// Doubt: a follower that has heard nothing of a leader for so long asks the state
+	// service, besides its watch, which says nothing while it is cut off. 0: never.
+	Doubt time.Duration
 
 	role    Role
 	view    View
@@ -90,6 +93,7 @@
 	nextRead time.Duration
 	nextTry  time.Duration
 
+	served time.Duration // when the state service last answered
 	led    time.Duration // when a leader was last heard of, 0: never
 	ledIn  uint64        // its epoch
 	last   Led           // the leader of that epoch
@@ -134,6 +138,19 @@
 // read, and a watch is open since.
 func (c *Core) Watches() bool { return c.known && c.watching != nil }
 
+// unserved is for how long the state service must not have answered a node that asks it.
+const unserved = 3 * time.Second
+
+// Served says whether the state service has answered lately. It means something only
+// where nothing was heard of a leader for Doubt: until then the node merely watches.
+func (c *Core) Served(now time.Duration) bool { return now-c.served < unserved }
+
+// inDoubt says whether a follower should ask instead of waiting for its watch: nothing was
+// heard of the leader for a while, nor of the state service.
+func (c *Core) inDoubt(now time.Duration) bool {
+	return c.Doubt > 0 && c.role == Follower && c.led > 0 && now-c.led >= c.Doubt && now-c.served >= unserved/2
+}
+
 // Vacancy is when this node last heard of another leader, 0 if it never did, and
 // since when it has seen that nobody leads. A new leader asks for it.
 func (c *Core) Vacancy() (led, since time.Duration) { return c.led, c.vacant }
@@ -191,7 +208,7 @@
 			out = append(out, o)
 		}
 	}
-	if c.reading == nil && c.election == nil && now >= c.nextRead && (!c.known || (c.watching == nil && c.role != Candidate)) {
+	if c.reading == nil && c.election == nil && now >= c.nextRead && (c.inDoubt(now) || !c.known || (c.watching == nil && c.role != Candidate)) {
 		if !c.known || c.role != Leader {
 			o := c.order(Read)
 			c.reading = &call{o.Seq, now}
@@ -216,6 +233,7 @@
 		c.nextRead = now + retry
 		return nil
 	}
+	c.served = now
 	c.known = true
 	c.view = v
 	if v.Holder != nil {
@@ -249,6 +267,9 @@
 		return nil
 	}
 	c.watching = nil
+	if ok {
+		c.served = now
+	}
 	if !ok {
 		c.nextRead = now + idle
 		return nil
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -47,7 +47,11 @@
 // day, in milliseconds. The time of day orders nothing: it only tells a
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
-	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*openReport{}, peerAt: map[string]time.Duration{}, sentTo: map[string]time.Duration{}, lead: leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))}
+	lead := leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))
+	if cfg.Tunables.ZonePatienceS > 0 {
+		lead.Doubt = settings.Seconds(cfg.Tunables.LeaderHoldS) + hailEvery/2
+	}
+	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*openReport{}, peerAt: map[string]time.Duration{}, sentTo: map[string]time.Duration{}, lead: lead}
 }
 
 // Take returns the effects since the last call.
@@ -181,7 +185,7 @@
 func (c *Core) HailAnswered(now time.Duration, peer string) {
 	c.peerAt[peer] = now
 	if c.term != nil {
-		c.term.PeerHeard(now, peer)
+		c.term.PeerHeard(now, peer, now-c.hailAt)
 	}
 }
 
@@ -296,15 +300,31 @@
 	if token, ok := c.hold.KeepAlive(now, r); ok {
 		return effects.ReportAnswer{Status: 200, Token: token}
 	}
+	if r.Token > 0 && c.cutOff(now) {
+		return effects.ReportAnswer{Status: 200, Token: r.Token}
+	}
 	return effects.ReportAnswer{Status: 503}
 }
 
+// cutOff says whether this node seems to be cut off with its zone: no leader has hailed it
+// for longer than a dead one's hold lasts, nor does the state service answer. Then it
+// keeps alive whoever comes to it, for as long as the leader waits for a zone: with the
+// highest token that the worker has seen, and with nothing to do. Such a worker has tried
+// the others before, and would be the same at another node that is cut off too.
+func (c *Core) cutOff(now time.Duration) bool {
+	heard, _ := c.lead.Vacancy()
+	silent := now - heard
+	return heard > 0 && silent > c.tooFar()+peerTimeout && silent < settings.Seconds(c.cfg.Tunables.ZonePatienceS) && !c.lead.Served(now)
+}
+
 // finish makes of the leader's word on a report what its worker is told: with
 // what the block takes up, or without the leader.
 func (c *Core) finish(now time.Duration, r *workers.Report, a effects.ReportAnswer) effects.ReportAnswer {
 	switch a.Status {
 	case 200:
 		a.Commands = append(a.Commands, c.pick(now, r, a)...)
+	case 421:
+		c.hold.Release(r.Machine)
 	case 503:
 		a = c.alone(now, r)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,7 @@
 	waiting         []*waitingReport // reports not answered yet, in the order in which they came
 	waits           map[*workers.Machine]*waitingReport
 	watchedAt       time.Duration
+	cuts            []cutZone // by zone
 
 	registry map[string]ledger.Machine // while the log is replayed
 	last     []returns                 // likewise
@@ -307,6 +308,16 @@
 		d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: elsewhere}})
 		return
 	}
+	if d.Spreader != nil && sure && m.Durable && m.Resolved && !m.Leaving && len(m.Offers) == 0 && len(cmds) == 0 {
+		if other := d.Spreader.Elsewhere(now, m); other != "" {
+			// Nothing is on its way to it. What was its due comes with its next report,
+			// by way of the other controller; the former one is turned away.
+			d.grants++
+			m.Token, m.Holder = d.Token+d.grants, other
+			d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: other}})
+			return
+		}
+	}
 	w := &waitingReport{to: to, m: m, cmds: cmds, since: now}
 	if sure && !m.Leaving && !m.Notice && (d.Dirty || m.Awaits()) {
 		d.waiting = append(d.waiting, w)
@@ -506,6 +517,7 @@
 		// Most of them at once: the fault is more likely on our side.
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
 	}
+	d.watchZones(now)
 	overdue := settings.Seconds(0.5 * w.CancelS)
 	cancelled := slices.ContainsFunc(d.Jobs.All(), func(j *jobs.Job) bool { return j != nil && j.Phase == jobs.Cancelled })
 	for _, m := range slices.Clone(d.Yard.All()) {
@@ -518,6 +530,7 @@
 		}
 		switch {
 		case sure && !m.Up && m.Durable && now-d.Began <= d.Patience(): // it may live, and be on its way here
+		case sure && (m.Up || m.Durable) && now-heard > limit && d.waitsFor(now, m): // with its whole zone
 		case sure && (m.Up || m.Durable) && now-heard > limit:
 			d.Leave(now, m, cluster.Delete, "silent")
 		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
@@ -553,6 +566,50 @@
 	}
 }
 
+// cutZone is what is known of a zone that is silent as a whole, or was until lately.
+type cutZone struct {
+	since, until time.Duration // from when to when; until 0: never
+}
+
+// watchZones notes which zones are silent as a whole: most of their machines are, while
+// others are heard.
+func (d *Duty) watchZones(now time.Duration) {
+	if d.Cfg.Tunables.ZonePatienceS == 0 {
+		return
+	}
+	deaf := d.Deaf(now)
+	up, silent := d.Heard(now)
+	for len(d.cuts) < len(up) {
+		d.cuts = append(d.cuts, cutZone{})
+	}
+	for z := range up {
+		if c := &d.cuts[z]; !deaf && cluster.Most(silent[z], up[z]) {
+			if c.until == 0 || now-c.until > d.Silence() {
+				c.since = now - d.Quiet()
+				d.Note(effects.Warn, "a zone is silent as a whole: its machines are waited for", "zone", d.Zones.Name(int32(z)), "silent", silent[z], "of", up[z], "for", d.Cfg.Tunables.ZonePatienceS)
+			}
+			c.until = now
+		}
+	}
+}
+
+// waitsFor says whether a silent machine is waited for with its whole zone: for a bounded
+// time, and for as long as any machine has to come back after that time or the cut's end.
+// One whose tasks are not known is not waited for where it takes much of a team's limit:
+// until it is resolved, nothing of that team may start. Found on days with a zone cut for
+// longer than a machine is usually waited for: all that ran there was started again, on
+// machines that had to be rented first, while there it went on to its end.
+func (d *Duty) waitsFor(now time.Duration, m *workers.Machine) bool {
+	if int(m.Zone) >= len(d.cuts) {
+		return false
+	}
+	c := d.cuts[m.Zone]
+	if c.until == 0 || now-c.until > d.Silence() || now-c.since > settings.Seconds(d.Cfg.Tunables.ZonePatienceS)+d.Silence() || (c.until == now && now-c.since > settings.Seconds(d.Cfg.Tunables.ZonePatienceS)) {
+		return false
+	}
+	return !m.Unresolved() || !d.Crowded()
+}
+
 // Deleted takes machines out that are gone, and all that was on them.
 func (d *Duty) Deleted(now time.Duration, list []string) {
 	for _, name := range list {
--- /dev/null
+++ b/internal/scenario/hot_test.go
@@ -0,0 +1,106 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// hotDay has one class of one team come at a rate that takes up several times what there
+// is for five minutes, beside two others at their usual ones. It returns the share of each
+// class and team that was done in time, by what users were told.
+func hotDay(t *testing.T, seed uint64, floor float64, hot uint8) map[string]float64 {
+	c := baseSettings()
+	c.Deployment.Teams = []settings.Team{{Name: "team"}, {Name: "other"}}
+	c.Deployment.State.WriteRPS = 60
+	within := map[string]float64{"hot": 90, "slow": 150, "small": 60}
+	for class, s := range within {
+		c.Deployment.Objectives = append(c.Deployment.Objectives, settings.Objective{Kind: settings.AimFinished, Class: class, WithinS: s, Share: .9})
+	}
+	c.Tunables.ServedFloor, c.Tunables.ServedWindowS = floor, 300
+	s := newSim(c, seed, 3, false)
+	s.cloud.capacity = 12
+	r := rand.New(rand.NewPCG(seed, 31))
+	id := uint64(0)
+	add := func(class, team string, priority uint8, at time.Duration, tasks int, run time.Duration) {
+		id++
+		i := id
+		job := &ledger.Job{ID: i, Class: class, Team: team, Priority: priority, Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: class, ImageGB: 0.3, Spot: true, EstimateS: run.Seconds()}
+		j := &userJob{id: i, run: run, spec: wire.Submission{ID: i, HasID: true, Job: job}}
+		s.after(at, func() {
+			s.jobs[i] = j
+			s.submit(j, r.IntN(3), func() bool { return true })
+		})
+	}
+	for at := 10 * time.Second; at < 310*time.Second; at += 2 * time.Second {
+		add("hot", "team", hot, at, 20, time.Duration(6+r.IntN(8))*time.Second) // 100 processors of 48
+		if at%(10*time.Second) == 0 {
+			add("slow", "other", 0, at, 4, time.Duration(20+r.IntN(10))*time.Second)
+			add("small", "other", 1, at, 2, time.Duration(4+r.IntN(4))*time.Second)
+		}
+	}
+	var poll func()
+	poll = func() {
+		for i, j := range s.jobs {
+			if j.accepted && !j.toldDone {
+				s.poll(j, int(i))
+			}
+		}
+		s.after(time.Second, poll)
+	}
+	s.after(0, poll)
+	s.run(460 * time.Second)
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %v", s.check.broken[0])
+	}
+	asked, met := map[string]float64{}, map[string]float64{}
+	for _, j := range s.jobs {
+		for _, w := range []string{"class " + j.spec.Job.Class, "team " + j.spec.Job.Team} {
+			asked[w]++
+			if j.toldDone && (j.goneAt-j.acceptedAt).Seconds() <= within[j.spec.Job.Class]+2 {
+				met[w]++
+			}
+		}
+	}
+	out := map[string]float64{}
+	for w := range asked {
+		out[w] = met[w] / asked[w]
+	}
+	return out
+}
+
+// A class that comes at several times what there is, urgent or not, leaves the others
+// with half of their jobs in time at least, and loses little. Without the exception an
+// urgent one leaves them nothing.
+func TestHotClass(t *testing.T) {
+	for _, hot := range []uint8{1, 2} {
+		t.Run(fmt.Sprint("priority ", hot), func(t *testing.T) {
+			t.Parallel()
+			off, on := hotDay(t, 1, 0, hot), hotDay(t, 1, 0.6, hot)
+			t.Logf("without %s, with %s", shares(off), shares(on))
+			for _, w := range []string{"class slow", "class small", "team other"} {
+				if on[w] < 0.5 {
+					t.Errorf("%s is served %.2f", w, on[w])
+				}
+				if hot == 2 && off[w] >= 0.5 {
+					t.Errorf("%s is served %.2f without the exception: the day is not hard enough", w, off[w])
+				}
+			}
+			if on["class hot"] < off["class hot"]-0.1 {
+				t.Errorf("the hot class falls from %.2f to %.2f", off["class hot"], on["class hot"])
+			}
+		})
+	}
+}
+
+func shares(m map[string]float64) (out string) {
+	for _, w := range []string{"class hot", "class slow", "class small", "team team", "team other"} {
+		out += fmt.Sprintf(" %s %.2f", w, m[w])
+	}
+	return out
+}
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -52,6 +52,11 @@
 		c.Tunables.RunTimesKinds, c.Tunables.TakeoversKept = 100, 5
 		began = 12*time.Hour - 90*time.Second // the night ends in between
 	}
+	spreads := seed%3 == 1 // reports are spread, zones waited for and cut, shares kept
+	if spreads {
+		c.Tunables.SpreadMoves, c.Tunables.ZonePatienceS, c.Tunables.ServedFloor, c.Tunables.ServedWindowS = 4, 20, 0.6, 120
+		c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
+	}
 	counted := seed%4 == 1 || seed%4 == 2 // of these one in two begins with the version in production
 	if counted {
 		poolDay(&c, r, upgrade)
@@ -202,6 +207,10 @@
 				s.after(length, func() { delete(s.state.refuse, n) })
 			case 5:
 				n := s.nodes[who].name
+				if spreads && r.IntN(2) == 0 {
+					s.cutZone([]string{"a", "b"}[r.IntN(2)], n, length, r.IntN(2) == 0)
+					return
+				}
 				s.cuts = append(s.cuts, &cut{host: n, hold: r.IntN(2) == 0})
 				s.after(length, func() { s.heal(n) })
 			case 6:
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -85,7 +85,10 @@
 		kb, ops := float64(v)/1024, arg(t, d, "next-txn-ops", 4)
 		c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
 	}
+	c.Deployment.Workers.LeaseS = float64(arg(t, d, "lease", 10))
 	c.Tunables.TakeoversKept = arg(t, d, "takeovers", 0)
+	c.Tunables.ZonePatienceS = float64(arg(t, d, "zone-patience", 0))
+	c.Tunables.SpreadMoves = float64(arg(t, d, "spread-moves", 0))
 	if d.HasArg("cold") {
 		c.Tunables.ColdListen, c.Tunables.ColdKept, c.Tunables.ListFirst, c.Tunables.AdaptCalls = 1, 5, 1, 1
 		c.Tunables.ColdStarts, c.Tunables.ColdImages = float64(arg(t, d, "starts", 0)), arg(t, d, "images", 0)
@@ -219,6 +222,8 @@
 		for _, h := range p.hosts(t, d) {
 			s.cuts = append(s.cuts, &cut{host: h, with: arg(t, d, "from", ""), hold: d.HasArg("hold")})
 		}
+	case "cut-zone": // its machines and a controller that is in it reach one another, and nobody else
+		s.cutZone(arg(t, d, "zone", "b"), arg(t, d, "node", "n2"), 0, d.HasArg("hold"))
 	case "refuse-peers": // no controller reaches another
 		for i, a := range s.nodes {
 			for _, b := range s.nodes[i+1:] {
@@ -333,6 +338,33 @@
 			out = append(out, fmt.Sprintf("needless: %s %d", name, list[0].Needless[name]))
 		}
 		return strings.Join(out, "\n")
+	case "spread": // whether no controller has much more than its share, the leader's being smaller
+		l := s.leader()
+		if l == nil {
+			return "nobody leads"
+		}
+		up, weight, machines := 0, 0.0, 0
+		for _, c := range s.nodes {
+			if c.up {
+				up++
+				weight++
+			}
+		}
+		weight -= 1 - l.cfg.Tunables.SpreadLeader
+		blocks := l.core.Status(l.clock()).Blocks
+		for _, b := range blocks {
+			machines += b.Machines
+		}
+		for _, b := range blocks {
+			w := 1.0
+			if b.Holder == l.name {
+				w = l.cfg.Tunables.SpreadLeader
+			}
+			if float64(b.Machines) > 1.25*float64(machines)/weight*w+1 {
+				return fmt.Sprintf("uneven: %s has %d of %d, %d controllers are up", b.Holder, b.Machines, machines, up)
+			}
+		}
+		return "even"
 	case "take": // the cloud takes machines that run tasks of a job, without notice
 		for _, h := range p.hosts(t, d) {
 			s.cloud.machines[h].vanish()
@@ -373,7 +405,7 @@
 	runS := span(t, d, "run")
 	job := &ledger.Job{ID: id, Class: "class", Team: arg(t, d, "team", "team"), Kind: kinds[arg(t, d, "kind", "array")], Priority: uint8(arg(t, d, "priority", 1)), Checkpoint: float64(arg(t, d, "checkpoint", 0)),
 		Tasks: arg(t, d, "tasks", 1), CPUs: float64(arg(t, d, "cpus", 1)), MemoryGB: 1, Image: "image", ImageGB: 0.3,
-		OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: !d.HasArg("no-spot"), EstimateS: max(1, runS.Seconds())}
+		Zone: arg(t, d, "zone", ""), OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: !d.HasArg("no-spot"), EstimateS: max(1, runS.Seconds())}
 	if counted := arg(t, d, "counted", ""); counted != "" { // POOL:UNITS, each with /job where it is for the job as a whole
 		for c := range strings.SplitSeq(counted, ",") {
 			c, whole := strings.CutSuffix(c, "/job")
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -42,10 +42,11 @@
 // cut is an interruption between a host and others. Held packets arrive when
 // it ends, others are lost.
 type cut struct {
-	host string
-	with string // empty: all hosts
-	hold bool
-	held []func()
+	host   string
+	with   string          // empty: all hosts
+	inside map[string]bool // of a zone that is cut off: hosts that go on reaching one another
+	hold   bool
+	held   []func()
 }
 
 // sim is the simulated world.
@@ -133,7 +134,7 @@
 	}
 	for _, x := range [2][2]string{{a, b}, {b, a}} {
 		for _, c := range s.cutAt[x[0]] {
-			if c.with == "" || c.with == x[1] {
+			if (c.with == "" || c.with == x[1]) && !c.inside[x[1]] {
 				return c
 			}
 		}
@@ -152,6 +153,23 @@
 	s.after(time.Millisecond+s.slow[to]+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
 }
 
+// cutZone has a zone's machines and a controller reach one another and nobody else, for a
+// while; 0: until all is healed.
+func (s *sim) cutZone(zone, node string, length time.Duration, hold bool) {
+	inside := map[string]bool{node: true}
+	for n, w := range s.cloud.machines {
+		if w.zone == zone {
+			inside[n] = true
+		}
+	}
+	for h := range inside {
+		s.cuts = append(s.cuts, &cut{host: h, inside: inside, hold: hold})
+		if length > 0 {
+			s.after(length, func() { s.heal(h) })
+		}
+	}
+}
+
 func (s *sim) heal(host string) {
 	s.cutN = -1
 	s.cuts = slices.DeleteFunc(s.cuts, func(c *cut) bool {
@@ -214,7 +232,7 @@
 	if old {
 		cfg.Deployment.State.Next = nil // it does not know of them
 		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept, cfg.Tunables.RunTimesKinds = 0, 0, 0, 0
-		cfg.Tunables.ColdListen, cfg.Tunables.ColdKept, cfg.Tunables.ListFirst, cfg.Tunables.AdaptCalls = 0, 0, 0, 0
+		cfg.Tunables.ColdListen, cfg.Tunables.ColdKept, cfg.Tunables.ListFirst, cfg.Tunables.AdaptCalls, cfg.Tunables.ZonePatienceS, cfg.Tunables.SpreadMoves = 0, 0, 0, 0, 0, 0
 		cfg.Tunables.Pools = nil
 	}
 	c.core = node.NewCore(&cfg, (c.s.began + c.s.now).Milliseconds())
--- /dev/null
+++ b/internal/served/served.go
@@ -0,0 +1,344 @@
+// Package served is the duty that sees to it that every class and every team gets some
+// of its work done in time, however much of another's comes. It measures, by class and
+// by team in a sliding window, how many jobs were due and how many of them were done by
+// then; and where a share is about to fall below a floor, it has jobs at their last
+// chance go ahead of everything: the exception `served_floor`. docs/spread.md is its
+// design note, with the bound on what it costs others, and the operators' page.
+package served
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/settings"
+)
+
+// Name is that of the duty. It writes nothing.
+const Name = "served"
+
+const (
+	lookEvery = 500 * time.Millisecond
+	// longRun and placing are what a job needs beyond its mean run time: tasks that run
+	// longer, and the time until all have their place.
+	longRun = 1.25
+	placing = 8 * time.Second
+	// chance is how long before its last moment a job is looked at: room comes free by
+	// the end of others' tasks.
+	chance = 25 * time.Second
+)
+
+// who is a class or a team.
+type who struct {
+	name string
+	team bool
+}
+
+// sum is what is known of a class or a team.
+type sum struct {
+	who
+	due       []outcome // in the window, by when they were due
+	kept      int       // jobs under way that the exception has gone ahead
+	keptEver  uint64
+	missed    uint64 // since the term began
+	met       uint64
+	waiting   int // jobs at their last chance, this look
+	remaining int // jobs that are open
+}
+
+type outcome struct {
+	at  time.Duration
+	met bool
+}
+
+// entry is an open job that has a time by which it is due.
+type entry struct {
+	job  *jobs.Job
+	due  time.Duration
+	sums [2]*sum
+	kept bool
+}
+
+// Duty measures and guards.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	window time.Duration
+	floor  float64
+	sums   []*sum
+	open   []*entry // by when they are due
+	byJob  map[*jobs.Job]*entry
+	lookAt time.Duration
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	t := &s.Cfg.Tunables
+	return &Duty{State: s, window: settings.Seconds(t.ServedWindowS), floor: t.ServedFloor, byJob: map[*jobs.Job]*entry{}}
+}
+
+// Begin takes up the jobs of earlier terms. What they had served is not known; a new
+// window begins.
+func (d *Duty) Begin(now time.Duration) {
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Open {
+			d.enter(now, j)
+		}
+	}
+}
+
+// Hear follows jobs.
+func (d *Duty) Hear(e cluster.Event) {
+	switch e.Kind {
+	case cluster.JobOrdered:
+		d.enter(e.At, e.Job)
+	case cluster.JobDone:
+		d.leave(e.At, e.Job, true)
+	case cluster.JobLeft:
+		d.leave(0, e.Job, false) // cancelled: it is nobody's loss
+	}
+}
+
+// due is by when a job should have ended: the last of its class's aims for that, or its
+// deadline, or as the operators say where its class has neither.
+func (d *Duty) due(j *jobs.Job) time.Duration {
+	latest := 0.0
+	for _, o := range d.Cfg.Deployment.Objectives {
+		if o.Class != j.Rec.Class {
+			continue
+		}
+		switch o.Kind {
+		case settings.AimFinished:
+			latest = max(latest, o.WithinS)
+		case settings.AimDeadline:
+			latest = max(latest, j.Rec.DeadlineS*max(1, o.Times))
+		}
+	}
+	if latest == 0 {
+		latest = max(d.Cfg.Tunables.ServedWithinS, 2*j.Rec.EstimateS)
+	}
+	return j.AcceptedAt + settings.Seconds(latest)
+}
+
+func (d *Duty) sum(w who) *sum {
+	for _, s := range d.sums {
+		if s.who == w {
+			return s
+		}
+	}
+	s := &sum{who: w}
+	d.sums = append(d.sums, s)
+	return s
+}
+
+func byDue(a *entry, due time.Duration) int { return cmp.Compare(a.due, due) }
+
+func (d *Duty) enter(now time.Duration, j *jobs.Job) {
+	if j.Rec.Kind == jobs.Service || d.byJob[j] != nil {
+		return
+	}
+	e := &entry{job: j, due: d.due(j), sums: [2]*sum{d.sum(who{name: j.Rec.Class}), d.sum(who{name: j.Rec.Team, team: true})}}
+	if e.due <= now {
+		return // it was lost before this term began
+	}
+	d.byJob[j] = e
+	i, _ := slices.BinarySearchFunc(d.open, e.due, byDue)
+	d.open = slices.Insert(d.open, i, e)
+	for _, s := range e.sums {
+		s.remaining++
+	}
+}
+
+// leave takes a job out, done in time or not at all.
+func (d *Duty) leave(now time.Duration, j *jobs.Job, done bool) {
+	e := d.byJob[j]
+	if e == nil {
+		return
+	}
+	d.drop(e)
+	if done {
+		d.count(now, e, true)
+	}
+}
+
+func (d *Duty) drop(e *entry) {
+	delete(d.byJob, e.job)
+	i, _ := slices.BinarySearchFunc(d.open, e.due, byDue)
+	for d.open[i] != e {
+		i++
+	}
+	d.open = slices.Delete(d.open, i, i+1)
+	e.job.Kept = false
+	for _, s := range e.sums {
+		s.remaining--
+		if e.kept {
+			s.kept--
+		}
+	}
+}
+
+func (d *Duty) count(now time.Duration, e *entry, met bool) {
+	for _, s := range e.sums {
+		s.due = append(s.due, outcome{now, met})
+		if met {
+			s.met++
+		} else {
+			s.missed++
+		}
+	}
+}
+
+// share is how much of a class or a team was served of what was due in the window, if
+// those that go ahead make it and so many more do not.
+func (s *sum) share(lost int) float64 {
+	met, all := float64(s.kept), float64(s.kept+lost)
+	for _, o := range s.due {
+		all++
+		if o.met {
+			met++
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return met / all
+}
+
+// Tick counts what was missed, and has jobs at their last chance go ahead where their
+// class or team would fall below the floor without them.
+func (d *Duty) Tick(now time.Duration, _ bool) {
+	if now-d.lookAt < lookEvery {
+		return
+	}
+	d.lookAt = now
+	for _, s := range d.sums {
+		s.waiting = 0
+		if n := slices.IndexFunc(s.due, func(o outcome) bool { return now-o.at <= d.window }); n != 0 {
+			if n < 0 {
+				n = len(s.due)
+			}
+			s.due = slices.Delete(s.due, 0, n)
+		}
+	}
+	for len(d.open) > 0 && d.open[0].due < now {
+		e := d.open[0]
+		d.drop(e)
+		d.count(now, e, false)
+	}
+	if d.floor == 0 {
+		return
+	}
+	cpus := max(d.CPUs(), 1)
+	for _, e := range d.open {
+		j := e.job
+		if e.kept || j.Waiting == 0 || j.Phase != jobs.Open {
+			continue
+		}
+		needs := d.needs(j, cpus)
+		if now+needs > e.due {
+			continue // it can no longer make it: room given to it would be lost
+		}
+		if now+needs+chance < e.due {
+			continue // there is time yet
+		}
+		for _, s := range e.sums {
+			s.waiting++
+		}
+		// This one and all that stand where it does count as lost unless they go ahead.
+		if e.sums[0].share(e.sums[0].waiting) >= d.floor && e.sums[1].share(e.sums[1].waiting) >= d.floor {
+			continue
+		}
+		e.kept, j.Kept = true, true
+		d.Dirty = true
+		for _, s := range e.sums {
+			s.waiting--
+			s.kept++
+			s.keptEver++
+		}
+		d.Note(effects.Debug, "job goes ahead of everything: less than the floor of its class or team would be served", "job", j.Rec.ID, "class", j.Rec.Class, "team", j.Rec.Team, "due_in", (e.due - now).Round(time.Second).String())
+	}
+}
+
+// needs is how long a job takes from now if it goes ahead of everything: its work shared
+// over all machines, and its longest task.
+func (d *Duty) needs(j *jobs.Job, cpus float64) time.Duration {
+	work := float64(j.Waiting) * j.Mean() * j.Share / cpus
+	return settings.Seconds(longRun*j.Mean()+work) + placing
+}
+
+// View is what operators see of a class or a team.
+type View struct {
+	Name   string  `json:"name"`
+	Team   bool    `json:"team"`
+	Due    int     `json:"due"`    // jobs due in the window
+	Met    int     `json:"met"`    // of them, done by then
+	Share  float64 `json:"share"`  // 1 where none was due
+	Open   int     `json:"open"`   // jobs not due yet
+	Kept   int     `json:"kept"`   // of them, those that go ahead of everything
+	Missed uint64  `json:"missed"` // since the leader began
+	Helped uint64  `json:"kept_ever"`
+}
+
+// Show gives classes and teams, as a JSON list of View.
+func (d *Duty) Show(_ time.Duration, view string) (json.RawMessage, error) {
+	if view != "" {
+		return nil, cluster.ErrNoView
+	}
+	raw, err := json.Marshal(d.views())
+	if err != nil {
+		return nil, fmt.Errorf("served: %w", err)
+	}
+	return raw, nil
+}
+
+func (d *Duty) views() []View {
+	out := []View{}
+	for _, s := range d.sums {
+		v := View{Name: s.name, Team: s.team, Due: len(s.due), Open: s.remaining, Kept: s.kept, Missed: s.missed, Helped: s.keptEver, Share: 1}
+		for _, o := range s.due {
+			if o.met {
+				v.Met++
+			}
+		}
+		if v.Due > 0 {
+			v.Share = float64(v.Met) / float64(v.Due)
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b View) int {
+		if a.Team != b.Team {
+			if a.Team {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return out
+}
+
+// mostNamed bounds the labels of metrics; the rest is left out.
+const mostNamed = 100
+
+// Gauges gives the share of each class and team.
+func (d *Duty) Gauges(time.Duration) []cluster.Gauge {
+	g := [2]cluster.Gauge{
+		{Name: "bitternmoor_served_share_of_class", Help: "Share of the jobs due in the window that were done by then.", Label: "class", Values: map[string]float64{}},
+		{Name: "bitternmoor_served_share_of_team", Help: "Share of the jobs due in the window that were done by then.", Label: "team", Values: map[string]float64{}},
+	}
+	for _, v := range d.views() {
+		i := 0
+		if v.Team {
+			i = 1
+		}
+		if len(g[i].Values) < mostNamed {
+			g[i].Values[v.Name] = v.Share
+		}
+	}
+	return g[:]
+}
--- /dev/null
+++ b/internal/served/served_test.go
@@ -0,0 +1,169 @@
+package served
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+func begun(floor float64) *Duty {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Tunables.ServedFloor, cfg.Tunables.ServedWindowS, cfg.Tunables.ServedWithinS = floor, 300, 200
+	cfg.Deployment.Objectives = []settings.Objective{
+		{Kind: settings.AimFinished, Class: "a", WithinS: 60}, {Kind: settings.AimFinished, Class: "a", WithinS: 100},
+		{Kind: settings.AimDeadline, Class: "b", Times: 1.5},
+	}
+	s := cluster.New(cluster.Start{Cfg: cfg, Epoch: 1, Counts: &cluster.Counts{}})
+	m := s.Yard.Add(&workers.Machine{Name: "m", Up: true})
+	m.Cap.CPU = 100_000
+	return New(s)
+}
+
+func (d *Duty) arrive(now time.Duration, id uint64, class, team string) *jobs.Job {
+	j := d.Jobs.Add(ledger.Job{ID: id, Class: class, Team: team, Tasks: 4, CPUs: 1, EstimateS: 20, DeadlineS: 80})
+	j.Phase, j.AcceptedAt, j.Share = jobs.Open, now, 1
+	d.Hear(cluster.Event{Kind: cluster.JobOrdered, At: now, Job: j})
+	return j
+}
+
+func (d *Duty) at(who string) View {
+	for _, v := range d.views() {
+		if v.Name == who {
+			return v
+		}
+	}
+	return View{}
+}
+
+// By when a job is due: the last of its class's aims, its deadline times what its class
+// bears, or what the operators say.
+func TestDue(t *testing.T) {
+	d := begun(0)
+	for class, want := range map[string]time.Duration{"a": 100 * time.Second, "b": 120 * time.Second, "c": 200 * time.Second} {
+		j := d.arrive(10*time.Second, uint64(len(class))+uint64(class[0]), class, "t")
+		if got := d.due(j); got != 10*time.Second+want {
+			t.Errorf("%s: %v", class, got)
+		}
+	}
+}
+
+// Of jobs that all stand where they would be lost, as many go ahead as the floor asks for
+// and no more, at their last chance and not before; one that cannot make it any more never
+// does, and after its time none goes ahead still.
+func TestFloor(t *testing.T) {
+	for _, floor := range []float64{0, 0.5, 0.6, 1} {
+		d := begun(floor)
+		var list []*jobs.Job
+		for i := range uint64(20) {
+			list = append(list, d.arrive(0, i+1, "a", "t"))
+		}
+		late := d.arrive(0, 99, "a", "t")
+		late.Rec.EstimateS = 90 // it needs 112 s of 100
+		kept := func() (n int) {
+			for _, j := range list {
+				if j.Kept {
+					n++
+				}
+			}
+			return n
+		}
+		d.Tick(30*time.Second, true)
+		if kept() != 0 {
+			t.Errorf("floor %v: %d go ahead with time enough", floor, kept())
+		}
+		d.Tick(50*time.Second, true)
+		d.Tick(51*time.Second, true)
+		want := int(floor*20 + 0.999)
+		if n := kept(); n < want-1 || n > want+1 {
+			t.Errorf("floor %v: %d of 20 go ahead", floor, n)
+		}
+		if late.Kept {
+			t.Errorf("floor %v: room goes to a job that is lost", floor)
+		}
+		d.Tick(101*time.Second, true)
+		if kept() != 0 || len(d.open) != 0 || d.at("a").Missed != 21 || d.at("t").Kept != 0 {
+			t.Errorf("floor %v: after their time %d go ahead, %+v", floor, kept(), d.at("a"))
+		}
+	}
+}
+
+// What is shown is what a plain count of all that was due in the window gives, at every
+// step of random days; and the window forgets.
+func TestAgainstPlain(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		d := begun(0.6)
+		type past struct {
+			class string
+			at    time.Duration
+			met   bool
+		}
+		var all []past
+		open := map[*jobs.Job]time.Duration{}
+		id := uint64(0)
+		for now := time.Duration(0); now < 900*time.Second; now += 500 * time.Millisecond {
+			if r.IntN(6) == 0 {
+				id++
+				j := d.arrive(now, id, []string{"a", "b"}[r.IntN(2)], "t")
+				open[j] = d.due(j)
+			}
+			for j, due := range open {
+				switch {
+				case due < now:
+					all = append(all, past{j.Rec.Class, now, false})
+					delete(open, j)
+				case r.IntN(250) == 0:
+					all = append(all, past{j.Rec.Class, now, true})
+					delete(open, j)
+					d.Hear(cluster.Event{Kind: cluster.JobDone, At: now, Job: j})
+				case r.IntN(900) == 0:
+					delete(open, j)
+					d.Hear(cluster.Event{Kind: cluster.JobLeft, Job: j})
+				}
+			}
+			d.Tick(now, true)
+			for _, class := range []string{"a", "b"} {
+				due, met, left := 0, 0, 0
+				for _, p := range all {
+					if p.class == class && now-p.at <= 300*time.Second {
+						due++
+						if p.met {
+							met++
+						}
+					}
+				}
+				for j := range open {
+					if j.Rec.Class == class {
+						left++
+					}
+				}
+				if v := d.at(class); due+left > 0 && (v.Due != due || v.Met != met || v.Open != left) {
+					t.Fatalf("seed %d at %v: %s is shown as %+v, counted %d due, %d met, %d open", seed, now, class, v, due, met, left)
+				}
+			}
+		}
+	}
+}
+
+func TestShow(t *testing.T) {
+	d := begun(0.5)
+	d.arrive(0, 1, "a", "t")
+	raw, err := d.Show(0, "")
+	var list []View
+	if err != nil || json.Unmarshal(raw, &list) != nil || len(list) != 2 || list[0].Team || !list[1].Team || list[0].Share != 1 {
+		t.Errorf("%s %v", raw, err)
+	}
+	if _, err := d.Show(0, "x"); err == nil {
+		t.Error("a view that there is not")
+	}
+	if g := d.Gauges(0); g[0].Values["a"] != 1 || g[1].Values["t"] != 1 {
+		t.Errorf("%+v", g)
+	}
+}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -52,6 +52,13 @@
 	ColdKept        int     // so many accounts of cold starts are written down
 	ListFirst       int     // silent machines that the cloud's list lacks are given up at once
 	AdaptCalls      int     // the rate of cloud calls follows the cloud's answers
+	ZonePatienceS   float64 // machines of a zone that is cut off as a whole are waited for so long; 0: as any
+	ServedFloor     float64 // exception: share of each class and team that is to be served in time; 0: whatever the order brings
+	ServedWindowS   float64 // over which shares served are measured; 0: they are not
+	ServedWithinS   float64 // by when a job is due whose class has no aim for its end
+	SpreadMoves     float64 // machines a second that are sent to another controller to spread reports; 0: none
+	SpreadMost      float64 // load over the mean that a controller is left with
+	SpreadLeader    float64 // the leader's weight, next to 1 of the others
 	DoorRate        float64 // requests a second that users who were turned away are spread over; 0: they are not
 	LearnedSizes    int     // exception: sizes start from what a job's kind has shown (0 or 1)
 	LateMargin      float64 // a job is late that takes this many times as long as nine in ten of its kind
@@ -155,6 +162,9 @@
 	amount("exceptions", "wait_lead", "s", "tasks still waiting this long before their class's wait aim go ahead of the order until it is missed, and long best-effort ones before their aim for the end; 0: never", 85, 0, 86400, func(t *Tunables) *float64 { return &t.WaitLeadS }),
 	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
 	amount("exceptions", "low_lead", "s", "best-effort jobs go behind the order until this long before their class's tightest aim; 0: never", 110, 0, 86400, func(t *Tunables) *float64 { return &t.LowLeadS }),
+	amount("exceptions", "served_floor", "share", "jobs at their last chance go ahead of everything where less than this share of their class or team would be done in time otherwise; 0: never", 0, 0, 1, func(t *Tunables) *float64 { return &t.ServedFloor }),
+	amount("served", "window", "s", "over which it is measured how much of each class and team was served; 0: it is not", 0, 0, 86400, func(t *Tunables) *float64 { return &t.ServedWindowS }),
+	amount("served", "within", "s", "a job is due after this time whose class has no aim for its end, and after twice its owner's estimate at least", 600, 1, 1e6, func(t *Tunables) *float64 { return &t.ServedWithinS }),
 	whole("exceptions", "learned_sizes", "0 or 1", "a job's size starts from the run times learned of its kind, where there are any, instead of those of all jobs", 0, 0, 1, func(t *Tunables) *int { return &t.LearnedSizes }),
 	amount("fleet", "drain_backlog", "s", "waiting work should be gone within this time", 45, 1, 86400, func(t *Tunables) *float64 { return &t.DrainBacklogS }),
 	amount("fleet", "dear_backlog", "s", "ordinary machines are rented where spot ones leave work waiting longer than this", 100, 1, 86400, func(t *Tunables) *float64 { return &t.DearBacklogS }),
@@ -178,6 +188,10 @@
 	whole("cold-start", "keep", "accounts", "so many accounts of cold starts are written down; 0: none, and nothing is written", 0, 0, 100, func(t *Tunables) *int { return &t.ColdKept }),
 	whole("fleet", "list_first", "0 or 1", "a new leader asks the cloud for its list at once, and silent machines that it lacks are given up", 0, 0, 1, func(t *Tunables) *int { return &t.ListFirst }),
 	whole("fleet", "adapt_calls", "0 or 1", "the rate of calls to the cloud is halved when it refuses or does not answer, and grows again while it does", 0, 0, 1, func(t *Tunables) *int { return &t.AdaptCalls }),
+	amount("fleet", "zone_patience", "s", "machines of a zone that fell silent as a whole are waited for so long, and kept alive there meanwhile; 0: they are given up like any", 0, 0, 3600, func(t *Tunables) *float64 { return &t.ZonePatienceS }),
+	amount("spread", "moves", "a second", "machines that are sent to another controller, so that reports are spread evenly; 0: none", 0, 0, 1000, func(t *Tunables) *float64 { return &t.SpreadMoves }),
+	amount("spread", "most", "times", "a controller gives machines away that has more than this many times its even share", 1.25, 1.05, 100, func(t *Tunables) *float64 { return &t.SpreadMost }),
+	amount("spread", "leader", "share", "the leader's even share, next to 1 of each other controller", 0.7, 0.05, 1, func(t *Tunables) *float64 { return &t.SpreadLeader }),
 	amount("door", "spread", "requests a second", "users who are turned away are told to come back spread over this rate; 0: they are told the least there is", 0, 0, 1e6, func(t *Tunables) *float64 { return &t.DoorRate }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
 }
@@ -236,6 +250,9 @@
 	if err := t.checkOperators(); err != nil {
 		return err
 	}
+	if t.ServedFloor > 0 && t.ServedWindowS == 0 {
+		return wrong("exceptions.served_floor", "needs served.window: nothing is measured without it")
+	}
 	if t.WebhookURL == "" {
 		return nil
 	}
--- /dev/null
+++ b/internal/spread/balance.go
@@ -0,0 +1,126 @@
+package spread
+
+import (
+	"time"
+
+	"bitternmoor/internal/pacing"
+)
+
+// Balance decides which machines report to another controller from now on. It is pure;
+// the time comes in.
+//
+// A controller's load is its machines divided by its weight. Once one has Most times the
+// mean load it gives machines away, a few a second, until it has hardly more than the
+// mean; each goes to the controller with the least load, and only if that has no more
+// after it than the giver had before. So the largest load never rises by a move, and moves
+// end. A machine that was moved stays for a while, and one that did not arrive where it
+// was sent is left alone for longer: it may not reach that controller.
+type Balance struct {
+	p      Params
+	budget pacing.Bucket
+	nodes  []Node
+	giving map[string]bool
+	moved  map[string]move
+	mean   float64
+}
+
+// Params of a balance.
+type Params struct {
+	Most      float64 // load over the mean that is borne
+	PerSecond float64 // moves
+}
+
+// Node is a controller.
+type Node struct {
+	Name     string
+	Machines int
+	Weight   float64 // of its share, over 0
+	Ready    bool    // reached for a while now: machines may be sent to it
+}
+
+type move struct {
+	at     time.Duration
+	to     string
+	failed bool
+}
+
+const (
+	enough   = 1.05             // a giver stops at so much over the mean
+	stays    = time.Minute      // a machine that was moved
+	avoids   = 10 * time.Minute // one that did not arrive
+	fewest   = 8                // machines: fewer are not worth a move
+	remember = avoids
+)
+
+// NewBalance begins one.
+func NewBalance(now time.Duration, p Params) *Balance {
+	return &Balance{p: p, budget: pacing.NewBucket(now, p.PerSecond, max(1, p.PerSecond)), giving: map[string]bool{}, moved: map[string]move{}}
+}
+
+func (n *Node) load(more int) float64 { return float64(n.Machines+more) / n.Weight }
+
+// Look takes in how the machines are spread now.
+func (b *Balance) Look(now time.Duration, nodes []Node) {
+	b.nodes = nodes
+	machines, weight := 0, 0.0
+	for _, n := range nodes {
+		machines += n.Machines
+		if n.Ready {
+			weight += n.Weight
+		}
+	}
+	b.mean = 0
+	if weight > 0 {
+		b.mean = float64(machines) / weight
+	}
+	for i := range nodes {
+		n := &nodes[i]
+		switch over := n.load(0); {
+		case machines < fewest, b.mean == 0, over <= enough*b.mean:
+			delete(b.giving, n.Name)
+		case over > b.p.Most*b.mean:
+			b.giving[n.Name] = true
+		}
+	}
+	for m, x := range b.moved {
+		if now-x.at > remember {
+			delete(b.moved, m)
+		}
+	}
+}
+
+// Even says whether nobody has more than is borne.
+func (b *Balance) Even() bool { return len(b.giving) == 0 }
+
+// Move says where a machine that has just reported by way of its controller should go
+// instead; empty: nowhere.
+func (b *Balance) Move(now time.Duration, machine, holder string) string {
+	if x, was := b.moved[machine]; was {
+		if x.to != holder && !x.failed {
+			x.failed = true // it did not arrive
+			b.moved[machine] = x
+		}
+		if now-x.at < stays || (x.failed && now-x.at < avoids) {
+			return ""
+		}
+	}
+	if !b.giving[holder] {
+		return ""
+	}
+	var from, to *Node
+	for i := range b.nodes {
+		n := &b.nodes[i]
+		if n.Name == holder {
+			from = n
+		} else if n.Ready && (to == nil || n.load(1) < to.load(1)) {
+			to = n
+		}
+	}
+	if from == nil || to == nil || to.load(1) > from.load(0) || from.load(0) <= enough*b.mean || !b.budget.Take(now, 1) {
+		return ""
+	}
+	from.Machines--
+	to.Machines++
+	b.moved[machine] = move{at: now, to: to.Name}
+	return to.Name
+}
--- /dev/null
+++ b/internal/spread/duty.go
@@ -0,0 +1,158 @@
+// Package spread is the duty that spreads reports over controllers: after one of them
+// returns, slows down, is cut off or healed, machines go from those that have many to
+// those that have few. docs/spread.md is its design note and the operators' page.
+package spread
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/workers"
+)
+
+// Name is that of the duty. It writes nothing.
+const Name = "spread"
+
+const (
+	lookEvery = 500 * time.Millisecond
+	steady    = 10 * time.Second // without a gap, before machines are sent to a controller
+	lostAfter = 3 * time.Second  // without an answer to a hail
+	leastPart = 0.25             // of a slow controller's weight
+	smoothing = 0.2              // of the newest answer's time in the mean
+	slowFrom  = 20 * time.Millisecond
+)
+
+type peer struct {
+	since, last time.Duration // answered from then on, and last
+	took        time.Duration // smoothed time of its answers
+}
+
+// Duty spreads reports in a term. It is the term's spreader (cluster.Spreader).
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	balance *Balance
+	peers   map[string]*peer
+	lookAt  time.Duration
+	moves   uint64
+	uneven  time.Duration // since when some controller has had too many; 0: none
+	took    time.Duration // the last time that it took to even out
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	t := &s.Cfg.Tunables
+	d := &Duty{State: s, balance: NewBalance(s.Began, Params{Most: t.SpreadMost, PerSecond: t.SpreadMoves}), peers: map[string]*peer{}}
+	s.Spreader = d
+	return d
+}
+
+// PeerHeard notes that a controller has answered a hail, after so long.
+func (d *Duty) PeerHeard(now time.Duration, name string, took time.Duration) {
+	p := d.peers[name]
+	if p == nil {
+		p = &peer{since: now, took: took}
+		d.peers[name] = p
+	}
+	if now-p.last > lostAfter {
+		p.since = now
+	}
+	p.last = now
+	p.took += time.Duration(smoothing * float64(took-p.took))
+}
+
+// weight of a controller: one that answers slowly, next to the quickest, gets less.
+func (d *Duty) weight(p *peer) float64 {
+	quickest := p.took
+	for _, o := range d.peers {
+		quickest = min(quickest, o.took)
+	}
+	return max(leastPart, min(1, float64(max(quickest, slowFrom))/float64(max(p.took, slowFrom))))
+}
+
+// Tick looks how machines are spread.
+func (d *Duty) Tick(now time.Duration, _ bool) {
+	if now-d.lookAt < lookEvery {
+		return
+	}
+	d.lookAt = now
+	count := map[string]int{}
+	for _, m := range d.Yard.All() {
+		if m.Holder != "" && m.Up && !m.Leaving && now-m.Heard <= d.Quiet() {
+			count[m.Holder]++
+		}
+	}
+	nodes := []Node{{Name: d.Cfg.Node, Machines: count[d.Cfg.Node], Weight: d.Cfg.Tunables.SpreadLeader, Ready: true}}
+	for _, c := range d.Cfg.Peers {
+		n := Node{Name: c.Node, Machines: count[c.Node], Weight: 1}
+		if p := d.peers[c.Node]; p != nil {
+			n.Weight = d.weight(p)
+			n.Ready = now-p.last <= lostAfter && now-p.since >= steady
+		}
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	d.balance.Look(now, nodes)
+	switch even := d.balance.Even(); {
+	case !even && d.uneven == 0:
+		d.uneven = now
+	case even && d.uneven > 0:
+		d.took, d.uneven = now-d.uneven, 0
+		d.Note(effects.Info, "reports are spread evenly again", "after", d.took.Round(100*time.Millisecond).String(), "moves", d.moves)
+	}
+}
+
+// Elsewhere says to which controller a machine that has just reported should go; empty:
+// it stays. Nothing may be on its way to it.
+func (d *Duty) Elsewhere(now time.Duration, m *workers.Machine) string {
+	to := d.balance.Move(now, m.Name, m.Holder)
+	if to != "" {
+		d.moves++
+	}
+	return to
+}
+
+// View is what operators see of a controller.
+type View struct {
+	Node     string  `json:"node"`
+	Machines int     `json:"machines"`
+	Weight   float64 `json:"weight"`
+	Load     float64 `json:"load"` // next to the mean
+	Ready    bool    `json:"ready"`
+}
+
+// Show gives how reports are spread, as a JSON list of View.
+func (d *Duty) Show(_ time.Duration, view string) (json.RawMessage, error) {
+	if view != "" {
+		return nil, cluster.ErrNoView
+	}
+	out := []View{}
+	for _, n := range d.balance.nodes {
+		v := View{Node: n.Name, Machines: n.Machines, Weight: n.Weight, Ready: n.Ready}
+		if d.balance.mean > 0 {
+			v.Load = n.load(0) / d.balance.mean
+		}
+		out = append(out, v)
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("spread: %w", err)
+	}
+	return raw, nil
+}
+
+// Gauges gives each controller's load.
+func (d *Duty) Gauges(now time.Duration) []cluster.Gauge {
+	g := cluster.Gauge{Name: "bitternmoor_report_load", Help: "A controller's machines next to its even share.", Label: "holder", Values: map[string]float64{}}
+	for _, n := range d.balance.nodes {
+		if d.balance.mean > 0 {
+			g.Values[n.Name] = n.load(0) / d.balance.mean
+		}
+	}
+	return []cluster.Gauge{g}
+}
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,183 @@
+package spread
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// picture is controllers and where machines report.
+type picture struct {
+	nodes  []Node
+	holder []int
+}
+
+func random(r *rand.Rand) *picture {
+	p := &picture{}
+	for i := range 1 + r.IntN(5) {
+		p.nodes = append(p.nodes, Node{Name: fmt.Sprint("n", i), Weight: 0.25 + 0.75*r.Float64(), Ready: i == 0 || r.IntN(5) > 0})
+	}
+	lean := r.IntN(len(p.nodes))
+	for range r.IntN(5000) {
+		h := lean
+		if r.IntN(3) == 0 {
+			h = r.IntN(len(p.nodes))
+		}
+		p.holder = append(p.holder, h)
+		p.nodes[h].Machines++
+	}
+	return p
+}
+
+func (p *picture) most() (load float64) {
+	for i := range p.nodes {
+		load = max(load, p.nodes[i].load(0))
+	}
+	return load
+}
+
+// On random pictures of up to 5,000 machines: the largest load never rises by a move, no
+// machine is moved twice, none goes to a controller that is not ready, no second has more
+// moves than are allowed; and once the picture stands still, moves stop with every ready
+// controller within what is borne, in the time that so many moves take.
+func TestMovesEndEvenly(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 6))
+		p := random(r)
+		const rate = 20
+		b := NewBalance(0, Params{Most: 1.25, PerSecond: rate})
+		twice := map[int]bool{}
+		moves, last := 0, time.Duration(0)
+		interval := 5 * time.Second
+		end := time.Duration(len(p.holder)/rate+60) * time.Second
+		for now := time.Duration(0); now < end; now += 500 * time.Millisecond {
+			b.Look(now, append([]Node(nil), p.nodes...))
+			second := 0
+			for m := range p.holder {
+				if (now+time.Duration(m)*time.Millisecond)%interval >= 500*time.Millisecond {
+					continue // it reports at another moment
+				}
+				h := p.holder[m]
+				to := b.Move(now, fmt.Sprint(m), p.nodes[h].Name)
+				if to == "" {
+					continue
+				}
+				before := p.most()
+				var n int
+				fmt.Sscanf(to, "n%d", &n)
+				if !p.nodes[n].Ready || n == h || twice[m] {
+					t.Fatalf("seed %d: %d goes from %d to %s", seed, m, h, to)
+				}
+				twice[m] = true
+				p.holder[m] = n
+				p.nodes[h].Machines--
+				p.nodes[n].Machines++
+				if p.most() > before {
+					t.Fatalf("seed %d: the largest load rises from %v to %v", seed, before, p.most())
+				}
+				moves++
+				second++
+				last = now
+			}
+			if second > rate {
+				t.Fatalf("seed %d: %d moves at once", seed, second)
+			}
+		}
+		if !b.Even() {
+			t.Errorf("seed %d: uneven after %v: %+v", seed, end, p.nodes)
+		}
+		if last > time.Duration(5*moves/rate+20)*time.Second { // at worst they all report at once, and the budget gathers for a second
+			t.Errorf("seed %d: %d moves, the last after %v", seed, moves, last)
+		}
+	}
+}
+
+// A controller that is quick and slow in turn every half minute costs at most as many
+// moves as machines stay a minute where they were sent to.
+func TestSwinging(t *testing.T) {
+	b := NewBalance(0, Params{Most: 1.25, PerSecond: 10})
+	p := &picture{nodes: []Node{{Name: "n0", Weight: 1, Ready: true}, {Name: "n1", Weight: 1, Ready: true}}}
+	for m := range 400 {
+		p.holder = append(p.holder, m%2)
+		p.nodes[m%2].Machines++
+	}
+	moves := 0
+	for now := time.Duration(0); now < 20*time.Minute; now += 500 * time.Millisecond {
+		p.nodes[1].Weight = []float64{1, 0.25}[int(now/(30*time.Second))%2]
+		b.Look(now, append([]Node(nil), p.nodes...))
+		for m := range p.holder {
+			if to := b.Move(now, fmt.Sprint(m), p.nodes[p.holder[m]].Name); to != "" {
+				p.nodes[p.holder[m]].Machines--
+				p.holder[m] = 1 - p.holder[m]
+				p.nodes[p.holder[m]].Machines++
+				moves++
+			}
+		}
+	}
+	if moves > 400*20 || moves == 0 {
+		t.Errorf("%d moves of 400 machines in 20 minutes", moves)
+	}
+}
+
+// A machine that does not arrive where it was sent is left alone.
+func TestNotReached(t *testing.T) {
+	b := NewBalance(0, Params{Most: 1.25, PerSecond: 100})
+	sent := map[string]int{}
+	for now := time.Duration(0); now < 9*time.Minute; now += time.Second {
+		b.Look(now, []Node{{Name: "a", Machines: 40, Weight: 1, Ready: true}, {Name: "b", Weight: 1, Ready: true}})
+		for m := range 40 {
+			if b.Move(now, fmt.Sprint(m), "a") != "" {
+				sent[fmt.Sprint(m)]++
+			}
+		}
+	}
+	for m, n := range sent {
+		if n > 1 {
+			t.Errorf("%s was sent %d times to a controller that it does not reach", m, n)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("none was sent")
+	}
+}
+
+// The leader and a slow controller get less; one that has only just come back gets none
+// yet; silent machines are not counted.
+func TestWeights(t *testing.T) {
+	cfg := &settings.Settings{Tunables: settings.Defaults()}
+	cfg.Node, cfg.Peers = "a", []settings.Peer{{Node: "b"}, {Node: "c"}}
+	cfg.Tunables.SpreadMoves = 4
+	cfg.Deployment.Workers.ReportS = 1
+	s := cluster.New(cluster.Start{Cfg: cfg, Epoch: 1, Counts: &cluster.Counts{}})
+	d := New(s)
+	for i := range 30 {
+		m := s.Yard.Add(&workers.Machine{Name: fmt.Sprint(i), Up: true, Heard: 30 * time.Second, Holder: "b"})
+		if i < 5 {
+			m.Heard = 0
+		}
+	}
+	for at := time.Duration(0); at <= 30*time.Second; at += time.Second {
+		d.PeerHeard(at, "b", 5*time.Millisecond)
+		if at > 25*time.Second {
+			d.PeerHeard(at, "c", 80*time.Millisecond)
+		}
+	}
+	d.Tick(30*time.Second, true)
+	raw, err := d.Show(0, "")
+	var list []View
+	if err != nil || json.Unmarshal(raw, &list) != nil {
+		t.Fatalf("%s %v", raw, err)
+	}
+	if list[0].Weight != 0.7 || !list[0].Ready || list[1].Weight != 1 || !list[1].Ready || list[1].Machines != 25 || list[2].Weight != 0.25 || list[2].Ready {
+		t.Errorf("%+v", list)
+	}
+	if to := d.Elsewhere(31*time.Second, s.Yard.Find("7")); to != "a" {
+		t.Errorf("it goes to %q", to)
+	}
+}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -21,6 +21,8 @@
 	"bitternmoor/internal/pools"
 	"bitternmoor/internal/roster"
 	"bitternmoor/internal/runtimes"
+	"bitternmoor/internal/served"
+	"bitternmoor/internal/spread"
 	"bitternmoor/internal/takeovers"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
@@ -73,6 +75,7 @@
 	placing *placing.Duty
 	fleet   *fleet.Duty
 	cold    *coldstart.Duty // nil: switched off
+	spread  *spread.Duty    // nil: switched off
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
 	loaded  bool
@@ -102,6 +105,13 @@
 		t.cold = coldstart.New(s)
 		t.add(coldstart.Name, t.cold)
 	}
+	if start.Cfg.Tunables.SpreadMoves > 0 {
+		t.spread = spread.New(s)
+		t.add(spread.Name, t.spread)
+	}
+	if start.Cfg.Tunables.ServedWindowS > 0 {
+		t.add(served.Name, served.New(s))
+	}
 	if len(start.Cfg.Tunables.Pools) > 0 {
 		t.add(pools.Name, pools.New(s))
 	}
@@ -267,11 +277,14 @@
 	return t.cold.Fleet()
 }
 
-// PeerHeard notes that another controller has answered a hail.
-func (t *Term) PeerHeard(now time.Duration, peer string) {
+// PeerHeard notes that another controller has answered a hail, after so long.
+func (t *Term) PeerHeard(now time.Duration, peer string, took time.Duration) {
 	if t.cold != nil {
 		t.cold.PeerHeard(now, peer)
 	}
+	if t.spread != nil {
+		t.spread.PeerHeard(now, peer, took)
+	}
 }
 
 // Pump hands what has gathered to the log and sends what the log allows.
