A zone is waited for only where a controller in it can keep its workers alive

Change: only zones with another controller are waited for; a follower without hails asks the state service also where the cold start is on, to tell a leader that does not reach it from one that is gone.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -48,7 +48,8 @@
 // successor how long a job has been waiting.
 func NewCore(cfg *settings.Settings, zero int64) *Core {
 	lead := leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))
-	if cfg.Tunables.ZonePatienceS > 0 {
+	if cfg.Tunables.ZonePatienceS > 0 || cfg.Tunables.ColdListen == 1 {
+		// To tell a leader that merely does not reach this node from one that is gone.
 		lead.Doubt = settings.Seconds(cfg.Tunables.LeaderHoldS) + hailEvery/2
 	}
 	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*openReport{}, peerAt: map[string]time.Duration{}, sentTo: map[string]time.Duration{}, lead: lead}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -583,7 +583,7 @@
 		d.cuts = append(d.cuts, cutZone{})
 	}
 	for z := range up {
-		if c := &d.cuts[z]; !deaf && cluster.Most(silent[z], up[z]) {
+		if c := &d.cuts[z]; !deaf && cluster.Most(silent[z], up[z]) && d.kept(z) {
 			if c.until == 0 || now-c.until > d.Silence() {
 				c.since = now - d.Quiet()
 				d.Note(effects.Warn, "a zone is silent as a whole: its machines are waited for", "zone", d.Zones.Name(int32(z)), "silent", silent[z], "of", up[z], "for", d.Cfg.Tunables.ZonePatienceS)
@@ -593,6 +593,14 @@
 	}
 }
 
+// kept says whether another controller is in a zone, which may keep its workers alive
+// while it is cut off. Found on a day on which there was none: all leases ran out there,
+// and their machines were waited for in vain.
+func (d *Duty) kept(zone int) bool {
+	name := d.Zones.Name(int32(zone))
+	return slices.ContainsFunc(d.Cfg.Peers, func(p settings.Peer) bool { return p.Zone == name })
+}
+
 // waitsFor says whether a silent machine is waited for with its whole zone: for a bounded
 // time, and for as long as any machine has to come back after that time or the cut's end.
 // One whose tasks are not known is not waited for where it takes much of a team's limit:
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -90,7 +90,7 @@
 		c.Peers = nil
 		for k := range count {
 			if k != i {
-				c.Peers = append(c.Peers, settings.Peer{Node: fmt.Sprintf("n%d", k)})
+				c.Peers = append(c.Peers, settings.Peer{Node: fmt.Sprintf("n%d", k), Zone: []string{"a", "a", "b"}[k%3]})
 			}
 		}
 		s.nodes = append(s.nodes, &controller{s: s, index: i, name: c.Node, cfg: &c})
