Cold start: cancelled work is back when its job leaves; affinity of jobs to a zone (off)

Cause: a job that leaves has no time in its event, so an account whose last missing work was cancelled said that all was back at the beginning; now the last time heard counts (TestCancelledWorkIsBack). zone_affinity, off, has a job's tasks prefer the zone of its first one by so many seconds of fetching; it is measured next.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -30,7 +30,10 @@
 	// together with its earlier unfinished jobs ahead of the order; empty
 	// switches this exception off.
 	Guarantees []Limit
-	Locality   time.Duration // for how long a job waits for machines with its image
+	// Affinity, in seconds of fetching, is what a place outside the zone in which a job's
+	// first task was placed is dearer: jobs stay together by zone, where that costs little.
+	Affinity float64
+	Locality time.Duration // for how long a job waits for machines with its image
 
 	ranks    []int8 // by job index, as of the last call of Order
 	scratch  []int32
@@ -503,6 +506,9 @@
 		if !m.HasImage(j.Image) {
 			score += int64(1e4 * j.Rec.ImageGB / m.FetchGBPS)
 		}
+		if p.Affinity > 0 && j.HomeZone != 0 && j.HomeZone != m.Zone+1 {
+			score += int64(1e4 * p.Affinity)
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
 		}
@@ -524,6 +530,9 @@
 		j.Passed = 0
 	}
 	p.Charge(j.Team, j.Need)
+	if j.HomeZone == 0 {
+		j.HomeZone = best.Zone + 1
+	}
 	w.Place(j, k, best)
 	return true
 }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -204,6 +204,7 @@
 		}
 	}
 	s.Plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
+	s.Plan.Affinity = cfg.Tunables.ZoneAffinityS
 	s.Plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
 	return s
 }
--- a/internal/coldstart/account.go
+++ b/internal/coldstart/account.go
@@ -57,7 +57,8 @@
 )
 
 type account struct {
-	over    bool // closed, or there is nothing to keep
+	over    bool          // closed, or there is nothing to keep
+	at      time.Duration // of the last event that has a time
 	own     Record
 	past    []Record
 	hist    *cluster.Histogram
@@ -167,6 +168,7 @@
 	if a.over {
 		return
 	}
+	a.at = max(a.at, e.At)
 	switch e.Kind {
 	case cluster.TaskAdopted:
 		a.isBack(d, e.At, e.Job, e.Task)
@@ -215,7 +217,7 @@
 		}
 	case cluster.JobLeft:
 		for k := range e.Job.Tasks {
-			a.isBack(d, d.Began, e.Job, k)
+			a.isBack(d, max(a.at, d.Began), e.Job, k)
 			delete(a.started, workers.Ref{Job: e.Job.Index, Task: int32(k)})
 		}
 	}
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -267,6 +267,16 @@
 	}
 }
 
+// Work that is cancelled is back when its job leaves, not at the beginning.
+func TestCancelledWorkIsBack(t *testing.T) {
+	d := begun(func(s *cluster.Start, _ *settings.Tunables) { s.Cfg.Peers = nil })
+	d.Hear(cluster.Event{Kind: cluster.ReportTaken, At: 107 * time.Second, Machine: d.Yard.All()[0], Report: &workers.Report{}})
+	d.Hear(cluster.Event{Kind: cluster.JobLeft, Job: d.Jobs.Find(1)})
+	if d.account.own.BackMS != 7000 || !d.account.back() {
+		t.Errorf("back after %d ms", d.account.own.BackMS)
+	}
+}
+
 // Where nothing was left behind there is nothing to listen to: the very first start of an
 // installation rents at once.
 func TestFirstStart(t *testing.T) {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -99,6 +99,7 @@
 	LastAim     time.Duration      // by when the job should have ended at the latest; 0: no such aim
 	LostUntil   time.Duration      // having missed it, it goes behind the order until then
 	PreemptedAt time.Duration      // when others were last stopped for it
+	HomeZone    int32              // the zone in which its first task was placed in this term, and one more; 0: none yet
 	Kept        bool               // goes ahead of everything: its class or team would be served too little otherwise
 	Guaranteed  bool               // fits into its team's guarantee with its earlier jobs
 	Passed      time.Duration      // since when it has left room to jobs with their image there; 0: not
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -59,6 +59,7 @@
 	SpreadMoves     float64 // machines a second that are sent to another controller to spread reports; 0: none
 	SpreadMost      float64 // load over the mean that a controller is left with
 	SpreadLeader    float64 // the leader's weight, next to 1 of the others
+	ZoneAffinityS   float64 // in seconds of fetching: what a place outside its zone costs a job
 	DoorRate        float64 // requests a second that users who were turned away are spread over; 0: they are not
 	LearnedSizes    int     // exception: sizes start from what a job's kind has shown (0 or 1)
 	LateMargin      float64 // a job is late that takes this many times as long as nine in ten of its kind
@@ -191,6 +192,7 @@
 	amount("fleet", "zone_patience", "s", "machines of a zone that fell silent as a whole are waited for so long, and kept alive there meanwhile; 0: they are given up like any", 0, 0, 3600, func(t *Tunables) *float64 { return &t.ZonePatienceS }),
 	amount("spread", "moves", "a second", "machines that are sent to another controller, so that reports are spread evenly; 0: none", 0, 0, 1000, func(t *Tunables) *float64 { return &t.SpreadMoves }),
 	amount("spread", "most", "times", "a controller gives machines away that has more than this many times its even share", 1.25, 1.05, 100, func(t *Tunables) *float64 { return &t.SpreadMost }),
+	amount("spread", "zone_affinity", "s", "a place outside the zone of a job's first task counts as so many seconds of fetching, so that a zone that is cut off takes fewer jobs with it; 0: nothing", 0, 0, 3600, func(t *Tunables) *float64 { return &t.ZoneAffinityS }),
 	amount("spread", "leader", "share", "the leader's even share, next to 1 of each other controller", 0.7, 0.05, 1, func(t *Tunables) *float64 { return &t.SpreadLeader }),
 	amount("door", "spread", "requests a second", "users who are turned away are told to come back spread over this rate; 0: they are told the least there is", 0, 0, 1e6, func(t *Tunables) *float64 { return &t.DoorRate }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
