--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -70,7 +70,7 @@
 		},
 	}
 	check.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
-	root.AddCommand(check, statusCommand(), explainCommand(), takeoversCommand(), servedCommand(), forecastCommand(), lateCommand(), runTimesCommand(), poolsCommand(), certsCommand(), &cobra.Command{
+	root.AddCommand(check, statusCommand(), explainCommand(), takeoversCommand(), servedCommand(), spreadCommand(), forecastCommand(), lateCommand(), runTimesCommand(), poolsCommand(), certsCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { cmd.Println("bitternmoor " + version) },
 	})
--- a/internal/scenario/scale_test.go
+++ b/internal/scenario/scale_test.go
@@ -184,10 +184,14 @@
 	sent    map[string]int
 	spent   map[string]time.Duration
 	largest *term.Durable // the largest log that a new leader has read
+	moved   int           // workers that were sent to another controller
 }
 
 func (x *scaleCounts) effect(e effects.Effect) {
 	if x != nil {
+		if a, ok := e.(effects.ReplyReport); ok && a.Answer.Status == 421 {
+			x.moved++
+		}
 		x.sent[reflect.TypeOf(e).Name()]++
 	}
 }
--- /dev/null
+++ b/internal/scenario/spread_test.go
@@ -0,0 +1,90 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+// TestSpreadDays has reports spread all the time, far more eagerly than anybody would set
+// it, while many short tasks are on offer to whole blocks and controllers come and go. No
+// task may run twice: a machine is moved only when nothing is on its way to it or for it.
+func TestSpreadDays(t *testing.T) {
+	days := 12
+	if v, err := strconv.Atoi(os.Getenv("SCENARIO_DAYS")); err == nil {
+		days = v
+	}
+	moves := make([]int, days)
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				moves[seed] = spreadDay(t, seed)
+			})
+		}
+	})
+	sum := 0
+	for _, n := range moves {
+		sum += n
+	}
+	t.Logf("%d moves", sum)
+	if sum < 20*days {
+		t.Errorf("only %d moves on %d days", sum, days)
+	}
+}
+
+func spreadDay(t *testing.T, seed uint64) int {
+	r := rand.New(rand.NewPCG(seed, 41))
+	c := baseSettings()
+	c.Deployment.State.WriteRPS = 60
+	c.Tunables.SpreadMoves, c.Tunables.SpreadMost = 30, 1.06
+	s := newSim(c, seed, 3, false)
+	s.cloud.capacity = 40
+	s.scale = &scaleCounts{sent: map[string]int{}, spent: map[string]time.Duration{}}
+	for i := range uint64(110) {
+		id := i + 1
+		run := time.Duration(700+r.IntN(3000)) * time.Millisecond
+		job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: uint8(r.IntN(3)), Tasks: 10 + r.IntN(40), CPUs: 1, MemoryGB: 1, Image: fmt.Sprint(id % 2), ImageGB: 0.3, Spot: true, EstimateS: 3}
+		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
+		s.jobs[id] = j
+		s.after(time.Duration(r.IntN(90000))*time.Millisecond, func() { s.submit(j, r.IntN(3), func() bool { return true }) })
+	}
+	for at := 15 * time.Second; at < 90*time.Second; at += 12 * time.Second {
+		n := s.nodes[r.IntN(3)]
+		s.after(at, n.crash)
+		s.after(at+4*time.Second, func() {
+			if !n.up {
+				n.start(false)
+			}
+		})
+	}
+	var poll func()
+	poll = func() {
+		for id, j := range s.jobs {
+			if j.accepted && !j.toldDone {
+				s.poll(j, int(id))
+			}
+		}
+		s.after(2*time.Second, poll)
+	}
+	s.after(0, poll)
+	s.run(100 * time.Second)
+	over := s.until(400*time.Second, func() bool {
+		for _, j := range s.jobs {
+			if !j.toldDone {
+				return false
+			}
+		}
+		return true
+	})
+	if len(s.check.broken) > 0 || !over {
+		t.Errorf("over %v, rules broken: %v", over, s.check.broken)
+	}
+	return s.scale.moved
+}
--- a/internal/served/served.go
+++ b/internal/served/served.go
@@ -234,12 +234,18 @@
 		return
 	}
 	cpus := max(d.CPUs(), 1)
+	ahead := 0.0 // work of those that go ahead already: what comes after waits for it
+	for _, e := range d.open {
+		if e.kept {
+			ahead += work(e.job)
+		}
+	}
 	for _, e := range d.open {
 		j := e.job
 		if e.kept || j.Waiting == 0 || j.Phase != jobs.Open {
 			continue
 		}
-		needs := d.needs(j, cpus)
+		needs := settings.Seconds(longRun*j.Mean()+(ahead+work(j))/cpus) + placing
 		if now+needs > e.due {
 			continue // it can no longer make it: room given to it would be lost
 		}
@@ -254,6 +260,7 @@
 			continue
 		}
 		e.kept, j.Kept = true, true
+		ahead += work(j)
 		d.Dirty = true
 		for _, s := range e.sums {
 			s.waiting--
@@ -264,12 +271,8 @@
 	}
 }
 
-// needs is how long a job takes from now if it goes ahead of everything: its work shared
-// over all machines, and its longest task.
-func (d *Duty) needs(j *jobs.Job, cpus float64) time.Duration {
-	work := float64(j.Waiting) * j.Mean() * j.Share / cpus
-	return settings.Seconds(longRun*j.Mean()+work) + placing
-}
+// work is what a job's waiting tasks take, in processor seconds.
+func work(j *jobs.Job) float64 { return float64(j.Waiting) * j.Mean() * j.Share }
 
 // View is what operators see of a class or a team.
 type View struct {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -113,3 +113,40 @@
 		t.Errorf("%v later, want jobs 3 and 4", got)
 	}
 }
+
+// A machine is still only when nothing is on its way to it or for it. One of its plans
+// that is on offer to another machine of the block is: the other block would start it too.
+func TestStill(t *testing.T) {
+	y, m := machine()
+	other := y.Add(&Machine{Name: "other", Cap: m.Cap, Durable: true, Holder: m.Holder})
+	if !m.Still() {
+		t.Error("an empty machine is not")
+	}
+	p := &Placement{Ref: Ref{Job: 1}, JobID: 1, Need: amounts.Need(1, 0, 1), Noted: true}
+	m.Plan(p)
+	if !m.Still() {
+		t.Error("a plan that is on offer to nobody keeps it")
+	}
+	other.Grants[1] = true
+	other.UseImage(0, 1, 0)
+	n := uint64(0)
+	next := func() uint64 { n++; return n }
+	if len(other.Offer([]*Machine{m}, next, next)) != 1 {
+		t.Fatal("the plan is not on offer to the other machine")
+	}
+	if m.Still() || other.Still() {
+		t.Error("its plan is on offer, and it may be moved")
+	}
+	other.Session, other.Seq = 1, 1
+	absorb(other, Report{Session: 1, Seq: 2, Token: token})
+	if !m.Still() || !other.Still() {
+		t.Error("the offer is over, and it may not be moved")
+	}
+	q := place(other, 2, 0)
+	if other.Still() {
+		t.Error("a start that was not seen yet is on its way")
+	}
+	if q.Seen = true; !other.Still() {
+		t.Error("a task that was seen keeps it")
+	}
+}
