--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -354,9 +354,9 @@
 	}
 	switch r := p.rank(&w, j.Index); {
 	case j.Rec.Kind == jobs.Service:
-	case r == keptRank:
-		out = append(out, "it goes ahead of everything: less than the floor of its class or team would be served in time otherwise (exception served_floor)")
-	case r >= 2:
+	case r == keptRank, r == keptFirst:
+		out = append(out, "it goes ahead of others: less than the floor of its class or team would be served in time otherwise (exception served_floor)")
+	case r > keptRank:
 		out = append(out, "it is urgent and goes ahead of the size order (exception urgent_first)")
 	case j.Guaranteed:
 		out = append(out, "it fits into its team's guarantee and goes ahead of the size order (exception guarantee_first)")
@@ -368,18 +368,23 @@
 	return out
 }
 
-// keptRank is above that of any priority.
-const keptRank = 9
+// Ranks of jobs that are kept: next to those of urgent jobs, which are above 2.
+const (
+	keptRank  = 2
+	keptFirst = 9
+)
 
 // rank is 0 for jobs on the ordinary path, above it for those that an
 // exception puts ahead of the order and below for those it puts behind.
 func (p *Planner) rank(w *World, i int32) int {
 	j := w.Jobs.At(i)
 	switch {
-	case j.Kept:
-		return keptRank
+	case j.Kept == jobs.KeptFirst:
+		return keptFirst
 	case p.UrgentFirst && j.Priority >= 2:
-		return int(j.Priority)
+		return int(j.Priority) + 1
+	case j.Kept == jobs.KeptBehindUrgent:
+		return keptRank
 	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
 		return 1
 	case j.Guaranteed:
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -42,6 +42,16 @@
 	Done
 )
 
+// Kept says how far a job goes ahead of others for its class's or its team's sake.
+type Kept uint8
+
+// Not at all, of all but urgent jobs, or of everything.
+const (
+	NotKept Kept = iota
+	KeptBehindUrgent
+	KeptFirst
+)
+
 // Job is an unfinished job, or a cancelled one whose tasks are not all gone.
 type Job struct {
 	Index   int32
@@ -100,7 +110,7 @@
 	LostUntil   time.Duration      // having missed it, it goes behind the order until then
 	PreemptedAt time.Duration      // when others were last stopped for it
 	HomeZone    int32              // the zone in which its first task was placed in this term, and one more; 0: none yet
-	Kept        bool               // goes ahead of everything: its class or team would be served too little otherwise
+	Kept        Kept               // whether it goes ahead so that its class or team is not served too little
 	Guaranteed  bool               // fits into its team's guarantee with its earlier jobs
 	Passed      time.Duration      // since when it has left room to jobs with their image there; 0: not
 	Ahead       [][2]time.Duration // spans in which waiting tasks go ahead of the order
--- a/internal/served/served.go
+++ b/internal/served/served.go
@@ -30,7 +30,10 @@
 	placing = 8 * time.Second
 	// chance is how long before its last moment a job is looked at: room comes free by
 	// the end of others' tasks.
-	chance = 25 * time.Second
+	chance = 10 * time.Second
+	// few: a class or a team of which so many were due, and less than the floor was met,
+	// goes ahead of urgent jobs too.
+	few = 4
 )
 
 // who is a class or a team.
@@ -173,7 +176,7 @@
 		i++
 	}
 	d.open = slices.Delete(d.open, i, i+1)
-	e.job.Kept = false
+	e.job.Kept = jobs.NotKept
 	for _, s := range e.sums {
 		s.remaining--
 		if e.kept {
@@ -236,8 +239,16 @@
 	cpus := max(d.CPUs(), 1)
 	ahead := 0.0 // work of those that go ahead already: what comes after waits for it
 	for _, e := range d.open {
-		if e.kept {
-			ahead += work(e.job)
+		if !e.kept {
+			continue
+		}
+		ahead += work(e.job)
+		if before := e.job.Kept; d.short(e) != (before == jobs.KeptFirst) {
+			e.job.Kept = jobs.KeptBehindUrgent
+			if before != jobs.KeptFirst {
+				e.job.Kept = jobs.KeptFirst
+			}
+			d.Dirty = true
 		}
 	}
 	for _, e := range d.open {
@@ -259,7 +270,7 @@
 		if e.sums[0].share(e.sums[0].waiting) >= d.floor && e.sums[1].share(e.sums[1].waiting) >= d.floor {
 			continue
 		}
-		e.kept, j.Kept = true, true
+		e.kept, j.Kept = true, jobs.KeptBehindUrgent
 		ahead += work(j)
 		d.Dirty = true
 		for _, s := range e.sums {
@@ -271,6 +282,19 @@
 	}
 }
 
+// short says whether a job's class or team has been served less than the floor already.
+func (d *Duty) short(e *entry) bool {
+	return slices.ContainsFunc(e.sums[:], func(s *sum) bool {
+		met := 0
+		for _, o := range s.due {
+			if o.met {
+				met++
+			}
+		}
+		return len(s.due) >= few && float64(met) < d.floor*float64(len(s.due))
+	})
+}
+
 // work is what a job's waiting tasks take, in processor seconds.
 func work(j *jobs.Job) float64 { return float64(j.Waiting) * j.Mean() * j.Share }
 
