--- a/internal/coldstart/account.go
+++ b/internal/coldstart/account.go
@@ -50,7 +50,6 @@
 	StoppedSoon   = "stopped_soon"      // started, and stopped for another job or moved within seconds
 	ReturnedSoon  = "returned_and_rent" // returned, and a machine of its type and kind rented within seconds
 	soon          = 10 * time.Second
-	keptMost      = 1000
 	doneAtOnce    = 1.5 // seconds
 	longEnough    = 5   // seconds: shorter tasks end between two reports by themselves
 	recordReserve = 512 // bytes left beside the maps
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -513,11 +513,12 @@
 func (d *Duty) watch(now time.Duration, sure bool) {
 	w := d.Cfg.Deployment.Workers
 	limit := d.Silence()
-	if d.Deaf(now) {
+	deaf := d.Deaf(now)
+	if deaf {
 		// Most of them at once: the fault is more likely on our side.
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
 	}
-	d.watchZones(now)
+	d.watchZones(now, deaf)
 	overdue := settings.Seconds(0.5 * w.CancelS)
 	cancelled := slices.ContainsFunc(d.Jobs.All(), func(j *jobs.Job) bool { return j != nil && j.Phase == jobs.Cancelled })
 	for _, m := range slices.Clone(d.Yard.All()) {
@@ -573,11 +574,10 @@
 
 // watchZones notes which zones are silent as a whole: most of their machines are, while
 // others are heard.
-func (d *Duty) watchZones(now time.Duration) {
+func (d *Duty) watchZones(now time.Duration, deaf bool) {
 	if d.Cfg.Tunables.ZonePatienceS == 0 {
 		return
 	}
-	deaf := d.Deaf(now)
 	up, silent := d.Heard(now)
 	for len(d.cuts) < len(up) {
 		d.cuts = append(d.cuts, cutZone{})
--- a/internal/served/served.go
+++ b/internal/served/served.go
@@ -199,17 +199,21 @@
 // share is how much of a class or a team was served of what was due in the window, if
 // those that go ahead make it and so many more do not.
 func (s *sum) share(lost int) float64 {
-	met, all := float64(s.kept), float64(s.kept+lost)
+	all := len(s.due) + s.kept + lost
+	if all == 0 {
+		return 1
+	}
+	return float64(s.done()+s.kept) / float64(all)
+}
+
+// done is how many of those due in the window were done by then.
+func (s *sum) done() (n int) {
 	for _, o := range s.due {
-		all++
 		if o.met {
-			met++
+			n++
 		}
 	}
-	if all == 0 {
-		return 1
-	}
-	return met / all
+	return n
 }
 
 // Tick counts what was missed, and has jobs at their last chance go ahead where their
@@ -285,13 +289,7 @@
 // short says whether a job's class or team has been served less than the floor already.
 func (d *Duty) short(e *entry) bool {
 	return slices.ContainsFunc(e.sums[:], func(s *sum) bool {
-		met := 0
-		for _, o := range s.due {
-			if o.met {
-				met++
-			}
-		}
-		return len(s.due) >= few && float64(met) < d.floor*float64(len(s.due))
+		return len(s.due) >= few && float64(s.done()) < d.floor*float64(len(s.due))
 	})
 }
 
@@ -326,12 +324,7 @@
 func (d *Duty) views() []View {
 	out := []View{}
 	for _, s := range d.sums {
-		v := View{Name: s.name, Team: s.team, Due: len(s.due), Open: s.remaining, Kept: s.kept, Missed: s.missed, Helped: s.keptEver, Share: 1}
-		for _, o := range s.due {
-			if o.met {
-				v.Met++
-			}
-		}
+		v := View{Name: s.name, Team: s.team, Due: len(s.due), Open: s.remaining, Kept: s.kept, Missed: s.missed, Helped: s.keptEver, Met: s.done(), Share: 1}
 		if v.Due > 0 {
 			v.Share = float64(v.Met) / float64(v.Due)
 		}
