Duties hear of peers by one interface; a budget can be asked without spending

A last reading: the term knew two duties by name to tell them of hails that were answered, and the budget of starts spent nothing to look and then looked again.

--- a/internal/coldstart/duty.go
+++ b/internal/coldstart/duty.go
@@ -152,7 +152,7 @@
 }
 
 // PeerHeard notes that another controller has answered a hail.
-func (d *Duty) PeerHeard(now time.Duration, peer string) { d.heard[peer] = now }
+func (d *Duty) PeerHeard(now time.Duration, peer string, _ time.Duration) { d.heard[peer] = now }
 
 func (d *Duty) decide(now time.Duration, k kind) {
 	d.kind = k
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -22,11 +22,16 @@
 	return Bucket{Rate: rate, Burst: burst, room: burst, at: now}
 }
 
-// Take spends n if there is as much.
-func (b *Bucket) Take(now time.Duration, n float64) bool {
+// Has says whether there is as much as n.
+func (b *Bucket) Has(now time.Duration, n float64) bool {
 	b.room = min(b.Burst, b.room+max(0, (now-b.at).Seconds())*b.Rate)
 	b.at = max(b.at, now)
-	if b.room < n {
+	return b.room >= n
+}
+
+// Take spends n if there is as much.
+func (b *Bucket) Take(now time.Duration, n float64) bool {
+	if !b.Has(now, n) {
 		return false
 	}
 	b.room -= n
@@ -102,7 +107,7 @@
 	if !has && s.limits.Images > 0 && fetching >= s.limits.Images {
 		return false // one fetch is shared by all who wait for it; two share the rate
 	}
-	return s.limits.Zone == 0 || s.zone(now, zone).Take(now, 0) && s.zone(now, zone).room >= 1
+	return s.limits.Zone == 0 || s.zone(now, zone).Has(now, 1)
 }
 
 // Spend counts a start.
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -75,7 +75,6 @@
 	placing *placing.Duty
 	fleet   *fleet.Duty
 	cold    *coldstart.Duty // nil: switched off
-	spread  *spread.Duty    // nil: switched off
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
 	loaded  bool
@@ -106,8 +105,7 @@
 		t.add(coldstart.Name, t.cold)
 	}
 	if start.Cfg.Tunables.SpreadMoves > 0 {
-		t.spread = spread.New(s)
-		t.add(spread.Name, t.spread)
+		t.add(spread.Name, spread.New(s))
 	}
 	if start.Cfg.Tunables.ServedWindowS > 0 {
 		t.add(served.Name, served.New(s))
@@ -277,13 +275,17 @@
 	return t.cold.Fleet()
 }
 
+// peerHearer is a duty that hears when other controllers answer hails.
+type peerHearer interface {
+	PeerHeard(now time.Duration, peer string, took time.Duration)
+}
+
 // PeerHeard notes that another controller has answered a hail, after so long.
 func (t *Term) PeerHeard(now time.Duration, peer string, took time.Duration) {
-	if t.cold != nil {
-		t.cold.PeerHeard(now, peer)
-	}
-	if t.spread != nil {
-		t.spread.PeerHeard(now, peer, took)
+	for _, d := range t.duties {
+		if h, ok := d.(peerHearer); ok {
+			h.PeerHeard(now, peer, took)
+		}
 	}
 }
 
