Machines stay where work should start sooner than one boots; no start without room

Ordinary machines were returned after three seconds in which their room was not wanted, and the replicas on them were stopped for it; the end of a replica was taken to be near. Besides, one start in thirty was refused for want of room: a holder had started offers that were planned on other machines, and the room was given once more before the next report.

--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -177,8 +177,8 @@
 	}
 	cheap := d.demand(open, d.Cfg.Tunables.DrainBacklogS, true)
 	dear := d.demand(open, 0, false)
-	d.dearPeak.add(now, settings.Seconds(d.Cfg.Tunables.IdleReturnS), cheap)
-	d.spotPeak.add(now, settings.Seconds(d.Cfg.Tunables.SpotReturnS), cheap)
+	d.dearPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), cheap)
+	d.spotPeak.add(now, d.window(d.Cfg.Tunables.SpotReturnS), cheap)
 	var have, up, ordinary float64
 	for _, m := range d.Yard.All() {
 		if !m.Leaving && !m.Notice && !m.Draining && (m.Up || !d.buyer.Avoided(now, d.Zones.Name(m.Zone))) {
@@ -220,7 +220,7 @@
 			d.Dirty = true
 		}
 	}
-	d.boundPeak.add(now, settings.Seconds(d.Cfg.Tunables.IdleReturnS), need)
+	d.boundPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), need)
 	if len(requests) == 0 && dear > have {
 		requests = d.buyer.Rent(now, d.Types, d.wanted(dear-have, false, open))
 	}
@@ -256,6 +256,28 @@
 	}
 }
 
+// window is for how long room must not have been wanted before it is returned. Where a
+// class should start sooner than any machine boots, what is returned now cannot be rented
+// in time later. Found on days with services that should start within a second: machines
+// were returned between two bursts, and the replicas on them were stopped for it.
+func (d *Duty) window(s float64) time.Duration {
+	if d.ready() {
+		s = max(s, d.Cfg.Tunables.ReadyWindowS)
+	}
+	return settings.Seconds(s)
+}
+
+// ready says whether some class is to start sooner than the quickest machine boots.
+func (d *Duty) ready() bool {
+	quickest := math.Inf(1)
+	for _, ty := range d.Types {
+		quickest = min(quickest, ty.BootS)
+	}
+	return slices.ContainsFunc(d.Cfg.Deployment.Objectives, func(o settings.Objective) bool {
+		return o.Kind == settings.AimWait && o.WithinS < quickest
+	})
+}
+
 // picky lists the unfinished jobs that may not use every machine, those about
 // to be released among them: room that is enough on the whole may be none for
 // them.
@@ -536,6 +558,9 @@
 	}
 }
 
+// noEnd is later than anything ends.
+const noEnd = time.Duration(math.MaxInt64)
+
 // busyUntil is when the last of a machine's tasks will probably have ended.
 func (d *Duty) busyUntil(now time.Duration, m *workers.Machine) time.Duration {
 	end := now
@@ -543,7 +568,11 @@
 		if p.Planned {
 			continue // it can still go elsewhere
 		}
-		end = max(end, now+blocks.Left(now, d.Jobs.At(p.Ref.Job), p))
+		j := d.Jobs.At(p.Ref.Job)
+		if j.Rec.Kind == jobs.Service {
+			return noEnd // by itself: it would have to be stopped
+		}
+		end = max(end, now+blocks.Left(now, j, p))
 	}
 	return end.Round(time.Second)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
@@ -303,6 +304,7 @@
 	for _, e := range events {
 		d.event(now, m, e)
 	}
+	d.fit(m)
 	d.Tell(cluster.Event{Kind: cluster.ReportTaken, At: now, Machine: m, Report: r})
 	if elsewhere != "" {
 		d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: elsewhere}})
@@ -327,6 +329,22 @@
 	d.reply(sure, w)
 }
 
+// fit takes back plans for which a machine has no room any more: its controller has
+// started tasks there, out of the block's offers, that were planned on other machines, and
+// meanwhile its room was given once more. Found on a day with seven controllers, where one
+// start in thirty was refused for want of room, and each refusal kept its machine from work
+// for two seconds.
+func (d *Duty) fit(m *workers.Machine) {
+	if (amounts.Amounts{}).Fits(m.Free) {
+		return
+	}
+	for _, p := range m.PlannedHere() {
+		if d.TakeBack(p); (amounts.Amounts{}).Fits(m.Free) {
+			return
+		}
+	}
+}
+
 // square names the difference between a machine, nil if it is not entered, and its report.
 func (d *Duty) square(m *workers.Machine, r *workers.Report) squaring.Diff {
 	_, typed := d.TypeNames.Find(r.Type)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -666,6 +666,23 @@
 	return false
 }
 
+// PlannedHere lists the tasks planned on the machine, those planned last first.
+func (m *Machine) PlannedHere() []*Placement {
+	var out []*Placement
+	for _, p := range m.Tasks {
+		if p.Planned {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Placement) int {
+		if c := cmp.Compare(b.Ref.Job, a.Ref.Job); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.Ref.Task, a.Ref.Task)
+	})
+	return out
+}
+
 // Stops returns the stops due on the machine.
 func (m *Machine) Stops() []Command {
 	var cmds []Command
