Direct starts for work due within a second; machines that began anew, or do not hear

The scenario engine has copies of reports and commands, deaf machines, machines and processes back at once, controllers without the state service and peers.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -72,11 +72,13 @@
 	Images   names.Table
 	Types    []ledger.Type // by index of TypeNames
 	Where    map[workers.Ref]*workers.Placement
-	Units    blocks.Units // nil: there are no pools
-	Gate     Gate         // nil: nothing is held back
-	Pacer    Pacer        // nil: starts are not paced
-	Spreader Spreader     // nil: machines stay where they report
+	Units    blocks.Units         // nil: there are no pools
+	Gate     Gate                 // nil: nothing is held back
+	Pacer    Pacer                // nil: starts are not paced
+	Spreader Spreader             // nil: machines stay where they report
+	Prompt   []*workers.Placement // planned tasks that may be sent straight to their workers
 	attempts uint64
+	tokens   uint64
 
 	Squared *squaring.Tally // differences between what was stored and reports, in this term
 
@@ -516,6 +518,16 @@
 		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), Token: s.Token, RentedAt: now, Heard: now})
 }
 
+// NextToken is a token that no machine had before.
+func (s *State) NextToken() uint64 {
+	s.tokens++
+	return s.Token + s.tokens
+}
+
+// FewTokens says whether most tokens of the term are used up: those that are left are for
+// machines that change their block.
+func (s *State) FewTokens() bool { return s.tokens > 3<<(TokenBits-2) }
+
 // Attempt is a number that no attempt had before.
 func (s *State) Attempt() uint64 {
 	s.attempts++
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,131 @@
+// Package direct is the duty that starts tasks straight at their workers, without waiting
+// for a report: the exception direct_starts. Only tasks of classes whose wait aim is
+// shorter than a report interval go this way.
+//
+// Such a command may be carried out late, minutes after it was given up, as long as its
+// token and session match. So a task that was sent counts as being on its machine from
+// before the command leaves, and one that is not seen there is proved gone only by a
+// report at a higher token, a later session, or the answered deletion of the machine
+// (package squaring). What has ended is reaped only after that too, for a copy of the
+// command would begin it anew. A machine that did not answer gets nothing more this way
+// until it has seen a higher token, which it is given with its next report.
+package direct
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/workers"
+)
+
+// Name is that of the duty's view.
+const Name = "direct"
+
+// Duty sends starts in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	under int // calls under way
+
+	sent, answered, unanswered, tasks uint64
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty { return &Duty{State: s} }
+
+// Send sends what may go: tasks whose grant and mark are durable, to machines on which
+// nothing else is on its way.
+func (d *Duty) Send(now time.Duration, sure bool) {
+	if !sure || len(d.Prompt) == 0 {
+		return
+	}
+	kept := d.Prompt[:0]
+	done := map[*workers.Machine]bool{}
+	for _, p := range d.Prompt {
+		m := p.Home
+		switch {
+		case !p.Planned || d.Where[p.Ref] != p: // it has gone the ordinary way, or was taken back
+		case done[m] || d.under >= d.Cfg.Tunables.DirectStarts || d.FewTokens() || !d.free(now, m):
+			kept = append(kept, p)
+		default:
+			done[m] = true
+			d.launch(now, m)
+			if p.Planned {
+				kept = append(kept, p)
+			}
+		}
+	}
+	clear(d.Prompt[len(kept):])
+	d.Prompt = kept
+}
+
+// free says whether starts may be sent straight to a machine: its worker is known to live,
+// it has room, and neither an answer with offers for it is open, which another controller
+// may have filled with other tasks, nor a call without an answer.
+func (d *Duty) free(now time.Duration, m *workers.Machine) bool {
+	return m.Address != "" && m.Usable(now, d.Quiet()) && len(m.Offers) == 0 && !m.Calling
+}
+
+// launch sends all that may be started on a machine in one command.
+func (d *Duty) launch(now time.Duration, m *workers.Machine) {
+	var starts []workers.Command
+	for _, p := range m.PlannedHere() {
+		if !p.Prompt || p.Frozen || p.Withdrawn || len(p.Offered) > 0 || !m.Grants[p.JobID] || !p.Noted {
+			continue
+		}
+		if p.Attempt == 0 {
+			p.Attempt = d.Attempt()
+		}
+		m.StartDirect(p)
+		starts = append(starts, workers.Command{Op: workers.Start, Job: p.JobID, Task: int(p.Ref.Task), Attempt: p.Attempt})
+		d.Tell(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: d.Jobs.At(p.Ref.Job), Task: int(p.Ref.Task), Machine: m})
+	}
+	if len(starts) == 0 {
+		return
+	}
+	m.Calling = true
+	d.under++
+	d.sent++
+	d.tasks += uint64(len(starts))
+	d.Emit(effects.Launch{Machine: m.Name, Address: m.Address, Token: m.Token, Session: m.Session, Starts: starts})
+}
+
+// Launched takes a worker's report after starts that were sent to it, or none.
+func (d *Duty) Launched(now time.Duration, machine string, token uint64, starts []workers.Command, r *workers.Report) {
+	d.under--
+	if r != nil {
+		d.answered++
+	} else {
+		d.unanswered++
+	}
+	m := d.Yard.Find(machine)
+	if m == nil {
+		return // deleted meanwhile, and all that was on it
+	}
+	var refs []workers.Ref
+	for _, c := range starts {
+		if j := d.Jobs.Find(c.Job); j != nil {
+			refs = append(refs, workers.Ref{Job: j.Index, Task: int32(c.Task)})
+		}
+	}
+	m.Launched(now, token, refs, r)
+}
+
+// View is what operators may see.
+type View struct {
+	Calls      uint64 `json:"calls"`
+	Tasks      uint64 `json:"tasks"`
+	Answered   uint64 `json:"answered"`
+	Unanswered uint64 `json:"unanswered"`
+	UnderWay   int    `json:"under_way"`
+}
+
+// Show gives what this leader has sent.
+func (d *Duty) Show(_ time.Duration, view string) (json.RawMessage, error) {
+	if view != "" {
+		return nil, cluster.ErrNoView
+	}
+	return json.Marshal(View{d.sent, d.tasks, d.answered, d.unanswered, d.under})
+}
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -85,13 +85,18 @@
 	// Values reads a page of a duty's own values, those behind a key.
 	Values struct{ Duty, Since string }
 	// Direct sends stops straight to a worker, besides the answer to its next
-	// report. It has no result: nothing is concluded from it. Starts never go
-	// this way, for they could be carried out late.
+	// report. It has no result: nothing is concluded from it.
 	Direct struct {
 		Address        string
 		Token, Session uint64
 		Stops          []workers.Command
 	}
+	// Launch sends starts straight to a worker. Its result comes back as Launched.
+	Launch struct {
+		Machine, Address string
+		Token, Session   uint64
+		Starts           []workers.Command
+	}
 	// Notify tells the operators' webhook something; the id is the same for
 	// repeats. It has no result.
 	Notify struct {
@@ -133,6 +138,7 @@
 func (Clean) effect()       {}
 func (Values) effect()      {}
 func (Direct) effect()      {}
+func (Launch) effect()      {}
 func (Notify) effect()      {}
 func (Rent) effect()        {}
 func (Delete) effect()      {}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -110,6 +110,7 @@
 	LostUntil   time.Duration      // having missed it, it goes behind the order until then
 	PreemptedAt time.Duration      // when others were last stopped for it
 	HomeZone    int32              // the zone in which its first task was placed in this term, and one more; 0: none yet
+	Prompt      bool               // its tasks should start sooner than an idle worker reports
 	Kept        Kept               // whether it goes ahead so that its class or team is not served too little
 	Guaranteed  bool               // fits into its team's guarantee with its earlier jobs
 	Passed      time.Duration      // since when it has left room to jobs with their image there; 0: not
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -341,6 +341,9 @@
 		if o.Kind == settings.AimWait && d.Cfg.Tunables.WaitLeadS > 0 {
 			d.goAhead(j, at, o.WithinS)
 		}
+		if o.Kind == settings.AimWait && j.Rec.Kind != jobs.Gang && d.Cfg.Prompt(o) {
+			j.Prompt = true
+		}
 	}
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -513,6 +513,15 @@
 	c.after(now)
 }
 
+// Launched takes a worker's report after starts that were sent straight to it; nil: it is
+// not known what became of them.
+func (c *Core) Launched(now time.Duration, epoch uint64, machine string, token uint64, starts []workers.Command, r *workers.Report) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Launched(now, c.lead.Sure(now), machine, token, starts, r)
+	}
+	c.after(now)
+}
+
 // Rented takes the result of a rental request.
 func (c *Core) Rented(now time.Duration, epoch uint64, name string, machines []string, res wire.RentResult) {
 	if c.term != nil && c.term.Epoch == epoch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	cloudTimeout = 5 * time.Second
 	queueLength  = 512
 	directAtOnce = 8
+
+	launchTimeout = time.Second
 )
 
 // standing is what the doors need to know between turns of the loop.
@@ -260,12 +262,20 @@
 				defer func() { <-n.direct }()
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 				defer cancel()
-				if err := n.workers.Do(ctx, e.Address, wire.Direct(e.Token, e.Session, e.Stops)); err != nil {
+				if _, err := n.workers.Do(ctx, e.Address, wire.Direct(e.Token, e.Session, e.Stops)); err != nil {
 					n.log.Debug("worker not reached", "address", e.Address, "error", err)
 				}
 			}()
 		default: // enough are under way; the answer to the next report has the stops too
 		}
+	case effects.Launch: // the leader bounds how many are under way
+		n.outside(launchTimeout, func(ctx context.Context) func(time.Duration) {
+			r, err := n.workers.Do(ctx, e.Address, wire.Direct(e.Token, e.Session, e.Starts))
+			if err != nil {
+				n.log.Debug("worker not reached", "address", e.Address, "error", err)
+			}
+			return func(now time.Duration) { n.core.Launched(now, epoch, e.Machine, e.Token, e.Starts, r) }
+		})
 	case effects.Notify:
 		if n.hook != nil {
 			n.hook.Send(webhook.Message{ID: e.ID, Body: e.Body})
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -215,7 +215,7 @@
 		ref := workers.Ref{Job: j.Index, Task: int32(k)}
 		j.Place(k)
 		j.MoveZone(m.Zone, 1)
-		p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule()}
+		p := &workers.Placement{Ref: ref, JobID: j.Rec.ID, Image: j.Image, Need: j.Need, Once: j.Rec.Kind == jobs.Gang || j.ZoneRule(), Prompt: j.Prompt}
 		d.Where[ref] = p
 		if j.Rec.Kind == jobs.Gang {
 			if j.Launch == 0 {
@@ -247,6 +247,9 @@
 	for _, p := range d.planned {
 		if m := p.Home; d.Where[p.Ref] == p {
 			d.ListPlans(m)
+			if p.Prompt {
+				d.Prompt = append(d.Prompt, p)
+			}
 			d.mark(p)
 			if _, noted := m.Grants[p.JobID]; !noted {
 				m.Grants[p.JobID] = false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,13 +38,13 @@
 type Duty struct {
 	cluster.Plain
 	*cluster.State
-	lives           map[string]int64         // of the controllers that hold blocks
-	seen            map[string]time.Duration // when they were last heard
-	grants, serials uint64
-	waiting         []*waitingReport // reports not answered yet, in the order in which they came
-	waits           map[*workers.Machine]*waitingReport
-	watchedAt       time.Duration
-	cuts            []cutZone // by zone
+	lives     map[string]int64         // of the controllers that hold blocks
+	seen      map[string]time.Duration // when they were last heard
+	serials   uint64
+	waiting   []*waitingReport // reports not answered yet, in the order in which they came
+	waits     map[*workers.Machine]*waitingReport
+	watchedAt time.Duration
+	cuts      []cutZone // by zone
 
 	registry map[string]ledger.Machine // while the log is replayed
 	last     []returns                 // likewise
@@ -228,8 +228,7 @@
 		return m.Holder
 	case m.Holder != "":
 		d.freeze(m)
-		d.grants++
-		m.Token = d.Token + d.grants // the worker turns the former holder away
+		m.Token = d.NextToken() // the worker turns the former holder away
 	}
 	m.Holder = in.Via
 	return ""
@@ -257,7 +256,15 @@
 	switch diff.Settlement() {
 	case squaring.Ignore:
 		if m != nil {
-			answer.Token = m.Token // its answer goes nowhere
+			m.Odd(now, settings.Seconds(1.5*d.Cfg.Deployment.Workers.ReportS))
+			if sure && m.WantsToken(now) {
+				m.Token = d.NextToken()
+			}
+			// The answer goes nowhere, or to a worker that has begun anew: that one must get
+			// no token but such as nobody had before it.
+			if answer.Token = m.Token; m.Doubt == 0 || m.Token <= m.Doubt {
+				answer.Token = 0
+			}
 		}
 		d.Emit(effects.ReplyReport{To: to, Answer: answer})
 		return
@@ -291,6 +298,9 @@
 		m.UpSince = now
 		d.Dirty = true
 	}
+	if diff == squaring.MachineReborn {
+		d.Note(effects.Info, "machine has begun anew under its name", "machine", m.Name, "tasks", len(m.Tasks))
+	}
 	if diff.Settlement() == squaring.Forget {
 		d.offersLost(now, m)
 	}
@@ -314,12 +324,14 @@
 		if other := d.Spreader.Elsewhere(now, m); other != "" {
 			// Nothing is on its way to it. What was its due comes with its next report,
 			// by way of the other controller; the former one is turned away.
-			d.grants++
-			m.Token, m.Holder = d.Token+d.grants, other
+			m.Token, m.Holder = d.NextToken(), other
 			d.Emit(effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: other}})
 			return
 		}
 	}
+	if sure && m.WantsToken(now) {
+		m.Token = d.NextToken() // what was sent straight to the worker before cannot begin once it has seen this
+	}
 	w := &waitingReport{to: to, m: m, cmds: cmds, since: now}
 	if sure && !m.Leaving && !m.Notice && (d.Dirty || m.Awaits()) {
 		d.waiting = append(d.waiting, w)
@@ -351,7 +363,7 @@
 	x := squaring.Machine{Gone: d.Yard.Gone(r.Machine), Typed: typed, Epoch: d.Epoch,
 		ReportSession: r.Session, ReportNumber: r.Seq, ReportToken: r.Token, ReportEpoch: r.Token >> cluster.TokenBits}
 	if m != nil {
-		x.Known, x.Leaving, x.Session, x.Number, x.Token = true, m.Leaving, m.Session, m.Seq, m.Token
+		x.Known, x.Leaving, x.Session, x.Number, x.Token, x.Seen, x.Doubt = true, m.Leaving, m.Session, m.Seq, m.Token, m.Seen(), m.Doubt
 	}
 	return squaring.Report(x)
 }
@@ -554,6 +566,8 @@
 			d.Leave(now, m, cluster.Delete, "silent")
 		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
 			d.Leave(now, m, cluster.Delete, "never came up")
+		case sure && m.Doubt > 0 && now-m.DoubtSince > settings.Seconds(1.2*w.LeaseS):
+			d.Leave(now, m, cluster.Delete, "does not hear")
 		case m.Notice && now > m.TakenAt:
 			d.Leave(now, m, cluster.Return, "taken by the cloud")
 		case m.Notice && len(m.Tasks) == 0:
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -57,6 +57,10 @@
 		c.Tunables.SpreadMoves, c.Tunables.ZonePatienceS, c.Tunables.ServedFloor, c.Tunables.ServedWindowS = 4, 20, 0.6, 120
 		c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
 	}
+	if seed%3 == 2 { // tasks are sent straight to their workers
+		c.Tunables.DirectStarts = 4
+		c.Deployment.Objectives = append(c.Deployment.Objectives, settings.Objective{Kind: settings.AimWait, Class: "class", WithinS: 0.5})
+	}
 	counted := seed%4 == 1 || seed%4 == 2 // of these one in two begins with the version in production
 	if counted {
 		poolDay(&c, r, upgrade)
@@ -171,14 +175,70 @@
 	}
 	for range 3 + r.IntN(8) {
 		at, length, kind, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(3)
+		harsh := r.IntN(2) == 0
 		s.after(at, func() {
 			ms := machines()
 			var m *worker
 			if len(ms) > 0 {
 				m = s.cloud.machines[ms[r.IntN(len(ms))]]
 			}
+			if harsh && kind < 6 {
+				kind += 10
+			}
 			say("trouble %d for %v, node %d", kind, length, who)
 			switch kind {
+			case 10: // back within a fraction of a second, several times in a row
+				n := s.nodes[who]
+				for i := range 1 + r.IntN(5) {
+					s.after(time.Duration(i)*time.Duration(600+r.IntN(2000))*time.Millisecond, func() {
+						if n.up {
+							n.crash()
+							s.after(time.Duration(50+r.IntN(450))*time.Millisecond, func() {
+								if !n.up {
+									n.start(n.old)
+								}
+							})
+						}
+					})
+				}
+			case 11: // all of them at once
+				for _, n := range s.nodes {
+					if n.up {
+						n.crash()
+						s.after(time.Duration(50+r.IntN(450))*time.Millisecond, func() {
+							if !n.up {
+								n.start(n.old)
+							}
+						})
+					}
+				}
+			case 12: // heard, and deaf
+				for range min(len(ms), 1+r.IntN(4)) {
+					name := ms[r.IntN(len(ms))]
+					s.deaf[name] = true
+					s.after(length, func() { delete(s.deaf, name) })
+				}
+			case 13: // copies come late
+				s.again = time.Duration(1+r.IntN(30)) * time.Second
+				s.after(length, func() { s.again = 0 })
+			case 14: // without the state service and the other controllers, not without workers
+				n := s.nodes[who]
+				s.state.refuse[n.name] = true
+				for _, o := range s.nodes {
+					if o != n {
+						s.cuts = append(s.cuts, &cut{host: n.name, with: o.name, hold: r.IntN(2) == 0})
+					}
+				}
+				s.after(length, func() {
+					delete(s.state.refuse, n.name)
+					s.heal(n.name)
+				})
+			case 15: // machines are back at once under their names, with nothing on them
+				for range min(len(ms), 1+r.IntN(4)) {
+					if w := s.cloud.machines[ms[r.IntN(len(ms))]]; w != nil && w.up {
+						w.reborn()
+					}
+				}
 			case 0, 1:
 				n := s.nodes[who]
 				n.crash()
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -93,6 +93,11 @@
 		c.Tunables.ColdListen, c.Tunables.ColdKept, c.Tunables.ListFirst, c.Tunables.AdaptCalls = 1, 5, 1, 1
 		c.Tunables.ColdStarts, c.Tunables.ColdImages = float64(arg(t, d, "starts", 0)), arg(t, d, "images", 0)
 	}
+	if d.HasArg("direct") { // every job should start sooner than an idle worker reports
+		c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = arg(t, d, "direct", 8), 600
+		c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
+		c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
+	}
 	units := map[string]int{}
 	if list := arg(t, d, "pools", ""); list != "" { // NAME:UNITS, …
 		for x := range strings.SplitSeq(list, ",") {
@@ -188,6 +193,24 @@
 				c.start(d.HasArg("old"))
 			}
 		}
+	case "quick": // killed, and back in a tenth of a second, so many times
+		for range arg(t, d, "times", 1) {
+			list := slices.Clone(s.nodes)
+			if arg(t, d, "node", "") != "all" {
+				if !s.until(30*time.Second, func() bool { return s.leader() != nil }) {
+					return "nobody leads"
+				}
+				list = []*controller{s.leader()}
+			}
+			for _, c := range list {
+				c.crash()
+			}
+			s.run(100 * time.Millisecond)
+			for _, c := range list {
+				c.start(false)
+			}
+			s.run(700 * time.Millisecond)
+		}
 	case "roll":
 		for _, c := range s.nodes {
 			c.crash()
@@ -262,6 +285,30 @@
 			w.hung = true
 			s.after(span(t, d, "for"), func() { w.hung = false })
 		}
+	case "deaf": // their reports arrive, and nothing reaches them
+		for _, h := range p.hosts(t, d) {
+			s.deaf[h] = true
+			if v := span(t, d, "for"); v > 0 {
+				s.after(v, func() { delete(s.deaf, h) })
+			}
+		}
+	case "reborn": // back at once under their names, with nothing on them
+		for _, h := range p.hosts(t, d) {
+			s.cloud.machines[h].reborn()
+		}
+	case "repeat": // reports and direct commands arrive once more, now and then, so much later at most
+		s.again = span(t, d, "late")
+	case "apart-node": // a controller loses the state service and the others, and not its workers
+		for _, c := range p.pick(t, d) {
+			s.state.refuse[c.name] = true
+			for _, o := range s.nodes {
+				if o != c {
+					s.cuts = append(s.cuts, &cut{host: c.name, with: o.name, hold: d.HasArg("hold")})
+				}
+			}
+		}
+	case "sent": // whether starts were sent straight to workers
+		return fmt.Sprint(s.launches > 0)
 	case "faulty":
 		for _, h := range p.hosts(t, d) {
 			s.cloud.machines[h].faulty = true
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -65,8 +65,12 @@
 	cutN  int
 	slow  map[string]time.Duration // hosts that take so much longer for everything
 	jobs  map[uint64]*userJob
-	began time.Duration // time of day at time 0
-	scale *scaleCounts  // nil but on days that are measured
+	deaf  map[string]bool // hosts that are heard, and that nothing reaches
+	again time.Duration   // reports and direct commands arrive once more, so much later at most; 0: not
+	began time.Duration   // time of day at time 0
+
+	launches int          // direct starts that were sent
+	scale    *scaleCounts // nil but on days that are measured
 
 	poolUnits map[string]int // most units that may be out, by pool
 	resizing  map[string]bool
@@ -80,7 +84,7 @@
 
 // newSimAt makes one that begins at a time of day.
 func newSimAt(began time.Duration, cfg settings.Settings, seed uint64, count int, old bool) *sim {
-	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}}
+	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}, deaf: map[string]bool{}}
 	s.state = &stateService{s: s, items: map[string]item{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}}
 	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, capacity: 40, boot: 5 * time.Second}
 	s.check = &checker{s: s, on: map[task]map[string]bool{}}
@@ -142,8 +146,18 @@
 	return nil
 }
 
+// copies has a message arrive once more, now and then.
+func (s *sim) copies(f func()) {
+	if s.again > 0 && s.rng.IntN(4) == 0 {
+		s.after(time.Duration(s.rng.Int64N(int64(s.again))), f)
+	}
+}
+
 // send carries a packet; f runs at its arrival.
 func (s *sim) send(from, to string, f func()) {
+	if s.deaf[to] {
+		return
+	}
 	if c := s.between(from, to); c != nil {
 		if c.hold {
 			c.held = append(c.held, f)
@@ -233,7 +247,7 @@
 		cfg.Deployment.State.Next = nil // it does not know of them
 		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept, cfg.Tunables.RunTimesKinds = 0, 0, 0, 0
 		cfg.Tunables.ColdListen, cfg.Tunables.ColdKept, cfg.Tunables.ListFirst, cfg.Tunables.AdaptCalls, cfg.Tunables.ZonePatienceS, cfg.Tunables.SpreadMoves = 0, 0, 0, 0, 0, 0
-		cfg.Tunables.Pools = nil
+		cfg.Tunables.Pools, cfg.Tunables.DirectStarts = nil, 0
 	}
 	c.core = node.NewCore(&cfg, (c.s.began + c.s.now).Milliseconds())
 	c.users = map[effects.Asker]func(effects.Answer){}
@@ -376,18 +390,23 @@
 	case effects.Values:
 		s.state.values(c, e.Duty, e.Since)
 	case effects.Direct:
+		for _, cmd := range e.Stops {
+			if cmd.Op != workers.Stop {
+				s.check.fail("starts", "a direct command that is no stop")
+			}
+		}
 		if w := s.cloud.machines[e.Address]; w != nil {
-			s.send(c.name, w.name, func() {
-				if w.up && !w.hung && e.Token >= w.token && e.Session == w.session {
-					w.seq++ // of the response
-					for _, cmd := range e.Stops {
-						if cmd.Op != workers.Stop {
-							s.check.fail("starts", "a direct command that is no stop")
-						}
-						if w.execute(cmd) {
-							w.soon()
-						}
-					}
+			s.send(c.name, w.name, func() { w.direct(e.Token, e.Session, e.Stops, func(*workers.Report) {}) })
+		}
+	case effects.Launch:
+		life := c.life
+		epoch := c.core.Epoch()
+		if w := s.cloud.machines[e.Address]; w != nil {
+			s.launches++
+			s.copies(func() { w.direct(e.Token, e.Session, e.Starts, func(*workers.Report) {}) })
+			call(s, c.name, w.name, time.Second, func(reply func(*workers.Report)) { w.direct(e.Token, e.Session, e.Starts, reply) }, func(r *workers.Report, _ bool) {
+				if c.life == life {
+					c.into(func(now time.Duration) { c.core.Launched(now, epoch, e.Machine, e.Token, e.Starts, r) })()
 				}
 			})
 		}
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -30,6 +30,7 @@
 	up        bool
 	hung      bool
 	session   uint64
+	life      int // counts its processes
 	seq       uint64
 	token     uint64
 	tasks     map[task]*run
@@ -111,23 +112,16 @@
 		return
 	}
 	w.flight = true
-	w.seq++
 	w.last = w.s.now
-	r := &workers.Report{Machine: w.name, Address: w.name, Type: "m4", Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token}
-	if w.notice > 0 {
-		r.Notice, r.NoticeS = true, (w.notice - w.s.now).Seconds()
-	}
-	for t, x := range w.tasks {
-		r.Tasks = append(r.Tasks, workers.TaskReport{Job: t.job, Task: t.k, Attempt: x.attempt, State: x.state})
-	}
-	for _, x := range w.ended {
-		r.Tasks = append(r.Tasks, workers.TaskReport{Job: x.job, Task: x.k, Attempt: x.attempt, State: workers.Ended, Reason: x.reason, Saved: x.saved})
-	}
-	slices.SortFunc(r.Tasks, func(a, b workers.TaskReport) int {
-		return int(int64(a.Job)-int64(b.Job))*1000 + a.Task - b.Task
-	})
+	r := w.snapshot()
 	c := w.s.nodes[w.at%len(w.s.nodes)]
-	sent, session := w.s.now, w.session
+	w.s.copies(func() {
+		if o := w.s.nodes[w.s.rng.IntN(len(w.s.nodes))]; o.up {
+			o.core.Report(o.clock(), 0, r) // nobody hears the answer
+			o.drain()
+		}
+	})
+	sent, session, life := w.s.now, w.session, w.life
 	next := func() {
 		w.at++
 		w.schedule(time.Second)
@@ -141,6 +135,9 @@
 		w.s.scale.time("reports", func() { c.core.Report(c.clock(), c.asker, r) })
 		c.drain()
 	}, func(a effects.ReportAnswer, ok bool) {
+		if life != w.life {
+			return // it was asked by a process that is gone
+		}
 		w.flight = false
 		if !w.up {
 			return
@@ -176,6 +173,56 @@
 	})
 }
 
+// snapshot is the worker's report of this moment.
+func (w *worker) snapshot() *workers.Report {
+	w.seq++
+	r := &workers.Report{Machine: w.name, Address: w.name, Type: "m4", Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token}
+	if w.notice > 0 {
+		r.Notice, r.NoticeS = true, (w.notice - w.s.now).Seconds()
+	}
+	for t, x := range w.tasks {
+		r.Tasks = append(r.Tasks, workers.TaskReport{Job: t.job, Task: t.k, Attempt: x.attempt, State: x.state})
+	}
+	for _, x := range w.ended {
+		r.Tasks = append(r.Tasks, workers.TaskReport{Job: x.job, Task: x.k, Attempt: x.attempt, State: workers.Ended, Reason: x.reason, Saved: x.saved})
+	}
+	slices.SortFunc(r.Tasks, func(a, b workers.TaskReport) int {
+		return int(int64(a.Job)-int64(b.Job))*1000 + a.Task - b.Task
+	})
+	return r
+}
+
+// direct takes a command that was sent straight to the worker. One that hangs may carry
+// it out later, whatever its sender thinks by then.
+func (w *worker) direct(token, session uint64, cmds []workers.Command, reply func(*workers.Report)) {
+	switch {
+	case !w.up:
+	case w.hung:
+		w.s.after(500*time.Millisecond, func() { w.direct(token, session, cmds, reply) })
+	case token < w.token || session != w.session:
+		reply(nil)
+	default:
+		w.token = token
+		for _, cmd := range cmds {
+			if w.execute(cmd) {
+				w.soon()
+			}
+		}
+		reply(w.snapshot())
+	}
+}
+
+// reborn: the machine is back at once under its name, with nothing on it and no memory.
+func (w *worker) reborn() {
+	w.vanish()
+	w.life++
+	w.tasks, w.ended = map[task]*run{}, nil
+	w.up, w.hung, w.flight = true, false, false
+	w.session, w.seq, w.token, w.renewed = 1, 0, 0, w.s.now
+	w.plan++
+	w.report(w.plan)
+}
+
 func (w *worker) execute(c workers.Command) bool {
 	t := task{c.Job, c.Task}
 	switch c.Op {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -140,6 +141,23 @@
 	WebhookKey []byte // what warnings are signed with
 }
 
+// Prompt says whether an aim is so tight that a start which waits for an idle worker's
+// next report would miss it.
+func (s *Settings) Prompt(o Objective) bool {
+	return s.Tunables.DirectStarts > 0 && o.Kind == AimWait && o.WithinS < s.Deployment.Workers.ReportS
+}
+
+// Prompts says whether any aim is.
+func (s *Settings) Prompts() bool { return slices.ContainsFunc(s.Deployment.Objectives, s.Prompt) }
+
+// checkDirect holds the calls to workers against the sockets there are.
+func (s *Settings) checkDirect() error {
+	if most := s.Deployment.MachineLimits.FDLimit / 4; s.Tunables.DirectStarts > most {
+		return wrong("exceptions.direct_starts", "must be at most a quarter of deployment.machine_limits.fd_limit, %d, is %d", most, s.Tunables.DirectStarts)
+	}
+	return nil
+}
+
 // FieldError names the setting that is wrong.
 type FieldError struct {
 	Field string
@@ -191,6 +209,9 @@
 		if err := s.checkPools(); err != nil {
 			return nil, err
 		}
+		if err := s.checkDirect(); err != nil {
+			return nil, err
+		}
 		for _, file := range s.Tunables.ReceiptKeys() {
 			if _, err := readKey("pools.receipt_keys", file); err != nil {
 				return nil, err
--- a/internal/squaring/squaring.go
+++ b/internal/squaring/squaring.go
@@ -25,6 +25,8 @@
 	AbsentNow             // it counted here; a newer report at the current token lacks it
 	AbsentLater           // it counted here; the worker has begun a later session
 	AbsentUnproved        // it counted here; a report at an older token lacks it
+	AbsentDirect          // it was sent straight to the worker, and a report lacks it at a token with which it may yet arrive
+	EndedDirect           // it was sent straight to the worker, has ended, and a copy of its start may yet arrive
 	RunsUnseen            // it counted nowhere, and runs here
 	SavesUnseen           // it counted nowhere, and is saving here
 	RunsDone              // it runs, though its end is known
@@ -44,6 +46,7 @@
 	MachineBehind  // it has not seen the current token
 	MachineAgain   // it has begun a later session
 	MachineAhead   // it has seen a token of a later term
+	MachineReborn  // it has begun anew under its name, and remembers nothing
 
 	GangFound // a part of a gang runs of which nothing was known
 	GangPart  // a further part of the attempt that is known
@@ -102,6 +105,8 @@
 	AbsentNow:        {"absent_now", "on this machine", "not there, at the current token", Leave, "a start travels in the answer to the report before only, and would show in this one"},
 	AbsentLater:      {"absent_later", "on this machine", "a later session", Leave, "with its lease a worker kills and forgets all tasks"},
 	AbsentUnproved:   {"absent_unproved", "on this machine", "not there, at an older token", Wait, "none: an answer with a start may still be on its way"},
+	AbsentDirect:     {"absent_direct", "on this machine, started directly", "not there, at no higher token than the start's", Wait, "none: the command may be carried out late, as long as its token matches"},
+	EndedDirect:      {"ended_direct", "started directly", "ended, at no higher token than the start's", Wait, "reaped before the worker has seen a higher token, a late copy of its start would begin it once more"},
 	RunsUnseen:       {"runs_unseen", "nowhere, open", "not ended", Adopt, "the newest report shows it, and it counts nowhere else"},
 	SavesUnseen:      {"saves_unseen", "nowhere, open", "saving", Adopt, "the newest report shows it; what it saves is kept"},
 	RunsDone:         {"runs_done", "done", "not ended", Stop, "its result is known: more of it is of no use"},
@@ -116,11 +121,12 @@
 	MachineNew:      {"machine_new", "nothing", "a report", Register, "no task is ever started on a machine before it is registered durably"},
 	MachineGone:     {"machine_gone", "deleted", "a report", Ignore, "the cloud has answered its deletion: the report is late"},
 	MachineStrange:  {"machine_strange", "of no known type", "a report", Ignore, "none: it is asked for types, and the machine kept alive until then"},
-	MachineLate:     {"machine_late", "a newer report", "an older session or number", Ignore, "its list is as old as it is itself"},
+	MachineLate:     {"machine_late", "a newer report", "an older session or number, or a lower token", Ignore, "its list is as old as it is itself"},
 	MachineLeaving:  {"machine_leaving", "to be deleted", "a report", Delete, "what is decided stays so: only the deletion proves what it proves"},
 	MachineBehind:   {"machine_behind", "registered", "an older token", Listen, "an answer at an older token may still be on its way"},
 	MachineAgain:    {"machine_again", "registered", "a later session", Forget, "with its lease a worker kills and forgets all tasks"},
 	MachineAhead:    {"machine_ahead", "registered", "a token of a later term", StepDown, "tokens are given out by leaders alone, and only rise"},
+	MachineReborn:   {"machine_reborn", "in doubt", "an older session or number, at a token given out since", Forget, "who got that token and counts from the beginning lives, and the one before it does not"},
 
 	GangFound: {"gang_found", "no attempt under way", "a part, not ended", Adopt, "the newest report shows it; the others are waited for like any task"},
 	GangPart:  {"gang_part", "this attempt", "a part, not ended", Adopt, "the newest report shows it"},
@@ -148,6 +154,7 @@
 	Elsewhere bool   // it counts as being on another machine, or is on offer
 	Here      bool   // it counts as being on this one
 	Attempt   uint64 // where it counts here: which
+	Direct    bool   // the attempt that is shown was sent straight to the worker, and its token is still good
 }
 
 // Shown is what a report says of a task.
@@ -161,6 +168,14 @@
 
 // Task names the difference between what is stored of a task and what is shown of it.
 func Task(st Stored, sh Shown) Diff {
+	d := task(st, sh)
+	if s := d.Settlement(); st.Direct && (s == Reap || s == LeaveReap) {
+		return EndedDirect
+	}
+	return d
+}
+
+func task(st Stored, sh Shown) Diff {
 	mine := st.Here && st.Attempt == sh.Attempt
 	switch {
 	case !st.Known && sh.Ended:
@@ -208,11 +223,15 @@
 }
 
 // Absent names the difference where a report lacks a task that counts here. later says
-// that it is of a later session, current that it is at the current token.
-func Absent(later, current bool) Diff {
+// that it is of a later session, direct that the task was sent straight to the worker,
+// was not seen, and is still good at the report's token, current that this is the current
+// one.
+func Absent(later, direct, current bool) Diff {
 	switch {
 	case later:
 		return AbsentLater
+	case direct:
+		return AbsentDirect
 	case current:
 		return AbsentNow
 	}
@@ -223,6 +242,8 @@
 type Machine struct {
 	Gone, Known, Typed, Leaving bool   // deleted; entered; of a known type; to be deleted
 	Session, Number, Token      uint64 // of the newest report that was taken in; the current token
+	Seen                        uint64 // highest token that a report taken in has shown
+	Doubt                       uint64 // it is in doubt until a token above this one is seen; 0: it is not
 	Epoch                       uint64 // of this term
 	ReportSession, ReportNumber uint64
 	ReportToken, ReportEpoch    uint64
@@ -230,6 +251,7 @@
 
 // Report names the difference between what is stored of a machine and its report.
 func Report(m Machine) Diff {
+	older := m.ReportSession < m.Session || (m.ReportSession == m.Session && m.ReportNumber <= m.Number)
 	switch {
 	case m.ReportEpoch > m.Epoch:
 		return MachineAhead
@@ -239,7 +261,9 @@
 		return MachineStrange
 	case !m.Known:
 		return MachineNew
-	case m.ReportSession < m.Session || (m.ReportSession == m.Session && m.ReportNumber <= m.Number):
+	case older && m.Doubt > 0 && m.ReportToken > m.Doubt:
+		return MachineReborn
+	case older || m.ReportToken < m.Seen:
 		return MachineLate
 	case m.Session != 0 && m.ReportSession > m.Session:
 		return MachineAgain
--- a/internal/squaring/squaring_test.go
+++ b/internal/squaring/squaring_test.go
@@ -11,6 +11,14 @@
 // plainTask is a second version of Task: what is to be done, from the promises alone,
 // without naming any difference.
 func plainTask(st Stored, sh Shown) Settlement {
+	s := plainly(st, sh)
+	if st.Direct && (s == Reap || s == LeaveReap) {
+		return Wait // what is forgotten could be started by a copy of the command
+	}
+	return s
+}
+
+func plainly(st Stored, sh Shown) Settlement {
 	counts := st.Known && st.Here && st.Attempt == sh.Attempt
 	if !sh.Ended {
 		if counts {
@@ -47,7 +55,11 @@
 	if !m.Known {
 		return Register
 	}
-	if later := m.ReportSession > m.Session || (m.ReportSession == m.Session && m.ReportNumber > m.Number); !later {
+	later := m.ReportSession > m.Session || (m.ReportSession == m.Session && m.ReportNumber > m.Number)
+	if !later && m.Doubt > 0 && m.ReportToken > m.Doubt {
+		return Forget // a token that only one who lives now can have, and numbers that the one before has used up
+	}
+	if !later || m.ReportToken < m.Seen {
 		return Ignore
 	}
 	if m.Session > 0 && m.ReportSession != m.Session {
@@ -80,6 +92,7 @@
 				st.Attempt = uint64(1 + r.IntN(2))
 			}
 		}
+		st.Direct = r.IntN(6) == 0
 		sh := Shown{Attempt: uint64(1 + r.IntN(2)), Ended: coin()}
 		if sh.Ended {
 			sh.Done = coin()
@@ -92,12 +105,12 @@
 			t.Fatalf("%+v shown as %+v: %v, so %v; plainly %v", st, sh, d, got, want)
 		}
 		m := Machine{Gone: r.IntN(6) == 0, Known: coin(), Typed: coin(), Leaving: r.IntN(4) == 0, Epoch: 2, ReportEpoch: uint64(r.IntN(4)),
-			Session: uint64(r.IntN(3)), Number: uint64(r.IntN(3)), Token: uint64(r.IntN(2)), ReportSession: uint64(r.IntN(3)), ReportNumber: uint64(r.IntN(3)), ReportToken: uint64(r.IntN(2))}
+			Session: uint64(r.IntN(3)), Number: uint64(r.IntN(3)), Token: uint64(r.IntN(2)), ReportSession: uint64(r.IntN(3)), ReportNumber: uint64(r.IntN(3)), ReportToken: uint64(r.IntN(3)), Seen: uint64(r.IntN(2)), Doubt: uint64(r.IntN(3) / 2)}
 		d = met.Found(Report(m))
 		if got, want := d.Settlement(), plainReport(m); got != want {
 			t.Fatalf("%+v: %v, so %v; plainly %v", m, d, got, want)
 		}
-		met.Found(Absent(coin(), coin()))
+		met.Found(Absent(coin(), coin(), coin()))
 		met.Found(Gang(uint64(r.IntN(3)), uint64(1+r.IntN(2))))
 	}
 	for d := range Kinds {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -11,6 +11,7 @@
 
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/coldstart"
+	"bitternmoor/internal/direct"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/fleet"
 	"bitternmoor/internal/leadership"
@@ -75,6 +76,7 @@
 	placing *placing.Duty
 	fleet   *fleet.Duty
 	cold    *coldstart.Duty // nil: switched off
+	direct  *direct.Duty    // nil: switched off, or no aim asks for it
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
 	loaded  bool
@@ -104,6 +106,10 @@
 		t.cold = coldstart.New(s)
 		t.add(coldstart.Name, t.cold)
 	}
+	if start.Cfg.Prompts() {
+		t.direct = direct.New(s)
+		t.add(direct.Name, t.direct)
+	}
 	if start.Cfg.Tunables.SpreadMoves > 0 {
 		t.add(spread.Name, spread.New(s))
 	}
@@ -324,6 +330,9 @@
 		t.placing.PassSoon(now)
 	}
 	t.roster.Release(now, sure)
+	if t.direct != nil {
+		t.direct.Send(now, sure)
+	}
 	return step
 }
 
@@ -378,6 +387,14 @@
 	t.roster.Started(now, machine, offers)
 }
 
+// Launched takes a worker's report after starts sent straight to it, or none.
+func (t *Term) Launched(now time.Duration, sure bool, machine string, token uint64, starts []workers.Command, r *workers.Report) {
+	if t.direct != nil && t.loaded {
+		t.direct.Launched(now, machine, token, starts, r)
+		t.direct.Send(now, sure)
+	}
+}
+
 // Deleted takes the result of a deletion.
 func (t *Term) Deleted(now time.Duration, list []string, ok bool) {
 	t.fleet.Deleted(now, ok)
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -15,6 +15,7 @@
 
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
 )
 
 // Client calls one of the platform's services over HTTP.
@@ -395,9 +396,15 @@
 	return &Workers{&http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
 }
 
-// Do sends direct commands to the worker at addr. They may be carried out
-// late, which is why only stops go this way.
-func (w *Workers) Do(ctx context.Context, addr string, body []byte) error {
-	_, _, err := (&Client{"http://" + addr, w.c}).raw(ctx, "POST", PathCommands, json.RawMessage(body))
-	return err
+// Do sends direct commands to the worker at addr, and returns its report after them.
+// They may be carried out late whatever comes back.
+func (w *Workers) Do(ctx context.Context, addr string, body []byte) (*workers.Report, error) {
+	status, data, err := (&Client{"http://" + addr, w.c}).raw(ctx, "POST", PathCommands, json.RawMessage(body))
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("wire: the worker at %s carried nothing out: status %d", addr, status)
+	}
+	return ParseReport(data)
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -110,6 +110,7 @@
 	Frozen    bool              // not offered again before no offer is open
 	Withdrawn bool              // to be taken back once no offer is open
 	seq       uint64
+	Prompt    bool // its class should start sooner than an idle worker reports
 	State     TaskState
 	Seen      bool
 	RanAt     time.Duration
@@ -167,11 +168,48 @@
 	images         []image
 	idle           map[uint64]time.Duration // since when a job with a grant has had nothing here
 	registryQueued bool
+
+	// Starts sent straight to the worker, by attempt: under which token. Until the worker
+	// has seen a higher one they may be carried out, or once more.
+	directs map[attempt]uint64
+	Calling bool // one of them is under way
+	// Doubt is a token above which one must be seen before the machine gets new work; 0:
+	// there is none. A call that had no answer, a lease that ran out while the machine was
+	// heard, and signs that it began anew give rise to it: whoever then reports a token
+	// given out since hears us, and lives.
+	Doubt      uint64
+	DoubtSince time.Duration
+	seen       uint64 // highest token in a report that was taken in
+	first      uint64 // lowest token of this term
+	raise      Raise  // whether a higher token is asked for
+	raised     time.Duration
+}
+
+type attempt struct {
+	ref Ref
+	n   uint64
 }
 
+// Raise says how much a higher token is wanted on a machine.
+type Raise uint8
+
+// Not at all; for ended attempts that are only to be reaped; for a task that waits for it.
+const (
+	NoRaise Raise = iota
+	RaiseSometime
+	RaiseNow
+)
+
+// Pauses between two tokens given to one machine: a worker reports a higher one at once
+// only now and then, and tokens of a term are bounded.
+const (
+	raiseNowPause      = 2 * time.Second
+	raiseSometimePause = 60 * time.Second
+)
+
 // Usable says whether tasks may be planned on the machine.
 func (m *Machine) Usable(now, quiet time.Duration) bool {
-	return m.Durable && m.Up && m.Resolved && !m.Leaving && !m.Draining && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Leaving && !m.Draining && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
 // Unresolved says whether an earlier term may have left something on the machine that is
@@ -335,6 +373,80 @@
 	return true
 }
 
+// StartDirect notes that a task planned here is sent straight to the worker. From now on
+// it counts as being here, until a report at a higher token shows that it is not: the
+// command may be carried out late.
+func (m *Machine) StartDirect(p *Placement) {
+	m.moveIn(p)
+	p.seq = m.Seq
+	if m.directs == nil {
+		m.directs = map[attempt]uint64{}
+	}
+	m.directs[attempt{p.Ref, p.Attempt}] = m.Token
+}
+
+// Launched takes the worker's answer to starts sent straight to it, under a token: its
+// report after them, nil if there was none or it does not say that they were carried out.
+// Of the report only the tasks that were sent are looked at: it may overtake the answer to
+// a report, and what is absent or newer in it proves nothing here.
+func (m *Machine) Launched(now time.Duration, token uint64, refs []Ref, r *Report) {
+	m.Calling = false
+	for _, ref := range refs {
+		p := m.Tasks[ref]
+		if p == nil || p.Planned || p.Seen || m.directs[attempt{ref, p.Attempt}] != token {
+			continue // a report has shown more meanwhile
+		}
+		if r == nil || r.Machine != m.Name || r.Session != m.Session || !slices.ContainsFunc(r.Tasks, func(t TaskReport) bool {
+			return t.Job == p.JobID && t.Task == int(ref.Task) && t.Attempt == p.Attempt
+		}) {
+			m.doubt(now, token)
+			continue
+		}
+		p.Seen, p.State, p.seq = true, Fetching, max(p.seq, r.Seq)
+	}
+}
+
+// doubt has the machine get nothing new until it has seen a token above this one, which it
+// is given with its next report.
+func (m *Machine) doubt(now time.Duration, token uint64) {
+	if m.Doubt == 0 {
+		m.DoubtSince = now
+	}
+	m.Doubt, m.raise = max(m.Doubt, token), RaiseNow
+}
+
+// Odd takes a report that is older than one taken in, though nothing newer has come for
+// longer than a worker is silent: the machine may have begun anew.
+func (m *Machine) Odd(now, silent time.Duration) {
+	if m.Up && m.Doubt == 0 && now-m.Heard > silent {
+		m.doubt(now, m.Token)
+	}
+}
+
+// Seen is the highest token that the machine has shown.
+func (m *Machine) Seen() uint64 { return m.seen }
+
+// WantsToken says whether the machine should be given a higher token now, and takes it
+// that it will be.
+func (m *Machine) WantsToken(now time.Duration) bool {
+	pause := raiseSometimePause
+	if m.raise == RaiseNow {
+		pause = raiseNowPause
+	}
+	if m.raise == NoRaise || (m.raised > 0 && now-m.raised < pause) {
+		return false
+	}
+	m.raise, m.raised = NoRaise, now
+	return true
+}
+
+// direct says whether an attempt was sent straight to the worker and may still begin, or
+// begin once more, when the worker has seen no higher token than this one.
+func (m *Machine) direct(ref Ref, n, token uint64) bool {
+	t, ok := m.directs[attempt{ref, n}]
+	return ok && token <= t
+}
+
 // settleOffers closes the machine's open offers by a newer report.
 func (m *Machine) settleOffers(r *Report) []Event {
 	var events []Event
@@ -404,7 +516,7 @@
 // Add enters a machine.
 func (y *Yard) Add(m *Machine) *Machine {
 	m.Index = int32(len(y.all))
-	m.Free = m.Cap
+	m.Free, m.first = m.Cap, m.Token
 	m.Tasks = map[Ref]*Placement{}
 	m.Grants = map[uint64]bool{}
 	y.all = append(y.all, m)
@@ -497,17 +609,30 @@
 		m.Take(p.Ref)
 		return &events[len(events)-1]
 	}
-	if r.Session > m.Session && m.Session != 0 {
+	reborn, doubted := !m.Fresh(r), m.Doubt > 0
+	if (r.Session > m.Session && m.Session != 0) || reborn {
 		for _, p := range m.Tasks {
-			if !p.Planned && tally.Found(squaring.Absent(true, false)).Settlement() == squaring.Leave {
+			if !p.Planned && tally.Found(squaring.Absent(true, false, false)).Settlement() == squaring.Leave {
 				gone(p, Vanished).Died = true
 			}
 		}
 		m.images = nil
+		clear(m.directs) // they name the session, or tokens below the one it has seen
+		if m.Up && !reborn {
+			// It was heard, and its lease ran out all the same: it may not hear us.
+			m.doubt(now, m.Token)
+		}
+	}
+	if r.Token > m.Doubt {
+		m.Doubt = 0
+	}
+	m.seen = r.Token
+	if !m.Up || r.Token >= m.first {
+		m.Heard = now // a machine that goes on reporting without the token of this term does not hear us
 	}
 	events = append(events, m.settleOffers(r)...)
 	m.Session, m.Seq = r.Session, r.Seq
-	m.Up, m.Heard = true, now
+	m.Up = true
 	if r.Notice {
 		m.Notice = true
 		m.TakenAt = now + time.Duration(r.NoticeS*float64(time.Second))
@@ -532,6 +657,7 @@
 		if p != nil {
 			st.Attempt = p.Attempt
 		}
+		st.Direct = ok && m.direct(k.Ref, t.Attempt, r.Token)
 		diff := tally.Found(squaring.Task(st, squaring.Shown{Attempt: t.Attempt, Ended: t.State == Ended, Done: t.State == Ended && t.Reason == Completed, Saved: t.Saved, Saving: t.State == Saving}))
 		switch diff.Settlement() {
 		case squaring.Complete:
@@ -541,10 +667,18 @@
 			}
 			m.Take(k.Ref)
 			events = append(events, ev)
+		case squaring.Wait:
+			if diff == squaring.EndedDirect {
+				if m.raise = max(m.raise, RaiseSometime); p != nil && p.Attempt == t.Attempt {
+					m.raise, p.Seen, p.seq = RaiseNow, true, r.Seq
+				}
+			}
 		case squaring.LeaveReap:
+			delete(m.directs, attempt{k.Ref, t.Attempt})
 			gone(p, t.Reason)
 			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 		case squaring.Reap:
+			delete(m.directs, attempt{k.Ref, t.Attempt})
 			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 		case squaring.Stop:
 			strays++
@@ -565,8 +699,13 @@
 	}
 	for _, p := range m.Tasks {
 		// Sent with an earlier answer and not shown by this report.
-		if !p.Planned && p.seq < r.Seq && tally.Found(squaring.Absent(false, current)).Settlement() == squaring.Leave {
-			gone(p, Vanished)
+		if p.Planned || p.seq >= r.Seq {
+			continue
+		}
+		late := !p.Seen && m.direct(p.Ref, p.Attempt, r.Token)
+		if tally.Found(squaring.Absent(false, late, current)).Settlement() == squaring.Leave {
+			delete(m.directs, attempt{p.Ref, p.Attempt})
+			gone(p, Vanished).Died = doubted // it may have begun anew, and have counted on past what we knew
 		}
 	}
 	if strays > 0 && m.Strays == 0 {
