A node without the state service and its peers sends its workers to the others

A leader that lost the state service and all other controllers, but not its workers, went on answering them at its old token without end: new machines came to it first, were kept alive there, and the next leader never heard them; nothing ran again.

Change: unsure for longer than a dead leader's hold lasts and without a peer's answer, it sends each machine away once, and such that were never in its block always; a follower that reaches neither leader nor state service likewise. Those that come back found nobody else, as in a zone that is cut off: then all are kept alive as before.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -40,6 +40,7 @@
 	lostAt    time.Duration
 	probeAt   time.Duration
 	backAt    time.Duration // when one of them came back
+	sureAt    time.Duration // when this node was last sure to lead
 	sentTo    map[string]time.Duration
 }
 
@@ -132,6 +133,9 @@
 		}
 	}
 	c.probe(now)
+	if c.lead.Sure(now) {
+		c.sureAt = now
+	}
 	if c.term != nil {
 		c.term.Tick(now, c.lead.Sure(now))
 		c.hail(now)
@@ -258,6 +262,7 @@
 	in := effects.Relayed{Via: c.cfg.Node, Life: c.zero, Report: *o.report}
 	leader := c.lead.LeaderName()
 	switch {
+	case c.term != nil && c.lonely(now) && c.sendAway(now, to, o.report):
 	case c.term != nil:
 		c.open[to] = o
 		c.term.Report(now, c.lead.Sure(now), to, in)
@@ -345,7 +350,7 @@
 		c.take(now, to, o) // somebody else leads by now, this node perhaps
 		return
 	}
-	if !ok && c.send(now, to, r) {
+	if !ok && (c.send(now, to, r) || (c.leftOut(now) && c.sendAway(now, to, r))) {
 		return
 	}
 	switch {
@@ -420,6 +425,41 @@
 	return true
 }
 
+// lonely says whether this leader has lost the state service and all other controllers:
+// somebody else leads by now, or will.
+func (c *Core) lonely(now time.Duration) bool {
+	return len(c.cfg.Peers) > 0 && now-c.sureAt > c.tooFar() && !c.heardOf(now)
+}
+
+// leftOut says the same of a node that does not lead: for longer than a dead leader's hold
+// lasts and a call takes it has reached neither the leader nor the state service.
+func (c *Core) leftOut(now time.Duration) bool {
+	return c.apartFrom != "" && now-c.lostAt >= c.tooFar()+peerTimeout && !c.lead.Served(now)
+}
+
+// sendAway has a machine try the other controllers, once: the leader gives it up when it
+// does not come there in time. Those that come back have found nobody else, as in a zone
+// that is cut off as a whole: then all are kept alive as before. One that was never in this
+// node's block is always sent away. Found in a scenario in which the leader lost the state
+// service and its peers but not its workers: new machines came to it first, were kept alive
+// there, and the next leader never heard them.
+func (c *Core) sendAway(now time.Duration, to effects.Asker, r *workers.Report) bool {
+	if c.cutOff(now) {
+		return false
+	}
+	if _, ours := c.hold.KeepAlive(now, r); ours {
+		if _, back := c.sentTo[r.Machine]; back {
+			c.backAt = now
+		}
+		if c.backAt > 0 && now-c.backAt < sendAgain {
+			return false
+		}
+		c.sentTo[r.Machine] = now
+	}
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 503}})
+	return true
+}
+
 // Relayed serves a report that another controller handed on. It goes no
 // further.
 func (c *Core) Relayed(now time.Duration, to effects.Asker, in effects.Relayed) {
