--- /dev/null
+++ b/internal/asking/asking.go
@@ -0,0 +1,74 @@
+// Package asking is the duty that asks silent machines directly whether they live. An
+// answer shows that a machine lives; none proves nothing. But a machine that says nothing
+// by itself, nor when it is asked, while its zone is heard well, is more likely dead than
+// not, and is given up earlier where work waits that should start within a report interval:
+// what proves that nothing runs there is still the answer to its deletion.
+package asking
+
+import (
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/settings"
+)
+
+const (
+	every  = 250 * time.Millisecond
+	atOnce = 16 // calls under way
+	slack  = 500 * time.Millisecond
+)
+
+// Duty asks silent machines in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	asked  map[string]time.Duration // calls under way, by machine: when it was last heard before
+	lookAt time.Duration
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, asked: map[string]time.Duration{}}
+}
+
+// Tick asks machines that have been silent for longer than between two reports.
+func (d *Duty) Tick(now time.Duration, sure bool) {
+	if !sure || now-d.lookAt < every {
+		return
+	}
+	d.lookAt = now
+	from := settings.Seconds(1.25*d.Cfg.Deployment.Workers.ReportS) + slack
+	for _, m := range d.Yard.All() {
+		heard := max(m.Heard, d.Began)
+		if len(d.asked) >= atOnce {
+			return
+		}
+		if _, under := d.asked[m.Name]; under || !m.Durable || m.Leaving || m.Address == "" || now-heard <= from {
+			continue
+		}
+		if m.UnansweredAt < heard {
+			m.Unanswered, m.UnansweredAt = 0, heard
+		}
+		if m.Unanswered < d.Cfg.Tunables.AskSilent {
+			d.asked[m.Name] = heard
+			d.Emit(effects.Ask{Machine: m.Name, Address: m.Address})
+		}
+	}
+}
+
+// Asked takes whether a machine answered.
+func (d *Duty) Asked(machine string, ok bool) {
+	m := d.Yard.Find(machine)
+	heard, under := d.asked[machine]
+	delete(d.asked, machine)
+	if m == nil || !under || max(m.Heard, d.Began) != heard {
+		return // deleted, or heard meanwhile
+	}
+	if m.Unanswered++; ok {
+		m.Unanswered = -lives
+	}
+}
+
+// lives is how many more times a machine is asked that has answered.
+const lives = 4
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -69,6 +69,7 @@
 	FreshFrom int
 	Types     []bool
 	Spot      bool // may and should use spot machines
+	OnPlain   bool // its tasks fit machines without accelerators
 
 	After     []int32 // open jobs that it waits for
 	Followers []int32 // open jobs that wait for it
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
@@ -341,7 +342,7 @@
 		if o.Kind == settings.AimWait && d.Cfg.Tunables.WaitLeadS > 0 {
 			d.goAhead(j, at, o.WithinS)
 		}
-		if o.Kind == settings.AimWait && j.Rec.Kind != jobs.Gang && d.Cfg.Prompt(o) {
+		if o.Kind == settings.AimWait && d.Cfg.Tunables.DirectStarts > 0 && j.Rec.Kind != jobs.Gang && d.Cfg.Prompt(o) {
 			j.Prompt = true
 		}
 	}
@@ -393,6 +394,11 @@
 		}
 	}
 	j.Share = d.share(j)
+	j.OnPlain = false
+	for i, ty := range d.Types {
+		j.OnPlain = j.OnPlain || (ty.GPUs == 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) && (j.Rec.Zone == "" || slices.Contains(ty.Zones, j.Rec.Zone)) &&
+			j.Need.Fits(amounts.Room(ty.CPUs, 0, ty.MemoryGB)))
+	}
 }
 
 // patience is how long a job goes behind the order: best-effort work until
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -553,6 +553,14 @@
 	c.after(now)
 }
 
+// Asked takes whether a silent worker that was asked has answered.
+func (c *Core) Asked(now time.Duration, epoch uint64, machine string, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Asked(machine, ok)
+	}
+	c.after(now)
+}
+
 // Launched takes a worker's report after starts that were sent straight to it; nil: it is
 // not known what became of them.
 func (c *Core) Launched(now time.Duration, epoch uint64, machine string, token uint64, starts []workers.Command, r *workers.Report) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -45,6 +45,7 @@
 	waits     map[*workers.Machine]*waitingReport
 	watchedAt time.Duration
 	cuts      []cutZone // by zone
+	well      []bool    // by zone: whether it is heard well, where silent machines are asked
 
 	registry map[string]ledger.Machine // while the log is replayed
 	last     []returns                 // likewise
@@ -549,6 +550,7 @@
 		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
 	}
 	d.watchZones(now, deaf)
+	d.well = d.hears(now)
 	overdue := settings.Seconds(0.5 * w.CancelS)
 	cancelled := slices.ContainsFunc(d.Jobs.All(), func(j *jobs.Job) bool { return j != nil && j.Phase == jobs.Cancelled })
 	for _, m := range slices.Clone(d.Yard.All()) {
@@ -562,6 +564,8 @@
 		switch {
 		case sure && !m.Up && m.Durable && now-d.Began <= d.Patience(): // it may live, and be on its way here
 		case sure && (m.Up || m.Durable) && now-heard > limit && d.waitsFor(now, m): // with its whole zone
+		case sure && m.Durable && d.mute(m, heard):
+			d.Leave(now, m, cluster.Delete, "does not answer")
 		case sure && (m.Up || m.Durable) && now-heard > limit:
 			d.Leave(now, m, cluster.Delete, "silent")
 		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
@@ -599,6 +603,38 @@
 	}
 }
 
+// mute says whether a machine has been asked often enough while it was silent, and its zone
+// is heard: it is given up before others.
+func (d *Duty) mute(m *workers.Machine, heard time.Duration) bool {
+	most := d.Cfg.Tunables.AskSilent
+	return most > 0 && m.Unanswered >= most && m.UnansweredAt >= heard && int(m.Zone) < len(d.well) && d.well[m.Zone]
+}
+
+// hears says which zones are heard well: of a zone that is not, machines are no more
+// likely dead than cut off.
+func (d *Duty) hears(now time.Duration) []bool {
+	if d.Cfg.Tunables.AskSilent == 0 || !d.Cfg.Prompts() {
+		return nil
+	}
+	up, silent := make([]int, d.Zones.Len()), make([]int, d.Zones.Len())
+	for _, m := range d.Yard.All() {
+		if m.Durable && !m.Leaving {
+			up[m.Zone]++
+			if now-max(m.Heard, d.Began) > settings.Seconds(1.25*d.Cfg.Deployment.Workers.ReportS) {
+				silent[m.Zone]++
+			}
+		}
+	}
+	well := make([]bool, len(up))
+	for z := range up {
+		well[z] = silent[z]*wellHeard <= up[z]
+	}
+	return well
+}
+
+// wellHeard: a zone is if at most one in so many of its machines is late.
+const wellHeard = 5
+
 // cutZone is what is known of a zone that is silent as a whole, or was until lately.
 type cutZone struct {
 	since, until time.Duration // from when to when; until 0: never
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -94,7 +94,7 @@
 		c.Tunables.ColdStarts, c.Tunables.ColdImages = float64(arg(t, d, "starts", 0)), arg(t, d, "images", 0)
 	}
 	if d.HasArg("direct") { // every job should start sooner than an idle worker reports
-		c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = arg(t, d, "direct", 8), 600
+		c.Tunables.DirectStarts, c.Tunables.ReadyWindowS, c.Tunables.AskSilent = arg(t, d, "direct", 8), 600, arg(t, d, "ask", 0)
 		c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
 		c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
 	}
@@ -276,7 +276,12 @@
 			s.heal(c.host)
 		}
 	case "kill":
-		for _, h := range p.hosts(t, d) {
+		list := p.hosts(t, d)
+		if d.HasArg("one") {
+			slices.Sort(list)
+			list = list[:1]
+		}
+		for _, h := range list {
 			s.cloud.machines[h].vanish()
 		}
 	case "hang":
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -247,7 +247,7 @@
 		cfg.Deployment.State.Next = nil // it does not know of them
 		cfg.Tunables.NoteReturns, cfg.Tunables.NoteTasks, cfg.Tunables.TakeoversKept, cfg.Tunables.RunTimesKinds = 0, 0, 0, 0
 		cfg.Tunables.ColdListen, cfg.Tunables.ColdKept, cfg.Tunables.ListFirst, cfg.Tunables.AdaptCalls, cfg.Tunables.ZonePatienceS, cfg.Tunables.SpreadMoves = 0, 0, 0, 0, 0, 0
-		cfg.Tunables.Pools, cfg.Tunables.DirectStarts = nil, 0
+		cfg.Tunables.Pools, cfg.Tunables.DirectStarts, cfg.Tunables.AskSilent = nil, 0, 0
 	}
 	c.core = node.NewCore(&cfg, (c.s.began + c.s.now).Milliseconds())
 	c.users = map[effects.Asker]func(effects.Answer){}
@@ -398,6 +398,19 @@
 		if w := s.cloud.machines[e.Address]; w != nil {
 			s.send(c.name, w.name, func() { w.direct(e.Token, e.Session, e.Stops, func(*workers.Report) {}) })
 		}
+	case effects.Ask:
+		if w := s.cloud.machines[e.Address]; w != nil {
+			life, epoch := c.life, c.core.Epoch()
+			call(s, c.name, w.name, time.Second, func(reply func(bool)) {
+				if w.up && !w.hung {
+					reply(true)
+				}
+			}, func(_, ok bool) {
+				if c.life == life {
+					c.into(func(now time.Duration) { c.core.Asked(now, epoch, e.Machine, ok) })()
+				}
+			})
+		}
 	case effects.Launch:
 		life := c.life
 		epoch := c.core.Epoch()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,7 +144,7 @@
 // Prompt says whether an aim is so tight that a start which waits for an idle worker's
 // next report would miss it.
 func (s *Settings) Prompt(o Objective) bool {
-	return s.Tunables.DirectStarts > 0 && o.Kind == AimWait && o.WithinS < s.Deployment.Workers.ReportS
+	return o.Kind == AimWait && o.WithinS < s.Deployment.Workers.ReportS
 }
 
 // Prompts says whether any aim is.
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -30,6 +30,7 @@
 	AimShare        float64 // for classes with aims: the share of the tightest one that takes its place
 	IdleReturnS     float64 // room of ordinary machines that was not wanted for this time is returned
 	SpotReturnS     float64 // the same of spot machines
+	AskSilent       int     // where a class should start within a report interval: a silent machine is asked so many times and then given up; 0: it is not asked
 	ReadyWindowS    float64 // where work should start sooner than a machine boots: room that was not wanted for this time is returned; 0: as elsewhere
 	NoteTasks       int     // it is noted up to which number tasks may be handed out
 	NoteReturns     int     // a machine that is returned empty is noted before
@@ -175,6 +176,7 @@
 	amount("fleet", "aim_share", "share", "dear_backlog of a class with aims: this share of the tightest one", 1.1, 0.1, 10, func(t *Tunables) *float64 { return &t.AimShare }),
 	amount("fleet", "idle_return", "s", "room of ordinary machines that was not wanted for this time is returned", 3, 0, 86400, func(t *Tunables) *float64 { return &t.IdleReturnS }),
 	amount("fleet", "spot_return", "s", "room of spot machines that was not wanted for this time is returned", 7, 0, 86400, func(t *Tunables) *float64 { return &t.SpotReturnS }),
+	whole("fleet", "ask_silent", "times", "where a class should start within a report interval, a machine that is silent while its zone is heard is asked directly, and given up when it has not answered so many times; 0: it is not asked", 0, 0, 20, func(t *Tunables) *int { return &t.AskSilent }),
 	amount("fleet", "ready_window", "s", "where a class should start sooner than the quickest machine boots, room is returned only when it was not wanted for this time; 0: as elsewhere", 0, 0, 86400, func(t *Tunables) *float64 { return &t.ReadyWindowS }),
 	whole("fleet", "move_saved", "0 or 1", "tasks that save their progress are moved off machines that are to be returned, where that costs less than waiting for their end", 1, 0, 1, func(t *Tunables) *int { return &t.MoveSaved }),
 	amount("fleet", "spot_task", "s", "tasks that run longer than this and save nothing stay off spot machines: a sudden loss would cost too much", 600, 0, 1e9, func(t *Tunables) *float64 { return &t.SpotTaskS }),
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"bitternmoor/internal/asking"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/coldstart"
 	"bitternmoor/internal/direct"
@@ -76,6 +77,7 @@
 	placing *placing.Duty
 	fleet   *fleet.Duty
 	cold    *coldstart.Duty // nil: switched off
+	asking  *asking.Duty    // nil: switched off, or no aim asks for it
 	direct  *direct.Duty    // nil: switched off, or no aim asks for it
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
@@ -106,10 +108,14 @@
 		t.cold = coldstart.New(s)
 		t.add(coldstart.Name, t.cold)
 	}
-	if start.Cfg.Prompts() {
+	if start.Cfg.Tunables.DirectStarts > 0 && start.Cfg.Prompts() {
 		t.direct = direct.New(s)
 		t.add(direct.Name, t.direct)
 	}
+	if start.Cfg.Tunables.AskSilent > 0 && start.Cfg.Prompts() {
+		t.asking = asking.New(s)
+		t.add("", t.asking)
+	}
 	if start.Cfg.Tunables.SpreadMoves > 0 {
 		t.add(spread.Name, spread.New(s))
 	}
@@ -387,6 +393,13 @@
 	t.roster.Started(now, machine, offers)
 }
 
+// Asked takes whether a silent worker has answered.
+func (t *Term) Asked(machine string, ok bool) {
+	if t.asking != nil && t.loaded {
+		t.asking.Asked(machine, ok)
+	}
+}
+
 // Launched takes a worker's report after starts sent straight to it, or none.
 func (t *Term) Launched(now time.Duration, sure bool, machine string, token uint64, starts []workers.Command, r *workers.Report) {
 	if t.direct != nil && t.loaded {
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -396,6 +396,12 @@
 	return &Workers{&http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
 }
 
+// Show says whether the worker at addr answers.
+func (w *Workers) Show(ctx context.Context, addr string) bool {
+	status, _, err := (&Client{"http://" + addr, w.c}).raw(ctx, "GET", PathShow, nil)
+	return err == nil && status == http.StatusOK
+}
+
 // Do sends direct commands to the worker at addr, and returns its report after them.
 // They may be carried out late whatever comes back.
 func (w *Workers) Do(ctx context.Context, addr string, body []byte) (*workers.Report, error) {
--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -129,6 +129,9 @@
 // PathCommands is where a worker takes direct commands.
 const PathCommands = "/do"
 
+// PathShow is where a worker shows its report.
+const PathShow = "/show"
+
 // Direct is the body of a direct command.
 func Direct(token, session uint64, cmds []workers.Command) []byte {
 	return encode(direct{token, session, commands(cmds)})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -134,6 +134,7 @@
 	Type, Zone    int32
 	Spot          bool
 	Cap, Free     amounts.Amounts
+	Plain         amounts.Amounts // of what is not free: taken by tasks that need no accelerator
 	CacheGB       float64
 	FetchGBPS     float64
 	Number        int             // in the registry
@@ -177,12 +178,14 @@
 	// there is none. A call that had no answer, a lease that ran out while the machine was
 	// heard, and signs that it began anew give rise to it: whoever then reports a token
 	// given out since hears us, and lives.
-	Doubt      uint64
-	DoubtSince time.Duration
-	seen       uint64 // highest token in a report that was taken in
-	first      uint64 // lowest token of this term
-	raise      Raise  // whether a higher token is asked for
-	raised     time.Duration
+	Doubt        uint64
+	DoubtSince   time.Duration
+	seen         uint64        // highest token in a report that was taken in
+	first        uint64        // lowest token of this term
+	Unanswered   int           // times that it was asked since it was last heard, and did not answer
+	UnansweredAt time.Duration // when it was last heard before that
+	raise        Raise         // whether a higher token is asked for
+	raised       time.Duration
 }
 
 type attempt struct {
@@ -274,14 +277,24 @@
 // Plan gives a task to the machine, to be sent with its next answer.
 func (m *Machine) Plan(p *Placement) {
 	p.Planned, p.Home = true, m
+	m.add(p)
+}
+
+func (m *Machine) add(p *Placement) {
 	m.Tasks[p.Ref] = p
 	m.Free = m.Free.Minus(p.Need)
+	if p.Need.GPU == 0 {
+		m.Plain = m.Plain.Plus(p.Need)
+	}
 }
 
 // Take removes a placement.
 func (m *Machine) Take(ref Ref) {
 	if p := m.Tasks[ref]; p != nil {
 		m.Free = m.Free.Plus(p.Need)
+		if p.Need.GPU == 0 {
+			m.Plain = m.Plain.Minus(p.Need)
+		}
 		delete(m.Tasks, ref)
 	}
 }
@@ -342,6 +355,9 @@
 			if len(out)-here >= offersAtOnce {
 				break
 			}
+			if m.Cap.GPU > 0 && p.Need.GPU == 0 {
+				continue // how much of them it may have was looked at where they are planned
+			}
 			if p.Planned && !p.Once && p.Need.Fits(m.Free) && m.HasImage(p.Image) {
 				add(p, false)
 			}
@@ -355,8 +371,7 @@
 func (m *Machine) moveIn(p *Placement) {
 	p.Home.Take(p.Ref)
 	p.Planned, p.Home = false, m
-	m.Tasks[p.Ref] = p
-	m.Free = m.Free.Minus(p.Need)
+	m.add(p)
 }
 
 // Started notes that an offered task was sent with the answer to the
@@ -490,8 +505,7 @@
 	for m := range p.Offered {
 		p.Home.Take(p.Ref)
 		p.Home = m
-		m.Tasks[p.Ref] = p
-		m.Free = m.Free.Minus(p.Need)
+		m.add(p)
 		return true
 	}
 	return false
@@ -685,8 +699,7 @@
 			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 		case squaring.Adopt:
 			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, Home: m, State: Fetching}
-			m.Tasks[k.Ref] = p
-			m.Free = m.Free.Minus(p.Need)
+			m.add(p)
 			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Placement: p})
 			fallthrough
 		case squaring.Keep:
