Machines with accelerators are kept for work that needs them, and rented by its demand

Change: where some types have accelerators and others do not, each kind has a demand, peaks and returns of its own. A task that needs no accelerator and can be elsewhere gets room there only beside as many that do as the machine has, and short tasks of arrays also where more places are free than are waited for, but for an eighth. No effect where no type has any.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -39,7 +39,9 @@
 	scratch  []int32
 	refusals []refusal // of this pass
 	paced    bool      // a place was left out in the last try of give, since starts are paced
-	plain    bool      // tests hold the quick path against one that remembers nothing
+	accel    amounts.Amounts
+	accelAt  time.Duration
+	plain    bool // tests hold the quick path against one that remembers nothing
 }
 
 // refusal is a need that found no machine in this pass. Room only shrinks
@@ -133,10 +135,12 @@
 	Book    *sizing.Book
 	Missing []amounts.Amounts // by team: machines of an earlier term that may have its tasks
 	Blind   bool              // one of them may have tasks of any job
+	Accel   amounts.Amounts   // the largest need of a task with accelerators, as of late; zero: there is none
 	Units   Units             // nil: there are none
 	Zone    func(string) int32
 	Place   func(j *jobs.Job, k int, m *workers.Machine)
 	Pace    func(j *jobs.Job, m *workers.Machine) bool // whether a task may be started now; nil: any
+	lend    int                                        // places for tasks with accelerators that may be lent to others
 	local   bool                                       // jobs that have not waited long leave machines without their image
 	Unplace func(j *jobs.Job, k int)                   // takes back a plan that was not sent
 }
@@ -174,12 +178,88 @@
 // suits says whether one more task of a job could be on a machine if that
 // were free.
 func (w *World) suits(j *jobs.Job, m *workers.Machine) bool {
-	return j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone)
+	return !w.kept(j, m) && j.Need.Fits(m.Cap) && Allowed(j, m, w.Zone) && j.ZoneAllows(m.Zone)
 }
 
+// kept says whether a machine is kept for tasks that need its accelerators, before one
+// that needs none and can be elsewhere: no more of them get there than leave as many of
+// the others their place as it has.
+func (w *World) kept(j *jobs.Job, m *workers.Machine) bool {
+	return m.Cap.GPU > 0 && j.Need.GPU == 0 && j.OnPlain && w.Accel.GPU > 0
+}
+
+// mayLend says whether one more task that needs no accelerator may have room on a machine
+// that is kept: where it leaves room for as many that do as the machine has, or, for a
+// short while, where more are free than such tasks wait for. Found on a day with gangs on
+// machines of two accelerators and twelve processors: replicas of one processor stood on
+// most of them for minutes, and a third of the accelerators was idle while gangs waited.
+func (w *World) mayLend(j *jobs.Job, m *workers.Machine) bool {
+	left := m.Cap.Minus(m.Plain)
+	after := Slots(w.Accel, left.Minus(j.Need))
+	if after >= Slots(w.Accel, m.Cap) {
+		return true
+	}
+	return j.Rec.Kind == jobs.Array && j.Mean() <= lentFor && (w.lend > 0 || after >= Slots(w.Accel, left))
+}
+
+// lent counts what a task takes from those that need accelerators.
+func (w *World) lent(j *jobs.Job, m *workers.Machine) {
+	left := m.Cap.Minus(m.Plain)
+	w.lend -= max(0, Slots(w.Accel, left)-Slots(w.Accel, left.Minus(j.Need)))
+}
+
+// lendable is how many places for tasks with accelerators are free beyond those that wait
+// and some that may come.
+func (w *World) lendable() int {
+	free, all, waiting := 0, 0, 0
+	for _, m := range w.Yard.All() {
+		if m.Cap.GPU > 0 && m.Usable(w.Now, w.Quiet) {
+			free += Slots(w.Accel, m.Free)
+			all += Slots(w.Accel, m.Cap)
+		}
+	}
+	for _, j := range w.Jobs.All() {
+		if j != nil && j.Need.GPU > 0 {
+			waiting += j.Waiting
+		}
+	}
+	return free - waiting - max(lendLeast, all/lendShare)
+}
+
+const (
+	lentFor   = 120 // seconds that a task runs at most for which such a place is lent
+	lendLeast = 8   // places that are never lent
+	lendShare = 8   // and one in so many of all
+)
+
+// Accelerated is the largest need of a task with accelerators: of the jobs there are, or of
+// the last ones for a while after they have left.
+func (p *Planner) Accelerated(now time.Duration, t *jobs.Table) amounts.Amounts {
+	var most amounts.Amounts
+	for _, j := range t.All() {
+		if j != nil && j.Need.GPU > 0 {
+			most = amounts.Amounts{CPU: max(most.CPU, j.Need.CPU), GPU: max(most.GPU, j.Need.GPU), Mem: max(most.Mem, j.Need.Mem)}
+		}
+	}
+	switch {
+	case most.GPU > 0:
+		p.accel, p.accelAt = most, now
+	case now-p.accelAt > accelKept:
+		p.accel = amounts.Amounts{}
+	}
+	return p.accel
+}
+
+// accelKept is for how long machines are kept for work that needs their accelerators when
+// none is there.
+const accelKept = 10 * time.Minute
+
 // Pass gives out all room that the order lets it give.
 func (p *Planner) Pass(w World) {
 	p.refusals = p.refusals[:0]
+	if w.Accel.GPU > 0 {
+		w.lend = w.lendable()
+	}
 	order := p.Order(&w)
 	least, training := int64(-1), 0
 	wants := func(j *jobs.Job) {
@@ -498,7 +578,7 @@
 	var bestScore int64
 	paces := w.Pace != nil && j.Rec.Kind == jobs.Array // gangs start as a whole, services first of all
 	for _, m := range machines {
-		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) {
+		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) || (w.kept(j, m) && !w.mayLend(j, m)) {
 			continue
 		}
 		if paces && !w.Pace(j, m) {
@@ -508,6 +588,9 @@
 		// The earliest start, then the tightest fit: a second of fetching
 		// weighs as much as ten processors left over.
 		score := m.Free.CPU - j.Need.CPU
+		if w.kept(j, m) {
+			score += 1e5 // only where nothing else is
+		}
 		if !m.HasImage(j.Image) {
 			score += int64(1e4 * j.Rec.ImageGB / m.FetchGBPS)
 		}
@@ -524,6 +607,10 @@
 		}
 		return false
 	}
+	if j.Prompt && !best.HasImage(j.Image) && p.waitsForImage(w, j, best) {
+		p.paced = true
+		return false
+	}
 	if w.local && j.Rec.Kind == jobs.Array && !best.HasImage(j.Image) {
 		if j.Passed == 0 {
 			j.Passed = w.Now
@@ -538,10 +625,26 @@
 	if j.HomeZone == 0 {
 		j.HomeZone = best.Zone + 1
 	}
+	if w.kept(j, best) {
+		w.lent(j, best)
+	}
 	w.Place(j, k, best)
 	return true
 }
 
+// waitsForImage says whether a task that should start within a moment leaves room on a
+// machine that would have to fetch its image first: for a fraction of the fetch, and not
+// for long. On a full cluster the next room comes free sooner, and often where the image is.
+func (p *Planner) waitsForImage(w *World, j *jobs.Job, m *workers.Machine) bool {
+	if j.Passed == 0 {
+		j.Passed = w.Now
+	}
+	return p.Locality > 0 && w.Now-j.Passed < min(promptPatience, time.Duration(j.Rec.ImageGB/m.FetchGBPS/4*float64(time.Second)))
+}
+
+// promptPatience is how long it waits at most.
+const promptPatience = 400 * time.Millisecond
+
 // hold keeps the room of machines for a job that fits nowhere now: of those
 // that would fit it the ones with most room already, as many as its waiting
 // tasks fill and its team may use. For a job bound to one zone they are of
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -38,9 +38,7 @@
 	listBusy   bool
 	listAt     time.Duration
 	rentedAt   time.Duration
-	dearPeak   peak
-	spotPeak   peak
-	boundPeak  peak // of jobs that may not use spot machines
+	kinds      [2]kind
 	calls      pacing.Adaptive
 
 	// While the log is replayed: rented machines that are not registered, those
@@ -51,6 +49,22 @@
 	typesKept bool // by the cleaning under way
 }
 
+// kind is a kind of machines that are rented and returned by a demand of their own: those
+// with accelerators, where there are others too, and the rest.
+type kind struct {
+	accel     bool // machines with accelerators
+	all       bool // there is but one kind
+	dearPeak  peak
+	spotPeak  peak
+	boundPeak peak // of jobs that may not use spot machines
+}
+
+// has says whether machines of a type are of this kind.
+func (k *kind) has(gpus float64) bool { return k.all || (gpus > 0) == k.accel }
+
+// wants says whether a job's work is for machines of this kind.
+func (k *kind) wants(j *jobs.Job) bool { return k.all || (j.Need.GPU > 0 || !j.OnPlain) == k.accel }
+
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
 	return &Duty{State: s, buyer: NewBuyer(fmt.Sprintf("r-%d", s.Epoch)), rentals: map[string]ledger.Rental{}, rentDue: map[string]time.Duration{},
@@ -166,21 +180,39 @@
 	if len(d.Types) == 0 {
 		return
 	}
+	accel := slices.ContainsFunc(d.Types, func(ty ledger.Type) bool { return ty.GPUs > 0 })
+	if plain := slices.ContainsFunc(d.Types, func(ty ledger.Type) bool { return ty.GPUs == 0 }); !accel || !plain {
+		d.kinds[0].all = true
+		d.rentKind(now, &d.kinds[0])
+		return
+	}
+	d.kinds[0].all, d.kinds[1].accel = false, true
+	for i := range d.kinds {
+		d.rentKind(now, &d.kinds[i])
+	}
+}
+
+// rentKind does so for one kind of machines.
+func (d *Duty) rentKind(now time.Duration, k *kind) {
 	var open []*jobs.Job
+	yard := slices.Clone(d.Yard.All())
+	if !k.all {
+		yard = slices.DeleteFunc(yard, func(m *workers.Machine) bool { return !k.has(d.Types[m.Type].GPUs) })
+	}
 	// Until it is known what runs, machines are rented only for urgent work that not
 	// even the whole fleet could hold: those not heard yet count as there.
 	settled := d.May(now, cluster.Rent)
 	for _, j := range d.Jobs.All() {
-		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) && (settled || j.Priority >= urgent) {
+		if j != nil && j.Phase == jobs.Open && j.Finished < len(j.Tasks) && k.wants(j) && (settled || j.Priority >= urgent) {
 			open = append(open, j)
 		}
 	}
 	cheap := d.demand(open, d.Cfg.Tunables.DrainBacklogS, true)
 	dear := d.demand(open, 0, false)
-	d.dearPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), cheap)
-	d.spotPeak.add(now, d.window(d.Cfg.Tunables.SpotReturnS), cheap)
+	k.dearPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), cheap)
+	k.spotPeak.add(now, d.window(d.Cfg.Tunables.SpotReturnS), cheap)
 	var have, up, ordinary float64
-	for _, m := range d.Yard.All() {
+	for _, m := range yard {
 		if !m.Leaving && !m.Notice && !m.Draining && (m.Up || !d.buyer.Avoided(now, d.Zones.Name(m.Zone))) {
 			have += m.Cap.CPUs()
 			if m.Up {
@@ -192,12 +224,12 @@
 		}
 	}
 	have += d.buyer.Asked(func(typ string) float64 {
-		if i, ok := d.TypeNames.Find(typ); ok {
+		if i, ok := d.TypeNames.Find(typ); ok && k.has(d.Types[i].GPUs) {
 			return d.Types[i].CPUs
 		}
 		return 0
 	})
-	for _, m := range d.Yard.All() {
+	for _, m := range yard {
 		if cheap > have && m.Draining && !m.Leaving {
 			m.Draining = false
 			have += m.Cap.CPUs()
@@ -208,27 +240,27 @@
 	bound := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool { return j.Spot })
 	var requests []ledger.Rental
 	if len(bound) < len(open) && cheap > have {
-		requests = d.buyer.Rent(now, d.Types, d.wanted(cheap-have, true, open))
+		requests = d.buyer.Rent(now, d.Types, d.wanted(k, cheap-have, true, open))
 	}
 	// Ordinary machines: what spot ones could not bring, and jobs that may
 	// not use spot machines at all, however much room there is on those.
 	need := d.demand(bound, d.Cfg.Tunables.DrainBacklogS, true)
-	for _, m := range d.Yard.All() {
+	for _, m := range yard {
 		if need > ordinary && m.Draining && !m.Leaving && !m.Spot {
 			m.Draining = false
 			ordinary += m.Cap.CPUs()
 			d.Dirty = true
 		}
 	}
-	d.boundPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), need)
+	k.boundPeak.add(now, d.window(d.Cfg.Tunables.IdleReturnS), need)
 	if len(requests) == 0 && dear > have {
-		requests = d.buyer.Rent(now, d.Types, d.wanted(dear-have, false, open))
+		requests = d.buyer.Rent(now, d.Types, d.wanted(k, dear-have, false, open))
 	}
 	if len(requests) == 0 && need > ordinary {
-		requests = d.buyer.Rent(now, d.Types, d.wanted(need-ordinary, false, bound))
+		requests = d.buyer.Rent(now, d.Types, d.wanted(k, need-ordinary, false, bound))
 	}
 	d.request("renting", requests)
-	picky := d.picky()
+	picky := slices.DeleteFunc(d.picky(), func(j *jobs.Job) bool { return !k.wants(j) })
 	d.keepFor(picky)
 	stuck := slices.DeleteFunc(slices.Clone(open), func(j *jobs.Job) bool {
 		return j.Waiting == 0 || (len(j.Rec.Counted) > 0 && d.units(j) == 0) || d.couldRun(j)
@@ -240,9 +272,9 @@
 			cpus += float64(j.Waiting) * j.Share
 		}
 		spotless := slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return !j.Spot })
-		requests = d.buyer.Rent(now, d.Types, d.wanted(cpus, !spotless, stuck))
+		requests = d.buyer.Rent(now, d.Types, d.wanted(k, cpus, !spotless, stuck))
 		if len(requests) == 0 {
-			requests = d.buyer.Rent(now, d.Types, d.wanted(cpus, false, stuck))
+			requests = d.buyer.Rent(now, d.Types, d.wanted(k, cpus, false, stuck))
 		}
 		d.request("renting for jobs that fit nowhere", requests)
 	}
@@ -252,7 +284,7 @@
 	if cheap <= have && (len(stuck) == 0 || len(requests) == 0) && d.May(now, cluster.Return) {
 		// Against what is up: what is only asked for or boots may never come,
 		// while the cloud is out for instance.
-		d.shrink(now, up, ordinary, picky, stuck)
+		d.shrink(now, k, yard, up, ordinary, picky, stuck)
 	}
 }
 
@@ -487,7 +519,7 @@
 	return p.demand[0]
 }
 
-func (d *Duty) shrink(now time.Duration, have, ordinary float64, picky, stuck []*jobs.Job) {
+func (d *Duty) shrink(now time.Duration, k *kind, yard []*workers.Machine, have, ordinary float64, picky, stuck []*jobs.Job) {
 	places := make([]int, len(picky))
 	for i, j := range picky {
 		places[i] = d.places(j)
@@ -501,7 +533,7 @@
 		}
 		return false
 	}
-	list := slices.DeleteFunc(slices.Clone(d.Yard.All()), func(m *workers.Machine) bool {
+	list := slices.DeleteFunc(slices.Clone(yard), func(m *workers.Machine) bool {
 		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS) ||
 			slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return d.mayTake(j, m) })
 	})
@@ -527,11 +559,11 @@
 		return cmp.Compare(a.Name, b.Name)
 	})
 	for _, m := range list {
-		wanted := d.dearPeak.value()
+		wanted := k.dearPeak.value()
 		if m.Spot {
-			wanted = d.spotPeak.value()
+			wanted = k.spotPeak.value()
 		}
-		if have-m.Cap.CPUs() >= wanted && !last(m) && (m.Spot || ordinary-m.Cap.CPUs() >= d.boundPeak.value()) {
+		if have-m.Cap.CPUs() >= wanted && !last(m) && (m.Spot || ordinary-m.Cap.CPUs() >= k.boundPeak.value()) {
 			have -= m.Cap.CPUs()
 			if !m.Spot {
 				ordinary -= m.Cap.CPUs()
@@ -545,7 +577,7 @@
 			d.TakeBackAll(m)
 		}
 	}
-	for _, m := range d.Yard.All() {
+	for _, m := range yard {
 		if m.Draining && !m.Leaving && len(m.Tasks) == 0 && len(m.Offers) == 0 && m.Strays == 0 {
 			d.Leave(now, m, cluster.Return, "not needed")
 			if m.Resolved { // else only its deletion proves that nothing of an earlier term is there
@@ -577,7 +609,7 @@
 	return end.Round(time.Second)
 }
 
-func (d *Duty) wanted(cpus float64, spot bool, open []*jobs.Job) (w Want) {
+func (d *Duty) wanted(k *kind, cpus float64, spot bool, open []*jobs.Job) (w Want) {
 	w.Zones = map[string]float64{}
 	for _, m := range d.Yard.All() {
 		w.Zones[d.Zones.Name(m.Zone)] += m.Cap.CPUs()
@@ -585,7 +617,7 @@
 	w.CPUs, w.Spot, w.Stay = cpus, spot, d.Cfg.Tunables.UsualStayS
 	w.Fits = func(ty ledger.Type, zone string, spot bool) bool {
 		i, ok := d.TypeNames.Find(ty.Name)
-		if !ok {
+		if !ok || !k.has(ty.GPUs) {
 			return false
 		}
 		m := &workers.Machine{Type: i, Zone: d.Zones.Index(zone), Spot: spot, Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
