Machines are sent away only where the state service and the peers were lost together

An outage of the state service began while the other controllers were not back from a crash; their leader took itself for cut off and sent its machines to controllers that were not there: one that ran something was deleted.

Change: a node is left out only where both were lost within four seconds of one another.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -425,18 +425,29 @@
 	return true
 }
 
-// lonely says whether this leader has lost the state service and all other controllers:
-// somebody else leads by now, or will.
+// lonely says whether this leader has lost the state service and all other controllers,
+// and both at once: then the fault is most likely on its side, and somebody else leads by
+// now or will. Others that were gone before are not cut off from it: found on a day on which
+// the state service went out while they were not back yet from a crash; their leader sent
+// its machines to controllers that were not there.
 func (c *Core) lonely(now time.Duration) bool {
-	return len(c.cfg.Peers) > 0 && now-c.sureAt > c.tooFar() && !c.heardOf(now)
+	var last time.Duration
+	for _, at := range c.peerAt {
+		last = max(last, at)
+	}
+	served := c.sureAt - settings.Seconds(c.cfg.Tunables.LeaderHoldS)
+	return last > 0 && now-c.sureAt > c.tooFar() && now-last >= cutOffAfter && last > served-together
 }
 
 // leftOut says the same of a node that does not lead: for longer than a dead leader's hold
 // lasts and a call takes it has reached neither the leader nor the state service.
 func (c *Core) leftOut(now time.Duration) bool {
-	return c.apartFrom != "" && now-c.lostAt >= c.tooFar()+peerTimeout && !c.lead.Served(now)
+	return c.apartFrom != "" && now-c.lostAt >= c.tooFar()+peerTimeout && !c.lead.Served(now) && c.lostAt < c.lead.LastServed()+together
 }
 
+// together: what is lost within this time of one another is lost at once.
+const together = 4 * time.Second
+
 // sendAway has a machine try the other controllers, once: the leader gives it up when it
 // does not come there in time. Those that come back have found nobody else, as in a zone
 // that is cut off as a whole: then all are kept alive as before. One that was never in this
