Jobs begin within minutes, no question is forgotten; replicas wait for their image

Size order lets the largest wait: with small jobs coming for eight minutes, two gangs that want most of the machines began after more than four. Replicas on a full cluster were given the first room, where their image was missing more often than not.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -26,6 +26,9 @@
 	// UrgentFirst is an exception to the size order: urgent and critical jobs
 	// go ahead of it, in size order among themselves.
 	UrgentFirst bool
+	// BeginWithin puts jobs that have not begun after this time ahead of all but urgent
+	// ones; 0 switches this exception off.
+	BeginWithin time.Duration
 	// Guarantees, by team, put jobs that fit into their team's guarantee
 	// together with its earlier unfinished jobs ahead of the order; empty
 	// switches this exception off.
@@ -434,6 +437,8 @@
 	}
 	switch r := p.rank(&w, j.Index); {
 	case j.Rec.Kind == jobs.Service:
+	case p.overdue(&w, j):
+		out = append(out, "none of its tasks has begun for long: it goes ahead of all but urgent jobs (exception begin_within)")
 	case r == keptRank, r == keptFirst:
 		out = append(out, "it goes ahead of others: less than the floor of its class or team would be served in time otherwise (exception served_floor)")
 	case r > keptRank:
@@ -463,7 +468,7 @@
 		return keptFirst
 	case p.UrgentFirst && j.Priority >= 2:
 		return int(j.Priority) + 1
-	case j.Kept == jobs.KeptBehindUrgent:
+	case j.Kept == jobs.KeptBehindUrgent, p.overdue(w, j):
 		return keptRank
 	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
 		return 1
@@ -475,6 +480,12 @@
 	return 0
 }
 
+// overdue says whether none of a job's tasks has begun for longer than it should wait. The
+// largest come last by size, and where smaller ones keep coming they would never begin.
+func (p *Planner) overdue(w *World, j *jobs.Job) bool {
+	return p.BeginWithin > 0 && !j.HasBegun() && w.Now-j.AcceptedAt >= p.BeginWithin
+}
+
 // inOrder gives room to the jobs in their order; room is held for the first
 // that does not fit, unless it is held already.
 func (p *Planner) inOrder(w *World, order []int32, machines []*workers.Machine, held bool) bool {
@@ -607,7 +618,7 @@
 		}
 		return false
 	}
-	if j.Prompt && !best.HasImage(j.Image) && p.waitsForImage(w, j, best) {
+	if j.Prompt && j.Rec.Kind == jobs.Service && !best.HasImage(j.Image) && p.waitsForImage(w, j, best) {
 		p.paced = true
 		return false
 	}
@@ -632,7 +643,7 @@
 	return true
 }
 
-// waitsForImage says whether a task that should start within a moment leaves room on a
+// waitsForImage says whether a replica that should start within a moment leaves room on a
 // machine that would have to fetch its image first: for a fraction of the fetch, and not
 // for long. On a full cluster the next room comes free sooner, and often where the image is.
 func (p *Planner) waitsForImage(w *World, j *jobs.Job, m *workers.Machine) bool {
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -207,6 +207,7 @@
 	}
 	s.Plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
 	s.Plan.Affinity = cfg.Tunables.ZoneAffinityS
+	s.Plan.BeginWithin = settings.Seconds(cfg.Tunables.BeginWithinS)
 	s.Plan.UrgentFirst = cfg.Tunables.UrgentFirst == 1
 	return s
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -231,6 +231,12 @@
 	j.cursor, j.fresh = min(j.cursor, k), min(j.fresh, k)
 }
 
+// HasBegun says whether a task of the job has its place or had one, as far as is known; a
+// gang has begun once all of them ran.
+func (j *Job) HasBegun() bool {
+	return j.Finished > 0 || j.FirstAt > 0 || (j.Rec.Kind != Gang && j.Placed > 0) || j.Began
+}
+
 // Together is how many of the job's waiting tasks start together.
 func (j *Job) Together() int {
 	if j.Rec.Kind == Gang {
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"bitternmoor/internal/effects"
@@ -16,6 +18,9 @@
 	completeN map[task]bool
 	broken    []string
 	starts    int
+	calm      time.Duration              // when the last trouble is over; 0: not yet
+	answered  map[*userJob]time.Duration // when a question about a job was last answered
+	begun     map[uint64]time.Duration   // when a job's first task began; of a gang, its last
 	ghosts    []ghost
 	began     map[string]int     // how many units there were when a job began, by job and pool
 	use       map[string]float64 // processors that each team's tasks have, kept up start by start
@@ -29,6 +34,12 @@
 func (c *checker) started(t task, w *worker) {
 	c.starts++
 	j := c.s.jobs[t.job]
+	if c.begun == nil {
+		c.begun = map[uint64]time.Duration{}
+	}
+	if _, ok := c.begun[t.job]; !ok || (j.spec.Job.Kind == 1 && !c.completeN[t]) {
+		c.begun[t.job] = c.s.now
+	}
 	for m := range c.on[t] {
 		if m != w.name {
 			c.fail("ran_twice", "%d/%d on %s while on %s", t.job, t.k, w.name, m)
@@ -139,6 +150,51 @@
 	}
 }
 
+// asked holds a question about a job against the rule that none is forgotten: once all
+// troubles are over, one of 75 seconds is answered, however others fare.
+func (c *checker) asked(j *userJob) {
+	since := max(c.calm, c.answered[j], j.acceptedAt)
+	if c.calm > 0 && j.accepted && !j.asked && !j.gone && c.s.now-since > forgottenAfter {
+		c.fail("forgotten", "no question about %d was answered since %v", j.id, since.Round(time.Second))
+	}
+}
+
+const (
+	forgottenAfter = 75 * time.Second
+	beginsWithin   = 4 * time.Minute
+)
+
+// largest picks a class's largest jobs: the tenth with most work, and the widest.
+func largest(class []*userJob) []*userJob {
+	work := func(j *userJob) float64 { return float64(j.spec.Job.Tasks) * j.run.Seconds() }
+	n := (len(class) + 9) / 10
+	slices.SortFunc(class, func(a, b *userJob) int { return cmp.Compare(work(b), work(a)) })
+	out := slices.Clone(class[:n])
+	slices.SortFunc(class, func(a, b *userJob) int { return cmp.Compare(b.spec.Job.Tasks, a.spec.Job.Tasks) })
+	if !slices.Contains(out, class[0]) {
+		out = append(out, class[0])
+	}
+	return out
+}
+
+// beginInTime holds the largest jobs of each class against the time in which they must
+// begin. Jobs that came after a time do not count.
+func (c *checker) beginInTime(until time.Duration) {
+	by := map[string][]*userJob{}
+	for _, j := range c.s.jobs {
+		if j.spec.Job != nil && j.accepted && !j.asked && !j.gone && j.acceptedAt <= until {
+			by[j.spec.Job.Class] = append(by[j.spec.Job.Class], j)
+		}
+	}
+	for class, list := range by {
+		for _, j := range largest(list) {
+			if at, ok := c.begun[j.id]; !ok || at-j.acceptedAt > beginsWithin {
+				c.fail("begins_late", "%d, of the largest of class %s, %d tasks, accepted at %v, began at %v", j.id, class, j.spec.Job.Tasks, j.acceptedAt.Round(time.Second), at.Round(time.Second))
+			}
+		}
+	}
+}
+
 // over says whether all tasks of a job have completed.
 func (c *checker) over(id uint64) bool {
 	for k := range c.s.jobs[id].spec.Job.Tasks {
@@ -173,6 +229,12 @@
 // told takes an answer to a request that was sent at a time: one sent before
 // another answer was told may be overtaken by it.
 func (c *checker) told(j *userJob, a effects.Answer, sent time.Duration) {
+	if a.Status == 200 || a.Status == 201 {
+		if c.answered == nil {
+			c.answered = map[*userJob]time.Duration{}
+		}
+		c.answered[j] = c.s.now
+	}
 	switch {
 	case a.Status == 404 && j.accepted:
 		c.fail("forgotten", "%d gets 404", j.id)
--- /dev/null
+++ b/internal/scenario/largest_test.go
@@ -0,0 +1,67 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+// largestDay has small jobs come for eight minutes, a fifth more than there is room for,
+// and beside them, from the first minute on, two gangs that each want most of the machines, a
+// wide array of large tasks, and a gang of one zone.
+func largestDay(begin float64) *sim {
+	c := baseSettings()
+	c.Deployment.State.WriteRPS = 60
+	c.Tunables.BeginWithinS = begin
+	s := newSim(c, 3, 3, false)
+	s.cloud.capacity = 12
+	r := rand.New(rand.NewPCG(3, 33))
+	add := func(at time.Duration, job ledger.Job, run time.Duration) {
+		job.ID, job.Team, job.Priority, job.MemoryGB, job.Image, job.ImageGB, job.Spot, job.EstimateS = uint64(len(s.jobs)+1), "team", 1, 1, job.Class, 0.3, true, run.Seconds()
+		j := &userJob{id: job.ID, run: run, spec: wire.Submission{ID: job.ID, HasID: true, Job: &job}}
+		s.jobs[job.ID] = j
+		s.after(at, func() { s.submit(j, r.IntN(3), func() bool { return true }) })
+	}
+	for at := 10 * time.Second; at < 490*time.Second; at += time.Second {
+		add(at, ledger.Job{Class: "small", Tasks: 4, CPUs: 1}, time.Duration(10+r.IntN(9))*time.Second)
+	}
+	add(60*time.Second, ledger.Job{Class: "gang", Kind: 1, Tasks: 9, CPUs: 4}, 40*time.Second)
+	add(62*time.Second, ledger.Job{Class: "gang", Kind: 1, Tasks: 10, CPUs: 4}, 40*time.Second)
+	add(64*time.Second, ledger.Job{Class: "wide", Tasks: 60, CPUs: 3}, 30*time.Second)
+	add(66*time.Second, ledger.Job{Class: "zone", Kind: 1, Tasks: 5, CPUs: 4, OneZone: true}, 30*time.Second)
+	s.run(700 * time.Second)
+	s.check.beginInTime(s.now)
+	return s
+}
+
+// Where smaller jobs keep coming, the largest begin within four minutes all the same;
+// without the exception some of them do not.
+func TestLargestBegin(t *testing.T) {
+	late := func(s *sim) bool {
+		return slices.ContainsFunc(s.check.broken, func(b string) bool { return strings.HasPrefix(b, "begins_late") })
+	}
+	if s := largestDay(0); !late(s) {
+		t.Error("without the exception all begin in time: the day is not hard enough")
+	}
+	s := largestDay(120)
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %s", strings.Join(s.check.broken, "\n"))
+	}
+	small, done := 0, 0
+	for _, j := range s.jobs {
+		if j.spec.Job.Class == "small" {
+			small++
+			if s.check.over(j.id) {
+				done++
+			}
+		}
+	}
+	if done*2 < small {
+		t.Errorf("%d of %d small jobs are done: they pay too much", done, small)
+	}
+}
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -307,6 +307,7 @@
 	}
 	s.after(0, poll)
 	s.run(160 * time.Second)
+	s.check.calm = s.now
 	limit := 900 * time.Second
 	if counted {
 		limit = 40 * time.Minute // few units make long queues
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -591,6 +591,17 @@
 			s.run(time.Minute)
 		}},
 		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { s.check.told(j, effects.Answer{Status: 404}, s.now) }},
+		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { // one whose questions are shed for ever
+			s.check.calm = 1
+			s.check.told(j, effects.Answer{Status: 503}, s.now)
+			s.run(76 * time.Second)
+			s.check.asked(j)
+		}},
+		{"begins_late", func(s *sim, j *userJob, w1, _ *worker) {
+			s.run(beginsWithin + time.Second)
+			s.check.started(task{1, 0}, w1)
+			s.check.beginInTime(s.now)
+		}},
 		{"invented", func(s *sim, _ *userJob, _, _ *worker) {
 			s.check.told(&userJob{id: 9}, effects.Answer{Status: 200}, s.now)
 		}},
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -520,6 +520,7 @@
 
 func (s *sim) poll(j *userJob, at int) {
 	sent := s.now
+	s.check.asked(j)
 	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Query(now, to, j.id) }, func(a effects.Answer, ok bool) {
 		if ok {
 			s.check.told(j, a, sent)
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -44,6 +44,7 @@
 	GuaranteeFirst  int     // exception: jobs within their team's guarantee go ahead of the order
 	WaitLeadS       float64 // exception: how long before their class's wait aim waiting tasks go ahead; 0: never
 	DirectStarts    int     // exception: most calls under way that start tasks straight at workers, for classes whose wait aim is shorter than a report interval; 0: none
+	BeginWithinS    float64 // exception: jobs that have not begun for so long go ahead of all but urgent ones; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	TakeoversKept   int     // so many takeovers are written down
 	RunTimesKinds   int     // so many kinds of work have their run times learned
@@ -165,6 +166,7 @@
 	whole("exceptions", "preempt", "0 or 1", "tasks that save, or have hardly begun, are stopped for jobs of higher priority and within their team's guarantee", 1, 0, 1, func(t *Tunables) *int { return &t.Preempt }),
 	amount("exceptions", "wait_lead", "s", "tasks still waiting this long before their class's wait aim go ahead of the order until it is missed, and long best-effort ones before their aim for the end; 0: never", 85, 0, 86400, func(t *Tunables) *float64 { return &t.WaitLeadS }),
 	whole("exceptions", "direct_starts", "calls", "most calls under way that start tasks straight at their workers, for classes whose wait aim is shorter than a report interval; 0: none, and starts wait for reports", 0, 0, 1000, func(t *Tunables) *int { return &t.DirectStarts }),
+	amount("exceptions", "begin_within", "s", "jobs none of whose tasks has begun this long after they came, or were released, go ahead of all but urgent ones; 0: never", 0, 0, 86400, func(t *Tunables) *float64 { return &t.BeginWithinS }),
 	amount("exceptions", "lost_behind", "times", "jobs that can no longer make any aim for their end go behind those that can, until this many times the last aim has passed; 0: never", 3, 0, 100, func(t *Tunables) *float64 { return &t.LostBehind }),
 	amount("exceptions", "low_lead", "s", "best-effort jobs go behind the order until this long before their class's tightest aim; 0: never", 110, 0, 86400, func(t *Tunables) *float64 { return &t.LowLeadS }),
 	amount("exceptions", "served_floor", "share", "jobs at their last chance go ahead of everything where less than this share of their class or team would be done in time otherwise; 0: never", 0, 0, 1, func(t *Tunables) *float64 { return &t.ServedFloor }),
