Door: jobs take turns where far more is asked than can be answered

Cause: the added rule that no job may go without an answer for 75 s.

Change: once more polls are turned away than ten seconds could serve, each job has a turn once in sixty seconds, by hash and time of day; its polls go first then, and it is told to come back in it.

Below the crowd nothing changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,13 +29,40 @@
 
 // Door counts who was turned away lately, and spreads them out.
 type Door struct {
-	rate  float64 // requests a second that are taken when all goes well
-	count [kinds][slices]float64
-	at    int64 // the current slice
+	rate    float64 // requests a second that are taken when all goes well
+	count   [kinds][slices]float64
+	at      int64         // the current slice
+	zero    time.Duration // time of day at time 0
+	crowded time.Duration // until when jobs take turns
 }
 
-// NewDoor makes a door behind which so many requests a second can be taken.
-func NewDoor(rate float64) *Door { return &Door{rate: max(rate, 1)} }
+// NewDoor makes a door behind which so many requests a second can be taken. zero is the
+// time of day at time 0: turns go by that, so that all controllers agree on them within
+// the bound of their clocks.
+func NewDoor(rate float64, zero time.Duration) *Door { return &Door{rate: max(rate, 1), zero: zero} }
+
+// Turns: where far more is asked than can be answered, chance alone would leave some
+// question unanswered for minutes. So each job has a turn of its own, once a cycle, in which
+// its questions are let in before others, and is told to come back in it. Of a cycle's jobs
+// only so many are in their turn that all of them can be answered: at 600 answers a second
+// that holds for some 30,000 jobs.
+const (
+	cycle    = 60 // seconds; with the time that an answer takes, less than the 75 after which a job is forgotten
+	turnLate = 3  // seconds that a turn lasts
+	crowd    = 10 // seconds' worth of questions turned away, above which jobs take turns, until a cycle after the crowd has gone
+)
+
+// untilTurn is in how many seconds a job's turn begins, 0 while it is under way.
+func (d *Door) untilTurn(now time.Duration, job uint64) int {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], job)
+	slot := int64(xxhash.Sum64(key[:]) % cycle)
+	past := (int64((d.zero+now)/time.Second) + cycle - slot) % cycle
+	if past < turnLate {
+		return 0
+	}
+	return int(cycle - past)
+}
 
 // Turned notes that a request about a job is turned away, and gives after how many
 // seconds, 1 to 30, it should come back. least is what the refusal itself asks for.
@@ -51,6 +78,22 @@
 	before, span := 0.0, d.seconds(Submit)
 	if kind == Poll {
 		before, span = span-1, d.seconds(Poll)
+		if span > crowd || (span > 1 && now < d.crowded) {
+			d.crowded = now + cycle*time.Second
+		}
+		if now < d.crowded {
+			// A second into it, since clocks differ. In the middle of a turn there are more than
+			// even turns can serve: the next one. What is further off than users wait is reached
+			// by way of another try, which may find the crowd gone.
+			wait := d.untilTurn(now, job) + 1
+			if wait == 1 {
+				wait = cycle
+			}
+			if wait <= longest {
+				return max(least, wait)
+			}
+			before, span = float64(wait-longest), float64(2*longest-wait)
+		}
 	}
 	var key [16]byte
 	binary.LittleEndian.PutUint64(key[:], job)
@@ -84,7 +127,16 @@
 // calls find some always.
 var queueShare = [kinds]float64{Submit: 0.75, Poll: 0.5}
 
-// LetIn says whether a request may enter a queue of so many places with so many taken.
-func LetIn(kind Kind, taken, places int) bool {
-	return float64(taken) < queueShare[kind]*float64(places)
+// outOfTurn is the share of that of polls which those get whose turn it is not.
+const outOfTurn = 0.25
+
+// LetIn says whether a request about a job may enter a queue of so many places with so many
+// taken.
+func (d *Door) LetIn(now time.Duration, kind Kind, job uint64, taken, places int) bool {
+	d.turn(now)
+	share := queueShare[kind]
+	if kind == Poll && now < d.crowded && d.untilTurn(now, job) > 0 {
+		share *= outOfTurn
+	}
+	return float64(taken) < share*float64(places)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 		n.hook = webhook.New(url, cfg.WebhookKey, log)
 	}
 	if rate := cfg.Tunables.DoorRate; rate > 0 {
-		n.admit = admission.NewDoor(rate)
+		n.admit = admission.NewDoor(rate, time.Duration(start.UnixMilli())*time.Millisecond)
 	}
 	n.now.Store(&standing{})
 	return n
@@ -511,12 +511,22 @@
 	return a
 }
 
+// letIn says whether a request about a job may enter the loop's queue.
+func (n *Node) letIn(kind admission.Kind, job uint64) bool {
+	if n.admit == nil {
+		return true
+	}
+	n.admitMu.Lock()
+	defer n.admitMu.Unlock()
+	return n.admit.LetIn(time.Since(n.start), kind, job, len(n.in), cap(n.in))
+}
+
 // ask hands a user's request to the loop and waits for its answer.
-func (n *Node) ask(limit time.Duration, kind admission.Kind, f func(now time.Duration, to effects.Asker)) effects.Answer {
+func (n *Node) ask(limit time.Duration, kind admission.Kind, job uint64, f func(now time.Duration, to effects.Asker)) effects.Answer {
 	ch := make(chan effects.Answer, 1)
 	var id effects.Asker
 	err := errBusy
-	if n.admit == nil || admission.LetIn(kind, len(n.in), cap(n.in)) {
+	if n.letIn(kind, job) {
 		err = n.try(func(now time.Duration) {
 			n.nextAsker++
 			id = n.nextAsker
@@ -691,7 +701,7 @@
 
 // serve answers a request here, whoever leads.
 func (n *Node) serve(in UserRequest) effects.Answer {
-	return n.ask(askLimit, kindOf(in.Op), func(now time.Duration, to effects.Asker) {
+	return n.ask(askLimit, kindOf(in.Op), in.ID, func(now time.Duration, to effects.Asker) {
 		switch in.Op {
 		case opSubmit:
 			n.core.Submit(now, to, in.Submission)
