--- a/cmd/bitternmoor/served.go
+++ b/cmd/bitternmoor/served.go
@@ -18,12 +18,12 @@
 func printServed(out io.Writer, list []served.View) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "KIND\tNAME\tDUE\tDONE BY THEN\tSHARE\tOPEN\tGO AHEAD\tMISSED\tWENT AHEAD")
+	fmt.Fprintln(w, "KIND\tNAME\tDUE\tDONE BY THEN\tSHARE\tOPEN\tGO AHEAD\tMISSED\tWENT AHEAD\tLARGEST\tDONE BY THEN\tBEGAN WITHIN")
 	for _, v := range list {
 		kind := "class"
 		if v.Team {
 			kind = "team"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\n", kind, v.Name, v.Due, v.Met, v.Share, v.Open, v.Kept, v.Missed, v.Helped)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f s\n", kind, v.Name, v.Due, v.Met, v.Share, v.Open, v.Kept, v.Missed, v.Helped, v.Largest, v.LargestMet, v.LargestWait)
 	}
 }
--- a/internal/served/served.go
+++ b/internal/served/served.go
@@ -55,8 +55,11 @@
 }
 
 type outcome struct {
-	at  time.Duration
-	met bool
+	at     time.Duration
+	met    bool
+	tasks  int
+	work   float64       // of all of its tasks, in processor seconds
+	waited time.Duration // until it began; where it has not, until it was due
 }
 
 // entry is an open job that has a time by which it is due.
@@ -186,8 +189,14 @@
 }
 
 func (d *Duty) count(now time.Duration, e *entry, met bool) {
+	j := e.job
+	began := j.FirstAt
+	if began == 0 || (j.Rec.Kind == jobs.Gang && !j.Began && !met) {
+		began = now
+	}
+	o := outcome{now, met, len(j.Tasks), float64(len(j.Tasks)) * j.Mean() * j.Share, began - j.AcceptedAt}
 	for _, s := range e.sums {
-		s.due = append(s.due, outcome{now, met})
+		s.due = append(s.due, o)
 		if met {
 			s.met++
 		} else {
@@ -216,6 +225,22 @@
 	return n
 }
 
+// largest are the largest of those due in the window: the tenth with most work, and the
+// widest.
+func (s *sum) largest() []outcome {
+	if len(s.due) == 0 {
+		return nil
+	}
+	list := slices.Clone(s.due)
+	slices.SortStableFunc(list, func(a, b outcome) int { return cmp.Compare(b.work, a.work) })
+	n := (len(list) + 9) / 10
+	widest := slices.MaxFunc(list, func(a, b outcome) int { return cmp.Compare(a.tasks, b.tasks) })
+	if slices.ContainsFunc(list[:n], func(o outcome) bool { return o.tasks == widest.tasks }) {
+		return list[:n]
+	}
+	return append(list[:n:n], widest)
+}
+
 // Tick counts what was missed, and has jobs at their last chance go ahead where their
 // class or team would fall below the floor without them.
 func (d *Duty) Tick(now time.Duration, _ bool) {
@@ -307,6 +332,10 @@
 	Kept   int     `json:"kept"`   // of them, those that go ahead of everything
 	Missed uint64  `json:"missed"` // since the leader began
 	Helped uint64  `json:"kept_ever"`
+	// Of those due, the largest: the tenth with most work, and the widest.
+	Largest     int     `json:"largest"`
+	LargestMet  int     `json:"largest_met"`
+	LargestWait float64 `json:"largest_began_after_s"` // the longest of them
 }
 
 // Show gives classes and teams, as a JSON list of View.
@@ -328,6 +357,13 @@
 		if v.Due > 0 {
 			v.Share = float64(v.Met) / float64(v.Due)
 		}
+		for _, o := range s.largest() {
+			v.Largest++
+			if o.met {
+				v.LargestMet++
+			}
+			v.LargestWait = max(v.LargestWait, o.waited.Seconds())
+		}
 		out = append(out, v)
 	}
 	slices.SortFunc(out, func(a, b View) int {
@@ -347,9 +383,11 @@
 
 // Gauges gives the share of each class and team.
 func (d *Duty) Gauges(time.Duration) []cluster.Gauge {
-	g := [2]cluster.Gauge{
+	g := [4]cluster.Gauge{
 		{Name: "bitternmoor_served_share_of_class", Help: "Share of the jobs due in the window that were done by then.", Label: "class", Values: map[string]float64{}},
 		{Name: "bitternmoor_served_share_of_team", Help: "Share of the jobs due in the window that were done by then.", Label: "team", Values: map[string]float64{}},
+		{Name: "bitternmoor_served_share_of_largest", Help: "The same of the class's largest jobs.", Label: "class", Values: map[string]float64{}},
+		{Name: "bitternmoor_largest_began_seconds", Help: "Longest time that one of a class's largest jobs waited to begin.", Label: "class", Values: map[string]float64{}},
 	}
 	for _, v := range d.views() {
 		i := 0
@@ -358,6 +396,10 @@
 		}
 		if len(g[i].Values) < mostNamed {
 			g[i].Values[v.Name] = v.Share
+			if !v.Team && v.Largest > 0 {
+				g[2].Values[v.Name] = float64(v.LargestMet) / float64(v.Largest)
+				g[3].Values[v.Name] = v.LargestWait
+			}
 		}
 	}
 	return g[:]
--- a/internal/served/served_test.go
+++ b/internal/served/served_test.go
@@ -167,3 +167,29 @@
 		t.Errorf("%+v", g)
 	}
 }
+
+// Of those due, the tenth with most work and the widest are the largest; how long the last
+// of them waited to begin is shown.
+func TestLargest(t *testing.T) {
+	d := begun(0)
+	for i := range uint64(20) {
+		j := d.arrive(0, i+1, "a", "t")
+		j.FirstAt = time.Second
+		switch i {
+		case 3:
+			j.Rec.EstimateS, j.FirstAt = 500, 90*time.Second // most work, and begins late
+		case 7:
+			j.Rec.EstimateS = 400
+		case 9:
+			j.Tasks = make([]jobs.TaskState, 40) // the widest, of little work
+			j.Rec.EstimateS = 1
+		}
+		if i != 3 {
+			d.Hear(cluster.Event{Kind: cluster.JobDone, At: 50 * time.Second, Job: j})
+		}
+	}
+	d.Tick(101*time.Second, true)
+	if v := d.at("a"); v.Due != 20 || v.Largest != 3 || v.LargestMet != 2 || v.LargestWait != 90 {
+		t.Errorf("%+v", v)
+	}
+}
