--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -113,6 +113,9 @@
 	if err := cfg.Serves(); err != nil {
 		log.Warn("the settings describe a fleet that cannot be served well", "error", err)
 	}
+	if kinds := cfg.UnknownAims(); len(kinds) > 0 {
+		log.Warn("objectives of kinds that are not known are left out of account", "kinds", kinds)
+	}
 	runtime.GOMAXPROCS(1) // a controller has a share of one core
 	debug.SetMemoryLimit(int64(cfg.Deployment.MachineLimits.RAMMB * memoryShare * (1 << 20)))
 	return node.New(cfg, log).Run(ctx)
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -65,7 +65,11 @@
 	if counted {
 		poolDay(&c, r, upgrade)
 	}
-	s := newSimAt(began, c, seed, 3, upgrade)
+	count := 3
+	if seed%7 == 5 {
+		count = 7
+	}
+	s := newSimAt(began, c, seed, count, upgrade)
 	if counted {
 		s.poolUnits = map[string]int{}
 		for i, p := range c.Tunables.Pools {
@@ -130,6 +134,10 @@
 		if r.IntN(4) == 0 {
 			job.Kind, job.Tasks, job.CPUs = 1, 1+r.IntN(6), 1
 		}
+		service := count == 7 && r.IntN(4) == 0
+		if service {
+			job.Kind, job.Spot, job.CPUs = 2, false, 1
+		}
 		if counted {
 			demands(r, job)
 		}
@@ -148,12 +156,17 @@
 			}
 			s.submit(j, r.IntN(3), func() bool { return s.now < at+60*time.Second })
 		})
-		if r.IntN(5) == 0 {
-			s.after(at+time.Duration(r.IntN(40))*time.Second, func() {
-				if j.accepted {
+		if r.IntN(5) == 0 || service {
+			var end func()
+			end = func() {
+				switch {
+				case j.accepted:
 					s.abort(j, r.IntN(3))
+				case service: // they run until they are cancelled
+					s.after(5*time.Second, end)
 				}
-			})
+			}
+			s.after(at+time.Duration(r.IntN(40))*time.Second, end)
 		}
 		if r.IntN(3) == 0 {
 			s.after(at+sometime(), func() {
@@ -174,7 +187,7 @@
 		return out
 	}
 	for range 3 + r.IntN(8) {
-		at, length, kind, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(3)
+		at, length, kind, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(count)
 		harsh := r.IntN(2) == 0
 		s.after(at, func() {
 			ms := machines()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,19 @@
 	AimDeadline = "deadline"
 )
 
+// aims are all kinds that there are; nothing follows from the others of them here.
+var aims = []string{AimWait, AimFinished, AimDeadline, "guarantee"}
+
+// UnknownAims lists the kinds of objectives that this version does not know, once each.
+func (p *Platform) UnknownAims() (out []string) {
+	for _, o := range p.Deployment.Objectives {
+		if !slices.Contains(aims, o.Kind) && !slices.Contains(out, o.Kind) {
+			out = append(out, o.Kind)
+		}
+	}
+	return out
+}
+
 // Objective is one aim that users stated for a class of jobs.
 type Objective struct {
 	Kind    string  `toml:"kind"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -220,6 +221,27 @@
 	}
 }
 
+// Direct starts are held against the sockets there are, and only an aim shorter than a report
+// interval asks for them; an aim of a kind that is not known does no harm.
+func TestDirectStarts(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.toml")
+	text := good + "\n[[deployment.objectives]]\nkind = \"brightness\"\nclass = \"never-comes\"\nshare = 0.5\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path, "", "exceptions.direct_starts=8")
+	if err != nil || s.Prompts() || !slices.Equal(s.UnknownAims(), []string{"brightness"}) {
+		t.Fatalf("%v: prompt %v, unknown %v", err, s != nil && s.Prompts(), s != nil)
+	}
+	s.Deployment.Objectives = append(s.Deployment.Objectives, Objective{Kind: AimWait, Class: "c", WithinS: s.Deployment.Workers.ReportS / 2})
+	if !s.Prompts() {
+		t.Error("an aim of half a report interval is none that is prompt")
+	}
+	if _, err := Load(path, "", "exceptions.direct_starts=1000"); err == nil || !strings.Contains(err.Error(), "exceptions.direct_starts") {
+		t.Errorf("more calls than sockets: %v", err)
+	}
+}
+
 // A setting on the command line goes over that of the file, and is checked like it.
 func TestSet(t *testing.T) {
 	dir := t.TempDir()
