--- a/internal/blocks/accel_test.go
+++ b/internal/blocks/accel_test.go
@@ -97,3 +97,39 @@
 		t.Errorf("%d tasks wait beside idle machines", j.Waiting)
 	}
 }
+
+// BenchmarkScalePass is a pass over 850 machines of four types with 10,000 waiting tasks,
+// replicas and gangs among them, on a cluster with room on one machine in ten.
+func BenchmarkScalePass(b *testing.B) {
+	p, w, _ := accelWorld(1)
+	for i := range 850 {
+		room := []amounts.Amounts{amounts.Room(8, 0, 64), amounts.Room(32, 0, 128), amounts.Room(64, 0, 128), amounts.Room(12, 2, 48)}[i%4]
+		m := w.Yard.Add(&workers.Machine{Name: fmt.Sprint("m", i), Cap: room, Durable: true, Up: true, Resolved: true, FetchGBPS: 1})
+		if i%10 > 0 {
+			m.Plan(&workers.Placement{Ref: workers.Ref{Job: 1 << 20, Task: int32(i)}, Need: room})
+		}
+	}
+	for id := range uint64(60) {
+		w.add(id+1, jobs.Array, 150, 1, 0, 40)
+		w.add(id+1000, jobs.Gang, 4, 10, 2, 100)
+		w.add(id+2000, jobs.Service, 9, 1, 0, 0)
+	}
+	var placed []func()
+	place := w.Place
+	w.Place = func(j *jobs.Job, k int, m *workers.Machine) {
+		place(j, k, m)
+		placed = append(placed, func() {
+			m.Take(workers.Ref{Job: j.Index, Task: int32(k)})
+			j.Release(k)
+			p.Refund(0, j.Need)
+		})
+	}
+	for b.Loop() {
+		w.Accel = p.Accelerated(w.Now, w.Jobs)
+		p.Pass(w)
+		for _, f := range placed {
+			f()
+		}
+		placed = placed[:0]
+	}
+}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -13,10 +13,12 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
+	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
 
@@ -30,10 +32,29 @@
 	under int // calls under way
 
 	sent, answered, unanswered, tasks uint64
+	began                             *cluster.Histogram
 }
 
 // New makes the duty of a term.
-func New(s *cluster.State) *Duty { return &Duty{State: s} }
+func New(s *cluster.State) *Duty {
+	return &Duty{State: s, began: s.Measures.Histogram("bitternmoor_start_seconds", "Time from a job's acceptance, or release, until one of its tasks was seen to run, by its class and the way of the start.",
+		"start", []float64{0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 128, 256})}
+}
+
+// Hear measures how long tasks of classes with a wait aim took to begin, by each way: a
+// bounded number of labels. Those that run again have waited since their first start.
+func (d *Duty) Hear(e cluster.Event) {
+	if e.Kind != cluster.TaskBegan || !slices.ContainsFunc(d.Cfg.Deployment.Objectives, func(o settings.Objective) bool {
+		return o.Kind == settings.AimWait && o.Class == e.Job.Rec.Class
+	}) {
+		return
+	}
+	way := " by report"
+	if e.Machine.WasSent(workers.Ref{Job: e.Job.Index, Task: int32(e.Task)}) {
+		way = " directly"
+	}
+	d.began.Observe(e.Job.Rec.Class+way, (e.At - e.Job.AcceptedAt).Seconds())
+}
 
 // Send sends what may go: tasks whose grant and mark are durable, to machines on which
 // nothing else is on its way.
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,15 +27,22 @@
 	if v, err := strconv.Atoi(os.Getenv("SCENARIO_DAYS")); err == nil {
 		days = v
 	}
-	for seed := range uint64(days) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			randomDay(t, seed)
-		})
+	var played [16]atomic.Int64
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				randomDay(t, seed, &played)
+			})
+		}
+	})
+	for kind, name := range []string{"a node crashes", "a node crashes", "all crash", "outage", "a node refused", "a node or zone cut", "a machine cut", "a machine dies", "a machine hangs", "late transactions and rentals",
+		"a node back at once", "all back at once", "deaf machines", "late copies", "a node apart with its workers", "machines begin anew"} {
+		t.Logf("%s: %d times", name, played[kind].Load())
 	}
 }
 
-func randomDay(t *testing.T, seed uint64) {
+func randomDay(t *testing.T, seed uint64, played *[16]atomic.Int64) {
 	r := rand.New(rand.NewPCG(seed, 99))
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(8 + r.IntN(40))
@@ -57,7 +65,7 @@
 		c.Tunables.SpreadMoves, c.Tunables.ZonePatienceS, c.Tunables.ServedFloor, c.Tunables.ServedWindowS = 4, 20, 0.6, 120
 		c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
 	}
-	if seed%3 == 2 { // tasks are sent straight to their workers
+	if seed%3 == 2 || seed%6 == 1 { // tasks are sent straight to their workers
 		c.Tunables.DirectStarts, c.Tunables.AskSilent = 4, int(seed%2)
 		c.Deployment.Objectives = append(c.Deployment.Objectives, settings.Objective{Kind: settings.AimWait, Class: "class", WithinS: 0.5})
 	}
@@ -198,6 +206,7 @@
 			if harsh && kind < 6 {
 				kind += 10
 			}
+			played[kind].Add(1)
 			say("trouble %d for %v, node %d", kind, length, who)
 			switch kind {
 			case 10: // back within a fraction of a second, several times in a row
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -462,6 +462,16 @@
 	return ok && token <= t
 }
 
+// WasSent says whether a task that counts as being here was sent straight to the worker.
+func (m *Machine) WasSent(ref Ref) bool {
+	p := m.Tasks[ref]
+	if p == nil {
+		return false
+	}
+	_, sent := m.directs[attempt{ref, p.Attempt}]
+	return sent
+}
+
 // settleOffers closes the machine's open offers by a newer report.
 func (m *Machine) settleOffers(r *Report) []Event {
 	var events []Event
