A term ends before its tokens are out

Cause: read out of the code. Direct starts have machines given higher tokens, some fifteen a second with a thousand of them; a term has a million, and the next number after that is one of a later term: workers would be told to step down for it.

--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -43,3 +43,21 @@
 		}
 	}
 }
+
+// Tokens of a term never reach those of the next: direct starts stop asking for them
+// first, and the term ends before they are out.
+func TestTokensOfATerm(t *testing.T) {
+	s := New(Start{Cfg: &settings.Settings{}, Epoch: 3, Counts: &Counts{}})
+	few, n := 0, 0
+	for ; !s.Spent(); n++ {
+		if s.NextToken()>>TokenBits != 3 {
+			t.Fatalf("token %d is one of another term", n)
+		}
+		if few == 0 && s.FewTokens() {
+			few = n
+		}
+	}
+	if left := 1<<TokenBits - n; left < 50_000 || few == 0 || few > n/10*9 {
+		t.Errorf("few from %d on, spent with %d left", few, left)
+	}
+}
