A machine in doubt is deaf only from when it was given a token

Cause: read out of the code. A machine in doubt was deleted 1.2 leases after the doubt arose, also where no token could be given to it meanwhile, as in an outage of the state service longer than that: machines that had missed one direct start before it would have gone together.

Change: the time counts from the first token given, and only if the machine was heard since.

--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -179,7 +179,7 @@
 	// heard, and signs that it began anew give rise to it: whoever then reports a token
 	// given out since hears us, and lives.
 	Doubt        uint64
-	DoubtSince   time.Duration
+	told         time.Duration // when it was first given one; 0: not yet
 	seen         uint64        // highest token in a report that was taken in
 	first        uint64        // lowest token of this term
 	Unanswered   int           // times that it was asked since it was last heard, and did not answer
@@ -425,7 +425,7 @@
 // is given with its next report.
 func (m *Machine) doubt(now time.Duration, token uint64) {
 	if m.Doubt == 0 {
-		m.DoubtSince = now
+		m.told = 0
 	}
 	m.Doubt, m.raise = max(m.Doubt, token), RaiseNow
 }
@@ -438,6 +438,13 @@
 	}
 }
 
+// Deaf says whether the machine has been heard since it was given a higher token for being
+// in doubt, and has not shown it for so long. Time in which nobody could give it one, as in
+// an outage, does not count.
+func (m *Machine) Deaf(now, limit time.Duration) bool {
+	return m.Doubt > 0 && m.told > 0 && m.Heard > m.told && now-m.told > limit
+}
+
 // Seen is the highest token that the machine has shown.
 func (m *Machine) Seen() uint64 { return m.seen }
 
@@ -452,6 +459,9 @@
 		return false
 	}
 	m.raise, m.raised = NoRaise, now
+	if m.Doubt > 0 && m.told == 0 {
+		m.told = now
+	}
 	return true
 }
 
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -150,3 +150,22 @@
 		t.Error("a task that was seen keeps it")
 	}
 }
+
+// A machine in doubt is deaf only once a higher token was given to it, it was heard since,
+// and enough time has passed from then: an outage in which none could be given is no fault
+// of its own.
+func TestDeaf(t *testing.T) {
+	m := NewYard().Add(&Machine{Name: "m", Token: 5, Up: true, Heard: time.Second})
+	m.Odd(10*time.Second, 5*time.Second)
+	m.Heard = 60 * time.Second
+	if m.Doubt != 5 || m.Deaf(60*time.Second, 20*time.Second) {
+		t.Fatal("no token was given to it yet")
+	}
+	if !m.WantsToken(61*time.Second) || m.Deaf(90*time.Second, 20*time.Second) {
+		t.Fatal("it was not heard since")
+	}
+	m.Heard = 62 * time.Second
+	if m.Deaf(70*time.Second, 20*time.Second) || !m.Deaf(82*time.Second, 20*time.Second) {
+		t.Error("twenty seconds after the token")
+	}
+}
