--- a/internal/upgrade/cold_test.go
+++ b/internal/upgrade/cold_test.go
@@ -15,32 +15,48 @@
 	"bitternmoor/internal/standin"
 )
 
+// world is three controllers of this version under the settings of a cold start, with
+// stand-ins for everything else.
+type world struct {
+	*cluster
+	fleet  *standin.Fleet
+	store  *standin.State
+	cloud  *standin.Cloud
+	binary string
+}
+
+// newWorld starts one; args are given to the controllers besides.
+func newWorld(t *testing.T, args ...string) *world {
+	w := &world{store: &standin.State{}, cloud: &standin.Cloud{}, binary: filepath.Join(t.TempDir(), "bitternmoor")}
+	must(t, root, "go", "build", "-o", w.binary, "./cmd/bitternmoor")
+	state, clouds := httptest.NewServer(w.store), httptest.NewServer(w.cloud)
+	t.Cleanup(state.Close)
+	t.Cleanup(clouds.Close)
+	w.cluster = newCluster(t, state.Listener.Addr().String(), clouds.Listener.Addr().String())
+	w.extra = func(int) []string {
+		return append([]string{"--tunables", filepath.Join(root, "deploy/cold-start.ini")}, args...)
+	}
+	w.fleet = &standin.Fleet{Every: 500 * time.Millisecond, Lease: 10 * time.Second,
+		Runs:  func(id string) (time.Duration, []string) { return w.get(id).run, nil },
+		Tasks: func(id string) int { return w.get(id).tasks }}
+	for _, d := range w.doors {
+		w.fleet.Doors = append(w.fleet.Doors, "http://"+d)
+	}
+	w.cloud.Up, w.cloud.Down = w.fleet.Up, w.fleet.Down
+	for i := range 3 {
+		w.start(i, w.binary)
+	}
+	w.leader()
+	return w
+}
+
 // TestColdStarts kills all three controllers at once under load, ten times over, for less
 // and for longer than a lease, with a third of the busy workers killed, hung or cut off
 // meanwhile, and brings them back one by one. No task runs twice, every job comes to its
 // end, and no worker that could be heard is given up. Reports are spread evenly between.
 func TestColdStarts(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "bitternmoor")
-	must(t, root, "go", "build", "-o", binary, "./cmd/bitternmoor")
-	store, cloud := &standin.State{}, &standin.Cloud{}
-	state, clouds := httptest.NewServer(store), httptest.NewServer(cloud)
-	defer state.Close()
-	defer clouds.Close()
-	c := newCluster(t, state.Listener.Addr().String(), clouds.Listener.Addr().String())
-	c.extra = func(int) []string {
-		return []string{"--tunables", filepath.Join(root, "deploy/cold-start.ini"), "--set", "spread.moves=4", "--set", "served.window=120", "--set", "exceptions.served_floor=0.5"}
-	}
-	fleet := &standin.Fleet{Every: 500 * time.Millisecond, Lease: 10 * time.Second,
-		Runs:  func(id string) (time.Duration, []string) { return c.get(id).run, nil },
-		Tasks: func(id string) int { return c.get(id).tasks }}
-	for _, d := range c.doors {
-		fleet.Doors = append(fleet.Doors, "http://"+d)
-	}
-	cloud.Up, cloud.Down = fleet.Up, fleet.Down
-	for i := range 3 {
-		c.start(i, binary)
-	}
-	c.leader()
+	w := newWorld(t, "--set", "spread.moves=4", "--set", "served.window=120", "--set", "exceptions.served_floor=0.5")
+	c, fleet, store, cloud, binary := w.cluster, w.fleet, w.store, w.cloud, w.binary
 	r := rand.New(rand.NewPCG(1, 22))
 	var ids []string
 	n, hit := 0, 0
--- a/internal/upgrade/quick_test.go
+++ b/internal/upgrade/quick_test.go
@@ -4,12 +4,8 @@
 
 import (
 	"math/rand/v2"
-	"net/http/httptest"
-	"path/filepath"
 	"testing"
 	"time"
-
-	"bitternmoor/internal/standin"
 )
 
 // TestQuickRestarts kills controllers 200 times under load, one, the leader or all of them,
@@ -17,25 +13,8 @@
 // connections and transactions of its former life on their way; one in four times the same
 // one five times in a row. No task runs twice, and every job comes to its end.
 func TestQuickRestarts(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "bitternmoor")
-	must(t, root, "go", "build", "-o", binary, "./cmd/bitternmoor")
-	store, cloud := &standin.State{}, &standin.Cloud{}
-	state, clouds := httptest.NewServer(store), httptest.NewServer(cloud)
-	defer state.Close()
-	defer clouds.Close()
-	c := newCluster(t, state.Listener.Addr().String(), clouds.Listener.Addr().String())
-	c.extra = func(int) []string { return []string{"--tunables", filepath.Join(root, "deploy/cold-start.ini")} }
-	fleet := &standin.Fleet{Every: 500 * time.Millisecond, Lease: 10 * time.Second,
-		Runs:  func(id string) (time.Duration, []string) { return c.get(id).run, nil },
-		Tasks: func(id string) int { return c.get(id).tasks }}
-	for _, d := range c.doors {
-		fleet.Doors = append(fleet.Doors, "http://"+d)
-	}
-	cloud.Up, cloud.Down = fleet.Up, fleet.Down
-	for i := range 3 {
-		c.start(i, binary)
-	}
-	c.leader()
+	w := newWorld(t)
+	c, binary := w.cluster, w.binary
 	r := rand.New(rand.NewPCG(1, 29))
 	back := func(list ...int) {
 		for _, i := range list {
@@ -74,7 +53,7 @@
 	for _, id := range ids {
 		c.eventually(id+" is done", 120*time.Second, func() bool { return c.state(id) == "done" })
 	}
-	for _, b := range append(fleet.Broken(), store.Refused()...) {
+	for _, b := range append(w.fleet.Broken(), w.store.Refused()...) {
 		t.Error(b)
 	}
 	t.Logf("%d jobs, %d restarts", len(ids), kills)
