A cancellation is told once nothing of its job is left anywhere

Cause: a leader had a cancellation written and its user told while tasks still ran, and had cancel_s to stop them.

Change: a job whose user asks to cancel it is stopped at once; its cancellation is written, and its user told, only when no task of it counts anywhere, none may run unseen on a machine that was not heard, and none is shown where it does not count. So nothing is left that could run, whoever then leads, answers workers or knows of nothing; no limit on keeping workers alive is needed, and a plain outage or a cut zone costs no work. Machines that may have such tasks are deleted after half of cancel_s, and at once when silent with nothing else on them. With it go the units of cancelled jobs that had left the table, and three copies of one condition.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -326,6 +326,19 @@
 // grants were noted for it.
 func (s *State) Unresolved() (machines int, blind bool) { return s.unresolved, s.blind > 0 }
 
+// MayRunUnseen says whether tasks of a job that are not seen may run on machines of which it
+// is not known what an earlier term left on them.
+func (s *State) MayRunUnseen(j *jobs.Job) bool {
+	return j.Earlier && (j.Unsettled > 0 || s.blind > 0)
+}
+
+// Rid says whether nothing of a job is anywhere, nor can be: no task counts as being on a
+// machine, on offer or on its way, none may run unseen, and none is shown where it does not
+// count.
+func (s *State) Rid(j *jobs.Job) bool {
+	return j.Placed == 0 && !s.MayRunUnseen(j) && !slices.ContainsFunc(s.Yard.All(), func(m *workers.Machine) bool { return slices.Contains(m.Strays, j.Rec.ID) })
+}
+
 // mostMissing is the share of a team's limit that machines may take of which it is not
 // known what they have, before the team is held back by them.
 const mostMissing = 0.25
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -31,8 +31,8 @@
 type Phase uint8
 
 // Phases. A job is Accepting until its acceptance is durable, Held until all
-// jobs that it follows are durably done, and Cancelling until its cancellation
-// is durable.
+// jobs that it follows are durably done, and Cancelling from when its user asked for that
+// until its cancellation is durable, which is written once nothing of it is anywhere.
 const (
 	Accepting Phase = iota
 	Held
@@ -52,7 +52,7 @@
 	KeptFirst
 )
 
-// Job is an unfinished job, or a cancelled one whose tasks are not all gone.
+// Job is an unfinished job, or a done one whose tasks are not all gone.
 type Job struct {
 	Index   int32
 	Rec     ledger.Job
@@ -100,7 +100,8 @@
 	SumS float64 // run time of completed tasks
 	SumN int
 
-	CancelledAt time.Duration // when its user was told
+	AskedAt     time.Duration // when its user asked to cancel it
+	Ending      bool          // its cancellation is on its way to the log
 	Errors      int
 	NotBefore   time.Duration
 	AcceptedAt  time.Duration      // or released, if it waited for others: its times count from then
--- a/internal/lifecycle/follow.go
+++ b/internal/lifecycle/follow.go
@@ -129,11 +129,11 @@
 
 // cancelled acts on a cancellation that is durable, of a job or of one that it
 // follows, and on all that need it.
-func (d *Duty) cancelled(now time.Duration, sure bool, j *jobs.Job) {
+func (d *Duty) cancelled(sure bool, j *jobs.Job) {
 	needed, needing := d.Jobs.Needed(j), d.Jobs.Needing(j)
-	d.wipe(now, j)
+	d.wipe(j)
 	for _, f := range needing {
-		d.wipe(now, f)
+		d.wipe(f)
 		d.Counts.CancelSpread++
 		d.Note(effects.Info, "job cancelled with one that it needs", "job", f.Rec.ID, "needs", j.Rec.ID)
 		d.tellEnd(sure, f.Rec.ID)
@@ -141,13 +141,12 @@
 	d.calm(needed)
 }
 
-// wipe cancels one job and stops its tasks.
-func (d *Duty) wipe(now time.Duration, j *jobs.Job) {
-	j.Phase, j.CancelledAt = jobs.Cancelled, now
+// wipe cancels one job, none of whose tasks is anywhere.
+func (d *Duty) wipe(j *jobs.Job) {
+	j.Phase = jobs.Cancelled
 	d.Jobs.Finish(j.Rec.ID, jobs.Cancelled)
 	d.Jobs.Unlink(j)
 	d.Book.Remove(j.Index, false, 0, 0)
-	d.stopTasks(j)
 	d.LeaveIfEmpty(j)
 	d.Dirty = true
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -36,7 +36,9 @@
 	completed map[uint64]*ledger.Tasks
 	accepting map[uint64][]effects.Asker
 	ending    map[uint64][]effects.Asker // askers of a cancellation
+	doomed    map[uint64]*jobs.Job       // jobs whose cancellation waits until nothing of them is anywhere
 
+	gone   *cluster.Histogram
 	parts  map[uint64][]ledger.After // while the log is replayed
 	doneAt map[uint64]int64
 	over   ledger.Over // final states to be written anew by the cleaning under way
@@ -44,8 +46,9 @@
 
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
-	return &Duty{State: s, completed: map[uint64]*ledger.Tasks{}, accepting: map[uint64][]effects.Asker{}, ending: map[uint64][]effects.Asker{},
-		parts: map[uint64][]ledger.After{}, doneAt: map[uint64]int64{}}
+	return &Duty{State: s, gone: s.Measures.Histogram("bitternmoor_cancel_seconds", "Time from a user's wish to cancel a job until nothing of it was left anywhere, by its class.",
+		"class", []float64{0.05, 0.2, 0.5, 1, 2, 4, 8, 15, 30, 60}), completed: map[uint64]*ledger.Tasks{}, accepting: map[uint64][]effects.Asker{}, ending: map[uint64][]effects.Asker{},
+		doomed: map[uint64]*jobs.Job{}, parts: map[uint64][]ledger.After{}, doneAt: map[uint64]int64{}}
 }
 
 // Replay takes an entry of the log.
@@ -124,7 +127,7 @@
 	case e.Cancel != nil:
 		id := *e.Cancel
 		if j := d.Jobs.Find(id); j != nil && j.Phase != jobs.Done && j.Phase != jobs.Cancelled {
-			d.cancelled(now, sure, j)
+			d.cancelled(sure, j)
 		}
 		d.tellEnd(sure, id)
 	case e.Tasks != nil:
@@ -142,7 +145,7 @@
 	}
 	switch linked := d.link(j); {
 	case !linked:
-		d.cancelled(now, sure, j)
+		d.cancelled(sure, j)
 		d.Counts.CancelSpread++
 		d.Note(effects.Info, "job cancelled on arrival: it follows a cancelled one", "job", id)
 	case len(j.After) == 0:
@@ -165,7 +168,7 @@
 // noted acts on completions that are durable.
 func (d *Duty) noted(now time.Duration, sure bool, done *ledger.Tasks) {
 	j := d.Jobs.Find(done.ID)
-	if j == nil || j.Phase == jobs.Cancelled {
+	if j == nil {
 		return
 	}
 	for _, r := range done.Ranges {
@@ -209,8 +212,36 @@
 	}
 }
 
-// Write hands completed tasks to the log.
+// Write hands completed tasks to the log, and cancellations of which nothing is left.
+//
+// A cancellation becomes durable, and its user is told, only once nothing of the job is on
+// any machine, nor can be. Found on days on which the state service refused the leader
+// alone and then everybody: another leader had confirmed cancellations, the old one kept
+// its workers alive, and nobody who knew of the one could reach the other. Whatever fails
+// after the user was told, and whoever then leads, answers workers or knows of nothing:
+// there is nothing left that could run.
 func (d *Duty) Write(now time.Duration) {
+	d.writeTasks(now)
+	for _, id := range slices.Sorted(maps.Keys(d.doomed)) {
+		switch j := d.doomed[id]; {
+		case j.Finished == len(j.Tasks): // done before it could be stopped
+			delete(d.doomed, id)
+		case d.Rid(j):
+			delete(d.doomed, id)
+			d.end(now, j)
+		}
+	}
+}
+
+// end has a cancellation written.
+func (d *Duty) end(now time.Duration, j *jobs.Job) {
+	j.Ending = true
+	d.gone.Observe(j.Rec.Class, (now - j.AskedAt).Seconds())
+	d.Log.AppendFact(ledger.Entry{Cancel: &j.Rec.ID})
+}
+
+// writeTasks hands completed tasks to the log.
+func (d *Duty) writeTasks(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(d.completed)) {
 		d.appendTasks(now, *d.completed[id])
 	}
@@ -278,7 +309,7 @@
 	d.accepting, d.ending = nil, nil
 }
 
-// stopTasks stops all tasks of a job that is cancelled.
+// stopTasks stops all tasks of a job that is to be cancelled.
 func (d *Duty) stopTasks(j *jobs.Job) {
 	on := map[*workers.Machine]bool{}
 	for k, s := range j.Tasks {
@@ -477,7 +508,7 @@
 			continue
 		}
 		if j := d.Jobs.Find(e.Job.ID); j != nil {
-			if rec, _ := d.stored(j.Rec); j.Phase == jobs.Cancelling || !d.Log.Fits(ledger.Entry{Job: &rec}) {
+			if rec, _ := d.stored(j.Rec); j.Ending || !d.Log.Fits(ledger.Entry{Job: &rec}) {
 				return false
 			}
 		}
--- a/internal/lifecycle/users.go
+++ b/internal/lifecycle/users.go
@@ -142,8 +142,9 @@
 	d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 404, Why: "no such job"}})
 }
 
-// Abort cancels a job.
-func (d *Duty) Abort(to effects.Asker, id uint64) {
+// Abort cancels a job: its tasks are stopped at once, and its user is told once nothing of
+// it is left anywhere. A user who cannot be told in time asks again.
+func (d *Duty) Abort(now time.Duration, to effects.Asker, id uint64) {
 	if _, over := d.Jobs.Final(id); over {
 		a, _ := d.state(id)
 		d.Emit(effects.Reply{To: to, Answer: a})
@@ -158,10 +159,16 @@
 	if j.Phase == jobs.Cancelling || j.Finished == len(j.Tasks) {
 		return // answered with what becomes durable first
 	}
-	if j.Phase == jobs.Open || j.Phase == jobs.Held {
-		j.Phase = jobs.Cancelling
+	j.AskedAt = now
+	if j.Phase == jobs.Accepting {
+		if !j.Ending { // it has no task before its acceptance is durable
+			d.end(now, j)
+		}
+		return
 	}
-	d.Log.AppendFact(ledger.Entry{Cancel: &id})
+	j.Phase = jobs.Cancelling
+	d.doomed[id] = j
+	d.stopTasks(j)
 }
 
 func (d *Duty) tell(sure bool, to effects.Asker, a effects.Answer) {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -244,7 +244,7 @@
 		c.out = append(c.out, effects.Reply{To: to, Answer: effects.Unavailable("no leader at present")})
 		return
 	}
-	c.term.Users.Abort(to, id)
+	c.term.Users.Abort(now, to, id)
 	c.after(now)
 }
 
--- a/internal/pools/loss.go
+++ b/internal/pools/loss.go
@@ -62,11 +62,6 @@
 // loseUnseen does so for what may have been on a machine that is gone, or whose worker
 // began anew, before it was ever heard in this term.
 func (d *Duty) loseUnseen(now time.Duration, m *workers.Machine) {
-	for _, l := range d.left {
-		if slices.Contains(l.on, m) {
-			d.lose(now, l.h.job, l.h.needs, int64(min(l.n, blocks.Slots(l.h.job.Need, m.Cap))))
-		}
-	}
 	for _, h := range d.holders {
 		if !m.MayHave(h.job.Rec.ID) {
 			continue
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -96,7 +96,6 @@
 	byJob   map[int32]*holder
 	over    map[uint64][]need // what cancelled jobs of earlier terms need, by id
 	strays  map[*workers.Machine]*strays
-	left    []leftover
 	closed  bool // a machine may have units of any pool
 
 	losses   []loss
@@ -193,7 +192,6 @@
 		d.enter(e.Job)
 	case cluster.JobLeft:
 		if h := d.byJob[e.Job.Index]; h != nil && h.job == e.Job {
-			d.leaveOver(h)
 			delete(d.byJob, e.Job.Index)
 			d.forget(h)
 			d.holders = slices.DeleteFunc(d.holders, func(o *holder) bool { return o == h })
@@ -289,53 +287,6 @@
 	}
 }
 
-// leftover is a job that was cancelled, and has left, while machines were not heard
-// that may have its tasks: nothing else stands for those. Found by a random day on
-// which a job was cancelled half a second after a takeover.
-type leftover struct {
-	h  *holder
-	n  int // tasks that may be somewhere
-	on []*workers.Machine
-}
-
-// leaveOver keeps what a job that leaves may have on machines that were not heard.
-func (d *Duty) leaveOver(h *holder) {
-	j := h.job
-	_, blind := d.Unresolved()
-	if n := mayRun(j); j.Phase == jobs.Cancelled && j.Earlier && n > 0 && (j.Unsettled > 0 || blind) {
-		l := leftover{h: h, n: n}
-		for _, m := range d.Yard.All() {
-			if m.Unresolved() {
-				l.on = append(l.on, m)
-			}
-		}
-		d.left = append(d.left, l)
-		d.over[j.Rec.ID] = h.needs
-	}
-}
-
-// countLeft counts it until those machines are heard or gone.
-func (d *Duty) countLeft() {
-	d.left = slices.DeleteFunc(d.left, func(l leftover) bool {
-		room := 0
-		for _, m := range l.on {
-			if !m.Resolved && d.Yard.Find(m.Name) == m {
-				room += blocks.Slots(l.h.job.Need, m.Cap)
-			}
-		}
-		n := int64(min(l.n, room))
-		for _, x := range l.h.needs {
-			units := x.units * n
-			if x.perJob {
-				units = min(units, x.units)
-			}
-			d.pools[x.pool].add(l.h.job.Team, units)
-			d.pools[x.pool].uncertain += units
-		}
-		return n == 0
-	})
-}
-
 // mayNeed says whether a job that is in no table may have needed units: its entry
 // may have been cleaned away.
 func (d *Duty) mayNeed(id uint64) bool {
@@ -373,7 +324,6 @@
 	if len(perhaps) > 1 {
 		d.fitUnseen(perhaps, unheard)
 	}
-	d.countLeft()
 	for _, s := range d.strays {
 		for _, n := range s.needs {
 			d.pools[n.pool].add(-1, n.units)
@@ -502,7 +452,7 @@
 // unseen is how many tasks of a job at most run on machines that have not reported
 // in this term.
 func (d *Duty) unseen(j *jobs.Job, unheard []*workers.Machine) int {
-	if _, blind := d.Unresolved(); !j.Earlier || len(unheard) == 0 || (j.Unsettled == 0 && !blind) {
+	if len(unheard) == 0 || !d.MayRunUnseen(j) {
 		return 0
 	}
 	n, room := mayRun(j), 0
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -415,11 +415,16 @@
 // really there, a mere plan for it gives way.
 func (d *Duty) known(m *workers.Machine, id uint64, task int, here bool) (workers.Known, bool) {
 	j := d.Jobs.Find(id)
-	if j == nil || task >= len(j.Tasks) || j.Phase == jobs.Accepting {
+	if j == nil {
+		// Leaders of the version in production have users told while tasks still run.
+		p, _ := d.Jobs.Final(id)
+		return workers.Known{Ref: workers.NoRef, Noted: true, Cancelled: true}, p == jobs.Cancelled
+	}
+	if task >= len(j.Tasks) || j.Phase == jobs.Accepting {
 		return workers.Known{}, false
 	}
 	ref := workers.Ref{Job: j.Index, Task: int32(task)}
-	if p := d.Where[ref]; here && p != nil && p.Planned && len(p.Offered) == 0 && j.Phase != jobs.Cancelled {
+	if p := d.Where[ref]; here && p != nil && p.Planned && len(p.Offered) == 0 {
 		d.TakeBack(p)
 	}
 	p := d.Where[ref]
@@ -427,7 +432,7 @@
 	s := j.Tasks[task]
 	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
 		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && !elsewhere,
-		Noted: s == jobs.Noted || j.Phase == jobs.Cancelled, Cancelled: j.Phase == jobs.Cancelled, Held: j.Phase == jobs.Held, Elsewhere: elsewhere}, true
+		Noted: s == jobs.Noted, Held: j.Phase == jobs.Held, Elsewhere: elsewhere}, true
 }
 
 func (d *Duty) event(now time.Duration, m *workers.Machine, e workers.Event) {
@@ -440,6 +445,7 @@
 		j.MoveZone(m.Zone, 1)
 		d.Where[e.Ref] = e.Placement
 		d.Tell(cluster.Event{Kind: cluster.TaskAdopted, At: now, Job: j, Task: k, Machine: m})
+		d.stopIfCancelling(j, e.Placement)
 		if j.Rec.Kind == jobs.Gang {
 			diff := d.Squared.Found(squaring.Gang(j.Launch, e.Attempt))
 			if diff == squaring.GangFound {
@@ -454,7 +460,8 @@
 		p := e.Placement
 		p.Withdrawn = false
 		d.Tell(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: j, Task: k, Machine: m})
-		if j.Phase == jobs.Cancelled || (j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt)) {
+		d.stopIfCancelling(j, p)
+		if j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt) {
 			p.Stopping, p.GraceS = true, 0
 		}
 	case workers.EvOfferOver:
@@ -529,6 +536,14 @@
 	}
 }
 
+// stopIfCancelling has a task stopped that turns out to be on a machine while its job is
+// being cancelled.
+func (d *Duty) stopIfCancelling(j *jobs.Job, p *workers.Placement) {
+	if j.Phase == jobs.Cancelling {
+		p.Stopping, p.GraceS = true, 0
+	}
+}
+
 // offersLost tells of the tasks that were on offer to a machine whose worker has died:
 // another controller may have started them there, and no report will say so any more.
 func (d *Duty) offersLost(now time.Duration, m *workers.Machine) {
@@ -552,7 +567,12 @@
 	d.watchZones(now, deaf)
 	d.well = d.hears(now)
 	overdue := settings.Seconds(0.5 * w.CancelS)
-	cancelled := slices.ContainsFunc(d.Jobs.All(), func(j *jobs.Job) bool { return j != nil && j.Phase == jobs.Cancelled })
+	var late []*jobs.Job // being cancelled for longer than tasks may take to stop
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Cancelling && now-j.AskedAt > overdue {
+			late = append(late, j)
+		}
+	}
 	for _, m := range slices.Clone(d.Yard.All()) {
 		if m.Leaving {
 			continue
@@ -576,19 +596,20 @@
 			d.Leave(now, m, cluster.Return, "taken by the cloud")
 		case m.Notice && len(m.Tasks) == 0:
 			d.Leave(now, m, cluster.Return, "to be taken by the cloud")
-		case m.Strays > 0 && now-m.StraysSince > overdue:
+		case len(m.Strays) > 0 && now-m.StraysSince > overdue:
 			d.Leave(now, m, cluster.Delete, "tasks that do not stop")
-		}
-		if !cancelled && !m.Notice && !m.Draining {
+		case sure && slices.ContainsFunc(late, func(j *jobs.Job) bool { return d.mayBeOn(j, m) }):
+			// The deletion will prove it. Without being sure of the term its user could not be
+			// told so.
+			d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
+		case sure && !deaf && now-heard > d.Quiet() && d.nothingElse(m):
+			d.Leave(now, m, cluster.Delete, "silent, with nothing but cancelled jobs' tasks")
+		}
+		if !m.Notice && !m.Draining {
 			continue // nothing that is on it is of any interest here
 		}
 		for _, p := range m.Tasks {
 			j := d.Jobs.At(p.Ref.Job)
-			if j.Phase == jobs.Cancelled && now-j.CancelledAt > overdue {
-				// Its task is not proved gone: the deletion will prove it.
-				d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
-				break
-			}
 			if p.Planned || p.Stopping {
 				continue
 			}
@@ -603,6 +624,33 @@
 	}
 }
 
+// mayBeOn says whether a job may have a task on a machine, as far as is proved.
+func (d *Duty) mayBeOn(j *jobs.Job, m *workers.Machine) bool {
+	if m.Unresolved() {
+		return d.MayRunUnseen(j) && m.MayHave(j.Rec.ID)
+	}
+	for _, p := range m.Tasks {
+		if p.Ref.Job == j.Index && !p.Planned {
+			return true
+		}
+	}
+	return false
+}
+
+// nothingElse says whether all that counts as being on a machine is of jobs that are being
+// cancelled: then nothing is lost with it, and their users wait.
+func (d *Duty) nothingElse(m *workers.Machine) bool {
+	if len(m.Tasks) == 0 || m.Unresolved() {
+		return false
+	}
+	for _, p := range m.Tasks {
+		if d.Jobs.At(p.Ref.Job).Phase != jobs.Cancelling {
+			return false
+		}
+	}
+	return true
+}
+
 // mute says whether a machine has been asked often enough while it was silent, and its zone
 // is heard: it is given up before others.
 func (d *Duty) mute(m *workers.Machine, heard time.Duration) bool {
--- a/internal/runtimes/forecast.go
+++ b/internal/runtimes/forecast.go
@@ -218,8 +218,7 @@
 
 // why says what a late job waits for, the worst first.
 func (d *Duty) why(now time.Duration, j *jobs.Job, f Forecast) string {
-	_, blind := d.Unresolved()
-	if j.Earlier && (j.Unsettled > 0 || blind) && j.Waiting > 0 {
+	if d.MayRunUnseen(j) && j.Waiting > 0 {
 		return "held back"
 	}
 	slow, fetching, running := 0, 0, 0
--- /dev/null
+++ b/internal/scenario/confirmed_test.go
@@ -0,0 +1,222 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// meeting is a day on which the state service refuses the leader alone, another controller
+// is asked to cancel jobs, and then the state service is down for all.
+type meeting struct {
+	peers  bool   // the old leader and the others reach one another
+	direct bool   // the others reach the machines
+	cloud  bool   // the cloud answers, and does not only after the outage
+	trial  string // what troubles machines of the jobs
+	then   string // what becomes of the controllers once a cancellation was confirmed
+	delay  time.Duration
+}
+
+func (m meeting) String() string {
+	yes := map[bool]string{true: "reached", false: "cut"}
+	return fmt.Sprintf("peers %s/machines %s/cloud %s/machines are %s/then %s/outage after %v", yes[m.peers], yes[m.direct], yes[m.cloud], m.trial, m.then, m.delay)
+}
+
+// met counts what the meetings brought about.
+type met struct {
+	sync.Mutex
+	played, confirmed, before, kept int
+	waited                          []time.Duration // from the wish to the confirmation
+}
+
+// TestConfirmedThenOutage plays the meeting in all its variants: no task of a job may run
+// for longer than a cancellation has after its user was told, and every cancellation comes
+// to its end once the troubles are over.
+func TestConfirmedThenOutage(t *testing.T) {
+	var sum met
+	t.Run("days", func(t *testing.T) {
+		n := 0
+		for _, peers := range []bool{true, false} {
+			for _, direct := range []bool{true, false} {
+				for _, cloud := range []bool{true, false} {
+					for _, trial := range []string{"well", "deaf", "hung", "in a zone cut with the old leader", "taking starts", "being stopped by the old leader"} {
+						for _, then := range []string{"all stay", "the new leader ends", "the new leader is back at once", "all end and come back", "the new leader hands over"} {
+							m := meeting{peers, direct, cloud, trial, then, []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 22 * time.Second}[n%4]}
+							seed := uint64(n)
+							n++
+							t.Run(m.String(), func(t *testing.T) {
+								t.Parallel()
+								m.play(t, seed, &sum)
+							})
+						}
+					}
+				}
+			}
+		}
+	})
+	slices.Sort(sum.waited)
+	t.Logf("%d days: %d cancellations confirmed, %d of them before the outage; %d jobs left to run on; from wish to confirmation: median %v, nine of ten within %v", sum.played, sum.confirmed, sum.before, sum.kept,
+		sum.waited[len(sum.waited)/2].Round(10*time.Millisecond), sum.waited[len(sum.waited)*9/10].Round(10*time.Millisecond))
+	if sum.before < sum.played/2 || sum.kept < sum.played {
+		t.Errorf("%d of %d days had a cancellation confirmed before the outage, %d jobs ran on", sum.before, sum.played, sum.kept)
+	}
+}
+
+func (m meeting) play(t *testing.T, seed uint64, sum *met) {
+	c := baseSettings()
+	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 3, 22, 47
+	c.Tunables.ZonePatienceS = float64(seed % 2 * 60)
+	if m.trial == "taking starts" {
+		c.Tunables.DirectStarts = 8
+		c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 0.5}}
+	}
+	s := newSim(c, seed, 3, false)
+	submit := func(id uint64, kind uint8, tasks int, follows ...uint64) *userJob {
+		j := &userJob{id: id, run: 300 * time.Second, spec: wire.Submission{ID: id, HasID: true, Job: &ledger.Job{ID: id, Class: "class", Team: "team", Kind: kind, Priority: 1,
+			Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 300, Follows: follows}}}
+		s.jobs[id] = j
+		s.submit(j, int(id), func() bool { return s.now < 60*time.Second })
+		return j
+	}
+	array, gang, service, stays := submit(1, 0, 6), submit(2, 1, 3), submit(3, 2, 2), submit(5, 0, 4)
+	if !s.until(200*time.Second, func() bool { return s.running(1) == 6 && s.running(2) == 3 && s.running(3) == 2 && s.running(5) == 4 }) {
+		t.Fatal("they never run")
+	}
+	follows := submit(4, 0, 2, 1)
+	s.run(2 * time.Second)
+	doomed := []*userJob{array, gang, service, follows}
+	var ask func(j *userJob, at int)
+	ask = func(j *userJob, at int) {
+		sent := s.now
+		s.request(at, 2*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Query(now, to, j.id) }, func(a effects.Answer, ok bool) {
+			if ok {
+				s.check.told(j, a, sent)
+			}
+		})
+		s.after(2*time.Second, func() { ask(j, at+1) })
+	}
+	for i, j := range append(slices.Clone(doomed), stays) {
+		ask(j, i)
+	}
+
+	l := s.leader()
+	var others []string
+	for _, n := range s.nodes {
+		if n != l {
+			others = append(others, n.name)
+		}
+	}
+	var on []*worker
+	for _, w := range s.cloud.machines {
+		if len(w.tasks) > 0 {
+			on = append(on, w)
+		}
+	}
+	slices.SortFunc(on, func(a, b *worker) int { return int(a.name[len(a.name)-1]) - int(b.name[len(b.name)-1]) })
+	cutOff := func(a, b string) { s.cuts = append(s.cuts, &cut{host: a, with: b}) }
+	for _, o := range others {
+		if !m.peers {
+			cutOff(l.name, o)
+		}
+		if !m.direct {
+			for _, w := range on {
+				cutOff(w.name, o)
+			}
+		}
+	}
+	if m.trial == "being stopped by the old leader" {
+		s.abort(array, l.index)
+		s.abort(gang, l.index)
+		s.run(time.Duration(seed%8) * 100 * time.Millisecond)
+	}
+	s.state.refuse[l.name] = true
+	switch m.trial {
+	case "deaf":
+		s.deaf[on[0].name] = true
+		s.after(90*time.Second, func() { delete(s.deaf, on[0].name) })
+	case "hung":
+		on[0].hung = true
+		s.after(90*time.Second, func() { on[0].hung = false })
+	case "in a zone cut with the old leader":
+		s.cutZone(on[0].zone, l.name, 0, true)
+	}
+	s.cloud.outage = !m.cloud
+	if !s.until(30*time.Second, func() bool { n := s.leader(); return n != nil && n != l }) {
+		t.Fatal("nobody else leads")
+	}
+	asked := s.now
+	for _, j := range doomed {
+		if !j.asked {
+			s.abort(j, s.leader().index)
+		}
+	}
+	if m.trial == "taking starts" { // some are on their way
+		submit(6, 0, 5)
+	}
+	if s.until(40*time.Second, func() bool { return array.gone }) {
+		sum.Lock()
+		sum.before++
+		sum.waited = append(sum.waited, array.goneAt-asked)
+		sum.Unlock()
+		s.run(m.delay)
+	}
+	s.state.outage = true
+	n := s.leader()
+	switch {
+	case n == nil:
+	case m.then == "the new leader ends":
+		n.crash()
+	case m.then == "the new leader is back at once":
+		n.crash()
+		s.after(200*time.Millisecond, func() { n.start(false) })
+	case m.then == "all end and come back":
+		for _, n := range s.nodes {
+			n.crash()
+			s.after(8*time.Second, func() { n.start(false) })
+		}
+	case m.then == "the new leader hands over":
+		n.core.Stop(n.clock())
+		n.drain()
+	}
+	s.run(70 * time.Second)
+	s.state.recover()
+	s.state.refuse = map[string]bool{}
+	s.cloud.outage = false
+	for _, c := range slices.Clone(s.cuts) {
+		s.heal(c.host)
+	}
+	for _, n := range s.nodes {
+		if !n.up {
+			n.start(false)
+		}
+	}
+	if !s.until(5*time.Minute, func() bool {
+		return !slices.ContainsFunc(doomed, func(j *userJob) bool { return !j.gone })
+	}) {
+		t.Errorf("not all cancellations came to their end: %s, %s, %s, %s", array.state, gang.state, service.state, follows.state)
+	}
+	if !s.until(10*time.Minute, func() bool { return stays.toldDone }) {
+		t.Errorf("the job that nobody cancelled is %s", stays.state)
+	}
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %v", s.check.broken)
+	}
+	sum.Lock()
+	defer sum.Unlock()
+	sum.played++
+	for _, j := range doomed {
+		if j.gone {
+			sum.confirmed++
+		}
+	}
+	if stays.toldDone {
+		sum.kept++
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -86,6 +86,8 @@
 		c.Deployment.State.Next = &settings.NextLimits{ValueKB: &kb, TxnOps: &ops}
 	}
 	c.Deployment.Workers.LeaseS = float64(arg(t, d, "lease", 10))
+	c.Deployment.Workers.CancelS = float64(arg(t, d, "cancel", 30))
+	c.Deployment.Workers.ReportS = float64(arg(t, d, "report", 1))
 	c.Tunables.TakeoversKept = arg(t, d, "takeovers", 0)
 	c.Tunables.ZonePatienceS = float64(arg(t, d, "zone-patience", 0))
 	c.Tunables.SpreadMoves = float64(arg(t, d, "spread-moves", 0))
@@ -151,6 +153,16 @@
 		return j.state
 	case "abort":
 		s.abort(s.jobs[id], arg(t, d, "at", 0))
+	case "told-by-production": // a leader of that version has a cancellation written and tells its user at once, whatever runs, and ends
+		j := s.jobs[id]
+		for _, c := range s.nodes {
+			if c.up {
+				d.Fatalf(t, "%s is up", c.name)
+			}
+		}
+		j.asked = true
+		s.state.append(t, ledger.Entry{Cancel: &j.id})
+		s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
 	case "run":
 		s.run(span(t, d, "for"))
 	case "await":
@@ -243,7 +255,18 @@
 		}
 	case "cut":
 		for _, h := range p.hosts(t, d) {
-			s.cuts = append(s.cuts, &cut{host: h, with: arg(t, d, "from", ""), hold: d.HasArg("hold")})
+			from := []string{arg(t, d, "from", "")}
+			if from[0] == "others" { // all controllers but the leader
+				from = from[:0]
+				for _, c := range s.nodes {
+					if c != s.leader() {
+						from = append(from, c.name)
+					}
+				}
+			}
+			for _, w := range from {
+				s.cuts = append(s.cuts, &cut{host: h, with: w, hold: d.HasArg("hold")})
+			}
 		}
 	case "cut-zone": // its machines and a controller that is in it reach one another, and nobody else
 		s.cutZone(arg(t, d, "zone", "b"), arg(t, d, "node", "n2"), 0, d.HasArg("hold"))
@@ -312,6 +335,16 @@
 				}
 			}
 		}
+	case "left": // tasks of a job that are still anywhere
+		n := 0
+		for _, w := range s.cloud.machines {
+			for k := range w.tasks {
+				if k.job == id {
+					n++
+				}
+			}
+		}
+		return fmt.Sprint(n)
 	case "sent": // whether starts were sent straight to workers
 		return fmt.Sprint(s.launches > 0)
 	case "faulty":
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"bitternmoor/internal/leadership"
@@ -187,6 +188,23 @@
 	})
 }
 
+// append writes an entry into the log as its last one.
+func (st *stateService) append(t *testing.T, e ledger.Entry) {
+	last := 0
+	for k := range st.items {
+		if n, err := ledger.Number(k); err == nil {
+			last = max(last, n)
+		}
+	}
+	raw, err := json.Marshal(map[string][]ledger.Entry{"e": {e}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := st.apply(nil, []ledger.Op{{Key: ledger.Key(last + 1), Value: raw}}, 0); r.out != ledger.Applied {
+		t.Fatalf("not written: %v", r)
+	}
+}
+
 func epochOf(c *controller) uint64 { return c.core.Epoch() }
 
 func (st *stateService) recheck(c *controller, key string) {
--- a/internal/takeovers/takeovers.go
+++ b/internal/takeovers/takeovers.go
@@ -169,10 +169,9 @@
 // heldBack counts the jobs that may not start anything, since a machine that is
 // not resolved may have their tasks.
 func (d *Duty) heldBack() int {
-	_, blind := d.Unresolved()
 	n := 0
 	for _, j := range d.Jobs.All() {
-		if j != nil && j.Phase == jobs.Open && j.Earlier && (j.Unsettled > 0 || blind) {
+		if j != nil && j.Phase == jobs.Open && d.MayRunUnseen(j) {
 			n++
 		}
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -89,6 +89,9 @@
 // Ref names a task by its job's dense index.
 type Ref struct{ Job, Task int32 }
 
+// NoRef is no task's name: that of one whose job has left the table.
+var NoRef = Ref{-1, -1}
+
 // Placement is a task that counts as being on a machine.
 type Placement struct {
 	Ref     Ref
@@ -156,7 +159,7 @@
 	Unwritten      bool // and waits until it is noted that nothing is on it
 	Why            string
 	Tasks          map[Ref]*Placement
-	Strays         int // tasks that should not be there, still shown
+	Strays         []uint64 // jobs of tasks that should not be there and are still shown
 	StraysSince    time.Duration
 	UpSince        time.Duration
 	Errors         int
@@ -212,7 +215,7 @@
 
 // Usable says whether tasks may be planned on the machine.
 func (m *Machine) Usable(now, quiet time.Duration) bool {
-	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Leaving && !m.Draining && !m.Notice && m.Strays == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Leaving && !m.Draining && !m.Notice && len(m.Strays) == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
 // Unresolved says whether an earlier term may have left something on the machine that is
@@ -590,7 +593,7 @@
 	ImageGB   float64
 	Open      bool // the job is open and the task not finished
 	Noted     bool // the task's end is durable, or the job is over
-	Cancelled bool // the job is
+	Cancelled bool // the job is, and Ref is NoRef
 	Held      bool // the job waits for others
 	Elsewhere bool // it counts as being on another machine
 }
@@ -675,7 +678,7 @@
 	}
 	current := r.Token == token
 	m.Resolved = m.Resolved || current
-	strays := 0
+	var strays []uint64
 	for _, t := range r.Tasks {
 		k, ok := known(t.Job, t.Task, t.State != Ended || t.Reason == Completed)
 		var p *Placement
@@ -683,7 +686,7 @@
 			if p = m.Tasks[k.Ref]; p != nil && p.Planned {
 				p = nil
 			}
-			if t.State != Fetching && t.State != Ended {
+			if t.State != Fetching && t.State != Ended && k.Ref != NoRef {
 				m.UseImage(k.Image, k.ImageGB, now)
 			}
 		}
@@ -715,7 +718,7 @@
 			delete(m.directs, attempt{k.Ref, t.Attempt})
 			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 		case squaring.Stop:
-			strays++
+			strays = append(strays, t.Job)
 			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 		case squaring.Adopt:
 			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, Home: m, State: Fetching}
@@ -741,7 +744,7 @@
 			gone(p, Vanished).Died = doubted // it may have begun anew, and have counted on past what we knew
 		}
 	}
-	if strays > 0 && m.Strays == 0 {
+	if len(strays) > 0 && len(m.Strays) == 0 {
 		m.StraysSince = now
 	}
 	m.Strays = strays
@@ -817,7 +820,7 @@
 // Found on the users' bench, where a task planned on a machine that was moved was started
 // by both blocks.
 func (m *Machine) Still() bool {
-	if len(m.Offers) > 0 || m.Strays > 0 {
+	if len(m.Offers) > 0 || len(m.Strays) > 0 {
 		return false
 	}
 	for _, p := range m.Tasks {
