--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -99,7 +99,8 @@
 	closed  bool // a machine may have units of any pool
 
 	losses   []loss
-	resolved *workers.Machine // by the report that is being taken in
+	anew     []*workers.Machine // that began anew under their names before they were resolved
+	resolved *workers.Machine   // by the report that is being taken in
 	shelf    shelf
 	papers   papers
 }
@@ -214,8 +215,12 @@
 		}
 	case cluster.ReportTaken:
 		d.look(e.Machine, e.Report)
-		if d.resolved == e.Machine && e.Machine.Session > firstSession {
-			d.loseUnseen(e.At, e.Machine) // a worker of an earlier session may have died under its tasks
+		// A machine that may have tasks of an earlier term has had a token then.
+		if e.Report.Token == 0 && e.Machine.Unresolved() {
+			d.anew = append(d.anew, e.Machine)
+		}
+		if d.resolved == e.Machine && (e.Machine.Session > firstSession || slices.Contains(d.anew, e.Machine)) {
+			d.loseUnseen(e.At, e.Machine) // a worker of an earlier session, or life, may have died under its tasks
 		}
 		d.resolved = nil
 	case cluster.MachineResolved:
--- /dev/null
+++ b/internal/scenario/meetings_test.go
@@ -0,0 +1,581 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// TestPairsOfTroubles has each two kinds of trouble meet: the second begins while the first
+// lasts, with cancellations, questions and a takeover in the middle, and tasks some of which
+// run for longer than a cancellation has. PAIR_DAYS sets how many days each pair is played.
+func TestPairsOfTroubles(t *testing.T) {
+	days := 1
+	if v, err := strconv.Atoi(os.Getenv("PAIR_DAYS")); err == nil {
+		days = v
+	}
+	var mu sync.Mutex
+	seen, played, overtook := map[string]int{}, [kindsOfTrouble][kindsOfTrouble]int{}, 0
+	t.Run("pairs", func(t *testing.T) {
+		for a := range kindsOfTrouble {
+			for b := range kindsOfTrouble {
+				for day := range days {
+					t.Run(fmt.Sprintf("%s/%s/%d", troubleNames[a], troubleNames[b], day), func(t *testing.T) {
+						t.Parallel()
+						s, met, terms := pairDay(t, a, b, uint64(day)*1000+uint64(a)*uint64(kindsOfTrouble)+uint64(b))
+						mu.Lock()
+						defer mu.Unlock()
+						if met {
+							played[a][b]++
+						}
+						if terms > 1 {
+							overtook++
+						}
+						for what, n := range s.seen {
+							seen[what] += n
+						}
+					})
+				}
+			}
+		}
+	})
+	never := 0
+	for a := range played {
+		for b := range played[a] {
+			if played[a][b] == 0 {
+				never++
+				t.Errorf("%s never met %s", troubleNames[a], troubleNames[b])
+			}
+		}
+	}
+	t.Logf("%d pairs, %d of them never met; a leader followed another on %d days", kindsOfTrouble*kindsOfTrouble, never, overtook)
+	if overtook == 0 {
+		t.Error("nobody ever followed a leader")
+	}
+	for _, what := range []string{"late write of log, after newer ones", "late write of lead, after newer ones", "a copy of a report after newer ones", "a copy of a report of an earlier session", "a copy of a report of an earlier term",
+		"commands carried out that were held up", "a direct command met a machine that hangs", "a direct command turned away for its token or session", "an answer dropped for its token or session", "a packet to a deaf machine lost"} {
+		t.Logf("%s: %d times", what, seen[what])
+		if seen[what] == 0 {
+			t.Errorf("%s: never brought about", what)
+		}
+	}
+}
+
+// pairDay plays a day on which two troubles meet, and says whether they did and how many
+// leaders there were.
+func pairDay(t *testing.T, a, b trouble, seed uint64) (s *sim, met bool, terms uint64) {
+	r := rand.New(rand.NewPCG(seed, 5))
+	c := baseSettings()
+	c.Deployment.Teams[0].CPUsMax = float64(16 + r.IntN(30))
+	if seed%3 == 0 {
+		c.Deployment.State.ValueKB = 0.8 // so that the log is cleaned all the time
+	}
+	if seed%2 == 0 {
+		c.Tunables.DirectStarts, c.Tunables.AskSilent = 4, int(seed%4/2)
+		c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 0.5}}
+	}
+	if seed%5 == 0 {
+		c.Tunables.ZonePatienceS, c.Tunables.ColdListen, c.Tunables.ListFirst = 20, 1, 1
+	}
+	count := 3
+	if seed%7 == 0 {
+		count = 7
+	}
+	s = newSim(c, seed, count, false)
+	var log []string
+	tr := &troubles{s: s, r: r, zones: seed%5 == 0, say: func(f string, a ...any) {
+		log = append(log, fmt.Sprintf("%v ", s.now.Round(time.Millisecond))+fmt.Sprintf(f, a...))
+	}}
+	for i := range uint64(12) {
+		id := i + 1
+		run := time.Duration(2000+r.IntN(30000)) * time.Millisecond
+		if r.IntN(4) == 0 {
+			run += settingsSeconds(c.Deployment.Workers.CancelS)
+		}
+		job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: uint8(r.IntN(4)), Tasks: 1 + r.IntN(8), CPUs: float64(1 + r.IntN(2)), MemoryGB: 1,
+			Image: fmt.Sprint(r.IntN(3)), ImageGB: 0.3, Spot: r.IntN(4) > 0, EstimateS: run.Seconds(), OneZone: r.IntN(5) == 0}
+		job.Spread = !job.OneZone && r.IntN(5) == 0
+		if r.IntN(4) == 0 {
+			job.Kind, job.Tasks, job.CPUs = 1, 2+r.IntN(3), 1
+		}
+		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
+		if job.Kind == 0 && r.IntN(2) == 0 {
+			j.apart = time.Duration(r.IntN(6000)) * time.Millisecond
+		}
+		s.jobs[id] = j
+		at := time.Duration(r.IntN(60000)) * time.Millisecond
+		s.after(at, func() { s.submit(j, r.IntN(count), func() bool { return s.now < at+60*time.Second }) })
+		if id%3 == 0 { // cancelled in the middle
+			s.after(35*time.Second+time.Duration(r.IntN(40000))*time.Millisecond, func() {
+				if j.accepted {
+					s.abort(j, r.IntN(count))
+				}
+			})
+		}
+	}
+	var poll func()
+	poll = func() {
+		for id := range uint64(len(s.jobs)) {
+			if j := s.jobs[id+1]; j.accepted {
+				s.poll(j, r.IntN(count))
+			}
+		}
+		s.after(2*time.Second, poll)
+	}
+	s.after(0, poll)
+	s.run(38 * time.Second)
+	length := time.Duration(5+r.IntN(25)) * time.Second
+	s.after(0, func() { tr.begin(a, length, r.IntN(count)) })
+	s.after(time.Duration(r.Int64N(int64(length))), func() {
+		met = true
+		tr.begin(b, time.Duration(5+r.IntN(25))*time.Second, r.IntN(count))
+	})
+	if seed%2 == 1 { // a takeover besides
+		s.after(time.Duration(r.IntN(30000))*time.Millisecond, func() {
+			if l := s.leader(); l != nil {
+				l.crash()
+				tr.back(l, 8*time.Second)
+			}
+		})
+	}
+	s.run(110 * time.Second)
+	s.check.calm = s.now
+	over := s.until(900*time.Second, func() bool {
+		for _, j := range s.jobs {
+			if j.accepted && !j.toldDone && !j.gone {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range s.nodes {
+		if n.up {
+			terms = max(terms, n.core.Epoch())
+		}
+	}
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %s\n%s", strings.Join(s.check.broken, "\n"), strings.Join(log, "\n"))
+	}
+	if !over {
+		for _, j := range s.jobs {
+			if j.accepted && !j.toldDone && !j.gone {
+				t.Errorf("job %d never came to its end: %+v, %s", j.id, *j.spec.Job, j.state)
+			}
+		}
+		t.Error(strings.Join(log, "\n"))
+	}
+	return s, met, terms
+}
+
+// TestEndsFarApart has the tasks of small jobs end far apart while leaders change: one end
+// is durable, one is reported and not noted yet, one machine is cut off or gone with an end
+// that nobody has heard. The job does become done, once, and not before all of it is.
+func TestEndsFarApart(t *testing.T) {
+	var mu sync.Mutex
+	days, spread, lost := 0, 0, 0
+	t.Run("days", func(t *testing.T) {
+		for _, tasks := range []int{2, 3} {
+			for _, trial := range []string{"none", "cut", "deaf", "dies", "hangs", "begins anew"} {
+				for step := range 12 {
+					t.Run(fmt.Sprintf("%d tasks/%s/%d", tasks, trial, step), func(t *testing.T) {
+						t.Parallel()
+						s := newSim(baseSettings(), uint64(step), 3, false)
+						var list []*userJob
+						for i := range uint64(4) {
+							j := &userJob{id: i + 1, run: 12 * time.Second, apart: 7 * time.Second, spec: wire.Submission{ID: i + 1, HasID: true,
+								Job: &ledger.Job{ID: i + 1, Class: "class", Team: "team", Priority: 1, Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 10}}}
+							s.jobs[j.id] = j
+							s.submit(j, int(i), func() bool { return s.now < 60*time.Second })
+							list = append(list, j)
+						}
+						var poll func()
+						poll = func() {
+							for i, j := range list {
+								s.poll(j, i)
+							}
+							s.after(time.Second, poll)
+						}
+						s.after(0, poll)
+						if !s.until(90*time.Second, func() bool { return s.running(1) == tasks }) {
+							t.Fatal("they never run")
+						}
+						// From just before the end of the first task, or of the last but one, on.
+						first := step % 2 * (tasks - 2)
+						s.run(s.ends[task{1, first}] - s.now + time.Duration(step-3)*150*time.Millisecond)
+						var m *worker
+						for _, w := range s.cloud.machines {
+							if _, here := w.tasks[task{1, tasks - 1}]; here {
+								m = w
+							}
+						}
+						if m == nil {
+							t.Fatal("its last task runs nowhere")
+						}
+						switch trial {
+						case "cut":
+							s.cuts = append(s.cuts, &cut{host: m.name, hold: step%2 == 0})
+							s.after(9*time.Second, func() { s.heal(m.name) })
+						case "deaf":
+							s.deaf[m.name] = true
+							s.after(9*time.Second, func() { delete(s.deaf, m.name) })
+						case "dies":
+							m.vanish()
+						case "hangs":
+							m.hung = true
+							s.after(9*time.Second, func() { m.hung = false })
+						case "begins anew":
+							m.reborn()
+						}
+						for range 2 { // two leaders end
+							l := s.leader()
+							l.crash()
+							s.after(8*time.Second, func() { l.start(false) })
+							s.run(4 * time.Second)
+							if !s.until(20*time.Second, func() bool { return s.leader() != nil }) {
+								t.Fatal("nobody leads")
+							}
+						}
+						apart := s.check.completeN[task{1, first}] && !s.check.over(1)
+						if !s.until(5*time.Minute, func() bool {
+							for _, j := range list {
+								if !j.toldDone {
+									return false
+								}
+							}
+							return true
+						}) {
+							t.Error("not all jobs became done")
+						}
+						if len(s.check.broken) > 0 {
+							t.Errorf("rules broken: %v", s.check.broken)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						days++
+						if apart {
+							spread++
+						}
+						if s.check.starts > tasks*len(list) {
+							lost++
+						}
+					})
+				}
+			}
+		}
+	})
+	t.Logf("%d days: on %d one task had ended and another not when the second leader was there; on %d tasks had to start again", days, spread, lost)
+	if spread*4 < days || lost == 0 {
+		t.Errorf("%d days: on %d ends were apart over two leaders, on %d tasks started again", days, spread, lost)
+	}
+}
+
+// TestLateWrites has transactions of every kind carried out 2 to 12 s later, after newer
+// ones of the same controller, of later terms, and of processes that have ended.
+func TestLateWrites(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]int{}
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(16) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				c := baseSettings()
+				c.Deployment.State.ValueKB = 0.8
+				c.Tunables.TakeoversKept, c.Tunables.RunTimesKinds = 5, 100
+				c.Tunables.Pools = []settings.Pool{{Name: "licence", Units: 6, HoldAfterLossS: 5}}
+				s := newSimAt(12*time.Hour-50*time.Second, c, seed, 3, false) // a night ends in between, and is stored
+				s.poolUnits = map[string]int{"licence": 6}
+				r := rand.New(rand.NewPCG(seed, 11))
+				s.run(3 * time.Second)
+				s.state.lateShare = 0.4
+				for i := range uint64(60) {
+					job := &ledger.Job{ID: i + 1, Class: fmt.Sprint("class", i%7), Team: "team", Priority: 1, Tasks: 1 + r.IntN(6), CPUs: 1, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 4}
+					if i%4 == 0 {
+						job.Counted = []ledger.Counted{{Pool: "licence", Units: 1}}
+					}
+					j := &userJob{id: i + 1, run: time.Duration(1+r.IntN(6)) * time.Second, spec: wire.Submission{ID: i + 1, HasID: true, Job: job}}
+					s.jobs[j.id] = j
+					at := time.Duration(r.IntN(60000)) * time.Millisecond
+					s.after(at, func() { s.submit(j, int(i), func() bool { return s.now < at+80*time.Second }) })
+					if i%10 == 0 {
+						s.after(at+8*time.Second, func() {
+							if j.accepted {
+								s.abort(j, int(i))
+							}
+						})
+					}
+				}
+				for n := range 3 {
+					s.after(time.Duration(15+20*n)*time.Second, func() {
+						if l := s.leader(); l != nil {
+							l.crash()
+							s.after(8*time.Second, func() { l.start(false) })
+						}
+					})
+				}
+				s.after(30*time.Second, func() { s.resize("a", "licence", 4) })
+				s.after(31*time.Second, func() { s.resize("b", "licence", 6) })
+				var poll func()
+				poll = func() {
+					for id := range uint64(len(s.jobs)) {
+						if j := s.jobs[id+1]; j.accepted {
+							s.poll(j, r.IntN(3))
+						}
+					}
+					s.after(2*time.Second, poll)
+				}
+				s.after(0, poll)
+				s.run(100 * time.Second)
+				s.state.lateShare = 0
+				s.run(13 * time.Second)
+				s.check.calm = s.now
+				if !s.until(10*time.Minute, func() bool {
+					for _, j := range s.jobs {
+						if j.accepted && !j.toldDone && !j.gone {
+							return false
+						}
+					}
+					return true
+				}) {
+					t.Error("not all jobs came to their end")
+				}
+				if len(s.check.broken) > 0 {
+					t.Errorf("rules broken: %v", s.check.broken)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				for what, n := range s.seen {
+					seen[what] += n
+				}
+			})
+		}
+	})
+	for _, what := range []string{"late write of lead, after newer ones", "late write of log, after newer ones", "late removal of log, after newer ones", "late write of sizes, after newer ones", "late write of own/pools, after newer ones", "late write of own/run-times, after newer ones"} {
+		if seen[what] == 0 {
+			t.Errorf("%s: never brought about", what)
+		}
+	}
+	t.Log(seen)
+}
+
+// TestLeaderEndsMachinesUnreached has leaders end while machines with long tasks cannot be
+// reached, or do not hear the new leader's answers: jobs with a limit that is nearly used up,
+// with all tasks in one zone, with half of them in each, and gangs.
+func TestLeaderEndsMachinesUnreached(t *testing.T) {
+	var mu sync.Mutex
+	days, unheard, again := 0, 0, 0
+	t.Run("days", func(t *testing.T) {
+		for _, trial := range []string{"cut", "cut, packets held", "deaf", "hung", "cut from all but the old leader", "answers held up"} {
+			for length := range 6 {
+				for _, ends := range []int{1, 2} {
+					t.Run(fmt.Sprintf("%s/%d/%d", trial, length, ends), func(t *testing.T) {
+						t.Parallel()
+						c := baseSettings()
+						c.Deployment.Teams[0].CPUsMax = 23
+						c.Tunables.ZonePatienceS = float64(length % 2 * 40)
+						s := newSim(c, uint64(length*2+ends), 3, false)
+						kinds := []ledger.Job{{Tasks: 4, OneZone: true}, {Tasks: 4, Spread: true}, {Tasks: 3, Kind: 1}, {Tasks: 3, Kind: 1, OneZone: true}, {Tasks: 6, Zone: "b"}, {Tasks: 12}}
+						submit := func(i int) {
+							k := kinds[i]
+							k.ID, k.Class, k.Team, k.Priority, k.CPUs, k.MemoryGB, k.Image, k.ImageGB, k.Spot, k.EstimateS = uint64(i+1), "class", "team", 1, 1, 1, "image", 0.3, true, 90
+							j := &userJob{id: k.ID, run: 90 * time.Second, spec: wire.Submission{ID: k.ID, HasID: true, Job: &k}}
+							s.jobs[j.id] = j
+							s.submit(j, i, func() bool { return s.now < 200*time.Second })
+						}
+						for i := range 5 { // the fifth has a machine rented in the other zone
+							submit(i)
+						}
+						var poll func()
+						poll = func() {
+							for id := range uint64(len(s.jobs)) {
+								s.poll(s.jobs[id+1], int(id))
+							}
+							s.after(2*time.Second, poll)
+						}
+						s.after(0, poll)
+						if !s.until(90*time.Second, func() bool { return s.running(1) == 4 && s.running(2) == 4 && s.running(3) == 3 && s.running(4) == 3 }) {
+							t.Fatal("they never run")
+						}
+						submit(5)
+						if !s.until(60*time.Second, func() bool { return s.running(6) == 3 }) {
+							t.Fatalf("%d tasks of the last one run", s.running(6))
+						}
+						l := s.leader()
+						lasts := time.Duration(3+5*length) * time.Second
+						var on []*worker
+						for _, w := range (&troubles{s: s}).machines() {
+							if len(w.tasks) > 0 && len(on) < 2 {
+								on = append(on, w)
+							}
+						}
+						for _, w := range on {
+							switch trial {
+							case "cut", "cut, packets held":
+								s.cuts = append(s.cuts, &cut{host: w.name, hold: trial != "cut"})
+							case "deaf":
+								s.deaf[w.name] = true
+							case "hung":
+								w.hung = true
+							case "cut from all but the old leader":
+								for _, n := range s.nodes {
+									if n != l {
+										s.cuts = append(s.cuts, &cut{host: w.name, with: n.name})
+									}
+								}
+							case "answers held up":
+								s.slow[w.name] = 6 * time.Second
+							}
+							s.after(lasts, func() {
+								w.hung = false
+								delete(s.deaf, w.name)
+								delete(s.slow, w.name)
+								s.heal(w.name)
+							})
+						}
+						for range ends {
+							n := s.leader()
+							n.crash()
+							s.after(8*time.Second, func() { n.start(false) })
+							if !s.until(20*time.Second, func() bool { return s.leader() != nil }) {
+								t.Fatal("nobody leads")
+							}
+							s.run(time.Second)
+						}
+						missing := 0
+						for _, m := range s.leader().core.Status(s.leader().clock()).Machines {
+							if m.State != "up" {
+								missing++
+							}
+						}
+						before := s.check.starts
+						if !s.until(10*time.Minute, func() bool {
+							for _, j := range s.jobs {
+								if !j.toldDone {
+									return false
+								}
+							}
+							return true
+						}) {
+							t.Error("not all jobs became done")
+						}
+						if len(s.check.broken) > 0 {
+							t.Errorf("rules broken: %v", s.check.broken)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						days++
+						if missing > 0 {
+							unheard++
+						}
+						if s.check.starts > before {
+							again++
+						}
+					})
+				}
+			}
+		}
+	})
+	t.Logf("%d days: on %d the new leader did not hear all machines, on %d tasks started under it", days, unheard, again)
+	if unheard*2 < days || again == 0 {
+		t.Errorf("%d days: on %d the new leader did not hear all machines, on %d tasks started under it", days, unheard, again)
+	}
+}
+
+// TestHandOvers has controllers hand over and back, all end, and one return, within a
+// second, again and again, while jobs come, are cancelled and asked about.
+func TestHandOvers(t *testing.T) {
+	var mu sync.Mutex
+	terms, alone := uint64(0), 0
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(24) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				c := baseSettings()
+				if seed%2 == 1 {
+					c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
+				}
+				s := newSim(c, seed, 3, false)
+				r := rand.New(rand.NewPCG(seed, 13))
+				tr := &troubles{s: s, r: r, say: func(string, ...any) {}}
+				for i := range uint64(14) {
+					job := &ledger.Job{ID: i + 1, Class: "class", Team: "team", Priority: 1, Tasks: 1 + r.IntN(6), CPUs: 1, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 15, Kind: uint8(r.IntN(5) / 4)}
+					j := &userJob{id: i + 1, run: time.Duration(1000+r.IntN(40000)) * time.Millisecond, spec: wire.Submission{ID: i + 1, HasID: true, Job: job}}
+					s.jobs[j.id] = j
+					at := time.Duration(r.IntN(50000)) * time.Millisecond
+					s.after(at, func() { s.submit(j, int(i), func() bool { return s.now < at+60*time.Second }) })
+					if i%3 == 0 {
+						s.after(at+time.Duration(r.IntN(20000))*time.Millisecond, func() {
+							if j.accepted {
+								s.abort(j, int(i))
+							}
+						})
+					}
+				}
+				var poll func()
+				poll = func() {
+					for id := range uint64(len(s.jobs)) {
+						if j := s.jobs[id+1]; j.accepted {
+							s.poll(j, r.IntN(3))
+						}
+					}
+					s.after(time.Second, poll)
+				}
+				s.after(0, poll)
+				s.run(10 * time.Second)
+				for range 6 {
+					tr.begin(handOvers, 0, 0)
+					s.run(time.Duration(1+r.IntN(5)) * time.Second)
+					if l := s.leader(); l != nil && r.IntN(2) == 0 { // hands over and is gone at once, and back
+						l.core.Stop(l.clock())
+						l.drain()
+						l.crash()
+						tr.back(l, tr.soon())
+						s.run(time.Duration(r.IntN(900)) * time.Millisecond)
+					}
+					for i, n := range s.nodes { // all end, and one returns; the others follow later
+						if n.up {
+							n.crash()
+						}
+						tr.back(n, tr.soon()+time.Duration(i)*4*time.Second)
+					}
+					s.run(time.Duration(500+r.IntN(4000)) * time.Millisecond)
+					if l := s.leader(); l != nil && l == s.nodes[0] && !s.nodes[1].up {
+						mu.Lock()
+						alone++
+						mu.Unlock()
+					}
+				}
+				s.run(10 * time.Second)
+				s.check.calm = s.now
+				if !s.until(10*time.Minute, func() bool {
+					for _, j := range s.jobs {
+						if j.accepted && !j.toldDone && !j.gone {
+							return false
+						}
+					}
+					return true
+				}) {
+					t.Error("not all jobs came to their end")
+				}
+				if len(s.check.broken) > 0 {
+					t.Errorf("rules broken: %v", s.check.broken)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				terms += s.leader().core.Epoch()
+			})
+		}
+	})
+	t.Logf("%d terms on 24 days; %d times one that returned alone led", terms, alone)
+	if terms < 24*6 || alone < 10 {
+		t.Errorf("%d terms on 24 days, %d times one that returned alone led", terms, alone)
+	}
+}
--- a/internal/scenario/pools_test.go
+++ b/internal/scenario/pools_test.go
@@ -78,14 +78,16 @@
 // resize has an operator change a pool: asked for again until it is durable.
 // One follows the other.
 func (s *sim) resize(id, pool string, units int) {
-	if s.resizing[pool] {
-		s.after(time.Second, func() { s.resize(id, pool, units) })
-		return
+	if s.resizes == nil {
+		s.resizes = map[string][]func(){}
 	}
-	if s.resizing == nil {
-		s.resizing = map[string]bool{}
+	s.resizes[pool] = append(s.resizes[pool], func() { s.resizeNow(id, pool, units) })
+	if len(s.resizes[pool]) == 1 {
+		s.resizes[pool][0]()
 	}
-	s.resizing[pool] = true
+}
+
+func (s *sim) resizeNow(id, pool string, units int) {
 	now := s.poolUnits[pool]
 	if units > now {
 		s.poolUnits[pool] = units // they exist from now on
@@ -114,7 +116,10 @@
 		}
 		s.after(6*time.Second, func() { // what was sent before may be on its way yet
 			s.poolUnits[pool] = units
-			s.resizing[pool] = false
+			s.resizes[pool] = s.resizes[pool][1:]
+			if len(s.resizes[pool]) > 0 {
+				s.resizes[pool][0]()
+			}
 		})
 	}
 	try()
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,7 +26,7 @@
 	if v, err := strconv.Atoi(os.Getenv("SCENARIO_DAYS")); err == nil {
 		days = v
 	}
-	var played [16]atomic.Int64
+	var played [kindsOfTrouble]atomic.Int64
 	t.Run("days", func(t *testing.T) {
 		for seed := range uint64(days) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -36,13 +35,12 @@
 			})
 		}
 	})
-	for kind, name := range []string{"a node crashes", "a node crashes", "all crash", "outage", "a node refused", "a node or zone cut", "a machine cut", "a machine dies", "a machine hangs", "late transactions and rentals",
-		"a node back at once", "all back at once", "deaf machines", "late copies", "a node apart with its workers", "machines begin anew"} {
+	for kind, name := range troubleNames {
 		t.Logf("%s: %d times", name, played[kind].Load())
 	}
 }
 
-func randomDay(t *testing.T, seed uint64, played *[16]atomic.Int64) {
+func randomDay(t *testing.T, seed uint64, played *[kindsOfTrouble]atomic.Int64) {
 	r := rand.New(rand.NewPCG(seed, 99))
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(8 + r.IntN(40))
@@ -184,138 +182,16 @@
 			})
 		}
 	}
-	machines := func() []string {
-		var out []string
-		for n, w := range s.cloud.machines {
-			if w.up {
-				out = append(out, n)
-			}
-		}
-		slices.Sort(out)
-		return out
-	}
+	tr := &troubles{s: s, r: r, zones: spreads, say: say}
 	for range 3 + r.IntN(8) {
-		at, length, kind, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(count)
-		harsh := r.IntN(2) == 0
+		at, length, pick, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(count)
+		kind := mildTroubles[pick]
+		if r.IntN(2) == 0 {
+			kind = harshTroubles[pick]
+		}
 		s.after(at, func() {
-			ms := machines()
-			var m *worker
-			if len(ms) > 0 {
-				m = s.cloud.machines[ms[r.IntN(len(ms))]]
-			}
-			if harsh && kind < 6 {
-				kind += 10
-			}
 			played[kind].Add(1)
-			say("trouble %d for %v, node %d", kind, length, who)
-			switch kind {
-			case 10: // back within a fraction of a second, several times in a row
-				n := s.nodes[who]
-				for i := range 1 + r.IntN(5) {
-					s.after(time.Duration(i)*time.Duration(600+r.IntN(2000))*time.Millisecond, func() {
-						if n.up {
-							n.crash()
-							s.after(time.Duration(50+r.IntN(450))*time.Millisecond, func() {
-								if !n.up {
-									n.start(n.old)
-								}
-							})
-						}
-					})
-				}
-			case 11: // all of them at once
-				for _, n := range s.nodes {
-					if n.up {
-						n.crash()
-						s.after(time.Duration(50+r.IntN(450))*time.Millisecond, func() {
-							if !n.up {
-								n.start(n.old)
-							}
-						})
-					}
-				}
-			case 12: // heard, and deaf
-				for range min(len(ms), 1+r.IntN(4)) {
-					name := ms[r.IntN(len(ms))]
-					s.deaf[name] = true
-					s.after(length, func() { delete(s.deaf, name) })
-				}
-			case 13: // copies come late
-				s.again = time.Duration(1+r.IntN(30)) * time.Second
-				s.after(length, func() { s.again = 0 })
-			case 14: // without the state service and the other controllers, not without workers
-				n := s.nodes[who]
-				s.state.refuse[n.name] = true
-				for _, o := range s.nodes {
-					if o != n {
-						s.cuts = append(s.cuts, &cut{host: n.name, with: o.name, hold: r.IntN(2) == 0})
-					}
-				}
-				s.after(length, func() {
-					delete(s.state.refuse, n.name)
-					s.heal(n.name)
-				})
-			case 15: // machines are back at once under their names, with nothing on them
-				for range min(len(ms), 1+r.IntN(4)) {
-					if w := s.cloud.machines[ms[r.IntN(len(ms))]]; w != nil && w.up {
-						w.reborn()
-					}
-				}
-			case 0, 1:
-				n := s.nodes[who]
-				n.crash()
-				s.after(8*time.Second, func() {
-					if !n.up {
-						n.start(n.old)
-					}
-				})
-			case 2:
-				for _, n := range s.nodes {
-					n.crash()
-				}
-				s.after(8*time.Second, func() {
-					for _, n := range s.nodes {
-						if !n.up {
-							n.start(n.old)
-						}
-					}
-				})
-			case 3:
-				s.state.outage = true
-				s.after(length, func() { s.state.recover() })
-			case 4:
-				n := s.nodes[who].name
-				s.state.refuse[n] = true
-				s.after(length, func() { delete(s.state.refuse, n) })
-			case 5:
-				n := s.nodes[who].name
-				if spreads && r.IntN(2) == 0 {
-					s.cutZone([]string{"a", "b"}[r.IntN(2)], n, length, r.IntN(2) == 0)
-					return
-				}
-				s.cuts = append(s.cuts, &cut{host: n, hold: r.IntN(2) == 0})
-				s.after(length, func() { s.heal(n) })
-			case 6:
-				if m != nil {
-					s.cuts = append(s.cuts, &cut{host: m.name, hold: r.IntN(2) == 0})
-					s.after(length, func() { s.heal(m.name) })
-				}
-			case 7:
-				if m != nil {
-					m.vanish()
-				}
-			case 8:
-				if m != nil {
-					m.hung = true
-					s.after(length, func() { m.hung = false })
-				}
-			case 9:
-				s.state.loseOut += r.IntN(2)
-				s.state.delayed = time.Duration(r.IntN(6)) * time.Second
-				if r.IntN(2) == 0 {
-					s.cloud.late = length
-				}
-			}
+			tr.begin(kind, length, who)
 		})
 	}
 	var poll func()
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -29,12 +29,15 @@
 	refuse  map[string]bool // nodes that are served 503
 	loseOut int             // so many answers to transactions are lost
 	delayed time.Duration   // the next transaction is given up on, and applied this much later
-	watches []func()
-	writes  int
-	cleaned int
-	facts   map[uint64]bool       // jobs whose facts of run times were durable; nil: not watched
-	record  func(json.RawMessage) // takes each new one of them
-	lowered bool                  // the announced limits are in force
+	// That share of transactions has no answer and is carried out 2 to 12 s later, after
+	// newer ones.
+	lateShare float64
+	watches   []func()
+	writes    int
+	cleaned   int
+	facts     map[uint64]bool       // jobs whose facts of run times were durable; nil: not watched
+	record    func(json.RawMessage) // takes each new one of them
+	lowered   bool                  // the announced limits are in force
 }
 
 type item struct {
@@ -147,6 +150,32 @@
 	return txnResult{out: ledger.Applied, mark: st.rev}
 }
 
+// lateWrite says whether a transaction is one that has no answer, and has it carried out
+// later.
+func (st *stateService) lateWrite(writes []ledger.Op, apply func() ledger.Outcome) bool {
+	if st.lateShare == 0 || st.s.rng.Float64() >= st.lateShare {
+		return false
+	}
+	before := st.rev
+	st.s.after(2*time.Second+time.Duration(st.s.rng.Int64N(int64(10*time.Second))), func() {
+		newer := st.rev > before
+		out := apply()
+		for _, w := range writes {
+			what := "late write of " + w.Key[:strings.LastIndex(w.Key, "/")]
+			if w.Remove {
+				what = "late removal of " + w.Key[:strings.LastIndex(w.Key, "/")]
+			}
+			if newer {
+				st.s.saw(what + ", after newer ones")
+			}
+			if out == ledger.Applied {
+				st.s.saw(what + ", carried out")
+			}
+		}
+	})
+	return true
+}
+
 func (st *stateService) commit(c *controller, t ledger.Txn) {
 	epoch := epochOf(c)
 	done := func(r txnResult, ok bool) {
@@ -159,6 +188,14 @@
 		st.s.check.productionWrites(t)
 	}
 	life := c.life
+	if st.lateWrite(t.Writes, func() ledger.Outcome { return st.apply(t.Conds, t.Writes, 0).out }) {
+		st.s.after(wait, func() {
+			if c.life == life {
+				done(txnResult{}, false)
+			}
+		})
+		return
+	}
 	if st.delayed > 0 {
 		late := st.delayed
 		st.delayed = 0
@@ -381,8 +418,14 @@
 			reply(leadResult{ok: true, id: st.nextID})
 		case leadership.Claim:
 			value, _ := json.Marshal(leadership.Holder{Node: c.name, Epoch: o.View.Epoch + 1})
-			r := st.apply([]ledger.Cond{{Key: leadership.HolderKey}, {Key: leadership.EpochKey, Mark: o.View.EpochMark}},
-				[]ledger.Op{{Key: leadership.HolderKey, Value: value}, {Key: leadership.EpochKey, Value: value}}, o.Hold)
+			claim := func() txnResult {
+				return st.apply([]ledger.Cond{{Key: leadership.HolderKey}, {Key: leadership.EpochKey, Mark: o.View.EpochMark}},
+					[]ledger.Op{{Key: leadership.HolderKey, Value: value}, {Key: leadership.EpochKey, Value: value}}, o.Hold)
+			}
+			if st.lateWrite([]ledger.Op{{Key: leadership.EpochKey}}, func() ledger.Outcome { return claim().out }) {
+				return
+			}
+			r := claim()
 			reply(leadResult{ok: r.out == ledger.Applied, id: r.mark})
 		case leadership.Renew:
 			h := st.holds[o.Hold]
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -69,11 +69,13 @@
 	again time.Duration   // reports and direct commands arrive once more, so much later at most; 0: not
 	began time.Duration   // time of day at time 0
 
-	launches int          // direct starts that were sent
-	scale    *scaleCounts // nil but on days that are measured
+	launches int                    // direct starts that were sent
+	ends     map[task]time.Duration // when the last start of a task will have run
+	seen     map[string]int         // what troubles really brought about, by its words
+	scale    *scaleCounts           // nil but on days that are measured
 
-	poolUnits map[string]int // most units that may be out, by pool
-	resizing  map[string]bool
+	poolUnits map[string]int      // most units that may be out, by pool
+	resizes   map[string][]func() // changes of pools that wait for one another, the one under way first
 }
 
 // newSim makes a world of so many controllers; with old they begin with the
@@ -84,7 +86,7 @@
 
 // newSimAt makes one that begins at a time of day.
 func newSimAt(began time.Duration, cfg settings.Settings, seed uint64, count int, old bool) *sim {
-	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}, deaf: map[string]bool{}}
+	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}, deaf: map[string]bool{}, slow: map[string]time.Duration{}, ends: map[task]time.Duration{}}
 	s.state = &stateService{s: s, items: map[string]item{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}}
 	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, capacity: 40, boot: 5 * time.Second}
 	s.check = &checker{s: s, on: map[task]map[string]bool{}}
@@ -146,6 +148,14 @@
 	return nil
 }
 
+// saw counts something that a trouble really brought about.
+func (s *sim) saw(what string) {
+	if s.seen == nil {
+		s.seen = map[string]int{}
+	}
+	s.seen[what]++
+}
+
 // copies has a message arrive once more, now and then.
 func (s *sim) copies(f func()) {
 	if s.again > 0 && s.rng.IntN(4) == 0 {
@@ -156,6 +166,7 @@
 // send carries a packet; f runs at its arrival.
 func (s *sim) send(from, to string, f func()) {
 	if s.deaf[to] {
+		s.saw("a packet to a deaf machine lost")
 		return
 	}
 	if c := s.between(from, to); c != nil {
@@ -471,6 +482,7 @@
 	id         uint64
 	spec       wire.Submission
 	run        time.Duration
+	apart      time.Duration // each further task of an array runs for so much longer
 	accepted   bool
 	acceptedAt time.Duration
 	toldDone   bool
@@ -480,6 +492,9 @@
 	state      string
 }
 
+// runs is how long a task of an array runs.
+func (j *userJob) runs(k int) time.Duration { return j.run + time.Duration(k)*j.apart }
+
 // request carries a user's request to a node.
 func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to effects.Asker), done func(a effects.Answer, ok bool)) {
 	c := s.nodes[at%len(s.nodes)]
--- /dev/null
+++ b/internal/scenario/troubles_test.go
@@ -0,0 +1,210 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// trouble is a kind of trouble of a random day.
+type trouble int
+
+// Kinds of trouble.
+const (
+	nodeCrash trouble = iota
+	allCrash
+	outage
+	nodeRefused
+	nodeCut
+	machineCut
+	machineDies
+	machineHangs
+	lateOnce
+	nodeBack
+	allBack
+	machinesDeaf
+	lateCopies
+	nodeApart
+	machinesReborn
+	lateWrites
+	slowState
+	heldUp
+	handOvers
+	refusedThenAll
+	kindsOfTrouble
+)
+
+var troubleNames = [kindsOfTrouble]string{"a node crashes", "all crash", "outage", "a node refused", "a node or zone cut", "a machine cut", "a machine dies", "a machine hangs", "a late transaction or rental",
+	"a node back at once", "all back at once", "deaf machines", "late copies", "a node apart with its workers", "machines begin anew",
+	"late writes, out of order", "a slow state service", "answers and commands held up", "leaders hand over again and again", "the leader refused, then all"}
+
+// Troubles of a random day, and those that take the place of some of them on harsh days.
+var (
+	mildTroubles  = []trouble{nodeCrash, nodeCrash, allCrash, outage, nodeRefused, nodeCut, machineCut, machineDies, machineHangs, lateOnce}
+	harshTroubles = []trouble{nodeBack, allBack, machinesDeaf, lateCopies, nodeApart, machinesReborn, lateWrites, slowState, heldUp, handOvers}
+)
+
+// troubles brings them about in a world.
+type troubles struct {
+	s     *sim
+	r     *rand.Rand
+	zones bool // zones are cut as a whole, now and then
+	say   func(f string, a ...any)
+}
+
+// machines lists those that are up.
+func (tr *troubles) machines() []*worker {
+	var out []*worker
+	for _, w := range tr.s.cloud.machines {
+		if w.up {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// some are up to so many of them.
+func (tr *troubles) some(most int) []*worker {
+	ms := tr.machines()
+	var out []*worker
+	for range min(len(ms), 1+tr.r.IntN(most)) {
+		out = append(out, ms[tr.r.IntN(len(ms))])
+	}
+	return out
+}
+
+// back has a controller that is not up started again after a while.
+func (tr *troubles) back(n *controller, after time.Duration) {
+	tr.s.after(after, func() {
+		if !n.up {
+			n.start(n.old)
+		}
+	})
+}
+
+// soon is a fraction of a second.
+func (tr *troubles) soon() time.Duration { return time.Duration(50+tr.r.IntN(450)) * time.Millisecond }
+
+// begin brings a trouble about, which lasts so long where that means something.
+func (tr *troubles) begin(kind trouble, length time.Duration, who int) {
+	s, r, n := tr.s, tr.r, tr.s.nodes[who]
+	tr.say("%s for %v, node %d", troubleNames[kind], length, who)
+	switch kind {
+	case nodeCrash:
+		n.crash()
+		tr.back(n, 8*time.Second)
+	case allCrash:
+		for _, n := range s.nodes {
+			n.crash()
+			tr.back(n, 8*time.Second)
+		}
+	case outage:
+		s.state.outage = true
+		s.after(length, s.state.recover)
+	case nodeRefused:
+		s.state.refuse[n.name] = true
+		s.after(length, func() { delete(s.state.refuse, n.name) })
+	case nodeCut:
+		if tr.zones && r.IntN(2) == 0 {
+			s.cutZone([]string{"a", "b"}[r.IntN(2)], n.name, length, r.IntN(2) == 0)
+			return
+		}
+		s.cuts = append(s.cuts, &cut{host: n.name, hold: r.IntN(2) == 0})
+		s.after(length, func() { s.heal(n.name) })
+	case machineCut:
+		for _, m := range tr.some(1) {
+			s.cuts = append(s.cuts, &cut{host: m.name, hold: r.IntN(2) == 0})
+			s.after(length, func() { s.heal(m.name) })
+		}
+	case machineDies:
+		for _, m := range tr.some(1) {
+			m.vanish()
+		}
+	case machineHangs:
+		for _, m := range tr.some(1) {
+			m.hung = true
+			s.after(length, func() { m.hung = false })
+		}
+	case lateOnce:
+		s.state.loseOut += r.IntN(2)
+		s.state.delayed = time.Duration(r.IntN(6)) * time.Second
+		if r.IntN(2) == 0 {
+			s.cloud.late = length
+		}
+	case nodeBack: // several times in a row
+		for i := range 1 + r.IntN(5) {
+			s.after(time.Duration(i)*time.Duration(600+r.IntN(2000))*time.Millisecond, func() {
+				if n.up {
+					n.crash()
+					tr.back(n, tr.soon())
+				}
+			})
+		}
+	case allBack:
+		for _, n := range s.nodes {
+			if n.up {
+				n.crash()
+				tr.back(n, tr.soon())
+			}
+		}
+	case machinesDeaf: // heard, and deaf
+		for _, m := range tr.some(4) {
+			s.deaf[m.name] = true
+			s.after(length, func() { delete(s.deaf, m.name) })
+		}
+	case lateCopies:
+		s.again = time.Duration(1+r.IntN(30)) * time.Second
+		s.after(length, func() { s.again = 0 })
+	case nodeApart: // without the state service and the other controllers, not without workers
+		s.state.refuse[n.name] = true
+		for _, o := range s.nodes {
+			if o != n {
+				s.cuts = append(s.cuts, &cut{host: n.name, with: o.name, hold: r.IntN(2) == 0})
+			}
+		}
+		s.after(length, func() {
+			delete(s.state.refuse, n.name)
+			s.heal(n.name)
+		})
+	case machinesReborn: // back at once under their names, with nothing on them
+		for _, m := range tr.some(4) {
+			m.reborn()
+		}
+	case lateWrites:
+		s.state.lateShare = 0.1 + 0.5*r.Float64()
+		s.after(length, func() { s.state.lateShare = 0 })
+	case slowState:
+		s.slow["state"] = time.Duration(200+r.IntN(3800)) * time.Millisecond
+		s.after(length, func() { delete(s.slow, "state") })
+	case heldUp:
+		for _, m := range tr.some(4) {
+			s.slow[m.name] = time.Duration(500+r.IntN(7500)) * time.Millisecond
+			s.after(length, func() { delete(s.slow, m.name) })
+		}
+	case handOvers:
+		for i := range 2 + r.IntN(4) {
+			s.after(time.Duration(i)*time.Duration(200+r.IntN(2500))*time.Millisecond, func() {
+				if l := s.leader(); l != nil {
+					l.core.Stop(l.clock())
+					l.drain()
+				}
+			})
+		}
+	case refusedThenAll: // the second for longer than a cancellation has
+		if l := s.leader(); l != nil {
+			n = l
+		}
+		s.state.refuse[n.name] = true
+		s.after(time.Duration(2000+r.IntN(8000))*time.Millisecond, func() { s.state.outage = true })
+		s.after(10*time.Second+length+settingsSeconds(s.cfg.Deployment.Workers.CancelS), func() {
+			delete(s.state.refuse, n.name)
+			s.state.recover()
+		})
+	}
+}
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/workers"
 )
@@ -117,6 +118,15 @@
 	c := w.s.nodes[w.at%len(w.s.nodes)]
 	w.s.copies(func() {
 		if o := w.s.nodes[w.s.rng.IntN(len(w.s.nodes))]; o.up {
+			switch {
+			case r.Session < w.session:
+				w.s.saw("a copy of a report of an earlier session")
+			case r.Seq < w.seq:
+				w.s.saw("a copy of a report after newer ones")
+			}
+			if l := w.s.leader(); l != nil && l.core.Epoch() > r.Token>>cluster.TokenBits {
+				w.s.saw("a copy of a report of an earlier term")
+			}
 			o.core.Report(o.clock(), 0, r) // nobody hears the answer
 			o.drain()
 		}
@@ -159,8 +169,12 @@
 		default:
 			w.schedule(settingsSeconds(w.s.cfg.Deployment.Workers.ReportS * (0.75 + 0.5*w.s.rng.Float64())))
 			if a.Token < w.token || session != w.session {
+				w.s.saw("an answer dropped for its token or session")
 				return
 			}
+			if w.s.now-sent > time.Second && len(a.Commands) > 0 {
+				w.s.saw("commands carried out that were held up")
+			}
 			changed := a.Token > w.token
 			w.token, w.renewed = a.Token, sent
 			for _, cmd := range a.Commands {
@@ -198,8 +212,10 @@
 	switch {
 	case !w.up:
 	case w.hung:
+		w.s.saw("a direct command met a machine that hangs")
 		w.s.after(500*time.Millisecond, func() { w.direct(token, session, cmds, reply) })
 	case token < w.token || session != w.session:
+		w.s.saw("a direct command turned away for its token or session")
 		reply(nil)
 	default:
 		w.token = token
@@ -294,7 +310,8 @@
 		if j.spec.Job.Kind == 2 {
 			return
 		}
-		w.s.after(j.run, func() { w.complete(t, x) })
+		w.s.ends[t] = w.s.now + j.runs(t.k)
+		w.s.after(j.runs(t.k), func() { w.complete(t, x) })
 	})
 	return true
 }
