--- a/internal/lifecycle/follow.go
+++ b/internal/lifecycle/follow.go
@@ -144,6 +144,7 @@
 // wipe cancels one job, none of whose tasks is anywhere.
 func (d *Duty) wipe(j *jobs.Job) {
 	j.Phase = jobs.Cancelled
+	delete(d.doomed, j.Rec.ID)
 	d.Jobs.Finish(j.Rec.ID, jobs.Cancelled)
 	d.Jobs.Unlink(j)
 	d.Book.Remove(j.Index, false, 0, 0)
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -280,6 +280,9 @@
 			c.fail("went_back", "%d was not cancelled by its user", j.id)
 		}
 		if !j.gone {
+			if n := c.s.somewhere(j.id); n > 0 && !j.byProduction {
+				c.fail("told_early", "%d is called cancelled while %d of its tasks are on machines", j.id, n)
+			}
 			j.gone, j.goneAt = true, c.s.now
 			c.s.after(limit, func() {
 				for k := range j.spec.Job.Tasks {
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -479,17 +479,32 @@
 
 // userJob is a job as its user sees it.
 type userJob struct {
-	id         uint64
-	spec       wire.Submission
-	run        time.Duration
-	apart      time.Duration // each further task of an array runs for so much longer
-	accepted   bool
-	acceptedAt time.Duration
-	toldDone   bool
-	gone       bool // told cancelled
-	asked      bool // its user asked to cancel it
-	goneAt     time.Duration
-	state      string
+	id           uint64
+	spec         wire.Submission
+	run          time.Duration
+	apart        time.Duration // each further task of an array runs for so much longer
+	accepted     bool
+	acceptedAt   time.Duration
+	toldDone     bool
+	gone         bool // told cancelled
+	asked        bool // its user asked to cancel it
+	byProduction bool // told so by the version in production, at once
+	goneAt       time.Duration
+	state        string
+}
+
+// somewhere counts the tasks of a job that are on any machine in truth, or wait for their
+// image there.
+func (s *sim) somewhere(id uint64) int {
+	n := 0
+	for _, w := range s.cloud.machines {
+		for k := range w.tasks {
+			if w.up && k.job == id {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // runs is how long a task of an array runs.
