--- a/internal/squaring/squaring.go
+++ b/internal/squaring/squaring.go
@@ -110,7 +110,7 @@
 	RunsUnseen:       {"runs_unseen", "nowhere, open", "not ended", Adopt, "the newest report shows it, and it counts nowhere else"},
 	SavesUnseen:      {"saves_unseen", "nowhere, open", "saving", Adopt, "the newest report shows it; what it saves is kept"},
 	RunsDone:         {"runs_done", "done", "not ended", Stop, "its result is known: more of it is of no use"},
-	RunsCancelled:    {"runs_cancelled", "nowhere, cancelled", "not ended", Stop, "its user was told that it is cancelled"},
+	RunsCancelled:    {"runs_cancelled", "nowhere, cancelled", "not ended", Stop, "its user was told that it is cancelled, by a leader of an older version"},
 	RunsHeld:         {"runs_held", "held for other jobs", "not ended", Stop, "it may not have been started"},
 	RunsElsewhere:    {"runs_elsewhere", "on another machine, or on offer to one", "not ended", Stop, "one of the two has to go, and the other is the one that counts"},
 	RunsOtherAttempt: {"runs_other_attempt", "on this machine with another attempt", "not ended", Stop, "one of the two has to go, and the other is the one that counts"},
