--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -17,21 +17,28 @@
 
 // TestPairsOfTroubles has each two kinds of trouble meet: the second begins while the first
 // lasts, with cancellations, questions and a takeover in the middle, and tasks some of which
-// run for longer than a cancellation has. PAIR_DAYS sets how many days each pair is played.
+// run for longer than a cancellation has. PAIR_DAYS sets how many days each pair is played,
+// PAIR_MACHINES with about how many machines instead of a handful, and PAIR_FIRST the only
+// trouble that others are paired with.
 func TestPairsOfTroubles(t *testing.T) {
 	days := 1
 	if v, err := strconv.Atoi(os.Getenv("PAIR_DAYS")); err == nil {
 		days = v
 	}
+	size, _ := strconv.Atoi(os.Getenv("PAIR_MACHINES"))
+	only := os.Getenv("PAIR_FIRST")
 	var mu sync.Mutex
 	seen, played, overtook := map[string]int{}, [kindsOfTrouble][kindsOfTrouble]int{}, 0
 	t.Run("pairs", func(t *testing.T) {
 		for a := range kindsOfTrouble {
+			if only != "" && troubleNames[a] != only {
+				continue
+			}
 			for b := range kindsOfTrouble {
 				for day := range days {
 					t.Run(fmt.Sprintf("%s/%s/%d", troubleNames[a], troubleNames[b], day), func(t *testing.T) {
 						t.Parallel()
-						s, met, terms := pairDay(t, a, b, uint64(day)*1000+uint64(a)*uint64(kindsOfTrouble)+uint64(b))
+						s, met, terms := pairDay(t, a, b, uint64(day)*1000+uint64(a)*uint64(kindsOfTrouble)+uint64(b), size)
 						mu.Lock()
 						defer mu.Unlock()
 						if met {
@@ -48,6 +55,10 @@
 			}
 		}
 	})
+	if only != "" {
+		t.Log(seen)
+		return // a part of them, which need not bring everything about
+	}
 	never := 0
 	for a := range played {
 		for b := range played[a] {
@@ -72,7 +83,7 @@
 
 // pairDay plays a day on which two troubles meet, and says whether they did and how many
 // leaders there were.
-func pairDay(t *testing.T, a, b trouble, seed uint64) (s *sim, met bool, terms uint64) {
+func pairDay(t *testing.T, a, b trouble, seed uint64, size int) (s *sim, met bool, terms uint64) {
 	r := rand.New(rand.NewPCG(seed, 5))
 	c := baseSettings()
 	c.Deployment.Teams[0].CPUsMax = float64(16 + r.IntN(30))
@@ -90,18 +101,24 @@
 	if seed%7 == 0 {
 		count = 7
 	}
+	if size > 0 {
+		c.Deployment.Teams[0].CPUsMax = 0
+		c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 5, 26.5, 51.5
+		c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps, c.Deployment.Cloud.RPS = 100, 16, 16, 9
+	}
 	s = newSim(c, seed, count, false)
+	s.cloud.capacity = max(s.cloud.capacity, size)
 	var log []string
-	tr := &troubles{s: s, r: r, zones: seed%5 == 0, say: func(f string, a ...any) {
+	tr := &troubles{s: s, r: r, zones: seed%5 == 0, many: size / 20, say: func(f string, a ...any) {
 		log = append(log, fmt.Sprintf("%v ", s.now.Round(time.Millisecond))+fmt.Sprintf(f, a...))
 	}}
-	for i := range uint64(12) {
+	for i := range uint64(12 + size/25) {
 		id := i + 1
 		run := time.Duration(2000+r.IntN(30000)) * time.Millisecond
 		if r.IntN(4) == 0 {
 			run += settingsSeconds(c.Deployment.Workers.CancelS)
 		}
-		job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: uint8(r.IntN(4)), Tasks: 1 + r.IntN(8), CPUs: float64(1 + r.IntN(2)), MemoryGB: 1,
+		job := &ledger.Job{ID: id, Class: "class", Team: "team", Priority: uint8(r.IntN(4)), Tasks: 1 + r.IntN(8+size/8), CPUs: float64(1 + r.IntN(2)), MemoryGB: 1,
 			Image: fmt.Sprint(r.IntN(3)), ImageGB: 0.3, Spot: r.IntN(4) > 0, EstimateS: run.Seconds(), OneZone: r.IntN(5) == 0}
 		job.Spread = !job.OneZone && r.IntN(5) == 0
 		if r.IntN(4) == 0 {
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -49,6 +49,7 @@
 	s     *sim
 	r     *rand.Rand
 	zones bool // zones are cut as a whole, now and then
+	many  int  // machines that a trouble meets, on days with many
 	say   func(f string, a ...any)
 }
 
@@ -73,7 +74,7 @@
 func (tr *troubles) some(most int) []*worker {
 	ms := tr.machines()
 	var out []*worker
-	for range min(len(ms), 1+tr.r.IntN(most)) {
+	for range min(len(ms), 1+tr.r.IntN(max(most, tr.many))) {
 		out = append(out, ms[tr.r.IntN(len(ms))])
 	}
 	return out
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,9 @@
 	most   map[string]int
 	peak   map[string]int
 	paused map[string]time.Time // machines whose workers make no reports until then
+	deaf   map[string]time.Time // machines that answers do not reach until then
+	copies time.Duration        // a copy of one in four reports arrives so much later at most; 0: none
+	late   int                  // copies that did arrive
 	gone   map[string]bool
 	on     map[string]string // task -> machine
 
@@ -107,6 +111,62 @@
 	f.paused[machine] = time.Now().Add(d)
 }
 
+// Deafen has a machine's reports arrive, and no answer reach it, for a while.
+func (f *Fleet) Deafen(machine string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.deaf == nil {
+		f.deaf = map[string]time.Time{}
+	}
+	f.deaf[machine] = time.Now().Add(d)
+}
+
+// Repeat has a copy of one in four reports arrive at some controller, so much later at most.
+func (f *Fleet) Repeat(within time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copies = within
+}
+
+// Late counts the copies of reports that arrived.
+func (f *Fleet) Late() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.late
+}
+
+// again sends a copy of a report, now and then; nobody hears the answer.
+func (f *Fleet) again(client *http.Client, body []byte) {
+	f.mu.Lock()
+	within := f.copies
+	f.mu.Unlock()
+	if within == 0 || rand.IntN(4) > 0 {
+		return
+	}
+	time.AfterFunc(rand.N(within), func() {
+		resp, err := client.Post(f.Doors[rand.IntN(len(f.Doors))]+"/checkin", "application/json", bytes.NewReader(body))
+		if err == nil {
+			resp.Body.Close()
+			f.mu.Lock()
+			f.late++
+			f.mu.Unlock()
+		}
+	})
+}
+
+// On lists the machines on which tasks of a job run.
+func (f *Fleet) On(job string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for t, m := range f.on {
+		if id, _, _ := strings.Cut(t, "/"); id == job {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Down has a machine's worker end.
 func (f *Fleet) Down(m Machine) {
 	f.mu.Lock()
@@ -205,6 +265,7 @@
 	if err != nil {
 		panic(err)
 	}
+	w.f.again(client, body)
 	sent := time.Now()
 	door := w.f.Doors[w.at%len(w.f.Doors)]
 	resp, err := client.Post(door+"/checkin", "application/json", bytes.NewReader(body))
@@ -229,6 +290,13 @@
 		w.at++
 		return false
 	}
+	w.f.mu.Lock()
+	deaf := time.Now().Before(w.f.deaf[w.m.Name])
+	w.f.mu.Unlock()
+	if deaf {
+		w.at++
+		return false
+	}
 	if answer.Token < w.token {
 		return true
 	}
--- a/internal/upgrade/cold_test.go
+++ b/internal/upgrade/cold_test.go
@@ -27,6 +27,16 @@
 
 // newWorld starts one; args are given to the controllers besides.
 func newWorld(t *testing.T, args ...string) *world {
+	w := prepare(t, args...)
+	for i := range 3 {
+		w.start(i, w.binary)
+	}
+	w.leader()
+	return w
+}
+
+// prepare makes one that is not started yet.
+func prepare(t *testing.T, args ...string) *world {
 	w := &world{store: &standin.State{}, cloud: &standin.Cloud{}, binary: filepath.Join(t.TempDir(), "bitternmoor")}
 	must(t, root, "go", "build", "-o", w.binary, "./cmd/bitternmoor")
 	state, clouds := httptest.NewServer(w.store), httptest.NewServer(w.cloud)
@@ -43,10 +53,6 @@
 		w.fleet.Doors = append(w.fleet.Doors, "http://"+d)
 	}
 	w.cloud.Up, w.cloud.Down = w.fleet.Up, w.fleet.Down
-	for i := range 3 {
-		w.start(i, w.binary)
-	}
-	w.leader()
 	return w
 }
 
