--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -396,7 +396,9 @@
 					t.Run(fmt.Sprintf("%s/%d/%d", trial, length, ends), func(t *testing.T) {
 						t.Parallel()
 						c := baseSettings()
-						c.Deployment.Teams[0].CPUsMax = 23
+						if length%3 > 0 { // without one, nothing but what it does not know holds the new leader back
+							c.Deployment.Teams[0].CPUsMax = 23
+						}
 						c.Tunables.ZonePatienceS = float64(length % 2 * 40)
 						s := newSim(c, uint64(length*2+ends), 3, false)
 						kinds := []ledger.Job{{Tasks: 4, OneZone: true}, {Tasks: 4, Spread: true}, {Tasks: 3, Kind: 1}, {Tasks: 3, Kind: 1, OneZone: true}, {Tasks: 6, Zone: "b"}, {Tasks: 12}}
@@ -422,7 +424,7 @@
 							t.Fatal("they never run")
 						}
 						submit(5)
-						if !s.until(60*time.Second, func() bool { return s.running(6) == 3 }) {
+						if !s.until(60*time.Second, func() bool { return s.running(6) >= 3 }) {
 							t.Fatalf("%d tasks of the last one run", s.running(6))
 						}
 						l := s.leader()
