Jobs bound to ordinary machines do not wait for others' tasks on them

Cause: ordinary machines count as room for jobs that may use no others, whoever fills them. Where arrays that could run on spot machines had filled the ordinary one, and spot machines that those jobs' demand was covered by had room, nothing was rented, and a service waited for as long as the tasks ran: five minutes in a test, up to spot_task, ten, by the settings.

Change: once such a job has waited to begin for half of begin_within, what others run on ordinary machines does not count as room.

--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -256,8 +256,8 @@
 	if len(requests) == 0 && dear > have {
 		requests = d.buyer.Rent(now, d.Types, d.wanted(k, dear-have, false, open))
 	}
-	if len(requests) == 0 && need > ordinary {
-		requests = d.buyer.Rent(now, d.Types, d.wanted(k, need-ordinary, false, bound))
+	if free := ordinary - d.taken(now, yard, bound); len(requests) == 0 && need > free {
+		requests = d.buyer.Rent(now, d.Types, d.wanted(k, need-free, false, bound))
 	}
 	d.request("renting", requests)
 	picky := slices.DeleteFunc(d.picky(), func(j *jobs.Job) bool { return !k.wants(j) })
@@ -288,6 +288,30 @@
 	}
 }
 
+// taken is how many processors of ordinary machines are in use by jobs that could use spot
+// ones, where one that may not has waited to begin for half as long as the exception
+// begin_within lets it: such room counts for it then as not there. Found in a test in which
+// a service waited for five minutes: the ordinary machine was full of tasks of arrays, and
+// there was room enough for those on spot machines.
+func (d *Duty) taken(now time.Duration, yard []*workers.Machine, bound []*jobs.Job) float64 {
+	wait := settings.Seconds(d.Cfg.Tunables.BeginWithinS / 2)
+	if wait == 0 || !slices.ContainsFunc(bound, func(j *jobs.Job) bool { return j.Waiting > 0 && !j.HasBegun() && now-j.AcceptedAt > wait }) {
+		return 0
+	}
+	var sum float64
+	for _, m := range yard {
+		if m.Spot || m.Leaving || m.Notice || m.Draining {
+			continue
+		}
+		for _, p := range m.Tasks {
+			if j := d.Jobs.At(p.Ref.Job); j.Spot {
+				sum += j.Share
+			}
+		}
+	}
+	return sum
+}
+
 // window is for how long room must not have been wanted before it is returned. Where a
 // class should start sooner than any machine boots, what is returned now cannot be rented
 // in time later. Found on days with services that should start within a second: machines
