--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -1,8 +1,11 @@
 package scenario
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
+	"testing"
 	"time"
 )
 
@@ -209,3 +212,44 @@
 		})
 	}
 }
+
+// askAll has the users of all accepted jobs ask about them from now on, at one controller
+// after the other.
+func (s *sim) askAll(every time.Duration) {
+	at := 0
+	var poll func()
+	poll = func() {
+		at++
+		for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+			if j := s.jobs[id]; j.accepted {
+				s.poll(j, at+int(id))
+			}
+		}
+		s.after(every, poll)
+	}
+	s.after(0, poll)
+}
+
+// allEnd waits until every accepted job is done or cancelled, as its user was told, and
+// reports those that are not, and rules that were broken.
+func (s *sim) allEnd(t *testing.T, limit time.Duration) {
+	t.Helper()
+	open := func(j *userJob) bool { return j.accepted && !j.toldDone && !j.gone }
+	if !s.until(limit, func() bool {
+		for _, j := range s.jobs {
+			if open(j) {
+				return false
+			}
+		}
+		return true
+	}) {
+		for _, j := range s.jobs {
+			if open(j) {
+				t.Errorf("job %d never came to its end: %+v, %s", j.id, *j.spec.Job, j.state)
+			}
+		}
+	}
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %s", strings.Join(s.check.broken, "\n"))
+	}
+}
