Cancelled jobs' machines are looked at before silent zones; askers are bounded

Cause: found on reading the change once more. Whether a machine may have tasks of a job that is to be cancelled was asked after whether it is waited for with its zone, so that its user would have waited for as long as the zone; and those who ask for one cancellation again and again were kept without a bound until it was told. Change: the order of two cases; the last 64 askers are kept, each of whom is told to come back after a second.

--- a/internal/lifecycle/users.go
+++ b/internal/lifecycle/users.go
@@ -142,6 +142,10 @@
 	d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 404, Why: "no such job"}})
 }
 
+// mostAskers bounds those who wait to be told of one cancellation: each is told to come back
+// after a second.
+const mostAskers = 64
+
 // Abort cancels a job: its tasks are stopped at once, and its user is told once nothing of
 // it is left anywhere. A user who cannot be told in time asks again.
 func (d *Duty) Abort(now time.Duration, to effects.Asker, id uint64) {
@@ -155,6 +159,9 @@
 		d.Emit(effects.Reply{To: to, Answer: effects.Answer{Status: 404, Why: "no such job"}})
 		return
 	}
+	if list := d.ending[id]; len(list) >= mostAskers {
+		d.ending[id] = slices.Delete(list, 0, 1) // it was told to come back long ago
+	}
 	d.ending[id] = append(d.ending[id], to)
 	if j.Phase == jobs.Cancelling || j.Finished == len(j.Tasks) {
 		return // answered with what becomes durable first
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -582,6 +582,12 @@
 			d.TakeBackAll(m)
 		}
 		switch {
+		case sure && slices.ContainsFunc(late, func(j *jobs.Job) bool { return d.mayBeOn(j, m) }):
+			// The deletion will prove it. Without being sure of the term its user could not be
+			// told so.
+			d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
+		case sure && !deaf && now-heard > d.Quiet() && d.nothingElse(m):
+			d.Leave(now, m, cluster.Delete, "silent, with nothing but cancelled jobs' tasks")
 		case sure && !m.Up && m.Durable && now-d.Began <= d.Patience(): // it may live, and be on its way here
 		case sure && (m.Up || m.Durable) && now-heard > limit && d.waitsFor(now, m): // with its whole zone
 		case sure && m.Durable && d.mute(m, heard):
@@ -598,12 +604,6 @@
 			d.Leave(now, m, cluster.Return, "to be taken by the cloud")
 		case len(m.Strays) > 0 && now-m.StraysSince > overdue:
 			d.Leave(now, m, cluster.Delete, "tasks that do not stop")
-		case sure && slices.ContainsFunc(late, func(j *jobs.Job) bool { return d.mayBeOn(j, m) }):
-			// The deletion will prove it. Without being sure of the term its user could not be
-			// told so.
-			d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
-		case sure && !deaf && now-heard > d.Quiet() && d.nothingElse(m):
-			d.Leave(now, m, cluster.Delete, "silent, with nothing but cancelled jobs' tasks")
 		}
 		if !m.Notice && !m.Draining {
 			continue // nothing that is on it is of any interest here
