The first meeting with the version in production as the old leader

Need: whether an old leader of the version in production is borne was argued, not shown. Change: TestRefusedThenAll (tag upgrade) plays it, with controllers that reach one another and not.

--- a/internal/upgrade/oneway_test.go
+++ b/internal/upgrade/oneway_test.go
@@ -111,10 +111,15 @@
 			t.Fatal(err)
 		}
 	}
-	for i := range 3 {
-		a.start(i, a.binary)
-	}
+	return a
+}
+
+// begin starts the controllers, the first one before the others, so that it leads.
+func (a *apart) begin(first string) *apart {
+	a.start(0, first)
 	a.leader()
+	a.start(1, a.binary)
+	a.start(2, a.binary)
 	return a
 }
 
@@ -150,12 +155,20 @@
 // TestRefusedThenAll: the state service refuses the leader alone, another controller confirms
 // a cancellation, and then the state service is down for all, for longer than cancel_s, while
 // workers go on reporting to the old leader; with controllers that reach one another, and
-// without. No task of the job runs after its user was told, and no other work is lost.
+// without, and with the version in production as the old leader. No task of the job runs
+// after its user was told, and no other work is lost.
 func TestRefusedThenAll(t *testing.T) {
-	for _, cut := range []bool{false, true} {
-		t.Run(fmt.Sprintf("cut=%v", cut), func(t *testing.T) {
+	production, _ := binaries(t)
+	for _, variant := range []string{"", "cut", "production", "production, cut"} {
+		t.Run(variant, func(t *testing.T) {
 			t.Parallel()
+			cut, first := strings.Contains(variant, "cut"), ""
 			a := newApart(t)
+			if first = a.binary; strings.Contains(variant, "production") {
+				// It knows nothing of the switches that this version is given.
+				first, a.extra = production, func(int) []string { return nil }
+			}
+			a.begin(first)
 			doomed, stays := a.submit(1, 10, 10*time.Minute), a.submit(2, 6, 75*time.Second)
 			a.eventually("all run", 60*time.Second, func() bool { return len(a.fleet.On(doomed)) == 10 && len(a.fleet.On(stays)) == 6 })
 			before := map[string]uint64{}
@@ -218,6 +231,7 @@
 // leader that ends in the middle. No task runs twice, and every job comes to its end.
 func TestOneWayTroubles(t *testing.T) {
 	a := newApart(t)
+	a.begin(a.binary)
 	r := rand.New(rand.NewPCG(3, 29))
 	var ids []string
 	n, deafened, leaders := 0, 0, 0
