--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -494,3 +494,54 @@
 		t.Errorf("%d terms on 24 days, %d times one that returned alone led", terms, alone)
 	}
 }
+
+// TestHeldStartMeetsNewLife has three troubles meet: a start sent straight to a worker is held
+// up for longer than the worker's lease, so that a later session proves that it has nothing,
+// and its task starts elsewhere; then the machine begins anew under its name, in the session
+// that the start names and with no token, and the start arrives. Found by random day 3368.
+func TestHeldStartMeetsNewLife(t *testing.T) {
+	c := baseSettings()
+	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
+	c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
+	c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
+	s := newSim(c, 1, 3, false)
+	submit := func(id uint64, tasks int, run time.Duration) {
+		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: &ledger.Job{ID: id, Class: "class", Team: "team", Priority: 1, Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: run.Seconds()}}}
+		s.jobs[id] = j
+		s.submit(j, 0, func() bool { return s.now < time.Minute })
+	}
+	submit(1, 8, 12*time.Second)
+	if !s.until(60*time.Second, func() bool { return s.check.over(1) }) {
+		t.Fatal("the first job is not done")
+	}
+	s.run(8 * time.Second)
+	ms := (&troubles{s: s}).machines()
+	for _, m := range ms {
+		s.slow[m.name] = 22 * time.Second
+	}
+	sent := s.launches
+	submit(2, 1, 300*time.Second)
+	if !s.until(3*time.Second, func() bool { return s.launches > sent }) {
+		t.Fatal("nothing was sent straight to a worker")
+	}
+	at := s.now
+	var m *worker
+	for _, x := range s.leader().core.Status(s.leader().clock()).Machines {
+		if x.Tasks > 0 {
+			m = s.cloud.machines[x.Name]
+		}
+	}
+	for _, x := range ms {
+		delete(s.slow, x.name)
+	}
+	s.deaf[m.name] = true // what is on its way arrives, and nothing after it
+	s.run(at + 21900*time.Millisecond - s.now)
+	if s.running(2) != 1 || m.session == 1 || s.cloud.machines[m.name] != m {
+		t.Fatalf("%d run elsewhere, the machine is in session %d", s.running(2), m.session)
+	}
+	m.reborn()
+	s.run(10 * time.Second)
+	if len(s.check.broken) > 0 {
+		t.Errorf("rules broken: %v", s.check.broken)
+	}
+}
