One condition for tasks that may run unseen; pools forget machines that are resolved

Cause: found on reading the whole change again. The condition that tasks of earlier terms may run unseen stood in the planner and, since the cancellations wait for it, in the leader's state; pools kept each machine that had begun anew in a list for the whole term, once for each report without a token; a test sorted machines by the last digit of their names beside a list that sorts them.

Change: jobs.Job.MayRunUnseen serves both; pools keeps a set, from which a machine goes when it is resolved or gone; the tests have one list of machines.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -158,7 +158,7 @@
 
 // unsettled says whether tasks of a job that are not seen may run on machines
 // of an earlier term.
-func (w *World) unsettled(j *jobs.Job) bool { return j.Earlier && (j.Unsettled > 0 || w.Blind) }
+func (w *World) unsettled(j *jobs.Job) bool { return j.MayRunUnseen(w.Blind) }
 
 // units says whether so many more tasks of a job may have the units that they need.
 // Without anybody who counts them none that needs any may start.
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -328,9 +328,7 @@
 
 // MayRunUnseen says whether tasks of a job that are not seen may run on machines of which it
 // is not known what an earlier term left on them.
-func (s *State) MayRunUnseen(j *jobs.Job) bool {
-	return j.Earlier && (j.Unsettled > 0 || s.blind > 0)
-}
+func (s *State) MayRunUnseen(j *jobs.Job) bool { return j.MayRunUnseen(s.blind > 0) }
 
 // Rid says whether nothing of a job is anywhere, nor can be: no task counts as being on a
 // machine, on offer or on its way, none may run unseen, and none is shown where it does not
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -238,6 +238,11 @@
 	return j.Finished > 0 || j.FirstAt > 0 || (j.Rec.Kind != Gang && j.Placed > 0) || j.Began
 }
 
+// MayRunUnseen says whether tasks of the job that are not seen may run on machines of which
+// it is not known what an earlier term left on them; blind says that one of those may have
+// tasks of any job.
+func (j *Job) MayRunUnseen(blind bool) bool { return j.Earlier && (j.Unsettled > 0 || blind) }
+
 // Together is how many of the job's waiting tasks start together.
 func (j *Job) Together() int {
 	if j.Rec.Kind == Gang {
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -99,15 +99,15 @@
 	closed  bool // a machine may have units of any pool
 
 	losses   []loss
-	anew     []*workers.Machine // that began anew under their names before they were resolved
-	resolved *workers.Machine   // by the report that is being taken in
+	anew     map[*workers.Machine]bool // machines that began anew under their names and are not resolved yet
+	resolved *workers.Machine          // by the report that is being taken in
 	shelf    shelf
 	papers   papers
 }
 
 // New makes the duty of a term.
 func New(s *cluster.State) *Duty {
-	d := &Duty{State: s, byName: map[string]int32{}, byJob: map[int32]*holder{}, over: map[uint64][]need{}, strays: map[*workers.Machine]*strays{}}
+	d := &Duty{State: s, byName: map[string]int32{}, byJob: map[int32]*holder{}, over: map[uint64][]need{}, strays: map[*workers.Machine]*strays{}, anew: map[*workers.Machine]bool{}}
 	d.papers.of = map[uint64]map[paperKey]*paper{}
 	for _, c := range s.Cfg.Tunables.Pools {
 		p := d.pool(c.Name)
@@ -217,11 +217,14 @@
 		d.look(e.Machine, e.Report)
 		// A machine that may have tasks of an earlier term has had a token then.
 		if e.Report.Token == 0 && e.Machine.Unresolved() {
-			d.anew = append(d.anew, e.Machine)
+			d.anew[e.Machine] = true
 		}
-		if d.resolved == e.Machine && (e.Machine.Session > firstSession || slices.Contains(d.anew, e.Machine)) {
+		if d.resolved == e.Machine && (e.Machine.Session > firstSession || d.anew[e.Machine]) {
 			d.loseUnseen(e.At, e.Machine) // a worker of an earlier session, or life, may have died under its tasks
 		}
+		if !e.Machine.Unresolved() {
+			delete(d.anew, e.Machine)
+		}
 		d.resolved = nil
 	case cluster.MachineResolved:
 		d.resolved = e.Machine // what its report shows is counted first
@@ -230,6 +233,7 @@
 			d.resolved = nil
 		}
 	case cluster.MachineGone:
+		delete(d.anew, e.Machine)
 		d.strayLost(e.At, e.Machine)
 		// Before it is written that the machine is gone: a new leader would take
 		// these units for free.
--- a/internal/scenario/confirmed_test.go
+++ b/internal/scenario/confirmed_test.go
@@ -101,12 +101,11 @@
 		}
 	}
 	var on []*worker
-	for _, w := range s.cloud.machines {
+	for _, w := range s.machines() {
 		if len(w.tasks) > 0 {
 			on = append(on, w)
 		}
 	}
-	slices.SortFunc(on, func(a, b *worker) int { return int(a.name[len(a.name)-1]) - int(b.name[len(b.name)-1]) })
 	cutOff := func(a, b string) { s.cuts = append(s.cuts, &cut{host: a, with: b}) }
 	for _, o := range others {
 		if !m.peers {
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -359,7 +359,7 @@
 						l := s.leader()
 						lasts := time.Duration(3+5*length) * time.Second
 						var on []*worker
-						for _, w := range (&troubles{s: s}).machines() {
+						for _, w := range s.machines() {
 							if len(w.tasks) > 0 && len(on) < 2 {
 								on = append(on, w)
 							}
@@ -515,7 +515,7 @@
 		t.Fatal("the first job is not done")
 	}
 	s.run(8 * time.Second)
-	ms := (&troubles{s: s}).machines()
+	ms := s.machines()
 	for _, m := range ms {
 		s.slow[m.name] = 22 * time.Second
 	}
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -56,26 +56,21 @@
 	say   func(f string, a ...any)
 }
 
-// machines lists those that are up.
-func (tr *troubles) machines() []*worker {
+// machines lists those that are up, by name.
+func (s *sim) machines() []*worker {
 	var out []*worker
-	for _, w := range tr.s.cloud.machines {
+	for _, w := range s.cloud.machines {
 		if w.up {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *worker) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *worker) int { return strings.Compare(a.name, b.name) })
 	return out
 }
 
 // some are up to so many of them.
 func (tr *troubles) some(most int) []*worker {
-	ms := tr.machines()
+	ms := tr.s.machines()
 	var out []*worker
 	for range min(len(ms), 1+tr.r.IntN(max(most, tr.many))) {
 		out = append(out, ms[tr.r.IntN(len(ms))])
