A worker that shows no token is not kept alive without the leader

Change: blocks.Holder.KeepAlive leaves out workers that have seen no token. They have no tasks to be kept alive: they are new, or have begun anew, and the next leader can tell.

--- a/internal/blocks/holder.go
+++ b/internal/blocks/holder.go
@@ -45,10 +45,13 @@
 
 // KeepAlive is the token with which a worker may be answered while the
 // leader cannot be asked, so that its tasks outlive the leader. A worker that
-// has seen a higher token belongs to somebody else.
+// has seen a higher token belongs to somebody else. One that has seen none has no tasks:
+// it is new, or has begun anew, which the next leader must be able to tell. Found in a
+// random day on which the leader stood still, a machine began anew under its name and was
+// given its old token here: the next leader took the units of what it had lost for free.
 func (h *Holder) KeepAlive(now time.Duration, r *workers.Report) (uint64, bool) {
 	l, ok := h.held[r.Machine]
-	return l.token, ok && now < l.until && r.Token <= l.token
+	return l.token, ok && now < l.until && r.Token > 0 && r.Token <= l.token
 }
 
 // Pick takes up offers for the machine whose report is answered: those with
