An answer that comes after its deadline is not given to a user

A controller that stands still between its user and the leader finds, when it goes on, the leader's answer and the deadline of the call side by side, and takes one of the two at random: the answer may be older than what its user was told elsewhere meanwhile.

Change: calls to peers, and requests served here, look at the time that has passed once more. What took longer than it may is answered with 503.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -537,10 +537,14 @@
 	if err != nil {
 		return effects.Answer{Status: 429, Why: "too many requests at once", RetryAfter: 1}
 	}
+	began := time.Now()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case a := <-ch:
+		if late(began, limit) {
+			return effects.Unavailable("the answer came too late")
+		}
 		return a
 	case <-timer.C:
 		// Given up: the final answer goes out now, and the job's state is
@@ -579,9 +583,15 @@
 
 const peerTimeout = 1200 * time.Millisecond
 
+// late says whether a call has taken longer than it may. A process that stood still finds
+// its answer and its deadline side by side when it goes on: the answer may be as old as that
+// lasted, and its user may have been told something newer elsewhere.
+func late(began time.Time, limit time.Duration) bool { return time.Since(began) > limit }
+
 // call makes one call with a deadline, which net/rpc itself does not have. A
 // connection that missed one is closed.
 func (p *peer) call(method string, in, out any) error {
+	began := time.Now()
 	deadline := time.NewTimer(peerTimeout)
 	defer deadline.Stop()
 	c := p.client.Load()
@@ -603,7 +613,9 @@
 	var err error
 	select {
 	case <-call.Done:
-		err = call.Error
+		if err = call.Error; err == nil && late(began, peerTimeout) {
+			err = fmt.Errorf("node: %s: the answer came too late", p.addr)
+		}
 	case <-deadline.C:
 		err = fmt.Errorf("node: %s: no answer in %v", p.addr, peerTimeout)
 	}
