--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -8,6 +8,7 @@
 
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
 )
 
 // checker watches the platform's rules all the time.
@@ -34,6 +35,10 @@
 func (c *checker) started(t task, w *worker) {
 	c.starts++
 	j := c.s.jobs[t.job]
+	j.lastStart = c.s.now
+	if j.gone && !j.byProduction {
+		c.fail("ran_cancelled", "%d/%d started on %s after its user was told that it is cancelled", t.job, t.k, w.name)
+	}
 	if c.begun == nil {
 		c.begun = map[uint64]time.Duration{}
 	}
@@ -162,8 +167,157 @@
 const (
 	forgottenAfter = 75 * time.Second
 	beginsWithin   = 4 * time.Minute
+	leftWaiting    = 90 * time.Second
+
+	// olderMost is how long after a newer answer an older one may reach its user: it was on
+	// its way to the controller that the user had asked, which gives such a call up.
+	olderMost = wait + 50*time.Millisecond
+)
+
+// What an answer tells of a job: nothing, that it is accepted, or how it ended.
+const (
+	nothing = iota
+	accepted
+	final
 )
 
+// inOrder holds an answer, when it reaches its user, against all that any controller has
+// told that user before.
+func (c *checker) inOrder(j *userJob, a answer) {
+	tells := nothing
+	switch {
+	case a.Status == 404:
+	case a.Status != 200 && a.Status != 201:
+		return
+	case a.State == wire.Done || a.State == wire.Cancelled:
+		tells = final
+	default:
+		tells = accepted
+	}
+	for more := tells + 1; more <= final; more++ {
+		if at := j.newest[more]; at > 0 {
+			c.s.saw("an answer that a newer one had overtaken")
+			if c.s.now-at > olderMost {
+				c.fail("older_answer", "%d: an answer made at %v comes %v after a newer one", j.id, a.made.Round(time.Millisecond), (c.s.now - at).Round(time.Millisecond))
+			}
+		}
+	}
+	for less := tells; less > nothing && j.newest[less] == 0; less-- {
+		j.newest[less] = c.s.now
+	}
+}
+
+// unfit takes the answer to a submission of a job that can never run, or is malformed.
+func (c *checker) unfit(id uint64, spec wire.Submission, a answer, ok bool) {
+	switch {
+	case !ok || a.Status == 429 || a.Status == 503:
+	case spec.Job == nil && a.Status != 400, spec.Job != nil && a.Status != 422:
+		c.fail("accepted_unfit", "%d gets %d", id, a.Status)
+	default:
+		c.s.saw("an odd submission refused")
+	}
+}
+
+// stillWaiting looks for jobs that are left waiting: troubles over, one of which a task waits while
+// a machine that fits it has room and its team is under its limit, for all of the time, and
+// none of whose tasks starts. What machines have is looked up on the machines.
+func (c *checker) stillWaiting() {
+	if c.calm == 0 {
+		return
+	}
+	for _, j := range c.s.jobs {
+		if !c.waits(j) || !c.hasRoom(j) {
+			j.roomSince = 0
+			continue
+		}
+		if j.roomSince == 0 {
+			j.roomSince = c.s.now
+		}
+		if since := max(j.roomSince, j.lastStart, c.calm); c.s.now-since > leftWaiting {
+			c.fail("left_waiting", "%d has waited since %v beside a machine with room", j.id, since.Round(time.Second))
+			j.roomSince = 0
+		}
+	}
+}
+
+// waits says whether a task of a job could start now but for room; of a gang all of them.
+func (c *checker) waits(j *userJob) bool {
+	spec := j.spec.Job
+	if spec == nil || !j.accepted || j.asked || j.gone || j.toldDone || len(spec.Counted) > 0 {
+		return false
+	}
+	for _, f := range spec.Follows {
+		if !c.over(f) {
+			return false
+		}
+	}
+	waiting := c.waiting(j)
+	return waiting > 0 && (spec.Kind != 1 || waiting == spec.Tasks)
+}
+
+// waiting counts a job's tasks that have not completed and are on no machine.
+func (c *checker) waiting(j *userJob) int {
+	n := 0
+	for k := range j.spec.Job.Tasks {
+		if t := (task{j.id, k}); !c.completeN[t] && len(c.on[t]) == 0 {
+			n++
+		}
+	}
+	for _, w := range c.s.cloud.machines { // fetching its image
+		for t, x := range w.tasks {
+			if t.job == j.id && x.state == workers.Fetching && len(c.on[t]) == 0 {
+				n--
+			}
+		}
+	}
+	return n
+}
+
+// hasRoom says whether machines that a job may use have room for one more of its tasks, or
+// for all of a gang, with its team under its limit.
+func (c *checker) hasRoom(j *userJob) bool {
+	spec := j.spec.Job
+	need := 1
+	if spec.Kind == 1 {
+		need = spec.Tasks
+	}
+	for _, team := range c.s.cfg.Deployment.Teams {
+		if team.Name == spec.Team && team.CPUsMax > 0 && c.use[team.Name]+float64(need)*spec.CPUs > team.CPUsMax {
+			return false
+		}
+	}
+	inZone, places := map[string]int{}, map[string]int{}
+	for k := range spec.Tasks {
+		for m := range c.on[task{j.id, k}] {
+			inZone[c.zones[m]]++
+		}
+	}
+	for _, w := range c.s.cloud.machines {
+		if !w.up || w.hung || w.notice > 0 || (w.spot && !spec.Spot) || (spec.Zone != "" && spec.Zone != w.zone) {
+			continue
+		}
+		free := float64(machineCPUs)
+		for t := range w.tasks {
+			free -= c.s.jobs[t.job].spec.Job.CPUs
+		}
+		places[w.zone] += int(free / spec.CPUs)
+	}
+	all, most := 0, 0
+	for zone, n := range places {
+		if spec.OneZone && len(inZone) > 0 && inZone[zone] == 0 {
+			continue
+		}
+		if spec.Spread {
+			n = min(n, (spec.Tasks+1)/2-inZone[zone])
+		}
+		all, most = all+n, max(most, n)
+	}
+	if spec.OneZone {
+		all = most
+	}
+	return all >= need
+}
+
 // largest picks a class's largest jobs: the tenth with most work, and the widest.
 func largest(class []*userJob) []*userJob {
 	work := func(j *userJob) float64 { return float64(j.spec.Job.Tasks) * j.run.Seconds() }
@@ -269,6 +423,7 @@
 	case wire.Done:
 		if !j.toldDone {
 			j.toldDone, j.goneAt = true, c.s.now
+			c.s.look(j, false)
 		}
 		for k := range j.spec.Job.Tasks {
 			if !c.completeN[task{j.id, k}] {
@@ -284,6 +439,7 @@
 				c.fail("told_early", "%d is called cancelled while %d of its tasks are on machines", j.id, n)
 			}
 			j.gone, j.goneAt = true, c.s.now
+			c.s.look(j, false)
 			c.s.after(limit, func() {
 				for k := range j.spec.Job.Tasks {
 					for m := range c.on[task{j.id, k}] {
--- /dev/null
+++ b/internal/scenario/limits_test.go
@@ -0,0 +1,239 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// TestLimitsAndCancellations has every team at its limit while jobs are cancelled whose
+// machines are cut off, hang, are deaf or mute, and the leader changes before, at or after the
+// cancellation: no team gets more than its limit, what is cancelled is gone before its user is
+// told, and nobody waits for room that is long free.
+func TestLimitsAndCancellations(t *testing.T) {
+	trials := []string{"cut", "held", "hung", "deaf", "mute", "slow"}
+	playDays(t, 9*len(trials), func(t *testing.T, seed uint64) *sim {
+		trial, variant := trials[int(seed)%len(trials)], int(seed)/len(trials)
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams = []settings.Team{{Name: "team", CPUsMax: 12}, {Name: "other", CPUsMax: 10, CPUs: 6}, {Name: "third", CPUsMax: 8}}
+			c.Tunables.ZonePatienceS = float64(variant % 2 * 40)
+		})
+		teams := []string{"team", "other", "third"}
+		var first, waiting []*userJob
+		for i := range 6 {
+			first = append(first, d.add(120*time.Second, ledger.Job{Team: teams[i%3], Tasks: []int{6, 5, 4}[i%3], Kind: uint8(i / 3), Priority: 1, Spot: true}))
+		}
+		d.askAll(time.Second)
+		for _, j := range first {
+			d.runs(j, j.spec.Job.Tasks)
+		}
+		for i := range 6 {
+			waiting = append(waiting, d.add(20*time.Second, ledger.Job{Team: teams[i%3], Tasks: 2 + i%3, Kind: uint8(i / 5), Priority: uint8(1 + i%2), Spot: true}))
+		}
+		d.run(5 * time.Second)
+		if d.running(waiting[0].id) == 0 {
+			d.saw("jobs wait for their team's limit")
+		}
+		length := time.Duration(5+4*variant) * time.Second
+		on := d.busy(first[0])
+		d.trouble(trial, append(on[:1:1], d.busy(first[4])[0]), length)
+		when := time.Duration(variant%3-1) * 2500 * time.Millisecond // the leader ends before, at, or after
+		d.after(3*time.Second, func() {
+			for _, i := range []int{0, 1, 4, 5} {
+				d.cancel(first[i], i)
+			}
+		})
+		d.after(3*time.Second+when, func() {
+			d.endLeader(8 * time.Second)
+			d.saw([]string{"the leader ended before", "the leader ended at once", "the leader ended after"}[variant%3])
+		})
+		if variant > 5 {
+			d.after(9*time.Second, func() { d.endLeader(8 * time.Second) })
+		}
+		d.run(max(length, 12*time.Second))
+		if !d.until(45*time.Second, func() bool { return first[0].gone && first[1].gone && first[4].gone && first[5].gone }) {
+			t.Errorf("cancelled jobs are %s, %s, %s, %s", first[0].state, first[1].state, first[4].state, first[5].state)
+		}
+		// Room is free then: it need not be waited for.
+		if !d.until(15*time.Second, func() bool { return d.check.begun[waiting[0].id] > 0 && d.check.begun[waiting[1].id] > 0 }) {
+			t.Error("jobs wait though what was cancelled has made room")
+		}
+		return d.over(6 * time.Minute)
+	}, "jobs wait for their team's limit", "the leader ended before", "the leader ended at once", "the leader ended after")
+}
+
+// TestCancelledWhileWorkChangesHands cancels jobs in the seconds in which one controller's work
+// changes hands: it ends, is restarted in a roll, hands over, is refused, or its machines are
+// sent to others for balance, with offers, relayed reports and direct starts on their way.
+func TestCancelledWhileWorkChangesHands(t *testing.T) {
+	trials := []string{"a controller ends", "a roll", "the leader hands over", "the leader is refused", "a controller cut off", "balance"}
+	var must []string
+	for _, trial := range trials {
+		must = append(must, trial+": cancelled while machines went to another controller")
+	}
+	playDays(t, 10*len(trials), func(t *testing.T, seed uint64) *sim {
+		trial, variant := trials[int(seed)%len(trials)], int(seed)/len(trials)
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			if trial == "balance" || variant%2 == 0 {
+				c.Tunables.SpreadMoves = 8
+			}
+			if variant%3 == 1 {
+				c.Tunables.DirectStarts = 8
+				c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 0.5}}
+			}
+		})
+		next := func() *userJob {
+			i := len(d.jobs)
+			return d.add(time.Duration(4+i%9*6)*time.Second, ledger.Job{Tasks: 2 + i%5, Kind: uint8(i % 5 / 4), Priority: uint8(i % 3), Spot: true, OneZone: i%6 == 5})
+		}
+		for range 8 {
+			next()
+		}
+		d.askAll(time.Second)
+		d.run(12 * time.Second)
+		l := d.leads()
+		n := d.nodes[(l.index+1)%3]
+		switch trial {
+		case "a controller ends":
+			n.crash()
+			d.tr.back(n, 8*time.Second)
+		case "a roll":
+			for i, n := range d.nodes {
+				d.after(time.Duration(4*i)*time.Second, func() {
+					n.crash()
+					d.tr.back(n, 3*time.Second)
+				})
+			}
+		case "the leader hands over":
+			l.core.Stop(l.clock())
+			l.drain()
+		case "the leader is refused":
+			d.state.refuse[l.name] = true
+			d.after(12*time.Second, func() { delete(d.state.refuse, l.name) })
+		case "a controller cut off":
+			d.cuts = append(d.cuts, &cut{host: n.name, hold: variant%2 == 0})
+			d.after(7*time.Second, func() { d.heal(n.name) })
+		case "balance": // one is back, and gets its share
+			n.crash()
+			d.run(3 * time.Second)
+			n.start(false)
+		}
+		for i := range 60 { // more come, and are cancelled soon after they were accepted
+			d.after(time.Duration(i)*200*time.Millisecond, func() {
+				j := next()
+				d.after(time.Duration(100+d.r.IntN(2500))*time.Millisecond, func() {
+					if j.accepted && d.r.IntN(2) == 0 {
+						d.cancel(j, i)
+						for _, at := range d.moved {
+							if d.now-at < time.Second {
+								d.saw(trial + ": cancelled while machines went to another controller")
+								break
+							}
+						}
+					}
+				})
+			})
+		}
+		for _, id := range []uint64{2, 4, 6} {
+			d.after(time.Duration(d.r.IntN(6000))*time.Millisecond, func() { d.cancel(d.jobs[id], int(id)) })
+		}
+		d.run(25 * time.Second)
+		return d.over(8 * time.Minute)
+	}, must...)
+}
+
+// TestBoundToOneZone has jobs that are bound to one zone, or to one zone for all their tasks,
+// lose machines while the zone has room for others, and while it has none: they go on there,
+// nothing starts in another zone before the old tasks are gone, and none is stuck for ever.
+func TestBoundToOneZone(t *testing.T) {
+	playDays(t, 24, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, nil)
+		var list []*userJob
+		for i, job := range []ledger.Job{{Zone: "b", Tasks: 5}, {Zone: "b", Tasks: 3, Kind: 1}, {OneZone: true, Tasks: 5}, {OneZone: true, Tasks: 3, Kind: 1}, {Zone: "a", Tasks: 4, OneZone: true}} {
+			job.Priority, job.Spot = 1, i%2 == int(seed)%2 || i == 2
+			list = append(list, d.add(time.Duration(25+5*i)*time.Second, job))
+		}
+		d.askAll(time.Second)
+		for _, j := range list {
+			d.runs(j, j.spec.Job.Tasks)
+		}
+		room := d.cloud.capacity
+		if seed%3 > 0 { // there is no more to be had for a while
+			d.cloud.capacity = 0
+			d.after(time.Duration(20+20*(seed%3))*time.Second, func() { d.cloud.capacity = room })
+		}
+		for _, j := range list {
+			on := d.busy(j)
+			if len(on) > 1 && d.r.IntN(2) == 0 {
+				on = on[:1]
+			}
+			for _, w := range on {
+				switch d.r.IntN(3) {
+				case 0: // the cloud takes it
+					w.vanish()
+					delete(d.cloud.machines, w.name)
+				case 1:
+					w.vanish()
+				default: // nobody hears it, and its tasks go on
+					d.trouble([]string{"cut", "mute", "deaf"}[d.r.IntN(3)], []*worker{w}, time.Duration(3+d.r.IntN(12))*time.Second)
+				}
+				d.saw("a machine of a bound job lost")
+			}
+		}
+		if seed%2 == 1 {
+			d.after(time.Duration(d.r.IntN(9000))*time.Millisecond, func() { d.endLeader(8 * time.Second) })
+		}
+		before := d.check.starts
+		d.run(70 * time.Second)
+		if d.check.starts > before {
+			d.saw("tasks of bound jobs started again")
+		}
+		return d.over(6 * time.Minute)
+	}, "a machine of a bound job lost", "tasks of bound jobs started again")
+}
+
+// TestMoreWorkThanRoom has far more work than room, urgent and not, over slow links: at least
+// half of each class, of each team and of the largest is served, nobody is stopped for work of
+// equal or lower priority, and all comes to its end.
+func TestMoreWorkThanRoom(t *testing.T) {
+	playDays(t, 6, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams = []settings.Team{{Name: "team", CPUsMax: 30}, {Name: "other", CPUsMax: 30}}
+			c.Tunables.BeginWithinS = 120
+		})
+		d.cloud.capacity = 10
+		for _, n := range d.nodes {
+			d.slow[n.name] = time.Duration(100+d.r.IntN(250)) * time.Millisecond
+		}
+		d.slow["state"] = 150 * time.Millisecond
+		d.preempted = func(j *userJob, w *worker) {
+			d.saw("a task stopped for another job")
+			for _, o := range d.jobs {
+				if o.accepted && !o.asked && !o.toldDone && o.spec.Job.Priority > j.spec.Job.Priority {
+					return
+				}
+			}
+			d.check.fail("preempted", "a task of %d on %s, and no job of higher priority is there", j.id, w.name)
+		}
+		d.run(3 * time.Second)
+		for i := range 90 {
+			job := ledger.Job{Class: []string{"large", "small", "urgent"}[i%3], Team: []string{"team", "other"}[i/3%2], Priority: []uint8{0, 1, 2}[i%3], Spot: true}
+			switch i % 3 {
+			case 0:
+				job.Tasks, job.Checkpoint = 6+i%5, 5
+			case 1:
+				job.Tasks = 1 + i%4
+			default:
+				job.Tasks, job.CPUs = 1+i%3, 2
+			}
+			d.addAt(time.Duration(i)*700*time.Millisecond, time.Duration(3+d.r.IntN(8))*time.Second, job)
+		}
+		d.askAll(3 * time.Second)
+		d.run(4 * time.Minute)
+		d.check.served(d.now)
+		d.check.beginInTime(d.now)
+		return d.over(10 * time.Minute)
+	}, "a task stopped for another job")
+}
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -73,7 +73,10 @@
 		t.Error("nobody ever followed a leader")
 	}
 	for _, what := range []string{"late write of log, after newer ones", "late write of lead, after newer ones", "a copy of a report after newer ones", "a copy of a report of an earlier session", "a copy of a report of an earlier term",
-		"commands carried out that were held up", "a direct command met a machine that hangs", "a direct command turned away for its token or session", "an answer dropped for its token or session", "a packet to a deaf machine lost"} {
+		"commands carried out that were held up", "a direct command met a machine that hangs", "a direct command turned away for its token or session", "an answer dropped for its token or session", "a packet to a deaf machine lost",
+		"a report of a mute machine lost", "a direct command reached a mute machine", "only the answer lost: log", "only the answer lost: claim", "only the answer lost: hold", "only the answer lost: renewal", "a kept report reached the next leader",
+		"several jobs that run cancelled together", "a machine of a job that is cancelled hangs", "a cancellation at the end of the last task", "a machine up before its rental was answered",
+		"an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled", "close looks"} {
 		t.Logf("%s: %d times", what, seen[what])
 		if seen[what] == 0 {
 			t.Errorf("%s: never brought about", what)
@@ -255,70 +258,71 @@
 // TestLateWrites has transactions of every kind carried out 2 to 12 s later, after newer
 // ones of the same controller, of later terms, and of processes that have ended.
 func TestLateWrites(t *testing.T) {
-	var mu sync.Mutex
-	seen := map[string]int{}
-	t.Run("days", func(t *testing.T) {
-		for seed := range uint64(16) {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) {
-				t.Parallel()
-				c := baseSettings()
-				c.Deployment.State.ValueKB = 0.8
-				c.Tunables.TakeoversKept, c.Tunables.RunTimesKinds = 5, 100
-				c.Tunables.Pools = []settings.Pool{{Name: "licence", Units: 6, HoldAfterLossS: 5}}
-				s := newSimAt(12*time.Hour-50*time.Second, c, seed, 3, false) // a night ends in between, and is stored
-				s.poolUnits = map[string]int{"licence": 6}
-				r := rand.New(rand.NewPCG(seed, 11))
-				s.run(3 * time.Second)
-				s.state.lateShare = 0.4
-				for i := range uint64(60) {
-					job := &ledger.Job{ID: i + 1, Class: fmt.Sprint("class", i%7), Team: "team", Priority: 1, Tasks: 1 + r.IntN(6), CPUs: 1, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 4}
-					if i%4 == 0 {
-						job.Counted = []ledger.Counted{{Pool: "licence", Units: 1}}
-					}
-					j := &userJob{id: i + 1, run: time.Duration(1+r.IntN(6)) * time.Second, spec: wire.Submission{ID: i + 1, HasID: true, Job: job}}
-					s.jobs[j.id] = j
-					at := time.Duration(r.IntN(60000)) * time.Millisecond
-					s.after(at, func() { s.submit(j, int(i), func() bool { return s.now < at+80*time.Second }) })
-					if i%10 == 0 {
-						s.after(at+8*time.Second, func() {
-							if j.accepted {
-								s.abort(j, int(i))
-							}
-						})
-					}
-				}
-				for n := range 3 {
-					s.after(time.Duration(15+20*n)*time.Second, func() {
-						if l := s.leader(); l != nil {
-							l.crash()
-							s.after(8*time.Second, func() { l.start(false) })
-						}
-					})
-				}
-				s.after(30*time.Second, func() { s.resize("a", "licence", 4) })
-				s.after(31*time.Second, func() { s.resize("b", "licence", 6) })
-				s.askAll(2 * time.Second)
-				s.run(100 * time.Second)
-				s.state.lateShare = 0
-				s.run(13 * time.Second)
-				s.check.calm = s.now
-				s.allEnd(t, 10*time.Minute)
-				mu.Lock()
-				defer mu.Unlock()
-				for what, n := range s.seen {
-					seen[what] += n
+	playDays(t, 16, func(t *testing.T, seed uint64) *sim { return lateWritesDay(t, seed, false) },
+		"late write of lead, after newer ones", "late write of log, after newer ones", "late removal of log, after newer ones", "late write of sizes, after newer ones", "late write of own/pools, after newer ones", "late write of own/run-times, after newer ones")
+}
+
+// lateWritesDay plays a day on which four in ten writes have no answer: carried out later, or,
+// with atOnce, at once.
+func lateWritesDay(t *testing.T, seed uint64, atOnce bool) *sim {
+	c := baseSettings()
+	c.Deployment.State.ValueKB = 0.8
+	c.Tunables.TakeoversKept, c.Tunables.RunTimesKinds = 5, 100
+	c.Tunables.Pools = []settings.Pool{{Name: "licence", Units: 6, HoldAfterLossS: 5}}
+	s := newSimAt(12*time.Hour-50*time.Second, c, seed, 3, false) // a night ends in between, and is stored
+	s.poolUnits = map[string]int{"licence": 6}
+	r := rand.New(rand.NewPCG(seed, 11))
+	s.run(3 * time.Second)
+	s.state.lateShare, s.state.atOnce = 0.4, atOnce
+	for i := range uint64(60) {
+		job := &ledger.Job{ID: i + 1, Class: fmt.Sprint("class", i%7), Team: "team", Priority: 1, Tasks: 1 + r.IntN(6), CPUs: 1, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true, EstimateS: 4}
+		if i%4 == 0 {
+			job.Counted = []ledger.Counted{{Pool: "licence", Units: 1}}
+		}
+		j := &userJob{id: i + 1, run: time.Duration(1+r.IntN(6)) * time.Second, spec: wire.Submission{ID: i + 1, HasID: true, Job: job}}
+		s.jobs[j.id] = j
+		at := time.Duration(r.IntN(60000)) * time.Millisecond
+		s.after(at, func() { s.submit(j, int(i), func() bool { return s.now < at+80*time.Second }) })
+		if i%10 == 0 {
+			s.after(at+8*time.Second, func() {
+				if j.accepted {
+					s.abort(j, int(i))
 				}
 			})
 		}
-	})
-	for _, what := range []string{"late write of lead, after newer ones", "late write of log, after newer ones", "late removal of log, after newer ones", "late write of sizes, after newer ones", "late write of own/pools, after newer ones", "late write of own/run-times, after newer ones"} {
-		if seen[what] == 0 {
-			t.Errorf("%s: never brought about", what)
+	}
+	for n := range 3 {
+		s.after(time.Duration(15+20*n)*time.Second, func() {
+			if l := s.leader(); l != nil {
+				l.crash()
+				s.after(8*time.Second, func() { l.start(false) })
+			}
+		})
+	}
+	s.after(30*time.Second, func() { s.resize("a", "licence", 4) })
+	s.after(31*time.Second, func() { s.resize("b", "licence", 6) })
+	s.askAll(2 * time.Second)
+	led, longest := s.now, time.Duration(0) // without a leader who is sure
+	for end := s.now + 100*time.Second; s.now < end; s.run(200 * time.Millisecond) {
+		if l := s.leader(); l != nil && l.core.Status(l.clock()).Sure {
+			led = s.now
 		}
+		longest = max(longest, s.now-led)
+	}
+	if atOnce && longest > leaderless {
+		t.Errorf("for %v no leader was sure of its term", longest)
 	}
-	t.Log(seen)
+	s.state.lateShare, s.state.atOnce = 0, false
+	s.run(13 * time.Second)
+	s.check.calm = s.now
+	s.allEnd(t, 10*time.Minute)
+	return s
 }
 
+// leaderless is how long nobody may lead where four in ten writes have no answer: four
+// elections, each of which takes a hold's life and some, and one leader ends besides.
+const leaderless = 15 * time.Second
+
 // TestLeaderEndsMachinesUnreached has leaders end while machines with long tasks cannot be
 // reached, or do not hear the new leader's answers: jobs with a limit that is nearly used up,
 // with all tasks in one zone, with half of them in each, and gangs.
--- /dev/null
+++ b/internal/scenario/moments_test.go
@@ -0,0 +1,73 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// TestUpAtOnce has new machines up before their rental is answered, with work for them at
+// once, while writes lag and the leader ends just before or after each step from the rental to
+// the first start: nothing runs twice, no machine is kept for nothing, and all is done.
+func TestUpAtOnce(t *testing.T) {
+	var steps []string
+	for _, step := range []string{"the rental noted", "the rental carried out", "the rental answered", "the answer noted", "the machine registered", "the grant noted", "the start carried out"} {
+		steps = append(steps, "before "+step, "after "+step)
+	}
+	must := []string{"a machine up before its rental was answered"}
+	for _, step := range steps {
+		must = append(must, "the leader ended "+step)
+	}
+	playDays(t, 4*len(steps), func(t *testing.T, seed uint64) *sim {
+		step, variant := steps[int(seed)%len(steps)], int(seed)/len(steps)
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams[0].CPUsMax = 24
+			if variant%2 == 1 {
+				c.Tunables.DirectStarts = 8
+				c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 0.5}}
+			}
+		})
+		d.cloud.boot, d.cloud.answer = 0, 1500*time.Millisecond
+		d.leads()
+		d.slow["state"] = time.Duration(50+300*variant) * time.Millisecond
+		d.after(40*time.Second, func() { delete(d.slow, "state") })
+		times := 0 // the step, by which the leader ends
+		d.moment = func(what string) {
+			if what != step {
+				return
+			}
+			if times++; times != 1+variant {
+				return
+			}
+			if l := d.leader(); l != nil {
+				d.saw("the leader ended " + step)
+				d.after(0, func() {
+					l.crash()
+					d.tr.back(l, []time.Duration{200 * time.Millisecond, 8 * time.Second}[variant/2])
+				})
+			}
+		}
+		for i := range 10 {
+			d.add(time.Duration(6+i)*time.Second, ledger.Job{Tasks: 2 + i%4, Kind: uint8(i / 8), Priority: 1, Spot: i%3 > 0})
+			d.run(1200 * time.Millisecond)
+		}
+		d.askAll(time.Second)
+		d.run(40 * time.Second)
+		d.over(5 * time.Minute)
+		if !d.until(3*time.Minute, func() bool { return len(d.machines()) <= 2 }) {
+			t.Errorf("%d machines are kept though there is nothing to do", len(d.machines()))
+		}
+		return d.sim
+	}, must...)
+}
+
+// TestOnlyTheAnswerIsLost has writes of every kind carried out at once, and only their answer
+// lost, while other controllers read them: the leader goes on or ends its term within seconds,
+// nothing is done twice, and nobody is told the opposite.
+func TestOnlyTheAnswerIsLost(t *testing.T) {
+	playDays(t, 16, func(t *testing.T, seed uint64) *sim { return lateWritesDay(t, seed, true) },
+		"only the answer lost: log", "only the answer lost: removal of log", "only the answer lost: sizes", "only the answer lost: own/pools", "only the answer lost: own/run-times",
+		"only the answer lost: hold", "only the answer lost: claim", "only the answer lost: renewal")
+}
--- /dev/null
+++ b/internal/scenario/requests_test.go
@@ -0,0 +1,287 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// TestCloseLooks has users ask at all controllers within milliseconds after something was
+// told, submit again, and cancel at once, while controllers between them and the leader are
+// slow, cut off or stand still, and leaders change. No answer may be older than what was told
+// before, but for what was on its way already, and that is given up in a bounded time.
+func TestCloseLooks(t *testing.T) {
+	playDays(t, 24, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, nil)
+		d.looks = true
+		for i := range 25 {
+			d.addAt(time.Duration(2000+d.r.IntN(45000))*time.Millisecond, time.Duration(300+d.r.IntN(4000))*time.Millisecond, ledger.Job{Tasks: 1 + d.r.IntN(3), Kind: uint8(i % 8 / 7), Priority: 1, Spot: true})
+		}
+		d.askAll(2 * time.Second)
+		for i := range 8 { // a controller between users and the leader
+			d.after(time.Duration(6+6*i)*time.Second, func() {
+				l := d.leader()
+				if l == nil {
+					return
+				}
+				n := d.nodes[(l.index+1+i%2)%3]
+				length := time.Duration(1000+d.r.IntN(3000)) * time.Millisecond
+				switch (i + int(seed)) % 4 {
+				case 0:
+					d.slow[n.name] = time.Duration(100+d.r.IntN(1500)) * time.Millisecond
+					d.after(length, func() { delete(d.slow, n.name) })
+				case 1:
+					d.cuts = append(d.cuts, &cut{host: n.name, with: l.name, hold: true})
+					d.after(length, func() { d.heal(n.name) })
+				case 2:
+					d.frozen[n.name] = d.now + length
+				default:
+					d.frozen[l.name] = d.now + length
+				}
+			})
+		}
+		if seed%2 == 1 {
+			for i := range 3 {
+				d.after(time.Duration(12+14*i)*time.Second+time.Duration(d.r.IntN(4000))*time.Millisecond, func() { d.endLeader(8 * time.Second) })
+			}
+		}
+		d.run(60 * time.Second)
+		return d.over(5 * time.Minute)
+	}, "close looks", "an answer that a newer one had overtaken")
+}
+
+// TestEndMeetsRequest has a cancellation, a question or a repeated submission arrive at the
+// end of a job's last task, with no other trouble, with the answer to the write lost, and with
+// a change of leader: each job has one outcome, for ever.
+func TestEndMeetsRequest(t *testing.T) {
+	seen := playDays(t, 48, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, nil)
+		trial := seed % 4
+		list := make([]*userJob, 8)
+		for i := range list {
+			list[i] = d.add(25*time.Second, ledger.Job{Tasks: 1 + i%3, Kind: uint8(i / 6), Priority: 1, Spot: true})
+		}
+		d.askAll(time.Second)
+		for _, j := range list {
+			d.runs(j, j.spec.Job.Tasks)
+		}
+		for i, j := range list {
+			last := time.Duration(0)
+			for k := range j.spec.Job.Tasks {
+				last = max(last, d.sim.ends[task{j.id, k}])
+			}
+			// From before the end until after it is durable and told.
+			at := last - d.now + time.Duration(int(seed)/4*8+i-20)*15*time.Millisecond
+			d.after(at, func() {
+				if trial == 1 {
+					d.state.loseOut = 1
+				}
+				if trial == 3 && i == 3 {
+					d.endLeader(8 * time.Second)
+				}
+				if before := d.check.over(j.id); before {
+					d.saw("asked after the last task had ended")
+				} else {
+					d.saw("asked before the last task had ended")
+				}
+				switch (i + int(seed)/4) % 3 {
+				case 0, 1:
+					d.cancel(j, i)
+				default:
+					d.submit(j, i, func() bool { return false })
+					d.poll(j, i+1)
+				}
+			})
+			if trial == 2 && i == 3 {
+				d.after(at+time.Duration(d.r.IntN(80))*time.Millisecond, func() { d.endLeader(8 * time.Second) })
+			}
+		}
+		d.run(40 * time.Second)
+		d.over(5 * time.Minute)
+		for _, j := range list {
+			if j.asked && j.toldDone {
+				d.saw("a cancelled job done")
+			} else if j.asked {
+				d.saw("a cancelled job cancelled")
+			}
+		}
+		for range 2 { // for ever, whoever leads
+			for _, j := range list {
+				for at := range d.nodes {
+					d.poll(j, at)
+					d.submit(j, at, func() bool { return false })
+				}
+			}
+			d.run(3 * time.Second)
+			d.endLeader(8 * time.Second)
+			d.leads()
+		}
+		if len(d.check.broken) > 0 {
+			t.Errorf("rules broken: %v", d.check.broken)
+		}
+		return d.sim
+	}, "asked after the last task had ended", "asked before the last task had ended", "a cancelled job done", "a cancelled job cancelled")
+	t.Log(seen)
+}
+
+// TestOneTaskJobs has one-task jobs come four a second for three minutes, a quarter of them
+// cancelled, at the smallest limits of any deployment, with a change of leader in the middle:
+// what is written stays within the limits, the log stays short, and all are served.
+func TestOneTaskJobs(t *testing.T) {
+	const count = 720
+	d := newStage(t, 3, 3, func(c *settings.Settings) {
+		st := &c.Deployment.State
+		st.RPS, st.WriteRPS, st.ValueKB, st.TxnOps = 200, 15, 2, 4
+	})
+	d.cloud.capacity = 30
+	d.state.rates = map[time.Duration]int{}
+	type times struct{ sent, accepted, asked, gone, began time.Duration }
+	all := make([]times, count+1)
+	d.run(2 * time.Second)
+	cancelled := 0
+	for i := range count {
+		id := uint64(i + 1)
+		at := time.Duration(i) * 250 * time.Millisecond
+		d.after(at, func() {
+			all[id].sent = d.now
+			j := d.add(time.Duration(1000+d.r.IntN(5000))*time.Millisecond, ledger.Job{ID: id, Priority: uint8(i % 4), Spot: true})
+			if i%4 == 1 {
+				cancelled++
+				d.after(time.Duration(500+d.r.IntN(4000))*time.Millisecond, func() {
+					if j.accepted {
+						all[id].asked = d.now
+						d.cancel(j, i)
+					}
+				})
+			}
+		})
+	}
+	d.askAll(5 * time.Second)
+	d.after(90*time.Second, func() { d.endLeader(8 * time.Second) })
+	segments := 0
+	for d.now < count*250*time.Millisecond+20*time.Second {
+		d.run(time.Second)
+		n := 0
+		for k := range d.state.items {
+			if _, err := ledger.Number(k); err == nil {
+				n++
+			}
+		}
+		segments = max(segments, n)
+	}
+	d.over(4 * time.Minute)
+	var accept, confirm, begin []time.Duration
+	for id := uint64(1); id <= count; id++ {
+		j := d.jobs[id]
+		if !j.accepted {
+			t.Errorf("job %d was never accepted", id)
+			continue
+		}
+		accept = append(accept, j.acceptedAt-all[id].sent)
+		if j.gone {
+			confirm = append(confirm, j.goneAt-all[id].asked)
+		} else if at, ok := d.check.begun[id]; ok {
+			begin = append(begin, at-j.acceptedAt)
+		}
+	}
+	tell := func(what string, list []time.Duration) {
+		slices.Sort(list)
+		t.Logf("%s: %d, median %v, .99 %v, largest %v", what, len(list), list[len(list)/2].Round(time.Millisecond), list[len(list)*99/100].Round(time.Millisecond), list[len(list)-1].Round(time.Millisecond))
+	}
+	tell("to acceptance", accept)
+	tell("to confirmation", confirm)
+	tell("to the start", begin)
+	most, sum := 0, 0
+	for _, n := range d.state.rates {
+		most, sum = max(most, n), sum+n
+	}
+	t.Logf("changes a second: mean %.1f, most %d, of %v; the log had %d segments at most, %d were read back to be cleaned; %d asked to be cancelled", float64(sum)/float64(len(d.state.rates)), most, d.cfg.Deployment.State.WriteRPS, segments, d.state.cleaned, cancelled)
+	if most > 2*15 { // bursts of one second's worth beside a second's own
+		t.Errorf("%d changes in one second", most)
+	}
+	if segments > 150 || d.state.cleaned == 0 {
+		t.Errorf("the log grew to %d segments, %d were cleaned", segments, d.state.cleaned)
+	}
+	if len(confirm) < count/8 {
+		t.Errorf("%d cancellations confirmed", len(confirm))
+	}
+}
+
+// TestOddRequests has users repeat submissions with bodies that lack a field or fit nothing,
+// cancel what is done, and submit what can never run, at every controller and over a change of
+// leader: known ids are answered with their state, the others refused, and nothing is kept.
+func TestOddRequests(t *testing.T) {
+	playDays(t, 6, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, nil)
+		for i := range 12 {
+			d.addAt(time.Duration(500+i*1500)*time.Millisecond, time.Duration(1+d.r.IntN(9))*time.Second, ledger.Job{Tasks: 1 + i%4, Priority: 1, Spot: true})
+		}
+		d.askAll(time.Second)
+		d.after(3*time.Second, func() { d.tr.begin(oddRequests, 50*time.Second, 0) })
+		d.after(20*time.Second, func() { d.endLeader(8 * time.Second) })
+		d.run(60 * time.Second)
+		entries := 0
+		for k, it := range d.state.items {
+			if _, err := ledger.Number(k); err != nil {
+				continue
+			}
+			list, err := ledger.Decode(it.value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, e := range list {
+				if e.Job != nil && d.jobs[e.Job.ID] == nil {
+					entries++
+				}
+			}
+		}
+		if entries > 0 {
+			t.Errorf("%d jobs that nobody may run are in the log", entries)
+		}
+		return d.over(5 * time.Minute)
+	}, "an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled")
+}
+
+// TestOverLimits submits jobs that can never run for each reason that there is.
+func TestOverLimits(t *testing.T) {
+	d := newStage(t, 1, 3, func(c *settings.Settings) { c.Deployment.Teams[0].CPUsMax = 6 })
+	d.leads()
+	d.run(2 * time.Second)
+	base := ledger.Job{Class: "class", Team: "team", Tasks: 4, CPUs: 2, MemoryGB: 1, Image: "image", ImageGB: 0.3, Spot: true}
+	for i, c := range []struct {
+		status int
+		change func(j *ledger.Job)
+	}{
+		{201, func(*ledger.Job) {}}, // an array: one task counts
+		{422, func(j *ledger.Job) { j.Kind = 1 }},
+		{422, func(j *ledger.Job) { j.Kind = 2 }},
+		{201, func(j *ledger.Job) { j.Kind, j.Tasks = 1, 3 }},
+		{422, func(j *ledger.Job) { j.Team = "nobody" }},
+		{422, func(j *ledger.Job) { j.CPUs = 5 }},
+		{422, func(j *ledger.Job) { j.MemoryGB = 17 }},
+		{422, func(j *ledger.Job) { j.GPUs = 1 }},
+		{422, func(j *ledger.Job) { j.Types = []string{"m5"} }},
+		{422, func(j *ledger.Job) { j.Types = []string{} }},
+		{422, func(j *ledger.Job) { j.Zone = "c" }},
+		{422, func(j *ledger.Job) { j.Follows = []uint64{77} }},
+		{422, func(j *ledger.Job) { j.CPUs = 7; j.Tasks = 1 }},
+	} {
+		job := base
+		job.ID = uint64(i + 1)
+		c.change(&job)
+		got := 0
+		d.request(i, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) {
+			c.core.Submit(now, to, wire.Submission{ID: job.ID, HasID: true, Job: &job})
+		}, func(a answer, _ bool) { got = a.Status })
+		d.run(2 * time.Second)
+		if got != c.status {
+			t.Errorf("job %d: %d, want %d: %s", i+1, got, c.status, fmt.Sprintf("%+v", job))
+		}
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -622,6 +622,53 @@
 			s.cloud.machines[w1.name] = w1
 			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
 		}},
+		{"ran_cancelled", func(s *sim, j *userJob, w1, _ *worker) { // at once, and not only later
+			j.asked = true
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.check.started(task{1, 0}, w1)
+		}},
+		{"ran_cancelled", func(s *sim, j *userJob, w1, _ *worker) { // one that goes on after its machine hung
+			j.asked, j.byProduction, j.run = true, true, 90*time.Second
+			w1.session, w1.tasks = 1, map[task]*run{} // it reports to nobody here
+			w1.startTask(task{1, 0}, 1)
+			s.run(time.Second)
+			w1.hung = true
+			s.check.told(j, effects.Answer{Status: 200, State: wire.Cancelled}, s.now)
+			s.run(40 * time.Second)
+		}},
+		{"left_waiting", func(s *sim, j *userJob, w1, _ *worker) {
+			s.check.calm, w1.up, w1.spot = 1, true, true
+			s.cloud.machines[w1.name] = w1
+			s.run(100 * time.Second)
+		}},
+		{"left_waiting", func(s *sim, j *userJob, w1, w2 *worker) { // a gang, over two machines
+			j.spec.Job.Kind, s.cfg.Deployment.Teams[0].CPUsMax = 1, 4
+			w1.tasks = map[task]*run{{9, 0}: {}}
+			s.jobs[9] = &userJob{id: 9, spec: wire.Submission{ID: 9, Job: &ledger.Job{ID: 9, CPUs: 3}}}
+			for _, w := range []*worker{w1, w2} {
+				s.cloud.machines[w.name], w.up = w, true
+			}
+			s.check.calm = 1
+			s.run(100 * time.Second)
+		}},
+		{"accepted_unfit", func(s *sim, _ *userJob, _, _ *worker) {
+			s.check.unfit(8, wire.Submission{ID: 8, HasID: true, Bad: "herd: missing"}, answer{Answer: effects.Answer{Status: 201}}, true)
+		}},
+		{"accepted_unfit", func(s *sim, j *userJob, _, _ *worker) {
+			s.check.unfit(8, wire.Submission{ID: 8, HasID: true, Job: j.spec.Job}, answer{Answer: effects.Answer{Status: 200}}, true)
+		}},
+		{"older_answer", func(s *sim, j *userJob, _, _ *worker) {
+			s.run(time.Second)
+			s.check.inOrder(j, answer{effects.Answer{Status: 200, State: wire.Done}, s.now})
+			s.run(olderMost + time.Millisecond)
+			s.check.inOrder(j, answer{effects.Answer{Status: 200, State: wire.Running}, time.Second})
+		}},
+		{"older_answer", func(s *sim, j *userJob, _, _ *worker) {
+			s.run(time.Second)
+			s.check.inOrder(j, answer{effects.Answer{Status: 201}, s.now})
+			s.run(olderMost + time.Millisecond)
+			s.check.inOrder(j, answer{effects.Answer{Status: 404}, time.Second})
+		}},
 		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { s.check.told(j, effects.Answer{Status: 404}, s.now) }},
 		{"forgotten", func(s *sim, j *userJob, _, _ *worker) { // one whose questions are shed for ever
 			s.check.calm = 1
--- a/internal/scenario/services_test.go
+++ b/internal/scenario/services_test.go
@@ -32,12 +32,16 @@
 	// That share of transactions has no answer and is carried out 2 to 12 s later, after
 	// newer ones.
 	lateShare float64
-	watches   []func()
-	writes    int
-	cleaned   int
-	facts     map[uint64]bool       // jobs whose facts of run times were durable; nil: not watched
-	record    func(json.RawMessage) // takes each new one of them
-	lowered   bool                  // the announced limits are in force
+	// Of these they are carried out at once, and only the answer is lost. Holds and renewals
+	// count as transactions then.
+	atOnce  bool
+	watches []func()
+	writes  int
+	rates   map[time.Duration]int // changes by second; nil: not counted
+	cleaned int
+	facts   map[uint64]bool       // jobs whose facts of run times were durable; nil: not watched
+	record  func(json.RawMessage) // takes each new one of them
+	lowered bool                  // the announced limits are in force
 }
 
 type item struct {
@@ -76,6 +80,7 @@
 	if !strings.HasPrefix(key, leadership.Prefix) {
 		return
 	}
+	before := st.holder
 	st.holder = ""
 	if it, ok := st.items[leadership.HolderKey]; ok {
 		var h leadership.Holder
@@ -83,6 +88,9 @@
 			st.holder = h.Node
 		}
 	}
+	if st.holder != "" && st.holder != before {
+		st.s.deliverKept()
+	}
 	list := st.watches
 	st.watches = nil
 	for _, f := range list {
@@ -116,6 +124,9 @@
 		}
 	}
 	st.writes += len(writes)
+	if st.rates != nil {
+		st.rates[st.s.now/time.Second] += len(writes)
+	}
 	lim := st.s.cfg.Deployment.State.StateLimits
 	if st.lowered {
 		lim = st.s.cfg.Writes()
@@ -153,7 +164,7 @@
 // lateWrite says whether a transaction is one that has no answer, and has it carried out
 // later.
 func (st *stateService) lateWrite(writes []ledger.Op, apply func() ledger.Outcome) bool {
-	if st.lateShare == 0 || st.s.rng.Float64() >= st.lateShare {
+	if st.lateShare == 0 || st.atOnce || st.s.rng.Float64() >= st.lateShare {
 		return false
 	}
 	before := st.rev
@@ -176,6 +187,30 @@
 	return true
 }
 
+// answerLost says whether the answer to something that was carried out is lost.
+func (st *stateService) answerLost(what ...string) bool {
+	if !st.atOnce || st.s.rng.Float64() >= st.lateShare {
+		return false
+	}
+	for _, w := range what {
+		st.s.saw("only the answer lost: " + w)
+	}
+	return true
+}
+
+// written names what a transaction changes, by kind.
+func written(writes []ledger.Op) []string {
+	var out []string
+	for _, w := range writes {
+		kind := w.Key[:strings.LastIndex(w.Key, "/")]
+		if w.Remove {
+			kind = "removal of " + kind
+		}
+		out = append(out, kind)
+	}
+	return out
+}
+
 func (st *stateService) commit(c *controller, t ledger.Txn) {
 	epoch := epochOf(c)
 	done := func(r txnResult, ok bool) {
@@ -212,11 +247,20 @@
 			reply(txnResult{out: ledger.Refused})
 			return
 		}
+		for _, step := range st.steps(t.Writes) {
+			st.s.comes("before " + step)
+		}
 		r := st.apply(t.Conds, t.Writes, 0)
+		for _, step := range st.steps(t.Writes) {
+			st.s.comes("after " + step)
+		}
 		if st.loseOut > 0 {
 			st.loseOut--
 			return
 		}
+		if r.out == ledger.Applied && st.answerLost(written(t.Writes)...) {
+			return
+		}
 		st.s.after(4*time.Millisecond, func() { reply(r) })
 	}, func(r txnResult, ok bool) {
 		if c.life == life {
@@ -225,6 +269,37 @@
 	})
 }
 
+// steps names what a transaction makes durable on the way from a rental to a start.
+func (st *stateService) steps(writes []ledger.Op) []string {
+	if st.s.moment == nil {
+		return nil
+	}
+	var out []string
+	for _, w := range writes {
+		if _, err := ledger.Number(w.Key); err != nil || w.Remove {
+			continue
+		}
+		list, err := ledger.Decode(w.Value)
+		if err != nil {
+			panic(err)
+		}
+		for _, e := range list {
+			switch {
+			case e.Rental != nil:
+				out = append(out, "the rental noted")
+			case e.Answered != nil:
+				out = append(out, "the answer noted")
+			case e.Machine != nil:
+				out = append(out, "the machine registered")
+			case e.Grant != nil:
+				out = append(out, "the grant noted")
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // append writes an entry into the log as its last one.
 func (st *stateService) append(t *testing.T, e ledger.Entry) {
 	last := 0
@@ -415,6 +490,9 @@
 			life := settingsSeconds(c.cfg.Tunables.LeaderHoldS)
 			st.holds[st.nextID] = &hold{life, st.s.now + life}
 			st.s.after(life, st.expire)
+			if st.answerLost("hold") {
+				return
+			}
 			reply(leadResult{ok: true, id: st.nextID})
 		case leadership.Claim:
 			value, _ := json.Marshal(leadership.Holder{Node: c.name, Epoch: o.View.Epoch + 1})
@@ -426,6 +504,9 @@
 				return
 			}
 			r := claim()
+			if r.out == ledger.Applied && st.answerLost("claim") {
+				return
+			}
 			reply(leadResult{ok: r.out == ledger.Applied, id: r.mark})
 		case leadership.Renew:
 			h := st.holds[o.Hold]
@@ -435,6 +516,9 @@
 			}
 			h.ends = st.s.now + h.life
 			st.s.after(h.life, st.expire)
+			if st.answerLost("renewal") {
+				return
+			}
 			reply(leadResult{ok: true})
 		case leadership.Drop:
 			st.drop(o.Hold)
@@ -466,16 +550,18 @@
 	s        *sim
 	answers  map[string][]string
 	machines map[string]*worker
+	told     map[string]bool // machines of rentals whose answer has arrived
 	next     int
 	capacity int
 	boot     time.Duration
+	answer   time.Duration // its answers to rentals take so much longer
 	dud      int           // so many of the next machines never come up
 	late     time.Duration // the next rental is given up on, and executed this much later
 	outage   bool
 	deleted  int
 }
 
-var types = []ledger.Type{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: []string{"a", "b"}}}
+var types = []ledger.Type{{Name: "m4", CPUs: machineCPUs, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: []string{"a", "b"}}}
 
 func (cl *cloud) execute(r ledger.Rental) []string {
 	if got, ok := cl.answers[r.Name]; ok {
@@ -527,17 +613,26 @@
 			reply(rentResult{nil, wire.NoAnswer})
 			return
 		}
+		cl.s.comes("before the rental carried out")
 		names := cl.execute(r)
+		cl.s.comes("after the rental carried out")
 		if len(names) == 0 {
 			delete(cl.answers, r.Name)
 			reply(rentResult{nil, wire.NoCapacity})
 			return
 		}
-		reply(rentResult{names, wire.Rented})
+		cl.s.after(cl.answer, func() {
+			cl.s.comes("before the rental answered")
+			reply(rentResult{names, wire.Rented})
+			cl.s.after(10*time.Millisecond, func() { cl.s.comes("after the rental answered") })
+		})
 	}, func(x rentResult, ok bool) {
 		if !ok {
 			x.res = wire.NoAnswer
 		}
+		for _, n := range x.names {
+			cl.told[n] = true
+		}
 		if c.life == life {
 			c.into(func(now time.Duration) { c.core.Rented(now, epoch, r.Name, x.names, x.res) })()
 		}
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
@@ -67,8 +68,20 @@
 	jobs  map[uint64]*userJob
 	deaf  map[string]bool // hosts that are heard, and that nothing reaches
 	again time.Duration   // reports and direct commands arrive once more, so much later at most; 0: not
-	began time.Duration   // time of day at time 0
+	mute  map[string]bool // machines that reach no controller, while direct commands reach them
 
+	frozen    map[string]time.Duration // controllers that stand still, and until when; their clocks run on
+	keep      float64                  // of that share of the reports a copy is kept for the next leader
+	kept      []*workers.Report
+	preempted func(j *userJob, w *worker) // told of tasks that run and are stopped; nil: nobody listens
+	moment    func(what string)           // told of steps on the way from a rental to a start; nil: nobody listens
+	atEnd     float64                     // that share of the jobs that end is cancelled at the moment of its end
+	looks     bool                        // users ask at all controllers, and submit again, right after an answer that tells something new
+	strange   uint64                      // ids of odd submissions, which nobody may be told of, count down from here
+
+	began time.Duration // time of day at time 0
+
+	moved    []time.Duration        // when machines were sent, or went, to another controller
 	launches int                    // direct starts that were sent
 	ends     map[task]time.Duration // when the last start of a task will have run
 	seen     map[string]int         // what troubles really brought about, by its words
@@ -86,9 +99,9 @@
 
 // newSimAt makes one that begins at a time of day.
 func newSimAt(began time.Duration, cfg settings.Settings, seed uint64, count int, old bool) *sim {
-	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}, deaf: map[string]bool{}, slow: map[string]time.Duration{}, ends: map[task]time.Duration{}}
+	s := &sim{began: began, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{}, deaf: map[string]bool{}, mute: map[string]bool{}, frozen: map[string]time.Duration{}, strange: 999_000, slow: map[string]time.Duration{}, ends: map[task]time.Duration{}}
 	s.state = &stateService{s: s, items: map[string]item{}, holds: map[uint64]*hold{}, refuse: map[string]bool{}}
-	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, capacity: 40, boot: 5 * time.Second}
+	s.cloud = &cloud{s: s, answers: map[string][]string{}, machines: map[string]*worker{}, told: map[string]bool{}, capacity: 40, boot: 5 * time.Second}
 	s.check = &checker{s: s, on: map[task]map[string]bool{}}
 	for i := range count {
 		c := cfg
@@ -104,6 +117,12 @@
 	for _, n := range s.nodes {
 		n.start(old)
 	}
+	var look func()
+	look = func() {
+		s.check.stillWaiting()
+		s.after(time.Second, look)
+	}
+	s.after(0, look)
 	return s
 }
 
@@ -148,6 +167,13 @@
 	return nil
 }
 
+// comes tells whoever listens that a step is about to be done, or was.
+func (s *sim) comes(what string) {
+	if s.moment != nil {
+		s.moment(what)
+	}
+}
+
 // saw counts something that a trouble really brought about.
 func (s *sim) saw(what string) {
 	if s.seen == nil {
@@ -163,6 +189,34 @@
 	}
 }
 
+// deliverKept has the copies of reports that were kept reach every controller: as a new
+// leader begins, and once it has acted.
+func (s *sim) deliverKept() {
+	list := s.kept
+	s.kept = nil
+	for _, r := range list {
+		for _, n := range s.nodes {
+			for _, after := range []time.Duration{0, 5, 20, 1000, 5000} {
+				s.after(after*time.Millisecond+time.Duration(s.rng.IntN(4000))*time.Microsecond, func() {
+					if !n.up || s.stands(n.name) > 0 {
+						return
+					}
+					if leads, _ := n.core.Leading(); leads && n.core.Epoch() > r.Token>>cluster.TokenBits {
+						s.saw("a kept report reached the next leader")
+						if w := s.cloud.machines[r.Machine]; w == nil {
+							s.saw("a kept report of a machine deleted since")
+						} else if r.Session < w.session {
+							s.saw("a kept report of an earlier session")
+						}
+					}
+					n.core.Report(n.clock(), 0, r) // nobody hears the answer
+					n.drain()
+				})
+			}
+		}
+	}
+}
+
 // send carries a packet; f runs at its arrival.
 func (s *sim) send(from, to string, f func()) {
 	if s.deaf[to] {
@@ -175,9 +229,12 @@
 		}
 		return
 	}
-	s.after(time.Millisecond+s.slow[to]+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
+	s.after(s.stands(to)+time.Millisecond+s.slow[to]+time.Duration(s.rng.IntN(3000))*time.Microsecond, f)
 }
 
+// stands is for how long a host will stand still yet.
+func (s *sim) stands(host string) time.Duration { return max(0, s.frozen[host]-s.now) }
+
 // cutZone has a zone's machines and a controller reach one another and nobody else, for a
 // while; 0: until all is healed.
 func (s *sim) cutZone(zone, node string, length time.Duration, hold bool) {
@@ -222,13 +279,19 @@
 			})
 		})
 	})
-	s.after(limit, func() {
-		if !over {
+	var late func()
+	late = func() {
+		switch still := s.stands(from); {
+		case over:
+		case still > 0: // it notices only then, and takes no answer that is as late
+			s.after(still, late)
+		default:
 			over = true
 			var none T
 			done(none, false)
 		}
-	})
+	}
+	s.after(limit, late)
 }
 
 // controller runs a core.
@@ -269,6 +332,10 @@
 		if c.life != life || !c.up {
 			return
 		}
+		if still := c.s.stands(c.name); still > 0 {
+			c.s.after(still, tick)
+			return
+		}
 		c.s.scale.time("ticks", func() { c.core.Tick(c.clock()) })
 		c.drain()
 		c.s.after(50*time.Millisecond, tick)
@@ -300,12 +367,19 @@
 // into wraps an input so that it is dropped when the process has ended.
 func (c *controller) into(f func(now time.Duration)) func() {
 	life := c.life
-	return func() {
-		if c.life == life && c.up {
-			c.s.scale.time("results", func() { f(c.clock()) })
-			c.drain()
+	var run func()
+	run = func() {
+		if c.life != life || !c.up {
+			return
+		}
+		if still := c.s.stands(c.name); still > 0 {
+			c.s.after(still, run)
+			return
 		}
+		c.s.scale.time("results", func() { f(c.clock()) })
+		c.drain()
 	}
+	return run
 }
 
 func (c *controller) drain() {
@@ -427,8 +501,17 @@
 		epoch := c.core.Epoch()
 		if w := s.cloud.machines[e.Address]; w != nil {
 			s.launches++
+			begun := w.life
+			arrives := func() {
+				if w.life != begun && w.up && !w.hung && e.Session == w.session && e.Token >= w.token {
+					s.saw("a start carried out by the machine's next life")
+				}
+			}
 			s.copies(func() { w.direct(e.Token, e.Session, e.Starts, func(*workers.Report) {}) })
-			call(s, c.name, w.name, time.Second, func(reply func(*workers.Report)) { w.direct(e.Token, e.Session, e.Starts, reply) }, func(r *workers.Report, _ bool) {
+			call(s, c.name, w.name, time.Second, func(reply func(*workers.Report)) {
+				arrives()
+				w.direct(e.Token, e.Session, e.Starts, reply)
+			}, func(r *workers.Report, _ bool) {
 				if c.life == life {
 					c.into(func(now time.Duration) { c.core.Launched(now, epoch, e.Machine, e.Token, e.Starts, r) })()
 				}
@@ -449,8 +532,15 @@
 	}
 }
 
+// answer is an answer to a user, and when the leader made it.
+type answer struct {
+	effects.Answer
+	made time.Duration
+}
+
 // ask carries a user's request to the core, by way of the leader.
-func (c *controller) ask(hop bool, f func(c *controller, now time.Duration, to effects.Asker), done func(effects.Answer)) {
+func (c *controller) ask(hop bool, f func(c *controller, now time.Duration, to effects.Asker), done func(answer)) {
+	unavailable := answer{Answer: effects.Answer{Status: 503, RetryAfter: 1}}
 	if !c.up {
 		return // the connection is refused; the user's deadline stands in for it
 	}
@@ -458,21 +548,21 @@
 	if !leading && !hop {
 		for _, o := range c.s.nodes {
 			if o.name == leader {
-				call(c.s, c.name, o.name, wait, func(reply func(effects.Answer)) { o.ask(true, f, reply) }, func(a effects.Answer, ok bool) {
+				call(c.s, c.name, o.name, wait, func(reply func(answer)) { o.ask(true, f, reply) }, func(a answer, ok bool) {
 					if !ok {
-						a = effects.Answer{Status: 503, RetryAfter: 1}
+						a = unavailable
 					}
 					done(a)
 				})
 				return
 			}
 		}
-		done(effects.Answer{Status: 503, RetryAfter: 1})
+		done(unavailable)
 		return
 	}
 	c.asker++
 	to := c.asker
-	c.users[to] = done
+	c.users[to] = func(a effects.Answer) { done(answer{a, c.s.now}) }
 	c.s.scale.time("users", func() { f(c, c.clock(), to) })
 	c.drain()
 }
@@ -491,6 +581,10 @@
 	byProduction bool // told so by the version in production, at once
 	goneAt       time.Duration
 	state        string
+
+	newest    [final + 1]time.Duration // when an answer that tells as much was first told; 0: not yet
+	lastStart time.Duration            // when one of its tasks last started
+	roomSince time.Duration            // since when it has waited while there was room for it; 0: it does not
 }
 
 // somewhere counts the tasks of a job that are on any machine in truth, or wait for their
@@ -511,9 +605,9 @@
 func (j *userJob) runs(k int) time.Duration { return j.run + time.Duration(k)*j.apart }
 
 // request carries a user's request to a node.
-func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to effects.Asker), done func(a effects.Answer, ok bool)) {
+func (s *sim) request(at int, limit time.Duration, f func(c *controller, now time.Duration, to effects.Asker), done func(a answer, ok bool)) {
 	c := s.nodes[at%len(s.nodes)]
-	call(s, "users", c.name, limit, func(reply func(effects.Answer)) { c.ask(false, f, reply) }, done)
+	call(s, "users", c.name, limit, func(reply func(answer)) { c.ask(false, f, reply) }, done)
 }
 
 func (s *sim) submit(j *userJob, at int, again func() bool) {
@@ -527,12 +621,17 @@
 			return
 		}
 		c.core.Submit(now, to, forwarded(door, c, j.spec))
-	}, func(a effects.Answer, ok bool) {
+	}, func(a answer, ok bool) {
 		if ok && (a.Status == 200 || a.Status == 201) {
-			if !j.accepted {
+			first := !j.accepted
+			if first {
 				j.accepted, j.acceptedAt = true, s.now
 			}
-			s.check.told(j, a, sent)
+			s.check.inOrder(j, a)
+			s.check.told(j, a.Answer, sent)
+			if first {
+				s.look(j, true)
+			}
 			return
 		}
 		if ok && (a.Status == 400 || a.Status == 422) {
@@ -551,9 +650,10 @@
 func (s *sim) poll(j *userJob, at int) {
 	sent := s.now
 	s.check.asked(j)
-	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Query(now, to, j.id) }, func(a effects.Answer, ok bool) {
+	s.request(at, 2*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Query(now, to, j.id) }, func(a answer, ok bool) {
 		if ok {
-			s.check.told(j, a, sent)
+			s.check.inOrder(j, a)
+			s.check.told(j, a.Answer, sent)
 		}
 	})
 }
@@ -561,15 +661,82 @@
 func (s *sim) abort(j *userJob, at int) {
 	sent := s.now
 	j.asked = true
-	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Abort(now, to, j.id) }, func(a effects.Answer, ok bool) {
+	s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Abort(now, to, j.id) }, func(a answer, ok bool) {
 		if ok && a.Status == 200 {
-			s.check.told(j, a, sent)
+			s.check.inOrder(j, a)
+			s.check.told(j, a.Answer, sent)
 			return
 		}
 		s.after(time.Second, func() { s.abort(j, at+1) })
 	})
 }
 
+// look has a user look closely, where users do: ask at all controllers, again and again
+// within milliseconds, and submit again, right after something new was told; one in six
+// that were accepted is cancelled at once.
+func (s *sim) look(j *userJob, accepted bool) {
+	if !s.looks || j.spec.Job == nil {
+		return
+	}
+	s.saw("close looks")
+	for at := range s.nodes {
+		for _, after := range []time.Duration{0, 1, 3, 10, 30, 100, 300, 1000} {
+			s.after(after*time.Millisecond, func() { s.poll(j, at) })
+		}
+		s.after(time.Duration(s.rng.IntN(20))*time.Millisecond, func() { s.submit(j, at, func() bool { return false }) })
+	}
+	if accepted && s.rng.IntN(6) == 0 {
+		s.abort(j, s.rng.IntN(len(s.nodes)))
+	}
+}
+
+// odd makes a request that users should not make, and holds its answer against the rules:
+// repeats of jobs that are known, whatever else the body holds; cancelling what is done;
+// new jobs that can never run, or whose description is malformed.
+func (s *sim) odd(j *userJob, at int) {
+	bad := wire.Submission{ID: j.id, HasID: true, Bad: "herd: missing"}
+	unfit := bad
+	unfit.Bad, unfit.Job = "", &ledger.Job{}
+	*unfit.Job = *j.spec.Job
+	unfit.Job.CPUs = 1e5
+	switch kind := s.rng.IntN(4); kind {
+	case 0, 1: // a repeat
+		spec := []wire.Submission{bad, unfit}[kind]
+		s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Submit(now, to, spec) }, func(a answer, ok bool) {
+			if ok && (a.Status == 400 || a.Status == 422) {
+				s.check.fail("forgotten", "%d, submitted again, gets %d", j.id, a.Status)
+			} else if ok && a.Status == 200 {
+				s.saw("an odd repeat answered")
+			}
+		})
+	case 2: // cancelling what is done
+		if !j.toldDone {
+			return
+		}
+		sent := s.now
+		s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Abort(now, to, j.id) }, func(a answer, ok bool) {
+			if ok && a.Status == 200 {
+				s.saw("a done job asked to be cancelled")
+				s.check.told(j, a.Answer, sent)
+			}
+		})
+	default: // a new one
+		s.strange--
+		id := s.strange
+		spec := []wire.Submission{bad, unfit}[s.rng.IntN(2)]
+		if spec.ID = id; spec.Job != nil {
+			spec.Job.ID, spec.Job.Follows, spec.Job.Counted = id, nil, nil
+			if s.rng.IntN(2) == 0 {
+				spec.Job.CPUs, spec.Job.Team = 1, "nobody"
+			}
+		}
+		s.request(at, 5*time.Second, func(c *controller, now time.Duration, to effects.Asker) { c.core.Submit(now, to, spec) }, func(a answer, ok bool) {
+			s.check.unfit(id, spec, a, ok)
+			s.poll(&userJob{id: id}, at) // nobody may be told of it
+		})
+	}
+}
+
 // node is the controller with a name, or nil.
 func (s *sim) node(name string) *controller {
 	for _, c := range s.nodes {
--- /dev/null
+++ b/internal/scenario/stage_test.go
@@ -0,0 +1,167 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/wire"
+)
+
+// playDays plays so many days of a meeting, and fails where anything that they must bring
+// about never came about. Days count it in their worlds (sim.saw).
+func playDays(t *testing.T, days int, day func(t *testing.T, seed uint64) *sim, must ...string) map[string]int {
+	t.Helper()
+	var mu sync.Mutex
+	seen := map[string]int{}
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				s := day(t, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				for what, n := range s.seen {
+					seen[what] += n
+				}
+			})
+		}
+	})
+	for _, what := range must {
+		t.Logf("%s: %d times", what, seen[what])
+		if seen[what] == 0 {
+			t.Errorf("%s: never brought about", what)
+		}
+	}
+	return seen
+}
+
+// stage is a world for one meeting.
+type stage struct {
+	*sim
+	t  *testing.T
+	r  *rand.Rand
+	tr *troubles
+}
+
+// newStage makes one; conf changes its settings.
+func newStage(t *testing.T, seed uint64, count int, conf func(c *settings.Settings)) *stage {
+	c := baseSettings()
+	if conf != nil {
+		conf(&c)
+	}
+	s := newSim(c, seed, count, false)
+	r := rand.New(rand.NewPCG(seed, 17))
+	return &stage{sim: s, t: t, r: r, tr: &troubles{s: s, r: r, say: func(string, ...any) {}}}
+}
+
+// add has a user submit a job now, at one controller after the other for as long as users
+// try. What the description leaves out is filled in.
+func (d *stage) add(run time.Duration, job ledger.Job) *userJob {
+	if job.ID == 0 {
+		job.ID = uint64(len(d.jobs) + 1)
+	}
+	if job.Class == "" {
+		job.Class = "class"
+	}
+	if job.Team == "" {
+		job.Team = "team"
+	}
+	if job.CPUs == 0 {
+		job.CPUs = 1
+	}
+	job.Tasks, job.MemoryGB, job.Image, job.ImageGB, job.EstimateS = max(job.Tasks, 1), 1, "image", 0.3, max(1, run.Seconds())
+	j := &userJob{id: job.ID, run: run, spec: wire.Submission{ID: job.ID, HasID: true, Job: &job}}
+	d.jobs[j.id] = j
+	first := d.now
+	d.submit(j, int(j.id), func() bool { return d.now-first < 60*time.Second })
+	return j
+}
+
+// addAt does so later.
+func (d *stage) addAt(after, run time.Duration, job ledger.Job) {
+	job.ID = uint64(len(d.jobs) + 1)
+	d.jobs[job.ID] = &userJob{id: job.ID, spec: wire.Submission{ID: job.ID, HasID: true, Job: &ledger.Job{}}}
+	d.after(after, func() { d.add(run, job) })
+}
+
+// runs waits until that many tasks of a job run.
+func (d *stage) runs(j *userJob, tasks int) {
+	d.t.Helper()
+	if !d.until(2*time.Minute, func() bool { return d.running(j.id) >= tasks }) {
+		d.t.Fatalf("%d of %d tasks of %d run", d.running(j.id), tasks, j.id)
+	}
+}
+
+// leads waits until somebody leads.
+func (d *stage) leads() *controller {
+	d.t.Helper()
+	if !d.until(40*time.Second, func() bool { return d.leader() != nil }) {
+		d.t.Fatal("nobody leads")
+	}
+	return d.leader()
+}
+
+// endLeader has the leader end, if there is one, and be back later.
+func (d *stage) endLeader(back time.Duration) {
+	if l := d.leader(); l != nil {
+		l.crash()
+		d.tr.back(l, back)
+	}
+}
+
+// cancel has a user ask to cancel a job that was accepted.
+func (d *stage) cancel(j *userJob, at int) {
+	if j.accepted && !j.asked {
+		d.abort(j, at)
+	}
+}
+
+// busy lists the machines with tasks of a job.
+func (d *stage) busy(j *userJob) []*worker {
+	return slices.DeleteFunc(d.machines(), func(w *worker) bool {
+		return !slices.ContainsFunc(w.on(), func(t task) bool { return t.job == j.id })
+	})
+}
+
+// trouble has machines cut off, deaf, hanging, reaching nobody, or their answers held up.
+func (d *stage) trouble(what string, list []*worker, length time.Duration) {
+	for _, w := range list {
+		switch what {
+		case "cut":
+			d.cuts = append(d.cuts, &cut{host: w.name})
+		case "held":
+			d.cuts = append(d.cuts, &cut{host: w.name, hold: true})
+		case "deaf":
+			d.deaf[w.name] = true
+		case "hung":
+			w.hung = true
+		case "mute":
+			d.mute[w.name] = true
+		case "slow":
+			d.slow[w.name] = 6 * time.Second
+		default:
+			d.t.Fatalf("%s: no such trouble", what)
+		}
+		d.after(length, func() {
+			w.hung = false
+			delete(d.deaf, w.name)
+			delete(d.mute, w.name)
+			delete(d.slow, w.name)
+			d.heal(w.name)
+		})
+	}
+}
+
+// over ends a day: from now on nothing is troubled, and all comes to its end.
+func (d *stage) over(limit time.Duration) *sim {
+	d.t.Helper()
+	d.check.calm = d.now
+	d.allEnd(d.t, limit)
+	return d.sim
+}
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -34,17 +34,28 @@
 	heldUp
 	handOvers
 	refusedThenAll
+	machinesMute
+	answersLost
+	reportsKept
+	cancelNow
+	cancelAtEnd
+	quickBoots
+	oddRequests
+	closeLooks
+	nodeFreezes
 	kindsOfTrouble
 )
 
 var troubleNames = [kindsOfTrouble]string{"a node crashes", "all crash", "outage", "a node refused", "a node or zone cut", "a machine cut", "a machine dies", "a machine hangs", "a late transaction or rental",
 	"a node back at once", "all back at once", "deaf machines", "late copies", "a node apart with its workers", "machines begin anew",
-	"late writes, out of order", "a slow state service", "answers and commands held up", "leaders hand over again and again", "the leader refused, then all"}
+	"late writes, out of order", "a slow state service", "answers and commands held up", "leaders hand over again and again", "the leader refused, then all",
+	"machines that reach nobody", "only answers lost", "reports kept for the next leader", "jobs cancelled together", "jobs cancelled at their end", "machines up at once", "odd requests", "close looks", "a node stands still"}
 
 // Troubles of a random day, and those that take the place of some of them on harsh days.
 var (
 	mildTroubles  = []trouble{nodeCrash, nodeCrash, allCrash, outage, nodeRefused, nodeCut, machineCut, machineDies, machineHangs, lateOnce}
 	harshTroubles = []trouble{nodeBack, allBack, machinesDeaf, lateCopies, nodeApart, machinesReborn, lateWrites, slowState, heldUp, handOvers}
+	laterTroubles = []trouble{machinesMute, machinesMute, answersLost, reportsKept, cancelNow, cancelAtEnd, quickBoots, oddRequests, closeLooks, nodeFreezes}
 )
 
 // troubles brings them about in a world.
@@ -205,6 +216,86 @@
 			delete(s.state.refuse, n.name)
 			s.state.recover()
 		})
+	case machinesMute: // for longer than a lease, now and then
+		for _, m := range tr.some(4) {
+			s.mute[m.name] = true
+			s.after(length, func() { delete(s.mute, m.name) })
+		}
+	case answersLost:
+		s.state.lateShare, s.state.atOnce = 0.1+0.5*r.Float64(), true
+		s.after(length, func() { s.state.lateShare, s.state.atOnce = 0, false })
+	case reportsKept:
+		s.keep = 0.05 + 0.2*r.Float64()
+		s.after(length, func() { s.keep = 0 })
+	case cancelNow: // within a fifth of a second, some of their machines hanging
+		s.cancelNow(r, 2+r.IntN(6), length/2)
+	case cancelAtEnd:
+		s.atEnd = 0.3 + 0.7*r.Float64()
+		s.after(length, func() { s.atEnd = 0 })
+	case quickBoots: // before the cloud has said that they are there; some are taken, so that others are rented
+		before := s.cloud.boot
+		s.cloud.boot, s.cloud.answer = 0, time.Duration(500+r.IntN(3000))*time.Millisecond
+		for _, m := range tr.some(4) {
+			m.vanish()
+			delete(s.cloud.machines, m.name)
+		}
+		s.after(length, func() { s.cloud.boot, s.cloud.answer = max(before, 5*time.Second), 0 })
+	case oddRequests:
+		end := s.now + length
+		var next func()
+		next = func() {
+			if list := s.acceptedJobs(); len(list) > 0 {
+				s.odd(list[r.IntN(len(list))], r.IntN(len(s.nodes)))
+			}
+			if s.now < end {
+				s.after(400*time.Millisecond, next)
+			}
+		}
+		next()
+	case closeLooks:
+		s.looks = true
+		s.after(length, func() { s.looks = false })
+	case nodeFreezes:
+		s.frozen[n.name] = s.now + length/2
+	}
+}
+
+// acceptedJobs lists the jobs whose users were told that they are accepted, by id.
+func (s *sim) acceptedJobs() []*userJob {
+	var out []*userJob
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		if s.jobs[id].accepted {
+			out = append(out, s.jobs[id])
+		}
+	}
+	return out
+}
+
+// cancelNow has users call off up to so many jobs that run, those with longest to go first,
+// within a fifth of a second, while up to eight of their machines begin to hang.
+func (s *sim) cancelNow(r *rand.Rand, count int, hang time.Duration) {
+	var list []*userJob
+	for _, j := range s.acceptedJobs() {
+		if !j.asked && !j.toldDone && s.running(j.id) > 0 {
+			list = append(list, j)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *userJob) int { return int(b.run - a.run) })
+	list = list[:min(count, len(list))]
+	if len(list) > 1 {
+		s.saw("several jobs that run cancelled together")
+	}
+	hung := 0
+	for _, j := range list {
+		s.after(time.Duration(r.IntN(200))*time.Millisecond, func() { s.abort(j, r.IntN(len(s.nodes))) })
+		for _, w := range s.machines() {
+			if hung < 8 && hang > 0 && !w.hung && r.IntN(2) == 0 && slices.ContainsFunc(w.on(), func(t task) bool { return t.job == j.id }) {
+				hung++
+				s.saw("a machine of a job that is cancelled hangs")
+				w.hung = true
+				s.after(hang, func() { w.hung = false })
+			}
+		}
 	}
 }
 
@@ -215,10 +306,8 @@
 	var poll func()
 	poll = func() {
 		at++
-		for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-			if j := s.jobs[id]; j.accepted {
-				s.poll(j, at+int(id))
-			}
+		for _, j := range s.acceptedJobs() {
+			s.poll(j, at+int(j.id))
 		}
 		s.after(every, poll)
 	}
--- /dev/null
+++ b/internal/scenario/unheard_test.go
@@ -0,0 +1,248 @@
+package scenario
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// TestOldReportsAtANewLeader has copies of reports, of earlier sessions, attempts and lives
+// and of machines deleted since, reach every controller just as a new leader begins, and once
+// it has acted: also where all controllers ended and nobody led for a while.
+func TestOldReportsAtANewLeader(t *testing.T) {
+	playDays(t, 24, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams[0].CPUsMax = 30
+			if seed%2 == 1 {
+				c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
+			}
+		})
+		for i := range 14 {
+			d.addAt(time.Duration(i)*2500*time.Millisecond, time.Duration(4+d.r.IntN(20))*time.Second, ledger.Job{Tasks: 1 + d.r.IntN(6), Kind: uint8(i % 5 / 4), Priority: 1, Spot: true, OneZone: i%4 == 0})
+		}
+		for _, id := range []uint64{3, 7, 11} {
+			d.after(time.Duration(10+3*id)*time.Second, func() { d.cancel(d.jobs[id], int(id)) })
+		}
+		d.askAll(time.Second)
+		d.run(8 * time.Second)
+		for range 4 {
+			d.keep = 0.5
+			for i, w := range d.machines() { // some begin later sessions or lives, some are gone, while copies of their reports wait
+				switch {
+				case i > 4:
+				case i%4 == 0:
+					d.trouble("deaf", []*worker{w}, 14*time.Second)
+				case i%4 == 1:
+					w.reborn()
+				case i%4 == 2:
+					w.vanish()
+				}
+			}
+			d.run(time.Duration(2+d.r.IntN(14)) * time.Second)
+			d.keep = 0
+			if seed%3 == 0 {
+				for _, n := range d.nodes {
+					n.crash()
+					d.tr.back(n, 8*time.Second)
+				}
+			} else {
+				d.endLeader(8 * time.Second)
+			}
+			d.run(9 * time.Second)
+		}
+		d.run(20 * time.Second)
+		return d.over(5 * time.Minute)
+	}, "a kept report reached the next leader", "a kept report of a machine deleted since", "a kept report of an earlier session")
+}
+
+// TestMuteMachines has machines reach no controller for longer than a lease, while direct
+// commands and questions reach them, and their sessions rise with nobody hearing it. Their
+// tasks start elsewhere in time, cancelled ones are gone in time, and an answer to a question
+// is no sign that the lease lives.
+func TestMuteMachines(t *testing.T) {
+	playDays(t, 32, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams[0].CPUsMax = 20
+			c.Tunables.AskSilent, c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = int(seed%2)*2, 8, 600
+			c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
+			c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 0.5}}
+		})
+		var list []*userJob
+		for i := range 5 {
+			list = append(list, d.add(90*time.Second, ledger.Job{Tasks: 3, Kind: uint8(i / 4), Priority: 1, Spot: true, OneZone: i == 2}))
+		}
+		d.askAll(time.Second)
+		for _, j := range list {
+			d.runs(j, 3)
+		}
+		length := time.Duration(6+6*(seed/2%8)) * time.Second
+		on := d.busy(list[0])
+		before := d.check.starts
+		d.trouble("mute", on, length)
+		for i := range 6 { // some are sent straight to them
+			d.after(time.Duration(d.r.IntN(9000))*time.Millisecond, func() { d.add(20*time.Second, ledger.Job{Tasks: 1 + i%2, Priority: 2, Spot: true}) })
+		}
+		d.after(2*time.Second, func() { d.cancel(list[1], 0) })
+		if seed%4 > 1 {
+			d.after(time.Duration(1+d.r.IntN(12))*time.Second, func() { d.endLeader(8 * time.Second) })
+		}
+		d.run(length + 2*time.Second)
+		for _, w := range on {
+			if w.session > 1 {
+				d.saw("a session rose with nobody hearing it")
+			}
+		}
+		if d.check.starts > before {
+			d.saw("tasks started after machines had become mute")
+		}
+		// Silence, the deletion, a boot, and where a leader ended its takeover.
+		late := d.now + 75*time.Second
+		if length > 20*time.Second && !d.until(late-d.now, func() bool { return d.running(1) == 3 }) {
+			t.Errorf("%d of 3 tasks of a job run %v after its machines had become mute", d.running(1), length+75*time.Second)
+		}
+		if !d.until(time.Minute, func() bool { return list[1].gone }) {
+			t.Errorf("a cancelled job is %s", list[1].state)
+		}
+		return d.over(5 * time.Minute)
+	}, "a report of a mute machine lost", "a direct command reached a mute machine", "a session rose with nobody hearing it", "tasks started after machines had become mute")
+}
+
+// TestAllAway has all controllers away for longer than a lease, a zone with workers and a
+// controller cut off for longer than a lease, and leaders change ten times in two minutes, also
+// inside an outage. Afterwards all is served again, and no job is left waiting.
+func TestAllAway(t *testing.T) {
+	trials := []string{"all away", "a zone cut", "a zone cut with the leader", "ten leaders", "ten leaders in an outage"}
+	playDays(t, 8*len(trials), func(t *testing.T, seed uint64) *sim {
+		trial := trials[int(seed)%len(trials)]
+		variant := int(seed) / len(trials)
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Teams[0].CPUsMax = 28
+			if variant%2 == 1 {
+				c.Tunables.ColdListen, c.Tunables.ListFirst = 1, 1
+			}
+			if variant%4 > 1 {
+				c.Tunables.ZonePatienceS = 40
+			}
+		})
+		for i := range 10 {
+			d.addAt(time.Duration(i)*900*time.Millisecond, time.Duration(15+d.r.IntN(60))*time.Second, ledger.Job{Tasks: 2 + i%4, Kind: uint8(i % 4 / 3), Priority: uint8(i % 3), Spot: true, OneZone: i%4 == 1, Spread: i%4 == 2})
+		}
+		d.askAll(time.Second)
+		d.run(25 * time.Second)
+		away := time.Duration(12+6*variant) * time.Second // a lease is 10 s
+		d.after(away/2, func() { d.cancel(d.jobs[2], variant) })
+		switch trial {
+		case "all away":
+			for i, n := range d.nodes {
+				n.crash()
+				d.tr.back(n, away+time.Duration(i)*300*time.Millisecond)
+			}
+			d.run(away + time.Second)
+		case "a zone cut", "a zone cut with the leader":
+			l := d.leads()
+			n := l
+			if trial == "a zone cut" {
+				n = d.nodes[(l.index+1)%3]
+			}
+			d.cutZone("b", n.name, away, variant%2 == 0)
+			d.run(away + time.Second)
+		default:
+			for i := range 10 {
+				d.after(time.Duration(12*i)*time.Second+time.Duration(d.r.IntN(4000))*time.Millisecond, func() { d.endLeader(5 * time.Second) })
+			}
+			if trial == "ten leaders in an outage" {
+				d.after(20*time.Second, func() { d.state.outage = true })
+				d.after(20*time.Second+away, d.state.recover)
+			}
+			epoch := d.leads().core.Epoch()
+			d.run(125 * time.Second)
+			if now := d.leads().core.Epoch(); now >= epoch+6 {
+				d.saw("leaders changed again and again")
+			}
+		}
+		lost := 0
+		for _, w := range d.machines() {
+			if w.session > 1 {
+				lost++
+			}
+		}
+		if lost > 0 {
+			d.saw(trial + ": leases ran out")
+		}
+		d.saw(trial)
+		if !d.until(30*time.Second, func() bool { return d.leader() != nil && d.leader().core.Status(d.leader().clock()).Sure }) {
+			t.Error("nobody leads again")
+		}
+		return d.over(5 * time.Minute)
+	}, "all away", "a zone cut", "a zone cut with the leader", "ten leaders", "ten leaders in an outage", "leaders changed again and again", "all away: leases ran out")
+}
+
+// TestRefusedCancelledOut has jobs cancelled at the very moment at which the state service
+// refuses the leader alone, by way of the old leader and of the others, and a second later the
+// state service out for longer than a cancellation has.
+func TestRefusedCancelledOut(t *testing.T) {
+	trials := []string{"well", "deaf", "hung", "mute", "cut"}
+	delays := []time.Duration{0, 10 * time.Millisecond, 100 * time.Millisecond, time.Second}
+	must := []string{"confirmed before the outage", "confirmed after it"}
+	for _, after := range delays {
+		must = append(must, fmt.Sprintf("cancelled %v after the refusal", after))
+	}
+	playDays(t, 2*len(trials)*len(delays), func(t *testing.T, seed uint64) *sim {
+		trial, after := trials[int(seed)%len(trials)], delays[int(seed)/len(trials)%len(delays)]
+		d := newStage(t, seed, 3, nil)
+		var list []*userJob
+		for i, kind := range []uint8{0, 1, 2, 0} {
+			list = append(list, d.add(200*time.Second, ledger.Job{Tasks: 2 + i, Kind: kind, Priority: 1, Spot: true}))
+		}
+		stays := d.add(150*time.Second, ledger.Job{Tasks: 4, Priority: 1, Spot: true})
+		d.askAll(time.Second)
+		for _, j := range append(list, stays) {
+			d.runs(j, j.spec.Job.Tasks)
+		}
+		l := d.leads()
+		d.state.refuse[l.name] = true
+		if trial != "well" {
+			d.trouble(trial, d.busy(list[0])[:1], 50*time.Second)
+		}
+		for i, j := range list {
+			d.after(after, func() { d.cancel(j, l.index+i+int(seed)) })
+		}
+		d.after(after, func() { d.saw(fmt.Sprintf("cancelled %v after the refusal", after)) })
+		// Or so late that another controller leads, and has confirmed what it could.
+		out := []time.Duration{time.Second, 12 * time.Second}[int(seed)/len(trials)/len(delays)]
+		d.after(out, func() {
+			d.state.outage = true
+			for _, j := range list {
+				if j.gone {
+					d.saw("confirmed before the outage")
+				}
+			}
+		})
+		d.run(out + time.Duration(35+5*(seed%4))*time.Second) // longer than a cancellation has
+		gone := 0
+		for _, j := range list {
+			if j.gone {
+				gone++
+			}
+		}
+		d.state.recover()
+		d.state.refuse = map[string]bool{}
+		if !d.until(90*time.Second, func() bool {
+			for _, j := range list {
+				if !j.gone {
+					return false
+				}
+			}
+			return true
+		}) {
+			t.Error("not all cancellations came to their end")
+		}
+		if gone < len(list) {
+			d.saw("confirmed after it")
+		}
+		return d.over(8 * time.Minute)
+	}, must...)
+}
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,9 @@
 	"bitternmoor/internal/workers"
 )
 
+// machineCPUs is what the one type of machine has.
+const machineCPUs = 4
+
 type task struct {
 	job uint64
 	k   int
@@ -56,6 +60,9 @@
 	if w.s.cloud.machines[w.name] != w {
 		return
 	}
+	if !w.s.cloud.told[w.name] {
+		w.s.saw("a machine up before its rental was answered")
+	}
 	w.up = true
 	w.renewed = w.s.now
 	w.lease()
@@ -131,11 +138,21 @@
 			o.drain()
 		}
 	})
+	if w.s.keep > 0 && w.s.rng.Float64() < w.s.keep {
+		w.s.kept = append(w.s.kept, r)
+	}
 	sent, session, life := w.s.now, w.session, w.life
 	next := func() {
+		w.s.moved = append(w.s.moved, w.s.now)
 		w.at++
 		w.schedule(time.Second)
 	}
+	if w.s.mute[w.name] {
+		w.s.saw("a report of a mute machine lost")
+		w.flight = false
+		next()
+		return
+	}
 	call(w.s, w.name, c.name, 4*time.Second, func(reply func(effects.ReportAnswer)) {
 		if !c.up {
 			return
@@ -158,6 +175,7 @@
 		case a.Status == 421:
 			for i, o := range w.s.nodes {
 				if o.name == a.Node && o != c {
+					w.s.moved = append(w.s.moved, w.s.now)
 					w.at = i
 					w.schedule(100 * time.Millisecond)
 					return
@@ -187,6 +205,9 @@
 	})
 }
 
+// on lists the tasks that the machine has.
+func (w *worker) on() []task { return slices.Collect(maps.Keys(w.tasks)) }
+
 // snapshot is the worker's report of this moment.
 func (w *worker) snapshot() *workers.Report {
 	w.seq++
@@ -218,6 +239,9 @@
 		w.s.saw("a direct command turned away for its token or session")
 		reply(nil)
 	default:
+		if w.s.mute[w.name] {
+			w.s.saw("a direct command reached a mute machine")
+		}
 		w.token = token
 		for _, cmd := range cmds {
 			if w.execute(cmd) {
@@ -249,8 +273,11 @@
 		if x == nil || x.attempt != c.Attempt {
 			return false
 		}
-		if !w.s.jobs[t.job].asked && x.state == workers.Running {
+		if j := w.s.jobs[t.job]; !j.asked && x.state == workers.Running {
 			w.s.check.count(stopped)
+			if w.s.preempted != nil && w.notice == 0 {
+				w.s.preempted(j, w)
+			}
 		}
 		w.finish(t, workers.Stopped)
 		return true
@@ -280,11 +307,13 @@
 	for o := range w.tasks {
 		used += w.s.jobs[o.job].spec.Job.CPUs
 	}
-	if used > 4 {
+	if used > machineCPUs {
 		w.ended = append(w.ended, endedRun{t, run{attempt: attempt, reason: workers.NoRoom}})
 		return true
 	}
+	w.s.comes("before the start carried out")
 	w.used = true
+	defer w.s.comes("after the start carried out")
 	x := &run{attempt: attempt, state: workers.Fetching}
 	w.tasks[t] = x
 	session := w.session
@@ -325,6 +354,10 @@
 		return
 	}
 	w.s.check.completed(t)
+	if j := w.s.jobs[t.job]; w.s.atEnd > 0 && w.s.check.over(t.job) && !j.asked && w.s.rng.Float64() < w.s.atEnd {
+		w.s.saw("a cancellation at the end of the last task")
+		w.s.abort(j, w.s.rng.IntN(len(w.s.nodes)))
+	}
 	if spec := w.s.jobs[t.job].spec.Job; spec.Kind == 1 {
 		for k := range spec.Tasks { // when one task of a gang is done, all are
 			w.s.check.completed(task{t.job, k})
