A start without an answer counts until its machine is deleted, once that begins anew

Change: a machine that shows a later session or a new life while a start to it had no answer is tainted: it gets nothing more and is deleted. It has lost everything, so that costs a boot. The task counts there until the deletion is answered (absent_unanswered, docs/cold-start.md).

--- a/internal/squaring/squaring.go
+++ b/internal/squaring/squaring.go
@@ -25,6 +25,7 @@
 	AbsentNow             // it counted here; a newer report at the current token lacks it
 	AbsentLater           // it counted here; the worker has begun a later session
 	AbsentUnproved        // it counted here; a report at an older token lacks it
+	AbsentUnanswered      // it was sent straight to the worker, had no answer, and the worker has begun a later session or a new life
 	AbsentDirect          // it was sent straight to the worker, and a report lacks it at a token with which it may yet arrive
 	EndedDirect           // it was sent straight to the worker, has ended, and a copy of its start may yet arrive
 	RunsUnseen            // it counted nowhere, and runs here
@@ -105,6 +106,7 @@
 	AbsentNow:        {"absent_now", "on this machine", "not there, at the current token", Leave, "a start travels in the answer to the report before only, and would show in this one"},
 	AbsentLater:      {"absent_later", "on this machine", "a later session", Leave, "with its lease a worker kills and forgets all tasks"},
 	AbsentUnproved:   {"absent_unproved", "on this machine", "not there, at an older token", Wait, "none: an answer with a start may still be on its way"},
+	AbsentUnanswered: {"absent_unanswered", "on this machine, started directly, without an answer", "a later session, or a new life", Wait, "none: the command may be carried out late, by a life that counts sessions and tokens anew; the machine is deleted"},
 	AbsentDirect:     {"absent_direct", "on this machine, started directly", "not there, at no higher token than the start's", Wait, "none: the command may be carried out late, as long as its token matches"},
 	EndedDirect:      {"ended_direct", "started directly", "ended, at no higher token than the start's", Wait, "reaped before the worker has seen a higher token, a late copy of its start would begin it once more"},
 	RunsUnseen:       {"runs_unseen", "nowhere, open", "not ended", Adopt, "the newest report shows it, and it counts nowhere else"},
@@ -224,10 +226,12 @@
 
 // Absent names the difference where a report lacks a task that counts here. later says
 // that it is of a later session, direct that the task was sent straight to the worker,
-// was not seen, and is still good at the report's token, current that this is the current
-// one.
+// was not seen, and is still good at the report's token, or, of a later session, that it
+// had no answer; current that this is the current token.
 func Absent(later, direct, current bool) Diff {
 	switch {
+	case later && direct:
+		return AbsentUnanswered
 	case later:
 		return AbsentLater
 	case direct:
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -173,10 +174,16 @@
 	idle           map[uint64]time.Duration // since when a job with a grant has had nothing here
 	registryQueued bool
 
-	// Starts sent straight to the worker, by attempt: under which token. Until the worker
-	// has seen a higher one they may be carried out, or once more.
-	directs map[attempt]uint64
+	// Starts sent straight to the worker, by attempt. Until it has seen a higher token than
+	// theirs they may be carried out, or once more.
+	directs map[attempt]*directStart
 	Calling bool // one of them is under way
+	// Tainted: the worker has begun a later session or a new life while a start sent straight
+	// to it had no answer. It gets nothing more and is to be deleted: the start may be carried
+	// out by a life that has seen no token, and until the deletion is answered its task counts
+	// as being here. Found in a random day in which a start was held up past its session, its
+	// task started elsewhere, and the machine began anew under its name.
+	Tainted bool
 	// Doubt is a token above which one must be seen before the machine gets new work; 0:
 	// there is none. A call that had no answer, a lease that ran out while the machine was
 	// heard, and signs that it began anew give rise to it: whoever then reports a token
@@ -196,6 +203,12 @@
 	n   uint64
 }
 
+// directStart is a start that was sent straight to the worker.
+type directStart struct {
+	token   uint64
+	arrived bool // the worker has answered it, or shown its task
+}
+
 // Raise says how much a higher token is wanted on a machine.
 type Raise uint8
 
@@ -215,7 +228,7 @@
 
 // Usable says whether tasks may be planned on the machine.
 func (m *Machine) Usable(now, quiet time.Duration) bool {
-	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Leaving && !m.Draining && !m.Notice && len(m.Strays) == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Tainted && !m.Leaving && !m.Draining && !m.Notice && len(m.Strays) == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
 // Unresolved says whether an earlier term may have left something on the machine that is
@@ -398,9 +411,9 @@
 	m.moveIn(p)
 	p.seq = m.Seq
 	if m.directs == nil {
-		m.directs = map[attempt]uint64{}
+		m.directs = map[attempt]*directStart{}
 	}
-	m.directs[attempt{p.Ref, p.Attempt}] = m.Token
+	m.directs[attempt{p.Ref, p.Attempt}] = &directStart{token: m.Token}
 }
 
 // Launched takes the worker's answer to starts sent straight to it, under a token: its
@@ -411,7 +424,7 @@
 	m.Calling = false
 	for _, ref := range refs {
 		p := m.Tasks[ref]
-		if p == nil || p.Planned || p.Seen || m.directs[attempt{ref, p.Attempt}] != token {
+		if p == nil || p.Planned || p.Seen || !m.sentAt(p, token) {
 			continue // a report has shown more meanwhile
 		}
 		if r == nil || r.Machine != m.Name || r.Session != m.Session || !slices.ContainsFunc(r.Tasks, func(t TaskReport) bool {
@@ -421,9 +434,24 @@
 			continue
 		}
 		p.Seen, p.State, p.seq = true, Fetching, max(p.seq, r.Seq)
+		m.directs[attempt{ref, p.Attempt}].arrived = true
 	}
 }
 
+// sentAt says whether a task that counts as being here was sent straight to the worker,
+// under this token.
+func (m *Machine) sentAt(p *Placement, token uint64) bool {
+	s := m.directs[attempt{p.Ref, p.Attempt}]
+	return s != nil && s.token == token
+}
+
+// unanswered says whether a task that counts as being here was sent straight to the worker,
+// and nothing has shown that it arrived.
+func (m *Machine) unanswered(p *Placement) bool {
+	s := m.directs[attempt{p.Ref, p.Attempt}]
+	return s != nil && !s.arrived
+}
+
 // doubt has the machine get nothing new until it has seen a token above this one, which it
 // is given with its next report.
 func (m *Machine) doubt(now time.Duration, token uint64) {
@@ -471,8 +499,8 @@
 // direct says whether an attempt was sent straight to the worker and may still begin, or
 // begin once more, when the worker has seen no higher token than this one.
 func (m *Machine) direct(ref Ref, n, token uint64) bool {
-	t, ok := m.directs[attempt{ref, n}]
-	return ok && token <= t
+	s := m.directs[attempt{ref, n}]
+	return s != nil && token <= s.token
 }
 
 // WasSent says whether a task that counts as being here was sent straight to the worker.
@@ -649,12 +677,17 @@
 	reborn, doubted := !m.Fresh(r), m.Doubt > 0
 	if (r.Session > m.Session && m.Session != 0) || reborn {
 		for _, p := range m.Tasks {
-			if !p.Planned && tally.Found(squaring.Absent(true, false, false)).Settlement() == squaring.Leave {
+			if p.Planned {
+				continue
+			}
+			if tally.Found(squaring.Absent(true, m.unanswered(p), false)).Settlement() == squaring.Leave {
 				gone(p, Vanished).Died = true
+			} else {
+				m.Tainted = true
 			}
 		}
 		m.images = nil
-		clear(m.directs) // they name the session, or tokens below the one it has seen
+		maps.DeleteFunc(m.directs, func(_ attempt, s *directStart) bool { return s.arrived }) // the others name the session too, and a new life may be in it
 		if m.Up && !reborn {
 			// It was heard, and its lease ran out all the same: it may not hear us.
 			m.doubt(now, m.Token)
@@ -731,6 +764,9 @@
 				events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
 			}
 			p.State, p.Seen, p.seq = t.State, true, r.Seq
+			if s := m.directs[attempt{p.Ref, p.Attempt}]; s != nil {
+				s.arrived = true
+			}
 		}
 	}
 	for _, p := range m.Tasks {
@@ -739,7 +775,8 @@
 			continue
 		}
 		late := !p.Seen && m.direct(p.Ref, p.Attempt, r.Token)
-		if tally.Found(squaring.Absent(false, late, current)).Settlement() == squaring.Leave {
+		tainted := m.Tainted && m.unanswered(p)
+		if tally.Found(squaring.Absent(tainted, late || tainted, current)).Settlement() == squaring.Leave {
 			delete(m.directs, attempt{p.Ref, p.Attempt})
 			gone(p, Vanished).Died = doubted // it may have begun anew, and have counted on past what we knew
 		}
