Exception left_waiting: a task waits a minute beside room, then gets it

Cause: room held for a first job that does not fit has no limit in time. The same is so for machines kept for accelerators, to be returned, or avoided by our own choice of cheap machines. And a spread array of which one zone has its half counted machines of that zone as places: nothing was rented in the other.

Change: once a second the planner looks for jobs whose waiting task, or whole gang, has room by what their users allow, and after a minute of that gives it (blocks.leftWaiting); counted as left_waiting in status and metrics. No switch, since a rule needs it. A zone that has its share is no place.

Measured: TestLeftWaiting and TestSpreadWithOneZone fail on the sources before and pass; internal/blocks, fleet, placing and scenario pass.

--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -38,7 +38,8 @@
 	Affinity float64
 	Locality time.Duration // for how long a job waits for machines with its image
 
-	ranks    []int8 // by job index, as of the last call of Order
+	leftAt   time.Duration // when it was last looked for jobs that are left waiting
+	ranks    []int8        // by job index, as of the last call of Order
 	scratch  []int32
 	refusals []refusal // of this pass
 	paced    bool      // a place was left out in the last try of give, since starts are paced
@@ -57,14 +58,14 @@
 	zone  string
 }
 
-func (r *refusal) covers(j *jobs.Job) bool {
-	return r.need.Fits(j.Need) && (r.spot || !j.Spot) && (r.types == nil || slices.Equal(r.types, j.Types)) && (r.zone == "" || r.zone == j.Rec.Zone)
+func (r *refusal) covers(j *jobs.Job, spot bool) bool {
+	return r.need.Fits(j.Need) && (r.spot || !spot) && (r.types == nil || slices.Equal(r.types, j.Types)) && (r.zone == "" || r.zone == j.Rec.Zone)
 }
 
 // refused says whether a job's need has found no machine already.
 func (p *Planner) refused(j *jobs.Job) bool {
 	for i := range p.refusals {
-		if p.refusals[i].covers(j) {
+		if p.refusals[i].covers(j, j.Spot) {
 			return true
 		}
 	}
@@ -98,12 +99,17 @@
 	return (l.CPU == 0 || u.CPU+a.CPU+extra.CPU <= l.CPU) && (l.GPU == 0 || u.GPU+a.GPU+extra.GPU <= l.GPU)
 }
 
-// Allowed says whether a job's tasks may be on a machine.
+// Allowed says whether a job's tasks may, and should, be on a machine.
 func Allowed(j *jobs.Job, m *workers.Machine, zones func(string) int32) bool {
+	return (!m.Spot || j.Spot) && permitted(j, m, zones)
+}
+
+// permitted says whether a job's tasks may be on a machine by what its user has said.
+func permitted(j *jobs.Job, m *workers.Machine, zones func(string) int32) bool {
 	if j.Types != nil && (int(m.Type) >= len(j.Types) || !j.Types[m.Type]) {
 		return false
 	}
-	if m.Spot && !j.Spot {
+	if m.Spot && !j.Rec.Spot {
 		return false
 	}
 	return j.Rec.Zone == "" || zones(j.Rec.Zone) == m.Zone
@@ -145,6 +151,7 @@
 	Pace    func(j *jobs.Job, m *workers.Machine) bool // whether a task may be started now; nil: any
 	lend    int                                        // places for tasks with accelerators that may be lent to others
 	local   bool                                       // jobs that have not waited long leave machines without their image
+	left    bool                                       // a job that was left waiting gets whatever it may have
 	Unplace func(j *jobs.Job, k int)                   // takes back a plan that was not sent
 }
 
@@ -257,8 +264,9 @@
 // none is there.
 const accelKept = 10 * time.Minute
 
-// Pass gives out all room that the order lets it give.
-func (p *Planner) Pass(w World) {
+// Pass gives out all room that the order lets it give, and says how many jobs got some
+// since they were left waiting.
+func (p *Planner) Pass(w World) (left int) {
 	p.refusals = p.refusals[:0]
 	if w.Accel.GPU > 0 {
 		w.lend = w.lendable()
@@ -297,7 +305,7 @@
 		}
 	}
 	if least < 0 {
-		return
+		return 0
 	}
 	if w.Units != nil {
 		p.countUnits(&w, order)
@@ -333,6 +341,7 @@
 		w.local = false
 	}
 	p.inOrder(&w, order[ahead:], machines, held)
+	return p.leftWaiting(&w, least)
 }
 
 // countUnits begins a pass for whoever counts units.
@@ -582,14 +591,14 @@
 // give places one task on the best machine, if there is one.
 func (p *Planner) give(w *World, j *jobs.Job, k int, machines []*workers.Machine) bool {
 	p.paced = false
-	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.missing(j.Team)) || p.refused(j) || !w.units(j, 1) {
+	if !p.ready(w, j) || !p.Within(j.Team, j.Need, w.missing(j.Team)) || (!w.left && p.refused(j)) || !w.units(j, 1) {
 		return false
 	}
 	var best *workers.Machine
 	var bestScore int64
 	paces := w.Pace != nil && j.Rec.Kind == jobs.Array // gangs start as a whole, services first of all
 	for _, m := range machines {
-		if m.Held || !j.Need.Fits(m.Free) || !Allowed(j, m, w.Zone) || !j.ZoneAllows(m.Zone) || (w.kept(j, m) && !w.mayLend(j, m)) {
+		if !j.Need.Fits(m.Free) || !j.ZoneAllows(m.Zone) || !w.gives(j, m) {
 			continue
 		}
 		if paces && !w.Pace(j, m) {
@@ -613,12 +622,12 @@
 		}
 	}
 	if best == nil {
-		if !j.ZoneRule() && !p.plain && !p.paced { // there may be room that is only not given yet
+		if !w.left && !j.ZoneRule() && !p.plain && !p.paced { // there may be room that is only not given yet
 			p.refusals = append(p.refusals, refusal{j.Need, j.Spot, j.Types, j.Rec.Zone})
 		}
 		return false
 	}
-	if j.Prompt && j.Rec.Kind == jobs.Service && !best.HasImage(j.Image) && p.waitsForImage(w, j, best) {
+	if !w.left && j.Prompt && j.Rec.Kind == jobs.Service && !best.HasImage(j.Image) && p.waitsForImage(w, j, best) {
 		p.paced = true
 		return false
 	}
@@ -643,6 +652,118 @@
 	return true
 }
 
+// gives says whether room on a machine is for a job: not where it is held for another, or
+// kept for tasks that need its accelerators.
+func (w *World) gives(j *jobs.Job, m *workers.Machine) bool {
+	if w.left {
+		return permitted(j, m, w.Zone)
+	}
+	return !m.Held && Allowed(j, m, w.Zone) && (!w.kept(j, m) || w.mayLend(j, m))
+}
+
+// leftAfter is how long a task waits beside room that its job may have before it gets it,
+// and leftEvery how often that is looked for.
+const (
+	leftAfter = 60 * time.Second
+	leftEvery = time.Second
+)
+
+// leftWaiting is the exception of that name: a job of which a task has waited for a minute
+// while machines on which its user lets it be had room for it all the time, or for all of a
+// gang, and its team was under its limit, gets that room, whatever it was held or kept for,
+// whether we would rather have its tasks elsewhere, and whether the machine was to be
+// returned. Room held for a first job that does not fit has no limit in time otherwise: found
+// in a test with services on all machines, an urgent gang that fits none of them, and gangs
+// that waited beside them for as long as the day was. least is what the smallest task that
+// waits needs.
+func (p *Planner) leftWaiting(w *World, least int64) (given int) {
+	if w.Now-p.leftAt < leftEvery {
+		return 0
+	}
+	p.leftAt = w.Now
+	var room []*workers.Machine
+	for _, m := range w.Yard.All() {
+		if m.Free.CPU >= least && (m.Free.CPU > 0 || m.Free.GPU > 0) && m.Serves(w.Now, w.Quiet) {
+			room = append(room, m)
+		}
+	}
+	var none []refusal // needs that found no room
+	w.left = true
+	for _, j := range w.Jobs.All() {
+		if j == nil || j.Waiting == 0 || !p.ready(w, j) || w.next(j) < 0 || !p.Within(j.Team, j.Need.Times(j.Together()), w.missing(j.Team)) || !w.units(j, j.Together()) ||
+			slices.ContainsFunc(none, func(r refusal) bool { return r.covers(j, j.Rec.Spot) }) {
+			if j != nil {
+				j.BesideRoom = 0
+			}
+			continue
+		}
+		switch {
+		case !w.hasRoom(j, room):
+			j.BesideRoom = 0
+			if j.Rec.Kind != jobs.Gang && !j.ZoneRule() {
+				none = append(none, refusal{j.Need, j.Rec.Spot, j.Types, j.Rec.Zone})
+			}
+		case j.BesideRoom == 0:
+			j.BesideRoom = w.Now
+		case w.Now-j.BesideRoom >= leftAfter:
+			if p.giveLeft(w, j, room) {
+				given++
+			}
+		}
+	}
+	w.left = false
+	return given
+}
+
+// giveLeft gives a job that was left waiting what room there is for it, and says whether
+// that was any.
+func (p *Planner) giveLeft(w *World, j *jobs.Job, room []*workers.Machine) bool {
+	before := j.Placed
+	if j.Rec.Kind == jobs.Gang {
+		p.launch(w, j, room)
+	} else {
+		for k := w.next(j); k >= 0 && p.give(w, j, k, room); k = w.next(j) {
+		}
+	}
+	if j.Placed == before {
+		return false
+	}
+	j.BesideRoom = 0
+	for _, m := range room {
+		if m.Draining && m.Plans() {
+			m.Draining, m.KeptUntil = false, w.Now+leftAfter // the plan would be taken back else
+		}
+	}
+	return true
+}
+
+// hasRoom says whether machines that a job may use have room for one more of its tasks, or
+// for all of a gang.
+func (w *World) hasRoom(j *jobs.Job, room []*workers.Machine) bool {
+	need := j.Together()
+	places := map[int32]int{}
+	for _, m := range room {
+		if !j.Need.Fits(m.Free) || !j.ZoneAllows(m.Zone) || !permitted(j, m, w.Zone) {
+			continue
+		}
+		if need == 1 {
+			return true
+		}
+		places[m.Zone] += Slots(j.Need, m.Free)
+	}
+	all, most := 0, 0
+	for z, n := range places {
+		if j.Rec.Spread {
+			n = min(n, j.MostInZone()-j.Zones[z])
+		}
+		all, most = all+n, max(most, n)
+	}
+	if j.Rec.OneZone {
+		all = most
+	}
+	return all >= need && !j.Broken && (!j.Began || j.Placed == 0)
+}
+
 // waitsForImage says whether a replica that should start within a moment leaves room on a
 // machine that would have to fetch its image first: for a fraction of the fetch, and not
 // for long. On a full cluster the next room comes free sooner, and often where the image is.
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -40,6 +40,7 @@
 	TasksRerun     uint64 `json:"tasks_rerun"`
 	Released       uint64 `json:"jobs_released"`
 	CancelSpread   uint64 `json:"cancellations_spread"`
+	LeftWaiting    uint64 `json:"left_waiting"`
 }
 
 // Start is what a term begins with.
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -357,9 +357,11 @@
 	})
 }
 
-// somewhere says whether a machine that stays may take tasks of a job.
+// somewhere says whether a machine that stays may take one more task of a job. Found in a
+// test with a spread array of which one zone had its half: nothing was rented in the other,
+// and the rest waited until the first half was done.
 func (d *Duty) somewhere(j *jobs.Job) bool {
-	return slices.ContainsFunc(d.Yard.All(), func(m *workers.Machine) bool { return !m.Draining && d.hasPlace(j, m) })
+	return slices.ContainsFunc(d.Yard.All(), func(m *workers.Machine) bool { return !m.Draining && d.hasPlace(j, m) && j.ZoneAllows(m.Zone) })
 }
 
 // places is how many machines that stay may take tasks of a job.
@@ -558,7 +560,7 @@
 		return false
 	}
 	list := slices.DeleteFunc(slices.Clone(yard), func(m *workers.Machine) bool {
-		return m.Leaving || !m.Up || m.Notice || m.Draining || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS) ||
+		return m.Leaving || !m.Up || m.Notice || m.Draining || now < m.KeptUntil || now-m.UpSince < settings.Seconds(d.Cfg.Tunables.IdleReturnS) ||
 			slices.ContainsFunc(stuck, func(j *jobs.Job) bool { return d.mayTake(j, m) })
 	})
 	ends := map[*workers.Machine]time.Duration{}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -115,6 +115,7 @@
 	Prompt      bool               // its tasks should start sooner than an idle worker reports
 	Kept        Kept               // whether it goes ahead so that its class or team is not served too little
 	Guaranteed  bool               // fits into its team's guarantee with its earlier jobs
+	BesideRoom  time.Duration      // since when a task has waited beside room that it may have; 0: none does
 	Passed      time.Duration      // since when it has left room to jobs with their image there; 0: not
 	Ahead       [][2]time.Duration // spans in which waiting tasks go ahead of the order
 }
--- a/internal/scenario/limits_test.go
+++ b/internal/scenario/limits_test.go
@@ -237,3 +237,60 @@
 		return d.over(10 * time.Minute)
 	}, "a task stopped for another job")
 }
+
+// TestLeftWaiting has jobs wait beside machines with room: room that is held for a first job
+// that does not fit and will not for long, and room in the only zone that a spread job has
+// left. None may wait 90 s so, and the first one is not forgotten for it.
+func TestLeftWaiting(t *testing.T) {
+	for _, kind := range []uint8{0, 1} {
+		d := newStage(t, uint64(kind), 3, nil)
+		d.cloud.capacity = 6
+		stays := d.add(time.Hour, ledger.Job{Tasks: 6, CPUs: 2, Kind: 2, Priority: 1})
+		d.askAll(2 * time.Second)
+		d.runs(stays, 6)
+		long := d.add(4*time.Minute, ledger.Job{Tasks: 6, CPUs: 2, Priority: 1}) // leaves no room, and ends together
+		d.runs(long, 5)
+		if kind == 0 {
+			d.until(6*time.Minute, func() bool { return len(d.machines()) == 6 && d.somewhere(long.id) > 0 })
+		}
+		d.cancel(long, 0)
+		first := d.add(30*time.Second, ledger.Job{Tasks: 6, CPUs: 4, Kind: kind, Priority: 2}) // no machine has so much
+		d.run(2 * time.Second)
+		var small []*userJob
+		for i := range 3 {
+			small = append(small, d.add(40*time.Second, ledger.Job{Tasks: 2, Kind: uint8(i / 2), Priority: 1}))
+		}
+		d.run(10 * time.Second)
+		d.check.calm = d.now
+		d.run(3 * time.Minute)
+		for _, j := range small {
+			if d.check.begun[j.id] == 0 {
+				t.Errorf("kind %d: job %d has not begun", kind, j.id)
+			}
+		}
+		d.cancel(stays, 1)
+		if !d.until(4*time.Minute, func() bool { return first.toldDone }) {
+			t.Errorf("kind %d: the first job is %s", kind, first.state)
+		}
+		if len(d.check.broken) > 0 {
+			t.Errorf("kind %d: rules broken: %v", kind, d.check.broken)
+		}
+	}
+}
+
+// TestSpreadWithOneZone has a spread array wait while machines with room are in one zone only:
+// another is rented in the other.
+func TestSpreadWithOneZone(t *testing.T) {
+	d := newStage(t, 5, 3, nil)
+	bound := d.add(6*time.Minute, ledger.Job{Tasks: 9, Zone: "a", Priority: 1, Spot: true})
+	d.askAll(2 * time.Second)
+	d.runs(bound, 9)
+	spread := d.add(3*time.Minute, ledger.Job{Tasks: 6, Spread: true, Priority: 1, Spot: true})
+	d.run(20 * time.Second)
+	d.check.calm = d.now
+	d.run(40 * time.Second)
+	if n := d.running(spread.id); n != 6 {
+		t.Errorf("%d of 6 tasks run", n)
+	}
+	d.over(8 * time.Minute)
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -155,9 +155,10 @@
 	RentedAt       time.Duration
 	Notice         bool
 	TakenAt        time.Duration
-	Draining       bool // gets no new tasks, to be returned when empty
-	Leaving        bool // its deletion has been decided, for good
-	Unwritten      bool // and waits until it is noted that nothing is on it
+	Draining       bool          // gets no new tasks, to be returned when empty
+	KeptUntil      time.Duration // it is not to be drained before
+	Leaving        bool          // its deletion has been decided, for good
+	Unwritten      bool          // and waits until it is noted that nothing is on it
 	Why            string
 	Tasks          map[Ref]*Placement
 	Strays         []uint64 // jobs of tasks that should not be there and are still shown
@@ -227,8 +228,11 @@
 )
 
 // Usable says whether tasks may be planned on the machine.
-func (m *Machine) Usable(now, quiet time.Duration) bool {
-	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Tainted && !m.Leaving && !m.Draining && !m.Notice && len(m.Strays) == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
+func (m *Machine) Usable(now, quiet time.Duration) bool { return !m.Draining && m.Serves(now, quiet) }
+
+// Serves says whether it could run more tasks, even if it is to be returned.
+func (m *Machine) Serves(now, quiet time.Duration) bool {
+	return m.Durable && m.Up && m.Resolved && m.Doubt == 0 && !m.Tainted && !m.Leaving && !m.Notice && len(m.Strays) == 0 && now >= m.ShunUntil && now-m.Heard <= quiet
 }
 
 // Unresolved says whether an earlier term may have left something on the machine that is
