Scenario files have the new troubles, and say what is wrong with a word or value

Change: commands mute, keep-reports, freeze, cancel-now, cancel-at-end, looks, odd, calm; state answers-lost, cloud boot and answers. Every command and word is looked up in one table; what is not in it, a length of time or a share that is none, is one line with the file, the word and what is allowed (TestWords).

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -28,6 +28,9 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var p *player
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if wrong := checkWords(d); wrong != "" {
+				d.Fatalf(t, "%s", wrong)
+			}
 			if d.Cmd == "world" {
 				p = newPlayer(t, d)
 				return "ok"
@@ -247,10 +250,17 @@
 		s.state.lowered = s.state.lowered || d.HasArg("lower")
 		s.state.loseOut += arg(t, d, "lose", 0)
 		s.state.delayed = span(t, d, "delay")
+		if d.HasArg("answers-lost") {
+			s.state.lateShare, s.state.atOnce = arg(t, d, "answers-lost", 0.0), true
+		}
 	case "cloud":
 		s.cloud.outage = d.HasArg("outage")
 		s.cloud.dud += arg(t, d, "dud", 0)
 		s.cloud.late = span(t, d, "late")
+		if d.HasArg("boot") {
+			s.cloud.boot = span(t, d, "boot")
+		}
+		s.cloud.answer = span(t, d, "answers")
 		if d.HasArg("capacity") {
 			s.cloud.capacity = arg(t, d, "capacity", 0)
 		}
@@ -321,6 +331,32 @@
 				s.after(v, func() { delete(s.deaf, h) })
 			}
 		}
+	case "mute": // they reach no controller, while direct commands reach them
+		for _, h := range p.hosts(t, d) {
+			s.mute[h] = true
+			if v := span(t, d, "for"); v > 0 {
+				s.after(v, func() { delete(s.mute, h) })
+			}
+		}
+	case "keep-reports": // of that share of reports a copy is kept for the next leader
+		s.keep = arg(t, d, "share", 0.5)
+	case "freeze": // controllers stand still, while their clocks run on
+		for _, c := range p.pick(t, d) {
+			s.frozen[c.name] = s.now + span(t, d, "for")
+		}
+	case "cancel-now": // users call off that many jobs that run, within a fifth of a second
+		s.cancelNow(s.rng, arg(t, d, "count", 1), span(t, d, "hang"))
+	case "cancel-at-end": // of that share of the jobs that end
+		s.atEnd = arg(t, d, "share", 1.0)
+	case "looks": // users look closely
+		s.looks = !d.HasArg("off")
+	case "odd": // odd requests about a job
+		for i := range arg(t, d, "times", 1) {
+			s.odd(s.jobs[id], i)
+			s.run(300 * time.Millisecond)
+		}
+	case "calm": // all troubles are over
+		s.check.calm = s.now
 	case "reborn": // back at once under their names, with nothing on them
 		for _, h := range p.hosts(t, d) {
 			s.cloud.machines[h].reborn()
@@ -473,7 +509,7 @@
 	case "answer":
 		return s.jobs[id].state
 	default:
-		d.Fatalf(t, "no such command")
+		d.Fatalf(t, "%s: not played", d.Cmd)
 	}
 	return "ok"
 }
--- /dev/null
+++ b/internal/scenario/words_test.go
@@ -0,0 +1,136 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// words are the commands of scenario files with the words that each may have.
+var words = map[string]string{
+	"world":              "seed nodes old capacity limit guaranteed write-rps value-bytes txn-ops next-value-bytes next-txn-ops lease cancel report takeovers zone-patience spread-moves begin cold starts images direct ask pools hold-after-loss",
+	"submit":             "id count kind team priority checkpoint tasks cpus zone one-zone spread no-spot counted follows run at",
+	"resubmit":           "id at",
+	"ask":                "id",
+	"abort":              "id at",
+	"told-by-production": "id",
+	"run":                "for",
+	"await":              "id state within",
+	"await-all":          "within",
+	"await-running":      "id tasks within",
+	"await-gathering":    "id tasks within",
+	"await-leader":       "within",
+	"crash":              "node",
+	"start":              "node old",
+	"quick":              "node times",
+	"roll":               "every old",
+	"state":              "node outage back refuse lower lose delay answers-lost",
+	"cloud":              "outage back dud late capacity boot answers",
+	"cut":                "node job count from hold",
+	"cut-zone":           "zone node hold",
+	"refuse-peers":       "",
+	"apart":              "",
+	"deafen":             "",
+	"heal":               "",
+	"kill":               "job count one",
+	"hang":               "job count for",
+	"deaf":               "job count for",
+	"mute":               "job count for",
+	"reborn":             "job count",
+	"repeat":             "late",
+	"keep-reports":       "share",
+	"freeze":             "node for",
+	"cancel-now":         "count hang",
+	"cancel-at-end":      "share",
+	"looks":              "off",
+	"odd":                "id times",
+	"calm":               "",
+	"apart-node":         "node hold",
+	"left":               "id",
+	"sent":               "",
+	"faulty":             "job count",
+	"notice":             "job count in",
+	"cleaned":            "",
+	"machines":           "no-spot",
+	"deleted":            "",
+	"switch":             "takeovers",
+	"resize":             "pool units",
+	"out":                "pool",
+	"takeovers":          "",
+	"cold":               "difference",
+	"spread":             "",
+	"take":               "job count",
+	"started":            "",
+	"noted":              "text",
+	"explain":            "id",
+	"rules":              "",
+	"answer":             "id",
+}
+
+// timed and portions are the words whose values are lengths of time, or shares from 0 to 1.
+var (
+	timed    = strings.Fields("for within every delay late boot answers in hang")
+	portions = strings.Fields("share answers-lost")
+)
+
+// checkWords says in one line what is wrong with a command, and what is allowed; empty:
+// nothing.
+func checkWords(d *datadriven.TestData) string {
+	allowed, known := words[d.Cmd]
+	if !known {
+		return fmt.Sprintf("%s: no such command; there are %s", d.Cmd, strings.Join(slices.Sorted(maps.Keys(words)), ", "))
+	}
+	list := strings.Fields(allowed)
+	for _, a := range d.CmdArgs {
+		if !slices.Contains(list, a.Key) {
+			if len(list) == 0 {
+				list = []string{"no words"}
+			}
+			return fmt.Sprintf("%s: %s: no such word; allowed: %s", d.Cmd, a.Key, strings.Join(list, ", "))
+		}
+		value := strings.Join(a.Vals, ",")
+		if slices.Contains(timed, a.Key) {
+			if v, err := time.ParseDuration(value); err != nil || v < 0 {
+				return fmt.Sprintf("%s: %s=%s: not a length of time, as in 1.5s or 200ms", d.Cmd, a.Key, value)
+			}
+		}
+		if slices.Contains(portions, a.Key) {
+			var v float64
+			if n, err := fmt.Sscanf(value+" ", "%g ", &v); n != 1 || err != nil || v < 0 || v > 1 {
+				return fmt.Sprintf("%s: %s=%s: not a share from 0 to 1", d.Cmd, a.Key, value)
+			}
+		}
+	}
+	return ""
+}
+
+// TestWords holds bad words and values of scenario files to one clear line each.
+func TestWords(t *testing.T) {
+	for line, want := range map[string]string{
+		"mute job=1 for=5s":            "",
+		"state answers-lost=0.4":       "",
+		"mite job=1":                   "mite: no such command; there are abort, ",
+		"mute jib=1":                   "mute: jib: no such word; allowed: job, count, for",
+		"mute job=1 for=soon":          "mute: for=soon: not a length of time, as in 1.5s or 200ms",
+		"mute job=1 for=-1s":           "mute: for=-1s: not a length of time",
+		"keep-reports share=2":         "keep-reports: share=2: not a share from 0 to 1",
+		"keep-reports share=half":      "keep-reports: share=half: not a share from 0 to 1",
+		"state answers-lost":           "state: answers-lost=: not a share from 0 to 1",
+		"rules now":                    "rules: now: no such word; allowed: no words",
+		"cancel-at-end share=0.5 at=1": "cancel-at-end: at: no such word; allowed: share",
+	} {
+		cmd, args, err := datadriven.ParseLine(line)
+		if err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		got := checkWords(&datadriven.TestData{Cmd: cmd, CmdArgs: args})
+		if !strings.HasPrefix(got, want) || (want == "") != (got == "") || strings.Contains(got, "\n") {
+			t.Errorf("%s: %q, want %q", line, got, want)
+		}
+	}
+}
