Tests: starts wait for grants, holders back at once, repeated starts after a reap

Change: three meetings: the state service refuses the leader alone as machines come free, and it ends; controllers that hold blocks are back within a tenth of a second while machines with fresh starts are not heard; copies of starts sent straight to workers arrive after their jobs were cancelled and reaped.

--- /dev/null
+++ b/internal/scenario/hands_test.go
@@ -0,0 +1,115 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// TestStartsWaitForGrants has the state service refuse the leader alone just before a machine
+// comes free, so that the grant of the next job there cannot be noted; then the leader ends, and
+// the machine is not heard by the next one for a while. Nothing may have been started there:
+// nobody would know.
+func TestStartsWaitForGrants(t *testing.T) {
+	playDays(t, 12, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, nil)
+		d.cloud.capacity = 4
+		first := d.add(60*time.Second, ledger.Job{Tasks: 4, CPUs: 4, Priority: 1, Spot: true})
+		d.askAll(time.Second)
+		d.runs(first, 4)
+		next := d.add(60*time.Second, ledger.Job{Tasks: 4, CPUs: 2, Priority: 1, Spot: true})
+		d.run(3 * time.Second)
+		d.cloud.capacity, d.cloud.boot = 12, 0 // for what would start elsewhere
+		end := time.Hour
+		for k := range 4 {
+			end = min(end, d.sim.ends[task{first.id, k}])
+		}
+		d.run(end - d.now - time.Duration(seed%4*150)*time.Millisecond)
+		l := d.leads()
+		d.state.refuse[l.name] = true
+		d.run(1700 * time.Millisecond)
+		if d.check.over(first.id) || d.running(first.id) < 4 {
+			d.saw("machines free while the leader is refused")
+		}
+		d.trouble("held", append(d.busy(next), d.machines()...)[:1], 12*time.Second)
+		l.crash()
+		d.state.refuse = map[string]bool{}
+		d.tr.back(l, 8*time.Second)
+		d.run(20 * time.Second)
+		return d.over(5 * time.Minute)
+	}, "machines free while the leader is refused")
+}
+
+// TestHolderBackAtOnce has the controllers that hold blocks end and be back within a tenth of
+// a second, while they start tasks on other machines of their block than those on which room
+// is kept: the new life knows of no offer that the former one has taken up.
+func TestHolderBackAtOnce(t *testing.T) {
+	playDays(t, 16, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 5, 26.5
+		})
+		d.cloud.capacity = 40
+		warm := d.add(50*time.Second, ledger.Job{Tasks: 60, Priority: 1, Spot: true})
+		d.askAll(2 * time.Second)
+		d.runs(warm, 40)
+		for i := range 160 {
+			d.addAt(time.Duration(i)*200*time.Millisecond, time.Duration(2000+d.r.IntN(4000))*time.Millisecond, ledger.Job{Tasks: 1 + i%4, Priority: uint8(i % 3), Spot: true})
+		}
+		for i := range 50 { // some that have just begun tasks are not heard for a moment
+			d.after(time.Duration(i)*650*time.Millisecond, func() {
+				for _, w := range d.tr.some(5) {
+					d.trouble("mute", []*worker{w}, 2500*time.Millisecond)
+				}
+			})
+		}
+		for i := range 40 {
+			d.after(time.Duration(i)*800*time.Millisecond+time.Duration(d.r.IntN(500))*time.Millisecond, func() {
+				l := d.leader()
+				for _, n := range d.nodes {
+					if n != l && n.up && d.r.IntN(2) == 0 {
+						n.crash()
+						d.tr.back(n, 100*time.Millisecond)
+						d.saw("a holder back at once")
+					}
+				}
+			})
+		}
+		d.run(40 * time.Second)
+		return d.over(5 * time.Minute)
+	}, "a holder back at once")
+}
+
+// TestRepeatedStartAfterReap has copies of starts sent straight to workers arrive after their
+// jobs were cancelled, and their ended tasks reaped: none may begin once more.
+func TestRepeatedStartAfterReap(t *testing.T) {
+	playDays(t, 8, func(t *testing.T, seed uint64) *sim {
+		d := newStage(t, seed, 3, func(c *settings.Settings) {
+			c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
+			c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
+			c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
+		})
+		warm := d.add(5*time.Second, ledger.Job{Tasks: 24, CPUs: 2, Priority: 1, Spot: true})
+		d.askAll(2 * time.Second)
+		if !d.until(60*time.Second, func() bool { return d.check.over(warm.id) }) {
+			t.Fatal("the first job is not done")
+		}
+		d.again = 9 * time.Second
+		for i := range 40 {
+			d.after(time.Duration(i)*600*time.Millisecond, func() {
+				j := d.add(20*time.Second, ledger.Job{Tasks: 1 + i%3, Priority: 1, Spot: true})
+				sent := d.launches
+				d.after(time.Duration(700+d.r.IntN(1500))*time.Millisecond, func() {
+					if d.launches > sent && j.accepted {
+						d.saw("cancelled after it was sent straight to a worker")
+						d.cancel(j, i)
+					}
+				})
+			})
+		}
+		d.run(45 * time.Second)
+		d.again = 0
+		return d.over(5 * time.Minute)
+	}, "cancelled after it was sent straight to a worker")
+}
