--- a/internal/lifecycle/follow.go
+++ b/internal/lifecycle/follow.go
@@ -144,7 +144,7 @@
 // wipe cancels one job, none of whose tasks is anywhere.
 func (d *Duty) wipe(j *jobs.Job) {
 	j.Phase = jobs.Cancelled
-	delete(d.doomed, j.Rec.ID)
+	delete(d.cancelling, j.Rec.ID)
 	d.Jobs.Finish(j.Rec.ID, jobs.Cancelled)
 	d.Jobs.Unlink(j)
 	d.Book.Remove(j.Index, false, 0, 0)
@@ -155,7 +155,7 @@
 // restoreLinks settles after a replay what every job waits for. The log is
 // read as a whole before: cleaning changes the order of its entries.
 func (d *Duty) restoreLinks(now time.Duration, parts map[uint64][]ledger.After, doneAt map[uint64]int64) {
-	var doomed []*jobs.Job
+	var cancelling []*jobs.Job
 	for _, j := range d.Jobs.All() {
 		if j == nil {
 			continue
@@ -172,7 +172,7 @@
 			continue
 		}
 		if !d.link(j) {
-			doomed = append(doomed, j)
+			cancelling = append(cancelling, j)
 			continue
 		}
 		if len(j.After) > 0 {
@@ -189,7 +189,7 @@
 			d.schedule(j, d.timeOf(j.Rec.ReleasedMS, now))
 		}
 	}
-	for _, j := range doomed {
+	for _, j := range cancelling {
 		for _, x := range append(d.Jobs.Needing(j), j) {
 			d.Jobs.Finish(x.Rec.ID, jobs.Cancelled)
 			d.Jobs.Unlink(x)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -36,7 +36,7 @@
 	completed map[uint64]*ledger.Tasks
 	accepting map[uint64][]effects.Asker
 	ending    map[uint64][]effects.Asker // askers of a cancellation
-	doomed    map[uint64]*jobs.Job       // jobs whose cancellation waits until nothing of them is anywhere
+	cancelling    map[uint64]*jobs.Job       // jobs whose cancellation waits until nothing of them is anywhere
 
 	gone   *cluster.Histogram
 	parts  map[uint64][]ledger.After // while the log is replayed
@@ -48,7 +48,7 @@
 func New(s *cluster.State) *Duty {
 	return &Duty{State: s, gone: s.Measures.Histogram("bitternmoor_cancel_seconds", "Time from a user's wish to cancel a job until nothing of it was left anywhere, by its class.",
 		"class", []float64{0.05, 0.2, 0.5, 1, 2, 4, 8, 15, 30, 60}), completed: map[uint64]*ledger.Tasks{}, accepting: map[uint64][]effects.Asker{}, ending: map[uint64][]effects.Asker{},
-		doomed: map[uint64]*jobs.Job{}, parts: map[uint64][]ledger.After{}, doneAt: map[uint64]int64{}}
+		cancelling: map[uint64]*jobs.Job{}, parts: map[uint64][]ledger.After{}, doneAt: map[uint64]int64{}}
 }
 
 // Replay takes an entry of the log.
@@ -222,12 +222,12 @@
 // there is nothing left that could run.
 func (d *Duty) Write(now time.Duration) {
 	d.writeTasks(now)
-	for _, id := range slices.Sorted(maps.Keys(d.doomed)) {
-		switch j := d.doomed[id]; {
+	for _, id := range slices.Sorted(maps.Keys(d.cancelling)) {
+		switch j := d.cancelling[id]; {
 		case j.Finished == len(j.Tasks): // done before it could be stopped
-			delete(d.doomed, id)
+			delete(d.cancelling, id)
 		case d.Rid(j):
-			delete(d.doomed, id)
+			delete(d.cancelling, id)
 			d.end(now, j)
 		}
 	}
--- a/internal/lifecycle/users.go
+++ b/internal/lifecycle/users.go
@@ -174,7 +174,7 @@
 		return
 	}
 	j.Phase = jobs.Cancelling
-	d.doomed[id] = j
+	d.cancelling[id] = j
 	d.stopTasks(j)
 }
 
--- a/internal/scenario/confirmed_test.go
+++ b/internal/scenario/confirmed_test.go
@@ -90,7 +90,7 @@
 	}
 	follows := submit(4, 0, 2, 1)
 	s.run(2 * time.Second)
-	doomed := []*userJob{array, gang, service, follows}
+	cancelling := []*userJob{array, gang, service, follows}
 	s.askAll(2 * time.Second)
 
 	l := s.leader()
@@ -138,7 +138,7 @@
 		t.Fatal("nobody else leads")
 	}
 	asked := s.now
-	for _, j := range doomed {
+	for _, j := range cancelling {
 		if !j.asked {
 			s.abort(j, s.leader().index)
 		}
@@ -184,7 +184,7 @@
 		}
 	}
 	if !s.until(5*time.Minute, func() bool {
-		return !slices.ContainsFunc(doomed, func(j *userJob) bool { return !j.gone })
+		return !slices.ContainsFunc(cancelling, func(j *userJob) bool { return !j.gone })
 	}) {
 		t.Errorf("not all cancellations came to their end: %s, %s, %s, %s", array.state, gang.state, service.state, follows.state)
 	}
@@ -197,7 +197,7 @@
 	sum.Lock()
 	defer sum.Unlock()
 	sum.played++
-	for _, j := range doomed {
+	for _, j := range cancelling {
 		if j.gone {
 			sum.confirmed++
 		}
--- a/internal/upgrade/oneway_test.go
+++ b/internal/upgrade/oneway_test.go
@@ -169,8 +169,8 @@
 				first, a.extra = production, func(int) []string { return nil }
 			}
 			a.begin(first)
-			doomed, stays := a.submit(1, 10, 10*time.Minute), a.submit(2, 6, 75*time.Second)
-			a.eventually("all run", 60*time.Second, func() bool { return len(a.fleet.On(doomed)) == 10 && len(a.fleet.On(stays)) == 6 })
+			cancelling, stays := a.submit(1, 10, 10*time.Minute), a.submit(2, 6, 75*time.Second)
+			a.eventually("all run", 60*time.Second, func() bool { return len(a.fleet.On(cancelling)) == 10 && len(a.fleet.On(stays)) == 6 })
 			before := map[string]uint64{}
 			for task, n := range a.fleet.Attempts() {
 				before[task] = n
@@ -183,7 +183,7 @@
 			next := a.another(old)
 			asked := time.Now()
 			a.eventually("the cancellation is confirmed", 60*time.Second, func() bool {
-				resp, err := http.Post("http://"+a.doors[next]+"/api/jobs/"+doomed+"/abort", "application/json", nil)
+				resp, err := http.Post("http://"+a.doors[next]+"/api/jobs/"+cancelling+"/abort", "application/json", nil)
 				if err != nil {
 					return false
 				}
@@ -191,12 +191,12 @@
 				return resp.StatusCode == 200
 			})
 			told := time.Now()
-			if on := a.fleet.On(doomed); len(on) > 0 {
+			if on := a.fleet.On(cancelling); len(on) > 0 {
 				t.Errorf("told while %d of its tasks run", len(on))
 			}
 			a.store.SetDown(true)
 			for time.Since(told) < 40*time.Second { // cancel_s is 30 s
-				if on := a.fleet.On(doomed); len(on) > 0 {
+				if on := a.fleet.On(cancelling); len(on) > 0 {
 					t.Fatalf("%v after its user was told a task runs on %v", time.Since(told), on)
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -211,7 +211,7 @@
 			a.refuse[old].Store(false)
 			a.cut(old, false)
 			a.eventually("the other job is done", 120*time.Second, func() bool { return a.state(stays) == "done" })
-			if got := a.state(doomed); got != "aborted" {
+			if got := a.state(cancelling); got != "aborted" {
 				t.Errorf("the cancelled job is %q", got)
 			}
 			for _, b := range append(a.fleet.Broken(), a.store.Refused()...) {
