Rename: Rid is Quiescent

Need: the field's word for a job of which nothing runs anywhere, nor can begin. Change: cluster.State.Quiescent; nothing else.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -331,10 +331,10 @@
 // is not known what an earlier term left on them.
 func (s *State) MayRunUnseen(j *jobs.Job) bool { return j.MayRunUnseen(s.blind > 0) }
 
-// Rid says whether nothing of a job is anywhere, nor can be: no task counts as being on a
+// Quiescent says whether nothing of a job is anywhere, nor can be: no task counts as being on a
 // machine, on offer or on its way, none may run unseen, and none is shown where it does not
 // count.
-func (s *State) Rid(j *jobs.Job) bool {
+func (s *State) Quiescent(j *jobs.Job) bool {
 	return j.Placed == 0 && !s.MayRunUnseen(j) && !slices.ContainsFunc(s.Yard.All(), func(m *workers.Machine) bool { return slices.Contains(m.Strays, j.Rec.ID) })
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -226,7 +226,7 @@
 		switch j := d.cancelling[id]; {
 		case j.Finished == len(j.Tasks): // done before it could be stopped
 			delete(d.cancelling, id)
-		case d.Rid(j):
+		case d.Quiescent(j):
 			delete(d.cancelling, id)
 			d.end(now, j)
 		}
