Rename: an odd report is a stale one

Need: the field's word for a report that is older than one taken in. Change: workers.Machine.Stale; nothing else. Measured: go vet passes, behaviour as before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -257,7 +257,7 @@
 	switch diff.Settlement() {
 	case squaring.Ignore:
 		if m != nil {
-			m.Odd(now, settings.Seconds(1.5*d.Cfg.Deployment.Workers.ReportS))
+			m.Stale(now, settings.Seconds(1.5*d.Cfg.Deployment.Workers.ReportS))
 			if sure && m.WantsToken(now) {
 				m.Token = d.NextToken()
 			}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -465,9 +465,9 @@
 	m.Doubt, m.raise = max(m.Doubt, token), RaiseNow
 }
 
-// Odd takes a report that is older than one taken in, though nothing newer has come for
+// Stale takes a report that is older than one taken in, though nothing newer has come for
 // longer than a worker is silent: the machine may have begun anew.
-func (m *Machine) Odd(now, silent time.Duration) {
+func (m *Machine) Stale(now, silent time.Duration) {
 	if m.Up && m.Doubt == 0 && now-m.Heard > silent {
 		m.doubt(now, m.Token)
 	}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -156,7 +156,7 @@
 // of its own.
 func TestDeaf(t *testing.T) {
 	m := NewYard().Add(&Machine{Name: "m", Token: 5, Up: true, Heard: time.Second})
-	m.Odd(10*time.Second, 5*time.Second)
+	m.Stale(10*time.Second, 5*time.Second)
 	m.Heard = 60 * time.Second
 	if m.Doubt != 5 || m.Deaf(60*time.Second, 20*time.Second) {
 		t.Fatal("no token was given to it yet")
