--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -33,10 +33,10 @@
 	*cluster.State
 
 	// tasks completed but not yet handed to the log, by job id
-	completed map[uint64]*ledger.Tasks
-	accepting map[uint64][]effects.Asker
-	ending    map[uint64][]effects.Asker // askers of a cancellation
-	cancelling    map[uint64]*jobs.Job       // jobs whose cancellation waits until nothing of them is anywhere
+	completed  map[uint64]*ledger.Tasks
+	accepting  map[uint64][]effects.Asker
+	ending     map[uint64][]effects.Asker // askers of a cancellation
+	cancelling map[uint64]*jobs.Job       // jobs whose cancellation waits until nothing of them is anywhere
 
 	gone   *cluster.Histogram
 	parts  map[uint64][]ledger.After // while the log is replayed
