--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -76,7 +76,7 @@
 		"commands carried out that were held up", "a direct command met a machine that hangs", "a direct command turned away for its token or session", "an answer dropped for its token or session", "a packet to a deaf machine lost",
 		"a report of a mute machine lost", "a direct command reached a mute machine", "only the answer lost: log", "only the answer lost: claim", "only the answer lost: hold", "only the answer lost: renewal", "a kept report reached the next leader",
 		"several jobs that run cancelled together", "a machine of a job that is cancelled hangs", "a cancellation at the end of the last task", "a machine up before its rental was answered",
-		"an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled", "close looks"} {
+		"an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled", "close looks", "beside the version in production"} {
 		t.Logf("%s: %d times", what, seen[what])
 		if seen[what] == 0 {
 			t.Errorf("%s: never brought about", what)
@@ -109,8 +109,22 @@
 		c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS, c.Deployment.Workers.CancelS = 5, 26.5, 51.5
 		c.Deployment.State.WriteRPS, c.Deployment.State.ValueKB, c.Deployment.State.TxnOps, c.Deployment.Cloud.RPS = 100, 16, 16, 9
 	}
-	s = newSim(c, seed, count, false)
+	beside := seed%4 >= 2 // beside the version in production, of which one after the other is replaced
+	s = newSim(c, seed, count, beside)
 	s.cloud.capacity = max(s.cloud.capacity, size)
+	if beside {
+		for i, n := range s.nodes {
+			s.after(time.Duration(25000+20000*i/count*3+r.IntN(12000))*time.Millisecond, func() {
+				n.crash()
+				n.old = false
+				s.after(8*time.Second, func() {
+					if !n.up {
+						n.start(n.old)
+					}
+				})
+			})
+		}
+	}
 	var log []string
 	tr := &troubles{s: s, r: r, zones: seed%5 == 0, many: size / 20, say: func(f string, a ...any) {
 		log = append(log, fmt.Sprintf("%v ", s.now.Round(time.Millisecond))+fmt.Sprintf(f, a...))
@@ -150,6 +164,9 @@
 		met = true
 		tr.begin(b, time.Duration(5+r.IntN(25))*time.Second, r.IntN(count))
 	})
+	if beside {
+		s.saw("beside the version in production")
+	}
 	if seed%2 == 1 { // a takeover besides
 		s.after(time.Duration(r.IntN(30000))*time.Millisecond, func() {
 			if l := s.leader(); l != nil {
