--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -55,7 +55,7 @@
 var (
 	mildTroubles  = []trouble{nodeCrash, nodeCrash, allCrash, outage, nodeRefused, nodeCut, machineCut, machineDies, machineHangs, lateOnce}
 	harshTroubles = []trouble{nodeBack, allBack, machinesDeaf, lateCopies, nodeApart, machinesReborn, lateWrites, slowState, heldUp, handOvers}
-	laterTroubles = []trouble{machinesMute, machinesMute, answersLost, reportsKept, cancelNow, cancelAtEnd, quickBoots, oddRequests, closeLooks, nodeFreezes}
+	laterTroubles = []trouble{machinesMute, refusedThenAll, answersLost, reportsKept, cancelNow, cancelAtEnd, quickBoots, oddRequests, closeLooks, nodeFreezes}
 )
 
 // troubles brings them about in a world.
