Messages between controllers are looked at before anything follows from them

Cause: read out of the code. A request of an unknown kind on the internal address was taken for a cancellation; a hail of anybody, with a high epoch, sent users and workers to a controller that there is not, until the keys were read again; a job of any number of tasks was entered as it came.

Change: kind, ids, amounts and names of a request, controller and machine of a report, and sender of a hail are checked; what does not hold is refused, counted (message_refused) and logged, and does not reach the loop.

--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// What other controllers send is looked at before anything follows from it: a message that is
+// malformed, too large, or of somebody who is no controller of this installation is refused
+// and counted, and changes nothing. Before, a request of an unknown kind was taken for a
+// cancellation, and a hail of anybody sent users and workers there.
+
+const (
+	tasksMost  = 100_000 // of a job
+	nameMost   = 256     // bytes
+	reportMost = 4096    // tasks of a report: a worker's is at most 64 KiB
+)
+
+// refuse counts a message that is not taken.
+func (n *Node) refuse(err error) error {
+	if err != nil {
+		n.refused.Add(1)
+		n.log.Warn("message of another controller refused", "error", err)
+	}
+	return err
+}
+
+// knows says whether a name is that of another controller.
+func (n *Node) knows(name string) bool {
+	return slices.ContainsFunc(n.cfg.Peers, func(p settings.Peer) bool { return p.Node == name })
+}
+
+func (n *Node) checkAsk(in UserRequest) error {
+	switch in.Op {
+	case opQuery, opAbort:
+		return nil
+	case opSubmit:
+	default:
+		return fmt.Errorf("node: ask: op: %.20q is none", in.Op)
+	}
+	if in.Submission.ID != in.ID || !in.Submission.HasID {
+		return fmt.Errorf("node: ask: submission: of job %d, and the request of %d", in.Submission.ID, in.ID)
+	}
+	if j := in.Submission.Job; j != nil {
+		return checkJob(in.ID, j)
+	}
+	return nil
+}
+
+func checkJob(id uint64, j *ledger.Job) error {
+	switch {
+	case j.ID != id:
+		return fmt.Errorf("node: ask: job: %d, and the request of %d", j.ID, id)
+	case j.Tasks < 1 || j.Tasks > tasksMost:
+		return fmt.Errorf("node: ask: tasks: %d, not between 1 and %d", j.Tasks, tasksMost)
+	case j.Kind > 2 || j.Priority > 3:
+		return fmt.Errorf("node: ask: kind %d or priority %d: there is none", j.Kind, j.Priority)
+	}
+	for _, name := range []string{j.Class, j.Team, j.Image, j.Zone} {
+		if len(name) > nameMost {
+			return fmt.Errorf("node: ask: a name of %d bytes", len(name))
+		}
+	}
+	for _, v := range []float64{j.CPUs, j.GPUs, j.MemoryGB, j.ImageGB, j.EstimateS, j.Checkpoint, j.SaveS} {
+		if !(v >= 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("node: ask: an amount of %v", v)
+		}
+	}
+	return nil
+}
+
+func (n *Node) checkRelay(in effects.Relayed) error {
+	r := &in.Report
+	switch {
+	case !n.knows(in.Via):
+		return fmt.Errorf("node: relay: via: %.20q is no controller", in.Via)
+	case r.Machine == "" || len(r.Machine) > nameMost || len(r.Address) > nameMost || len(r.Type) > nameMost || len(r.Zone) > nameMost:
+		return fmt.Errorf("node: relay: machine: a name is missing, or over %d bytes", nameMost)
+	case r.Session == 0:
+		return fmt.Errorf("node: relay: session: of %.40q: 0", r.Machine)
+	case len(r.Tasks) > reportMost:
+		return fmt.Errorf("node: relay: tasks: %d of %.40q", len(r.Tasks), r.Machine)
+	}
+	for _, t := range r.Tasks {
+		if t.Task < 0 || t.Task >= tasksMost {
+			return fmt.Errorf("node: relay: task: %d", t.Task)
+		}
+	}
+	return nil
+}
+
+func (n *Node) checkHail(in HailMessage) error {
+	if !n.knows(in.Node) || in.Epoch == 0 {
+		return fmt.Errorf("node: hail: %.20q in epoch %d is no controller that leads", in.Node, in.Epoch)
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	admit       *admission.Door // nil: users who are turned away are told the least there is
 	admitMu     sync.Mutex
 	receiptKeys keyCache
+	refused     atomic.Uint64 // messages of other controllers that were not taken
 	direct      chan struct{} // bounds the direct calls under way
 	now         atomic.Pointer[standing]
 
@@ -660,6 +661,9 @@
 // Ask serves a request that another controller's user made. It is never
 // handed on a second time.
 func (c *Controller) Ask(in UserRequest, out *effects.Answer) error {
+	if err := c.n.refuse(c.n.checkAsk(in)); err != nil {
+		return err
+	}
 	if in.Op == opSubmit && !in.Whole && len(c.n.cfg.Tunables.Pools) > 0 {
 		// What the job needs of pools may have been overlooked at the door.
 		*out = effects.Unavailable("the controller that took this knows nothing of pools")
@@ -698,12 +702,18 @@
 
 // Hail takes the leader's word that it leads.
 func (c *Controller) Hail(in HailMessage, _ *bool) error {
+	if err := c.n.refuse(c.n.checkHail(in)); err != nil {
+		return err
+	}
 	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch, in.Fleet) })
 }
 
 // Relay serves a report that another controller received. It is never handed
 // on a second time.
 func (c *Controller) Relay(in effects.Relayed, out *effects.ReportAnswer) error {
+	if err := c.n.refuse(c.n.checkRelay(in)); err != nil {
+		return err
+	}
 	a, err := c.n.askReport(func(now time.Duration, to effects.Asker) { c.n.core.Relayed(now, to, in) })
 	*out = a
 	return err
