--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -52,6 +52,9 @@
 		"no machine": func() error {
 			return c.Relay(relay(func(r *workers.Report) { r.Machine = "" }), &effects.ReportAnswer{})
 		},
+		"a name that no report holds": func() error {
+			return c.Relay(relay(func(r *workers.Report) { r.Zone = string(make([]byte, 70<<10)) }), &effects.ReportAnswer{})
+		},
 		"no session": func() error {
 			return c.Relay(relay(func(r *workers.Report) { r.Session = 0 }), &effects.ReportAnswer{})
 		},
