--- a/internal/scenario/stage_test.go
+++ b/internal/scenario/stage_test.go
@@ -165,3 +165,63 @@
 	d.allEnd(d.t, limit)
 	return d.sim
 }
+
+// TestServedAgain has each trouble by itself meet a steady stream of small jobs, and measures
+// for how long no submission was accepted, no question answered and no task started. Users
+// are served again after each.
+func TestServedAgain(t *testing.T) {
+	for kind := range kindsOfTrouble {
+		t.Run(troubleNames[kind], func(t *testing.T) {
+			t.Parallel()
+			d := newStage(t, 7, 3, nil)
+			d.run(3 * time.Second)
+			const begins, ends = 40 * time.Second, 140 * time.Second
+			for i := range 320 {
+				d.addAt(time.Duration(i)*400*time.Millisecond, time.Duration(2+i%5)*time.Second, ledger.Job{Priority: 1, Spot: true})
+			}
+			d.askAll(time.Second)
+			d.after(begins, func() {
+				who := 0
+				if l := d.leader(); l != nil {
+					who = l.index
+				}
+				d.tr.begin(kind, 15*time.Second, who)
+			})
+			var accepted, started, answered []time.Duration
+			starts, total := 0, 0
+			for at := begins; at < ends; at += 100 * time.Millisecond {
+				d.run(at - d.now)
+				if n := d.check.starts; n > starts {
+					starts, started = n, append(started, at)
+				}
+				n := 0
+				for _, j := range d.jobs {
+					if j.accepted {
+						n++
+					}
+				}
+				if n > total {
+					total, accepted = n, append(accepted, at)
+				}
+				for _, last := range d.check.answered {
+					if at-last < 100*time.Millisecond {
+						answered = append(answered, at)
+						break
+					}
+				}
+			}
+			gap := func(list []time.Duration) time.Duration {
+				longest, last := time.Duration(0), time.Duration(begins)
+				for _, at := range list {
+					longest, last = max(longest, at-last), at
+				}
+				return longest
+			}
+			t.Logf("| %s | %.1f | %.1f | %.1f |", troubleNames[kind], gap(accepted).Seconds(), gap(answered).Seconds(), gap(started).Seconds())
+			if len(accepted) == 0 || len(answered) == 0 || len(started) == 0 || accepted[len(accepted)-1] < 100*time.Second {
+				t.Errorf("after %s users are not served: %d acceptances, %d answers, %d starts", troubleNames[kind], len(accepted), len(answered), len(started))
+			}
+			d.over(5 * time.Minute)
+		})
+	}
+}
