--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -237,6 +237,7 @@
 func (d *Duty) end(now time.Duration, j *jobs.Job) {
 	j.Ending = true
 	d.gone.Observe(j.Rec.Class, (now - j.AskedAt).Seconds())
+	d.Note(effects.Debug, "nothing of a job that is to be cancelled is left", "job", j.Rec.ID, "class", j.Rec.Class, "after", (now - j.AskedAt).Round(time.Millisecond))
 	d.Log.AppendFact(ledger.Entry{Cancel: &j.Rec.ID})
 }
 
