--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -76,7 +76,7 @@
 		"commands carried out that were held up", "a direct command met a machine that hangs", "a direct command turned away for its token or session", "an answer dropped for its token or session", "a packet to a deaf machine lost",
 		"a report of a mute machine lost", "a direct command reached a mute machine", "only the answer lost: log", "only the answer lost: claim", "only the answer lost: hold", "only the answer lost: renewal", "a kept report reached the next leader",
 		"several jobs that run cancelled together", "a machine of a job that is cancelled hangs", "a cancellation at the end of the last task", "a machine up before its rental was answered",
-		"an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled", "close looks", "beside the version in production"} {
+		"an odd repeat answered", "an odd submission refused", "a done job asked to be cancelled", "close looks", "more work than room", "a one-task job cancelled", "beside the version in production"} {
 		t.Logf("%s: %d times", what, seen[what])
 		if seen[what] == 0 {
 			t.Errorf("%s: never brought about", what)
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -184,8 +184,9 @@
 	}
 	tr := &troubles{s: s, r: r, zones: spreads, say: say}
 	for range 3 + r.IntN(8) {
-		at, length, pick, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(10), r.IntN(count)
-		kind := [][]trouble{mildTroubles, harshTroubles, laterTroubles}[r.IntN(3)][pick]
+		at, length, who := sometime(), time.Duration(1+r.IntN(30))*time.Second, r.IntN(count)
+		kinds := [][]trouble{mildTroubles, harshTroubles, laterTroubles}[r.IntN(3)]
+		kind := kinds[r.IntN(len(kinds))]
 		s.after(at, func() {
 			played[kind].Add(1)
 			tr.begin(kind, length, who)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -355,6 +355,17 @@
 			s.odd(s.jobs[id], i)
 			s.run(300 * time.Millisecond)
 		}
+	case "slow": // controllers, or machines with tasks of a job, take so much longer for everything
+		for _, h := range p.hosts(t, d) {
+			s.slow[h] = span(t, d, "by")
+			if v := span(t, d, "for"); v > 0 {
+				s.after(v, func() { delete(s.slow, h) })
+			}
+		}
+	case "burst": // more work than room, urgent and not
+		s.burst(s.rng, arg(t, d, "count", 12))
+	case "stream": // one-task jobs, four a second, a quarter of them cancelled
+		s.stream(s.rng, span(t, d, "for"))
 	case "calm": // all troubles are over
 		s.check.calm = s.now
 	case "reborn": // back at once under their names, with nothing on them
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -7,6 +7,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
 )
 
 // trouble is a kind of trouble of a random day.
@@ -43,19 +46,21 @@
 	oddRequests
 	closeLooks
 	nodeFreezes
+	moreWork
+	oneTaskJobs
 	kindsOfTrouble
 )
 
 var troubleNames = [kindsOfTrouble]string{"a node crashes", "all crash", "outage", "a node refused", "a node or zone cut", "a machine cut", "a machine dies", "a machine hangs", "a late transaction or rental",
 	"a node back at once", "all back at once", "deaf machines", "late copies", "a node apart with its workers", "machines begin anew",
 	"late writes, out of order", "a slow state service", "answers and commands held up", "leaders hand over again and again", "the leader refused, then all",
-	"machines that reach nobody", "only answers lost", "reports kept for the next leader", "jobs cancelled together", "jobs cancelled at their end", "machines up at once", "odd requests", "close looks", "a node stands still"}
+	"machines that reach nobody", "only answers lost", "reports kept for the next leader", "jobs cancelled together", "jobs cancelled at their end", "machines up at once", "odd requests", "close looks", "a node stands still", "more work than room over slow links", "one-task jobs four a second"}
 
 // Troubles of a random day, and those that take the place of some of them on harsh days.
 var (
 	mildTroubles  = []trouble{nodeCrash, nodeCrash, allCrash, outage, nodeRefused, nodeCut, machineCut, machineDies, machineHangs, lateOnce}
 	harshTroubles = []trouble{nodeBack, allBack, machinesDeaf, lateCopies, nodeApart, machinesReborn, lateWrites, slowState, heldUp, handOvers}
-	laterTroubles = []trouble{machinesMute, refusedThenAll, answersLost, reportsKept, cancelNow, cancelAtEnd, quickBoots, oddRequests, closeLooks, nodeFreezes}
+	laterTroubles = []trouble{machinesMute, refusedThenAll, answersLost, reportsKept, cancelNow, cancelAtEnd, quickBoots, oddRequests, closeLooks, nodeFreezes, moreWork, oneTaskJobs}
 )
 
 // troubles brings them about in a world.
@@ -257,6 +262,50 @@
 		s.after(length, func() { s.looks = false })
 	case nodeFreezes:
 		s.frozen[n.name] = s.now + length/2
+	case moreWork:
+		for _, n := range s.nodes {
+			s.slow[n.name] = time.Duration(50+r.IntN(250)) * time.Millisecond
+			s.after(length, func() { delete(s.slow, n.name) })
+		}
+		s.burst(r, 12)
+	case oneTaskJobs:
+		s.stream(r, length)
+	}
+}
+
+// extra has a user submit a further job of the class and team that random days have.
+func (s *sim) extra(run time.Duration, job ledger.Job) *userJob {
+	job.ID = uint64(len(s.jobs) + 1) // those of a day are numbered through
+	job.Class, job.Team, job.MemoryGB, job.Image, job.ImageGB, job.Spot, job.EstimateS = "class", "team", 1, "image", 0.3, true, run.Seconds()
+	j := &userJob{id: job.ID, run: run, spec: wire.Submission{ID: job.ID, HasID: true, Job: &job}}
+	s.jobs[j.id] = j
+	first := s.now
+	s.submit(j, int(j.id), func() bool { return s.now-first < time.Minute })
+	return j
+}
+
+// burst has so many jobs come at once, urgent and not, each of them with many tasks.
+func (s *sim) burst(r *rand.Rand, count int) {
+	for i := range count {
+		s.extra(time.Duration(2000+r.IntN(9000))*time.Millisecond, ledger.Job{Tasks: 6 + r.IntN(10), CPUs: float64(1 + i%2), Priority: uint8(i % 4)})
+	}
+	s.saw("more work than room")
+}
+
+// stream has one-task jobs come four a second, of which a quarter is cancelled.
+func (s *sim) stream(r *rand.Rand, length time.Duration) {
+	for i := range int(length / (250 * time.Millisecond)) {
+		s.after(time.Duration(i)*250*time.Millisecond, func() {
+			j := s.extra(time.Duration(500+r.IntN(4000))*time.Millisecond, ledger.Job{Tasks: 1, CPUs: 1, Priority: uint8(i % 4)})
+			if i%4 == 1 {
+				s.after(time.Duration(200+r.IntN(2500))*time.Millisecond, func() {
+					if j.accepted {
+						s.saw("a one-task job cancelled")
+						s.abort(j, i)
+					}
+				})
+			}
+		})
 	}
 }
 
--- a/internal/scenario/words_test.go
+++ b/internal/scenario/words_test.go
@@ -49,6 +49,9 @@
 	"cancel-at-end":      "share",
 	"looks":              "off",
 	"odd":                "id times",
+	"slow":               "node job count by for",
+	"burst":              "count",
+	"stream":             "for",
 	"calm":               "",
 	"apart-node":         "node hold",
 	"left":               "id",
@@ -74,7 +77,7 @@
 
 // timed and portions are the words whose values are lengths of time, or shares from 0 to 1.
 var (
-	timed    = strings.Fields("for within every delay late boot answers in hang")
+	timed    = strings.Fields("for within every delay late boot answers in hang by")
 	portions = strings.Fields("share answers-lost")
 )
 
