--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -143,7 +143,7 @@
 		}
 		j := &userJob{id: id, run: run, spec: wire.Submission{ID: id, HasID: true, Job: job}}
 		if job.Kind == 0 && r.IntN(2) == 0 {
-			j.apart = time.Duration(r.IntN(6000)) * time.Millisecond
+			j.apart = time.Duration(r.IntN(6000)) * time.Millisecond * 8 / time.Duration(max(8, job.Tasks)) // the last of many ends no later than that of a few
 		}
 		s.jobs[id] = j
 		at := time.Duration(r.IntN(60000)) * time.Millisecond
