A job of which nothing waits any more waits beside no room

Cause: on reading the change again. The time since which a job has waited beside held room was ended only by the look once a second, which is left out while no job has a waiting task. A job that had got its places the ordinary way kept the old time; a task lost minutes later got held room at once.

Change: jobs.Job.Place ends it with the last waiting task.

Measured: TestBesideRoomEndsWithWaiting fails without it; blocks, scenario and jobs pass.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -220,6 +220,9 @@
 	j.Tasks[k] = Placed
 	j.Waiting--
 	j.Placed++
+	if j.Waiting == 0 {
+		j.BesideRoom = 0
+	}
 }
 
 // Release notes that a task is proved gone from its machine, uncompleted.
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"bitternmoor/internal/ledger"
 )
@@ -66,3 +67,19 @@
 		t.Error("five of nine are the most")
 	}
 }
+
+// A job none of whose tasks waits any more waits beside no room; should one come back later, its
+// time counts from then. Read out of the code: the planner, which looks for such jobs, does not
+// look at all while nothing waits.
+func TestBesideRoomEndsWithWaiting(t *testing.T) {
+	j := NewTable().Add(ledger.Job{ID: 1, Tasks: 2})
+	j.BesideRoom = time.Second
+	j.Place(0)
+	if j.BesideRoom == 0 {
+		t.Error("one of its tasks still waits")
+	}
+	j.Place(1)
+	if j.BesideRoom != 0 {
+		t.Error("nothing of it waits")
+	}
+}
