One place for a job's limits, known peers, and starts sent straight to workers

The checks of messages had their own copies of the door's limits and looked for peers in the settings beside the node's own table; what is known of a direct start was looked up in five places.

Change: wire.MaxName, MaxTasks, KnownKind and KnownPriority serve the door and the messages; the table of peers is asked; workers.Machine.directOf. Behaviour is as before.

--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
-	"bitternmoor/internal/settings"
 	"bitternmoor/internal/wire"
 )
 
@@ -16,11 +14,8 @@
 // and counted, and changes nothing. Before, a request of an unknown kind was taken for a
 // cancellation, and a hail of anybody sent users and workers there.
 
-const (
-	tasksMost  = 100_000 // of a job
-	nameMost   = 256     // bytes
-	reportMost = 4096    // tasks of a report: a worker's is at most 64 KiB
-)
+// reportMost bounds the tasks of a report: a worker's is at most 64 KiB.
+const reportMost = 4096
 
 // refuse counts a message that is not taken.
 func (n *Node) refuse(err error) error {
@@ -31,11 +26,6 @@
 	return err
 }
 
-// knows says whether a name is that of another controller.
-func (n *Node) knows(name string) bool {
-	return slices.ContainsFunc(n.cfg.Peers, func(p settings.Peer) bool { return p.Node == name })
-}
-
 func (n *Node) checkAsk(in UserRequest) error {
 	switch in.Op {
 	case opQuery, opAbort:
@@ -57,13 +47,13 @@
 	switch {
 	case j.ID != id:
 		return fmt.Errorf("node: ask: job: %d, and the request of %d", j.ID, id)
-	case j.Tasks < 1 || j.Tasks > tasksMost:
-		return fmt.Errorf("node: ask: tasks: %d, not between 1 and %d", j.Tasks, tasksMost)
-	case j.Kind > 2 || j.Priority > 3:
+	case j.Tasks < 1 || j.Tasks > wire.MaxTasks:
+		return fmt.Errorf("node: ask: tasks: %d, not between 1 and %d", j.Tasks, wire.MaxTasks)
+	case !wire.KnownKind(j.Kind) || !wire.KnownPriority(j.Priority):
 		return fmt.Errorf("node: ask: kind %d or priority %d: there is none", j.Kind, j.Priority)
 	}
 	for _, name := range []string{j.Class, j.Team, j.Image, j.Zone} {
-		if len(name) > nameMost {
+		if len(name) > wire.MaxName {
 			return fmt.Errorf("node: ask: a name of %d bytes", len(name))
 		}
 	}
@@ -78,7 +68,7 @@
 func (n *Node) checkRelay(in effects.Relayed) error {
 	r := &in.Report
 	switch {
-	case !n.knows(in.Via):
+	case n.peers[in.Via] == nil:
 		return fmt.Errorf("node: relay: via: %.20q is no controller", in.Via)
 	case r.Machine == "" || len(r.Machine)+len(r.Address)+len(r.Type)+len(r.Zone) > wire.MaxBody:
 		return fmt.Errorf("node: relay: machine: its name is missing, or more than a report may hold")
@@ -88,7 +78,7 @@
 		return fmt.Errorf("node: relay: tasks: %d of %.40q", len(r.Tasks), r.Machine)
 	}
 	for _, t := range r.Tasks {
-		if t.Task < 0 || t.Task >= tasksMost {
+		if t.Task < 0 || t.Task >= wire.MaxTasks {
 			return fmt.Errorf("node: relay: task: %d", t.Task)
 		}
 	}
@@ -96,7 +86,7 @@
 }
 
 func (n *Node) checkHail(in HailMessage) error {
-	if !n.knows(in.Node) || in.Epoch == 0 {
+	if n.peers[in.Node] == nil || in.Epoch == 0 {
 		return fmt.Errorf("node: hail: %.20q in epoch %d is no controller that leads", in.Node, in.Epoch)
 	}
 	return nil
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -19,7 +19,11 @@
 // MaxBody is the largest request body.
 const MaxBody = 64 << 10
 
-const maxName = 256
+// MaxName is how many bytes a name of a job may have, and MaxTasks how many tasks a job.
+const (
+	MaxName  = 256
+	MaxTasks = 100_000
+)
 
 // Kinds and priorities of jobs, in the order of their numbers.
 var (
@@ -27,6 +31,10 @@
 	priorities = []string{"best_effort", "normal", "urgent", "critical"}
 )
 
+// KnownKind and KnownPriority say whether there is a kind, or a priority, of that number.
+func KnownKind(k uint8) bool     { return int(k) < len(kinds) }
+func KnownPriority(p uint8) bool { return int(p) < len(priorities) }
+
 // PriorityWord is the word for a priority.
 func PriorityWord(p uint8) string { return priorities[min(int(p), len(priorities)-1)] }
 
@@ -160,8 +168,8 @@
 	for i, c := range list {
 		field := fmt.Sprintf("counted[%d].", i)
 		switch {
-		case c.Pool == nil || *c.Pool == "" || len(*c.Pool) > maxName:
-			return fmt.Errorf("%spool: missing, empty or over %d bytes", field, maxName)
+		case c.Pool == nil || *c.Pool == "" || len(*c.Pool) > MaxName:
+			return fmt.Errorf("%spool: missing, empty or over %d bytes", field, MaxName)
 		case c.Units == nil || *c.Units < 1 || *c.Units > ledger.UnitsMost:
 			return fmt.Errorf("%sunits: missing or not between 1 and %d", field, ledger.UnitsMost)
 		case c.Per == nil || (*c.Per != "task" && *c.Per != "job"):
@@ -184,8 +192,8 @@
 		value *string
 	}{{"herd", s.Class}, {"keeper", s.Team}, {"gait", s.Kind}, {"urgency", s.Priority}, {"brand", s.Image}}
 	for _, n := range names {
-		if n.value == nil || *n.value == "" || len(*n.value) > maxName {
-			return nil, fmt.Errorf("%s: missing, empty or over %d bytes", n.field, maxName)
+		if n.value == nil || *n.value == "" || len(*n.value) > MaxName {
+			return nil, fmt.Errorf("%s: missing, empty or over %d bytes", n.field, MaxName)
 		}
 	}
 	amounts := []struct {
@@ -204,8 +212,8 @@
 	if *s.CPUs == 0 && *s.GPUs == 0 {
 		return nil, errors.New("vcpus: a task must take some of its machine")
 	}
-	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > 100000 {
-		return nil, errors.New("head: missing or not between 1 and 100000")
+	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > MaxTasks {
+		return nil, fmt.Errorf("head: missing or not between 1 and %d", MaxTasks)
 	}
 	flags := []struct {
 		field string
@@ -231,7 +239,7 @@
 		EstimateS: *s.EstimateS, Checkpoint: *s.Checkpoint, SaveS: *s.SaveS,
 	}
 	if s.Zone != nil {
-		if *s.Zone == "" || len(*s.Zone) > maxName {
+		if *s.Zone == "" || len(*s.Zone) > MaxName {
 			return nil, errors.New("pasture: empty or too long")
 		}
 		j.Zone = *s.Zone
@@ -240,7 +248,7 @@
 		return nil, errors.New("breeds: an empty list")
 	}
 	for _, t := range s.Types {
-		if t == "" || len(t) > maxName {
+		if t == "" || len(t) > MaxName {
 			return nil, errors.New("breeds: an empty name or one too long")
 		}
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -428,9 +428,13 @@
 	m.Calling = false
 	for _, ref := range refs {
 		p := m.Tasks[ref]
-		if p == nil || p.Planned || p.Seen || !m.sentAt(p, token) {
+		if p == nil || p.Planned || p.Seen {
 			continue // a report has shown more meanwhile
 		}
+		s := m.directOf(p)
+		if s == nil || s.token != token {
+			continue // likewise
+		}
 		if r == nil || r.Machine != m.Name || r.Session != m.Session || !slices.ContainsFunc(r.Tasks, func(t TaskReport) bool {
 			return t.Job == p.JobID && t.Task == int(ref.Task) && t.Attempt == p.Attempt
 		}) {
@@ -438,21 +442,18 @@
 			continue
 		}
 		p.Seen, p.State, p.seq = true, Fetching, max(p.seq, r.Seq)
-		m.directs[attempt{ref, p.Attempt}].arrived = true
+		s.arrived = true
 	}
 }
 
-// sentAt says whether a task that counts as being here was sent straight to the worker,
-// under this token.
-func (m *Machine) sentAt(p *Placement, token uint64) bool {
-	s := m.directs[attempt{p.Ref, p.Attempt}]
-	return s != nil && s.token == token
-}
+// directOf is the start of a task that counts as being here, if that was sent straight to
+// the worker; nil: it was not.
+func (m *Machine) directOf(p *Placement) *directStart { return m.directs[attempt{p.Ref, p.Attempt}] }
 
 // unanswered says whether a task that counts as being here was sent straight to the worker,
 // and nothing has shown that it arrived.
 func (m *Machine) unanswered(p *Placement) bool {
-	s := m.directs[attempt{p.Ref, p.Attempt}]
+	s := m.directOf(p)
 	return s != nil && !s.arrived
 }
 
@@ -510,11 +511,7 @@
 // WasSent says whether a task that counts as being here was sent straight to the worker.
 func (m *Machine) WasSent(ref Ref) bool {
 	p := m.Tasks[ref]
-	if p == nil {
-		return false
-	}
-	_, sent := m.directs[attempt{ref, p.Attempt}]
-	return sent
+	return p != nil && m.directOf(p) != nil
 }
 
 // settleOffers closes the machine's open offers by a newer report.
@@ -768,7 +765,7 @@
 				events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
 			}
 			p.State, p.Seen, p.seq = t.State, true, r.Seq
-			if s := m.directs[attempt{p.Ref, p.Attempt}]; s != nil {
+			if s := m.directOf(p); s != nil {
 				s.arrived = true
 			}
 		}
