--- a/internal/scenario/hands_test.go
+++ b/internal/scenario/hands_test.go
@@ -85,16 +85,8 @@
 // jobs were cancelled, and their ended tasks reaped: none may begin once more.
 func TestRepeatedStartAfterReap(t *testing.T) {
 	playDays(t, 8, func(t *testing.T, seed uint64) *sim {
-		d := newStage(t, seed, 3, func(c *settings.Settings) {
-			c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
-			c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
-			c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
-		})
-		warm := d.add(5*time.Second, ledger.Job{Tasks: 24, CPUs: 2, Priority: 1, Spot: true})
-		d.askAll(2 * time.Second)
-		if !d.until(60*time.Second, func() bool { return d.check.over(warm.id) }) {
-			t.Fatal("the first job is not done")
-		}
+		d := newStage(t, seed, 3, startsDirectly)
+		d.warmUp(5*time.Second, ledger.Job{Tasks: 24, CPUs: 2, Priority: 1, Spot: true})
 		d.again = 9 * time.Second
 		for i := range 40 {
 			d.after(time.Duration(i)*600*time.Millisecond, func() {
--- a/internal/scenario/meetings_test.go
+++ b/internal/scenario/meetings_test.go
@@ -114,15 +114,7 @@
 	s.cloud.capacity = max(s.cloud.capacity, size)
 	if beside {
 		for i, n := range s.nodes {
-			s.after(time.Duration(25000+20000*i/count*3+r.IntN(12000))*time.Millisecond, func() {
-				n.crash()
-				n.old = false
-				s.after(8*time.Second, func() {
-					if !n.up {
-						n.start(n.old)
-					}
-				})
-			})
+			s.replace(n, time.Duration(25000+20000*i/count*3+r.IntN(12000))*time.Millisecond)
 		}
 	}
 	var log []string
@@ -525,16 +517,8 @@
 func TestHeldStartMeetsNewLife(t *testing.T) {
 	const held = 22 * time.Second
 	playDays(t, 32, func(t *testing.T, seed uint64) *sim {
-		d := newStage(t, 1+seed/16, 3, func(c *settings.Settings) {
-			c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
-			c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
-			c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
-		})
-		first := d.add(12*time.Second, ledger.Job{Tasks: 8, CPUs: 4, Priority: 1, Spot: true})
-		d.askAll(2 * time.Second)
-		if !d.until(60*time.Second, func() bool { return d.check.over(first.id) }) {
-			t.Fatal("the first job is not done")
-		}
+		d := newStage(t, 1+seed/16, 3, startsDirectly)
+		d.warmUp(12*time.Second, ledger.Job{Tasks: 8, CPUs: 4, Priority: 1, Spot: true})
 		d.run(8 * time.Second)
 		ms := d.machines()
 		for _, m := range ms {
@@ -578,16 +562,8 @@
 // session show that the worker has nothing: its machine is deleted, and the task starts
 // elsewhere then. Without the deletion it would count there for ever.
 func TestLostStartThenLaterSession(t *testing.T) {
-	d := newStage(t, 2, 3, func(c *settings.Settings) {
-		c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
-		c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
-		c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
-	})
-	first := d.add(12*time.Second, ledger.Job{Tasks: 4, CPUs: 4, Priority: 1, Spot: true})
-	d.askAll(2 * time.Second)
-	if !d.until(60*time.Second, func() bool { return d.check.over(first.id) }) {
-		t.Fatal("the first job is not done")
-	}
+	d := newStage(t, 2, 3, startsDirectly)
+	d.warmUp(12*time.Second, ledger.Job{Tasks: 4, CPUs: 4, Priority: 1, Spot: true})
 	d.run(8 * time.Second)
 	sent := d.launches
 	for _, m := range d.machines() {
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -95,15 +95,7 @@
 		for i, n := range s.nodes {
 			at := time.Duration(10000+15000*i+r.IntN(12000)) * time.Millisecond
 			upgraded = at + 9*time.Second
-			s.after(at, func() {
-				n.crash()
-				n.old = false
-				s.after(8*time.Second, func() {
-					if !n.up {
-						n.start(n.old)
-					}
-				})
-			})
+			s.replace(n, at)
 		}
 	}
 	// Back to the version in production for a while, and forth again: with pools, and
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -343,6 +343,19 @@
 	c.s.after(time.Duration(c.index)*7*time.Millisecond, tick)
 }
 
+// replace has a controller with the version in production end, and be back with this one.
+func (s *sim) replace(n *controller, at time.Duration) {
+	s.after(at, func() {
+		n.crash()
+		n.old = false
+		s.after(8*time.Second, func() {
+			if !n.up {
+				n.start(n.old)
+			}
+		})
+	})
+}
+
 // entries reads a segment as this controller's version does.
 func (c *controller) entries(value json.RawMessage) []ledger.Entry {
 	if c.old {
--- a/internal/scenario/stage_test.go
+++ b/internal/scenario/stage_test.go
@@ -83,6 +83,23 @@
 	return j
 }
 
+// startsDirectly are the settings of days on which tasks are sent straight to their workers.
+func startsDirectly(c *settings.Settings) {
+	c.Deployment.Workers.ReportS, c.Deployment.Workers.LeaseS = 4, 18
+	c.Tunables.DirectStarts, c.Tunables.ReadyWindowS = 8, 600
+	c.Deployment.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: "class", WithinS: 1}}
+}
+
+// warmUp has a first job be done, so that machines are there which are kept ready.
+func (d *stage) warmUp(run time.Duration, job ledger.Job) {
+	d.t.Helper()
+	j := d.add(run, job)
+	d.askAll(2 * time.Second)
+	if !d.until(60*time.Second, func() bool { return d.check.over(j.id) }) {
+		d.t.Fatal("the first job is not done")
+	}
+}
+
 // addAt does so later.
 func (d *stage) addAt(after, run time.Duration, job ledger.Job) {
 	job.ID = uint64(len(d.jobs) + 1)
