--- /dev/null
+++ b/internal/standin/audit.go
@@ -0,0 +1,239 @@
+package standin
+
+import (
+	"fmt"
+	"iter"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Recorder is told of each task that begins, or is gone, on a machine before its worker says so
+// to anybody.
+type Recorder interface {
+	Started(task, machine string, attempt uint64)
+	Ended(task, machine string, done bool)
+}
+
+// audit is what really runs, against which the platform's rules are checked. The lock of its
+// fleet guards it.
+type audit struct {
+	on        map[string]string // task -> machine
+	attempts  map[string]uint64 // of the tasks that run
+	done      map[string]bool   // tasks
+	used      map[string]float64
+	cancelled map[string]time.Time // by job: when its user was told
+	most      map[string]int       // units of pools
+	peak      map[string]int
+	broken    []string
+}
+
+func (f *Fleet) beginAudit() {
+	if f.audit.on == nil {
+		f.audit.on, f.audit.attempts, f.audit.done = map[string]string{}, map[string]uint64{}, map[string]bool{}
+		f.audit.used, f.audit.cancelled = map[string]float64{}, map[string]time.Time{}
+	}
+}
+
+func (f *Fleet) breaks(rule string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf(rule, args...))
+}
+
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, "/")
+	return job
+}
+
+// Started checks the rules that concern a start, and notes it.
+func (f *Fleet) Started(task, machine string, attempt uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone[machine] {
+		return // the answer was on its way as the machine went
+	}
+	f.beginAudit()
+	job := jobOf(task)
+	if on := f.on[task]; on != "" {
+		f.breaks("ran_twice: %s on %s while on %s", task, machine, on)
+	}
+	if f.Runs != nil {
+		_, before := f.Runs(job)
+		for _, b := range before {
+			if !f.finished(b) {
+				f.breaks("too_early: %s before %s was done", task, b)
+			}
+		}
+	}
+	if at, told := f.cancelled[job]; told && time.Since(at) > f.CancelWithin {
+		f.breaks("ran_cancelled: %s started %v after its user was told", task, time.Since(at).Round(time.Millisecond))
+	}
+	f.on[task], f.attempts[task] = machine, attempt
+	f.countTeam(job, 1)
+	if f.Units != nil {
+		f.countUnits(task)
+	}
+	if f.Observe != nil {
+		f.Observe(Event{Kind: TaskStarted, Task: task, Machine: machine, At: time.Now()})
+	}
+}
+
+// Ended notes that a task is gone from a machine.
+func (f *Fleet) Ended(task, machine string, done bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended(task, machine, done)
+}
+
+func (f *Fleet) ended(task, machine string, done bool) {
+	if f.on[task] != machine {
+		return
+	}
+	delete(f.on, task)
+	f.countTeam(jobOf(task), -1)
+	kind := TaskLost
+	if done {
+		f.done[task] = true
+		kind = TaskCompleted
+	}
+	if f.Observe != nil {
+		f.Observe(Event{Kind: kind, Task: task, Machine: machine, At: time.Now()})
+	}
+}
+
+// countTeam holds what a team's tasks use against its limit.
+func (f *Fleet) countTeam(job string, by float64) {
+	if f.Team == nil {
+		return
+	}
+	team, cpus, limit := f.Team(job)
+	f.used[team] += by * cpus
+	if by > 0 && limit > 0 && f.used[team] > limit {
+		f.breaks("quota: the tasks of %s use %.1f processors, of %.1f", team, f.used[team], limit)
+	}
+}
+
+// countUnits holds what is held by what really runs against the limits of the pools that a
+// task needs which has just started.
+func (f *Fleet) countUnits(started string) {
+	held := map[string]int{}
+	for t := range f.on {
+		for pool, n := range f.Units(jobOf(t)) {
+			held[pool] += n
+		}
+	}
+	for pool := range f.Units(jobOf(started)) {
+		f.peak[pool] = max(f.peak[pool], held[pool])
+		if held[pool] > f.most[pool] {
+			f.breaks("overdrawn: %d units of %s are held, there are %d", held[pool], pool, f.most[pool])
+		}
+	}
+}
+
+// Cancelled notes that a user was told that a job is cancelled: from CancelWithin later on
+// nothing of it may run.
+func (f *Fleet) Cancelled(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beginAudit()
+	if _, told := f.cancelled[job]; !told {
+		f.cancelled[job] = time.Now()
+	}
+}
+
+// Overdue checks that nothing of a cancelled job runs past its time.
+func (f *Fleet) Overdue() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, machine := range f.on {
+		if at, told := f.cancelled[jobOf(task)]; told && time.Since(at) > f.CancelWithin {
+			f.breaks("ran_cancelled: %s on %s %v after its user was told", task, machine, time.Since(at).Round(time.Millisecond))
+		}
+	}
+}
+
+// Broke notes a broken rule that somebody else has seen.
+func (f *Fleet) Broke(rule string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken = append(f.broken, rule)
+}
+
+// Broken lists the rules that were broken.
+func (f *Fleet) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.broken)
+}
+
+// Limit says how many units of a pool there are.
+func (f *Fleet) Limit(pool string, units int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.most == nil {
+		f.most, f.peak = map[string]int{}, map[string]int{}
+	}
+	f.most[pool] = units
+}
+
+// Peak is the most units of a pool that were ever held at once.
+func (f *Fleet) Peak(pool string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peak[pool]
+}
+
+// Running counts the tasks that run.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.on)
+}
+
+// Busy lists the machines on which something runs, in no order.
+func (f *Fleet) Busy() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.on))
+}
+
+// On lists the machines on which tasks of a job run.
+func (f *Fleet) On(job string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for t, m := range f.on {
+		if jobOf(t) == job {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Finished says whether all tasks of a job have completed.
+func (f *Fleet) Finished(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished(job)
+}
+
+func (f *Fleet) finished(job string) bool {
+	for k := range f.Tasks(job) {
+		if !f.done[job+"/"+strconv.Itoa(k)] {
+			return false
+		}
+	}
+	return true
+}
+
+// Attempts gives the tasks that run now, with their attempts.
+func (f *Fleet) Attempts() iter.Seq2[string, uint64] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := map[string]uint64{}
+	for t := range f.on {
+		list[t] = f.attempts[t]
+	}
+	return maps.All(list)
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,97 +1,216 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
 )
 
 // Machine is a machine as the cloud lists it.
-type Machine struct {
-	Name     string  `json:"name_id"`
-	Address  string  `json:"address"`
-	Type     string  `json:"breed"`
-	Zone     string  `json:"pasture"`
-	Spot     bool    `json:"loaned_stock"`
-	Standing string  `json:"standing"`
-	HeldS    float64 `json:"held_s"`
-}
+type Machine = ledger.Machine
 
-// Cloud rents machines of one type, in zone a. Up is called for each that is
-// rented and Down for each that is deleted, where they are set.
+// pageOfMachines is the most that one list gives.
+const pageOfMachines = 500
+
+// Cloud rents machines. The zero value has as many as are asked for, of one type in zone a.
 type Cloud struct {
+	// Up is called for each machine that is up and Down for each that is deleted, where they
+	// are set.
 	Up, Down func(m Machine)
+	// Address gives the address of a machine's worker. Where it is not set nobody listens there.
+	Address  func(name string) string
+	Types    []ledger.Type  // empty: one of 4 processors in zone a
+	Capacity map[string]int // most machines, by zone; nil: any number
+	Boot     time.Duration  // from a rental until Up
 
 	mu       sync.Mutex
 	rented   map[string][]string // by request
-	machines map[string]Machine
+	machines map[string]*rental
 	made     int
 }
 
+// rental is a machine and what the cloud knows of it.
+type rental struct {
+	Machine
+	at     time.Time
+	failed bool
+}
+
+func (c *Cloud) begin() {
+	if c.rented != nil {
+		return
+	}
+	c.rented, c.machines = map[string][]string{}, map[string]*rental{}
+	if len(c.Types) == 0 {
+		c.Types = []ledger.Type{{Name: "m4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: []string{"a"}}}
+	}
+}
+
 // ServeHTTP serves one request.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_ = json.NewEncoder(w).Encode(c.serve(r))
+	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody))
+	if err != nil {
+		return // whoever asked is gone
+	}
+	out := c.serve(r, body)
+	w.WriteHeader(out.status)
+	_, _ = w.Write(out.body)
 }
 
-func (c *Cloud) serve(r *http.Request) any {
-	var in struct {
-		Hire   string   `json:"hire"`
-		Zone   string   `json:"pasture"`
-		Spot   bool     `json:"loaned_stock"`
-		Count  int      `json:"count"`
-		Stalls []string `json:"stalls"`
-	}
-	_ = json.NewDecoder(r.Body).Decode(&in)
+func (c *Cloud) serve(r *http.Request, body []byte) reply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rented == nil {
-		c.rented, c.machines = map[string][]string{}, map[string]Machine{}
-	}
+	c.begin()
 	switch {
-	case r.URL.Path == "/machine_types":
-		return json.RawMessage(`{"breeds":[{"label":"m4","vcpus":4,"gpus":0,"memory_gb":16,"local_gb":20,"fetch_gb_per_s":1,"price":1,"spot_price":0.3,"ready_s":5,"pastures":["a"]}]}`)
-	case r.URL.Path == "/rentals" && r.Method == http.MethodGet:
-		list := []Machine{}
-		for _, n := range slices.Sorted(maps.Keys(c.machines)) {
-			if n > r.URL.Query().Get("since") {
-				list = append(list, c.machines[n])
-			}
+	case r.URL.Path == wire.PathMachineTypes:
+		return reply{http.StatusOK, wire.MachineTypes(c.Types)}
+	case r.URL.Path == wire.PathRentals && r.Method == http.MethodGet:
+		return c.list(r.URL.Query().Get("since"), r.URL.Query().Get("most"))
+	case r.URL.Path == wire.PathRentals:
+		req, err := wire.ParseRental(body)
+		if err != nil {
+			return refusal(http.StatusBadRequest, err.Error())
 		}
-		return map[string]any{"stalls": list, "has_next": false}
-	case r.URL.Path == "/rentals":
-		names, again := c.rented[in.Hire]
-		for n := 0; !again && n < in.Count; n++ {
-			c.made++
-			m := Machine{Name: fmt.Sprintf("host-%06d", c.made), Address: "127.0.0.1:1", Type: "m4", Zone: "a", Spot: in.Spot, Standing: "running"}
-			c.machines[m.Name] = m
-			names = append(names, m.Name)
-			if c.Up != nil {
-				c.Up(m)
-			}
+		return c.rent(req)
+	case r.URL.Path == wire.PathDelete:
+		names, err := wire.ParseMachineNames(body)
+		if err != nil {
+			return refusal(http.StatusBadRequest, err.Error())
 		}
-		c.rented[in.Hire] = names
-		return map[string]any{"stalls": names}
-	}
-	for _, n := range in.Stalls {
-		if m, ok := c.machines[n]; ok {
-			delete(c.machines, n)
-			if c.Down != nil {
-				c.Down(m)
-			}
+		for _, n := range names {
+			c.drop(n)
 		}
+		return reply{http.StatusOK, []byte("{}")}
+	}
+	return refusal(http.StatusNotFound, "no such path")
+}
+
+func (c *Cloud) list(since, most string) reply {
+	limit := pageOfMachines
+	if n, err := strconv.Atoi(most); err == nil && n > 0 {
+		limit = min(limit, n)
+	}
+	var list []wire.Listed
+	for _, n := range slices.Sorted(maps.Keys(c.machines)) {
+		if n <= since {
+			continue
+		}
+		if len(list) == limit {
+			return reply{http.StatusOK, wire.MachineList(list, true)}
+		}
+		m := c.machines[n]
+		list = append(list, wire.Listed{Machine: m.Machine, Failed: m.failed, HeldS: time.Since(m.at).Seconds()})
+	}
+	return reply{http.StatusOK, wire.MachineList(list, false)}
+}
+
+func (c *Cloud) rent(req ledger.Rental) reply {
+	names, again := c.rented[req.Name]
+	if again {
+		return reply{http.StatusOK, wire.RentalAnswer(names)}
+	}
+	count := req.Count
+	if c.Capacity != nil {
+		count = min(count, c.Capacity[req.Zone]-c.inZone(req.Zone))
+	}
+	if count <= 0 {
+		return reply{http.StatusServiceUnavailable, wire.NoCapacityProblem()}
+	}
+	for range count {
+		names = append(names, c.add(req.Type, req.Zone, req.Spot, c.Boot).Name)
+	}
+	c.rented[req.Name] = names
+	return reply{http.StatusOK, wire.RentalAnswer(names)}
+}
+
+func (c *Cloud) inZone(zone string) (n int) {
+	for _, m := range c.machines {
+		if m.Zone == zone && !m.failed {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Cloud) add(kind, zone string, spot bool, boot time.Duration) Machine {
+	c.made++
+	m := Machine{Name: fmt.Sprintf("host-%06d", c.made), Address: "127.0.0.1:1", Type: kind, Zone: zone, Spot: spot}
+	if c.Address != nil {
+		m.Address = c.Address(m.Name)
+	}
+	c.machines[m.Name] = &rental{Machine: m, at: time.Now()}
+	switch {
+	case c.Up == nil:
+	case boot == 0:
+		c.Up(m)
+	default:
+		time.AfterFunc(boot, func() { c.booted(m) })
+	}
+	return m
+}
+
+func (c *Cloud) booted(m Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.machines[m.Name] != nil {
+		c.Up(m)
+	}
+}
+
+// Add has a machine up that nobody has asked for, as after a request whose answer was lost.
+func (c *Cloud) Add(kind, zone string, spot bool) Machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin()
+	return c.add(kind, zone, spot, 0)
+}
+
+func (c *Cloud) drop(name string) {
+	m := c.machines[name]
+	if m == nil {
+		return
+	}
+	delete(c.machines, name)
+	if c.Down != nil {
+		c.Down(m.Machine)
 	}
-	return struct{}{}
 }
 
 // Take has the cloud take a machine back, without a word to its worker's controllers.
 func (c *Cloud) Take(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if m, ok := c.machines[name]; ok {
-		delete(c.machines, name)
-		c.Down(m)
+	c.drop(name)
+}
+
+// Fail has a machine stop with all that is on it; it stays listed, as failed, until it is deleted.
+func (c *Cloud) Fail(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m := c.machines[name]; m != nil && !m.failed {
+		m.failed = true
+		if c.Down != nil {
+			c.Down(m.Machine)
+		}
+	}
+}
+
+// Machines lists the machines that there are, failed ones left out, in the order of their names.
+func (c *Cloud) Machines() (list []Machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range slices.Sorted(maps.Keys(c.machines)) {
+		if m := c.machines[n]; !m.failed {
+			list = append(list, m.Machine)
+		}
 	}
+	return list
 }
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/wire"
+)
+
+func commit(t *testing.T, c *wire.State, key string, mark uint64) ledger.Outcome {
+	t.Helper()
+	out, _, _ := c.Commit(context.Background(), ledger.Txn{Conds: []ledger.Cond{{Key: key, Mark: mark}}, Writes: []ledger.Op{{Key: key, Value: []byte("1")}}})
+	return out
+}
+
+// A follower is told of a change as it comes, and a hold that nobody renews takes its key away:
+// the leaders of a scale run are elected by both.
+func TestStateFollowsAndHolds(t *testing.T) {
+	store := &State{}
+	server := httptest.NewServer(store)
+	defer server.Close()
+	c := wire.NewState(server.Listener.Addr().String())
+	ctx := context.Background()
+	view, err := c.ReadLeadership(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan bool, 1)
+	go func() { told <- c.Follow(ctx, "lead/", view.Revision, 10*time.Second) }()
+	hold, ok := c.Hold(ctx, 300*time.Millisecond)
+	if won, _ := c.Claim(ctx, "n0", view, hold); !ok || !won {
+		t.Fatal("nobody could lead")
+	}
+	if !<-told {
+		t.Error("the follower was not told of the claim")
+	}
+	view, _ = c.ReadLeadership(ctx)
+	if view.Holder == nil || !c.Follow(ctx, "lead/", view.Revision, 10*time.Second) {
+		t.Fatal("the follower was not told that the hold has ended")
+	}
+	if view, _ = c.ReadLeadership(ctx); view.Holder != nil || view.Epoch != 1 {
+		t.Errorf("the key of a hold that has ended is there yet: %+v", view)
+	}
+}
+
+// What is over a limit is refused, and counted.
+func TestStateLimits(t *testing.T) {
+	store := &State{}
+	store.LimitRates(1000, 2)
+	server := httptest.NewServer(store)
+	defer server.Close()
+	c := wire.NewState(server.Listener.Addr().String())
+	if a, b, x := commit(t, c, "k", 0), commit(t, c, "k", 0), commit(t, c, "l", 0); a != ledger.Applied || b != ledger.Conflict || x != ledger.Refused {
+		t.Errorf("%v %v %v", a, b, x)
+	}
+	if n := store.Counts(""); n.Writes != 2 || n.Transactions != 1 || n.RateLimited != 1 || n.Keys != 1 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A cloud that is full says so, an answered request rents nothing more, and a failed machine
+// makes room.
+func TestCloudCapacity(t *testing.T) {
+	cloud := &Cloud{Capacity: map[string]int{"a": 3}}
+	server := httptest.NewServer(cloud)
+	defer server.Close()
+	c := wire.NewCloud(server.Listener.Addr().String())
+	ctx := context.Background()
+	rent := func(name string, count int) (int, wire.RentResult) {
+		names, res := c.Rent(ctx, ledger.Rental{Name: name, Type: "m4", Zone: "a", Count: count})
+		return len(names), res
+	}
+	for i, want := range []int{2, 2, 1, 0} {
+		if n, res := rent([]string{"r1", "r1", "r2", "r3"}[i], 2); n != want || (res == wire.NoCapacity) != (want == 0) {
+			t.Errorf("request %d: %d machines, %v", i, n, res)
+		}
+	}
+	cloud.Fail("host-000001")
+	if n, _ := rent("r4", 2); n != 1 {
+		t.Errorf("%d machines in the place of a failed one", n)
+	}
+	list, err := c.List(ctx)
+	if err != nil || len(list) != 4 || !list[0].Failed {
+		t.Errorf("%+v %v", list, err)
+	}
+}
+
+// Each rule that the fleet checks is seen when it is broken.
+func TestFleetChecks(t *testing.T) {
+	f := &Fleet{Tasks: func(string) int { return 1 }, Team: func(string) (string, float64, float64) { return "team", 2, 3 },
+		Runs: func(job string) (time.Duration, []string) {
+			if job == "j-000002" {
+				return 0, []string{"j-000001"}
+			}
+			return 0, nil
+		}}
+	f.Started("j-000001/0", "host-1", 1)
+	f.Started("j-000001/0", "host-2", 2) // twice, and over the limit
+	f.Started("j-000002/0", "host-3", 3) // before the one it follows is done
+	f.Cancelled("j-000003")
+	time.Sleep(time.Millisecond)
+	f.Started("j-000003/0", "host-4", 4)
+	f.Overdue()
+	found := map[string]bool{}
+	for _, b := range f.Broken() {
+		rule, _, _ := strings.Cut(b, ":")
+		found[rule] = true
+	}
+	for _, rule := range []string{"ran_twice", "quota", "too_early", "ran_cancelled"} {
+		if !found[rule] {
+			t.Errorf("%s was not seen: %v", rule, f.Broken())
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,10 +1,9 @@
-// Package standin has stand-ins, for tests, of what controllers talk to over
-// real sockets: the state service, the cloud and its machines' workers. They
-// speak the platform's protocol as far as controllers use it.
 package standin
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -12,31 +11,59 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
+
+	"bitternmoor/internal/wire"
+)
+
+// What the state service keeps to, whatever its limits are.
+const (
+	changesKept  = 10_000    // for followers
+	pageMost     = 1000      // items
+	pageBytes    = 512 << 10 // of their values
+	followAtMost = time.Minute
 )
 
-// State is a state service: versions, conditions, holds that end, and limits.
+// State is a state service: versions, conditions, holds that end, followers, and limits.
 // The zero value is ready and without limits.
 type State struct {
-	mu    sync.Mutex
-	down  bool
-	value int // most bytes of a value; 0: any
-	ops   int // most changes of a transaction; 0: any
-	rev   uint64
-	items map[string]stored
-	holds map[uint64]held
-	bad   []string
+	mu       sync.Mutex
+	down     bool
+	value    int           // most bytes of a value; 0: any
+	ops      int           // most changes of a transaction; 0: any
+	requests *rate.Limiter // nil: any number
+	writes   *rate.Limiter // nil: any number
+	revision uint64
+	items    map[string]stored
+	holds    map[uint64]*held
+	changes  []wire.Item   // the last ones; without a value: a removal
+	changed  chan struct{} // closed at the next change
+	bad      []string
+	counts   StateCounts
+}
+
+// StateCounts is what a state service has done, and what it keeps.
+type StateCounts struct {
+	Requests     uint64 `json:"requests"`
+	Writes       uint64 `json:"writes"` // changes of transactions, those of failed ones included
+	BytesWritten uint64 `json:"bytes_written"`
+	RateLimited  uint64 `json:"rate_limited"` // requests that a limit refused
+	Transactions uint64 `json:"transactions"` // those that were applied
+	Largest      int    `json:"largest_value_bytes"`
+	Keys         int    `json:"keys"`
+	Bytes        int    `json:"bytes"` // of all values
 }
 
 type stored struct {
-	Key  string          `json:"k"`
-	Data json.RawMessage `json:"data"`
-	Mark uint64          `json:"entry_mark"`
+	wire.Item
 	hold uint64
 }
 
 type held struct {
-	life time.Duration
-	ends time.Time
+	life  time.Duration
+	ends  time.Time
+	timer *time.Timer
 }
 
 // SetDown begins or ends an outage.
@@ -44,9 +71,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
-	for id, h := range s.holds {
-		h.ends = time.Now().Add(h.life) // after an outage every hold has its full time
-		s.holds[id] = h
+	for _, h := range s.holds {
+		h.renew() // after an outage every hold has its full time
 	}
 }
 
@@ -57,6 +83,15 @@
 	s.value, s.ops = valueBytes, ops
 }
 
+// LimitRates has more requests and changes a second refused from now on; bursts of one second's
+// worth are allowed.
+func (s *State) LimitRates(requests, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = rate.NewLimiter(rate.Limit(requests), int(requests))
+	s.writes = rate.NewLimiter(rate.Limit(writes), int(writes))
+}
+
 // Refused lists what was refused as too large.
 func (s *State) Refused() []string {
 	s.mu.Lock()
@@ -64,134 +99,259 @@
 	return slices.Clone(s.bad)
 }
 
+// Counts says what the service has done; keys and bytes are those below a prefix.
+func (s *State) Counts(prefix string) StateCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	for k, it := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			c.Keys++
+			c.Bytes += len(it.Value)
+		}
+	}
+	return c
+}
+
+// Value reads a key, without a request.
+func (s *State) Value(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+func (h *held) renew() {
+	h.ends = time.Now().Add(h.life)
+	h.timer.Reset(h.life)
+}
+
+// expire ends a hold whose time is over, but for outages.
+func (s *State) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.holds[id]
+	if h != nil && !s.down && !time.Now().Before(h.ends) {
+		s.drop(id)
+	}
+}
+
 func (s *State) drop(id uint64) {
+	if h := s.holds[id]; h != nil {
+		h.timer.Stop()
+	}
 	delete(s.holds, id)
 	for k, it := range s.items {
 		if it.hold == id {
-			s.rev++
+			s.revision++
 			delete(s.items, k)
+			s.note(wire.Item{Key: k, Mark: s.revision})
 		}
 	}
 }
 
-type transaction struct {
-	When []struct {
-		K    string `json:"k"`
-		Mark uint64 `json:"entry_mark"`
-	} `json:"when"`
-	Writes []struct {
-		Write  string          `json:"write"`
-		Data   json.RawMessage `json:"data"`
-		Hold   uint64          `json:"tether"`
-		Remove string          `json:"remove"`
-	} `json:"writes"`
+// note tells followers of a change.
+func (s *State) note(it wire.Item) {
+	s.changes = append(s.changes, it)
+	if n := len(s.changes) - changesKept; n > 0 {
+		s.changes = slices.Delete(s.changes, 0, n)
+	}
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// reply is what a request is answered.
+type reply struct {
+	status int
+	body   []byte
 }
 
-func (s *State) multi(t transaction) (int, any) {
+func refusal(status int, why string) reply { return reply{status, wire.Problem(why)} }
+
+func (s *State) transact(t wire.StateTxn) reply {
 	for _, w := range t.Writes {
-		if s.value > 0 && len(w.Data) > s.value {
-			s.bad = append(s.bad, w.Write+": "+strconv.Itoa(len(w.Data))+" bytes")
-			return 400, map[string]string{"error": "value too large"}
+		if s.value > 0 && len(w.Value) > s.value {
+			s.bad = append(s.bad, fmt.Sprintf("%s: %d bytes", w.Key, len(w.Value)))
+			return refusal(http.StatusBadRequest, "value too large")
 		}
-		if _, ok := s.holds[w.Hold]; w.Hold != 0 && !ok {
-			return 400, map[string]string{"error": "no such lease"}
+		if w.Hold != 0 && s.holds[w.Hold] == nil {
+			return refusal(http.StatusBadRequest, "no such lease")
 		}
 	}
 	if s.ops > 0 && len(t.Writes) > s.ops {
-		s.bad = append(s.bad, strconv.Itoa(len(t.Writes))+" changes")
-		return 400, map[string]string{"error": "too many changes"}
+		s.bad = append(s.bad, fmt.Sprintf("%d changes", len(t.Writes)))
+		return refusal(http.StatusBadRequest, "too many changes")
+	}
+	if s.writes != nil && !s.writes.AllowN(time.Now(), len(t.Writes)) {
+		s.counts.RateLimited++
+		return refusal(http.StatusTooManyRequests, "too many changes a second")
 	}
-	for _, c := range t.When {
-		if s.items[c.K].Mark != c.Mark {
-			return 409, map[string]any{"failed": []string{c.K}, "ledger_mark": s.rev}
+	s.counts.Writes += uint64(len(t.Writes))
+	var failed []string
+	for _, c := range t.Conds {
+		if s.items[c.Key].Mark != c.Mark {
+			failed = append(failed, c.Key)
 		}
 	}
-	s.rev++
+	if failed != nil {
+		return reply{http.StatusConflict, wire.TxnAnswer(s.revision, failed)}
+	}
+	s.counts.Transactions++
+	s.revision++
 	for _, w := range t.Writes {
-		if w.Remove != "" {
-			delete(s.items, w.Remove)
+		it := wire.Item{Key: w.Key, Mark: s.revision}
+		if w.Remove {
+			delete(s.items, w.Key)
 		} else {
-			s.items[w.Write] = stored{w.Write, w.Data, s.rev, w.Hold}
+			it.Value = w.Value
+			s.items[w.Key] = stored{it, w.Hold}
+			s.counts.BytesWritten += uint64(len(w.Value))
+			s.counts.Largest = max(s.counts.Largest, len(w.Value))
 		}
+		s.note(it)
 	}
-	return 200, map[string]any{"ledger_mark": s.rev}
+	return reply{http.StatusOK, wire.TxnAnswer(s.revision, nil)}
 }
 
 // ServeHTTP serves one request.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	status, body := s.serve(r)
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody+1))
+	out := refusal(http.StatusBadRequest, "a body that cannot be read, or over 64 KiB")
+	if err == nil && len(body) <= wire.MaxBody {
+		out = s.serve(r, body)
+	}
+	w.WriteHeader(out.status)
+	_, _ = w.Write(out.body) // whoever asked may be gone
 }
 
-func (s *State) serve(r *http.Request) (int, any) {
-	var t transaction
-	var life struct {
-		MS int64 `json:"life_ms"`
+func (s *State) serve(r *http.Request, body []byte) reply {
+	query, err := wire.ParseStateQuery(r.URL.Query())
+	if err != nil {
+		return refusal(http.StatusBadRequest, err.Error())
 	}
-	dec := json.NewDecoder(r.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.counts.Requests++
 	if s.down {
-		return 503, struct{}{}
+		return refusal(http.StatusServiceUnavailable, "outage")
+	}
+	if s.requests != nil && !s.requests.Allow() {
+		s.counts.RateLimited++
+		return refusal(http.StatusTooManyRequests, "too many requests a second")
 	}
 	if s.items == nil {
-		s.items, s.holds = map[string]stored{}, map[uint64]held{}
+		s.items, s.holds = map[string]stored{}, map[uint64]*held{}
 	}
-	for id, h := range s.holds {
-		if time.Now().After(h.ends) {
-			s.drop(id)
+	path := r.URL.Path
+	switch {
+	case path == wire.PathKeys:
+		return s.page(query)
+	case path == wire.PathTransactions:
+		t, err := wire.ParseTxn(body)
+		if err != nil {
+			return refusal(http.StatusBadRequest, err.Error())
 		}
+		return s.transact(t)
+	case path == wire.PathHolds:
+		return s.hold(body)
+	case path == wire.PathFollow:
+		return s.follow(r, query)
+	case strings.HasPrefix(path, wire.PathHolds+"/"):
+		return s.changeHold(r.Method, strings.TrimPrefix(path, wire.PathHolds+"/"))
+	case strings.HasPrefix(path, wire.PathKeys+"/"):
+		it, ok := s.items[strings.TrimPrefix(path, wire.PathKeys+"/")]
+		if !ok {
+			return reply{http.StatusNotFound, wire.TxnAnswer(s.revision, nil)}
+		}
+		return reply{http.StatusOK, wire.StateItem(it.Item, it.hold)}
 	}
-	path, query := r.URL.Path, r.URL.Query()
-	id, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimPrefix(path, "/holds/"), "/renew"), 10, 64)
-	switch {
-	case path == "/keys":
-		most, _ := strconv.Atoi(query.Get("most"))
-		rows, more := []stored{}, false
-		for _, k := range slices.Sorted(maps.Keys(s.items)) {
-			if strings.HasPrefix(k, query.Get("starts")) && k > query.Get("since") {
-				if more = most > 0 && len(rows) == most; more {
-					break
-				}
-				rows = append(rows, s.items[k])
-			}
+	return refusal(http.StatusNotFound, "no such path")
+}
+
+func (s *State) page(q wire.StateQuery) reply {
+	most := pageMost
+	if q.Most > 0 {
+		most = min(most, q.Most)
+	}
+	var rows []wire.Item
+	bytes := 0
+	for _, k := range slices.Sorted(maps.Keys(s.items)) {
+		if !strings.HasPrefix(k, q.Prefix) || k <= q.After {
+			continue
+		}
+		it := s.items[k].Item
+		bytes += len(it.Value)
+		if len(rows) == most || (bytes > pageBytes && len(rows) > 0) {
+			return reply{http.StatusOK, wire.StatePage(rows, true, s.revision)}
 		}
-		return 200, map[string]any{"rows": rows, "has_next": more, "ledger_mark": s.rev}
-	case strings.HasPrefix(path, "/keys/"):
-		if it, ok := s.items[strings.TrimPrefix(path, "/keys/")]; ok {
-			return 200, it
+		rows = append(rows, it)
+	}
+	return reply{http.StatusOK, wire.StatePage(rows, false, s.revision)}
+}
+
+func (s *State) hold(body []byte) reply {
+	life, err := wire.ParseHold(body)
+	if err != nil {
+		return refusal(http.StatusBadRequest, err.Error())
+	}
+	s.revision++
+	id := s.revision
+	s.holds[id] = &held{life: life, ends: time.Now().Add(life), timer: time.AfterFunc(life, func() { s.expire(id) })}
+	return reply{http.StatusOK, wire.HoldAnswer(id)}
+}
+
+// changeHold renews a hold, ID/renew, or ends it.
+func (s *State) changeHold(method, what string) reply {
+	number, renew := strings.CutSuffix(what, "/renew")
+	id, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return refusal(http.StatusBadRequest, "not a hold's number")
+	}
+	h := s.holds[id]
+	switch {
+	case h == nil:
+		return refusal(http.StatusNotFound, "no such hold")
+	case renew:
+		h.renew()
+	case method == http.MethodDelete:
+		s.drop(id)
+	default:
+		return refusal(http.StatusBadRequest, "neither renewed nor deleted")
+	}
+	return reply{http.StatusOK, []byte("{}")}
+}
+
+// follow waits until a key with the prefix has changed. It gives up the lock meanwhile.
+func (s *State) follow(r *http.Request, q wire.StateQuery) reply {
+	end := time.NewTimer(min(q.Wait, followAtMost))
+	defer end.Stop()
+	for over := false; ; {
+		if len(s.changes) == changesKept && s.changes[0].Mark > q.Since+1 {
+			return reply{http.StatusGone, wire.TxnAnswer(s.revision, nil)}
 		}
-		return 404, map[string]any{"ledger_mark": s.rev}
-	case path == "/multi":
-		if dec.Decode(&t) != nil {
-			return 400, struct{}{}
+		from, _ := slices.BinarySearchFunc(s.changes, q.Since+1, func(it wire.Item, mark uint64) int { return int(it.Mark) - int(mark) })
+		var news []wire.Item
+		for _, it := range s.changes[from:] {
+			if strings.HasPrefix(it.Key, q.Prefix) {
+				news = append(news, it)
+			}
 		}
-		return s.multi(t)
-	case path == "/holds":
-		if dec.Decode(&life) != nil {
-			return 400, struct{}{}
+		if len(news) > 0 || over {
+			return reply{http.StatusOK, wire.StateNews(s.revision, news)}
 		}
-		s.rev++
-		d := time.Duration(life.MS) * time.Millisecond
-		s.holds[s.rev] = held{d, time.Now().Add(d)}
-		return 200, map[string]any{"tether": s.rev}
-	case strings.HasSuffix(path, "/renew"):
-		h, ok := s.holds[id]
-		if !ok {
-			return 404, struct{}{}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
 		}
-		h.ends = time.Now().Add(h.life)
-		s.holds[id] = h
-		return 200, struct{}{}
-	case strings.HasPrefix(path, "/holds/"):
-		s.drop(id)
-		return 200, struct{}{}
-	case path == "/follow":
+		changed := s.changed
 		s.mu.Unlock()
-		time.Sleep(200 * time.Millisecond) // then they look for themselves
+		select {
+		case <-changed:
+		case <-end.C:
+			over = true
+		case <-r.Context().Done():
+			over = true
+		}
 		s.mu.Lock()
-		return 200, map[string]any{"ledger_mark": s.rev, "news": []any{}}
 	}
-	return 404, struct{}{}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,385 +2,384 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"fmt"
-	"iter"
-	"maps"
+	"context"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-)
 
-// Fleet plays the workers of a cloud's machines: each reports to one
-// controller at a time and runs what it is told to, and the rules that concern
-// a start are checked.
-type Fleet struct {
-	Doors []string // base addresses of the controllers
-	Every time.Duration
-	Lease time.Duration
-	// Runs says how long tasks of a job run, and which jobs must be done before.
-	Runs func(job string) (time.Duration, []string)
-	// Took, where it is set, says it for each task instead.
-	Took func(task string) time.Duration
-	// Tasks is how many tasks a job has.
-	Tasks func(job string) int
-	// Units, where it is set, says how many units of which pools each task of a job
-	// holds while it runs; more than Limit allows are a broken rule.
-	Units func(job string) map[string]int
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
 
-	mu     sync.Mutex
-	most   map[string]int
-	peak   map[string]int
-	paused map[string]time.Time // machines whose workers make no reports until then
-	deaf   map[string]time.Time // machines that answers do not reach until then
-	copies time.Duration        // a copy of one in four reports arrives so much later at most; 0: none
-	late   int                  // copies that did arrive
-	gone   map[string]bool
-	on     map[string]string // task -> machine
+// What the protocol says of a worker's reports.
+const (
+	reportTimeout = 4 * time.Second
+	nextDoorAfter = time.Second
+	soonest       = 500 * time.Millisecond // between two reports
+	pausedLook    = 50 * time.Millisecond
+	answerMost    = 1 << 20 // bytes
+)
 
-	attempts map[string]uint64 // of the tasks that run
-	done     map[string]bool   // tasks
-	broken   []string
+// task is one on a machine. It is fetched, runs, and ends.
+type task struct {
+	workers.TaskReport
+	until time.Time // the fetch or the run is over
 }
 
-// Broken lists the rules that were broken.
-func (f *Fleet) Broken() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]string(nil), f.broken...)
+func (t *task) name() string { return wire.FormatTask(t.Job, t.Task) }
+
+// attempt names a start.
+type attempt struct {
+	job    uint64
+	task   int
+	number uint64
 }
 
-// Limit says how many units of a pool there are.
-func (f *Fleet) Limit(pool string, units int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.most == nil {
-		f.most, f.peak = map[string]int{}, map[string]int{}
-	}
-	f.most[pool] = units
+// worker is that of one machine.
+type worker struct {
+	fleet  *Fleet
+	m      Machine
+	client *http.Client
+	down   chan struct{} // closed when the machine is gone
+	wake   chan struct{} // something is to be reported
+
+	mu           sync.Mutex
+	session, seq uint64
+	token        uint64
+	tasks        map[attempt]*task
+	images       map[string]bool
+	renewed      time.Time
+	changed      bool // since the last report
+	door         int
 }
 
-// Peak is the most units of a pool that were ever held at once.
-func (f *Fleet) Peak(pool string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peak[pool]
+func newWorker(f *Fleet, m Machine) *worker {
+	w := &worker{fleet: f, m: m, down: make(chan struct{}), wake: make(chan struct{}, 1),
+		session: 1, tasks: map[attempt]*task{}, images: map[string]bool{}, renewed: time.Now()}
+	w.client = &http.Client{Timeout: reportTimeout, Transport: &http.Transport{DialContext: w.dial, MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	if f.Prompt && len(f.Doors) > 0 {
+		w.door = rand.IntN(len(f.Doors))
+	}
+	return w
 }
 
-// count holds what is held by what really runs against the limits of the pools that a
-// task needs which has just started.
-func (f *Fleet) count(started string) {
-	held := map[string]int{}
-	for t := range f.on {
-		id, _, _ := strings.Cut(t, "/")
-		for pool, n := range f.Units(id) {
-			held[pool] += n
-		}
+// live reports until the machine is gone.
+func (w *worker) live() {
+	defer w.client.CloseIdleConnections()
+	next := time.Now()
+	if w.fleet.Prompt {
+		next = next.Add(rand.N(w.fleet.Every))
 	}
-	id, _, _ := strings.Cut(started, "/")
-	for pool := range f.Units(id) {
-		f.peak[pool] = max(f.peak[pool], held[pool])
-		if held[pool] > f.most[pool] {
-			f.broken = append(f.broken, fmt.Sprintf("overdrawn: %d units of %s are held, there are %d", held[pool], pool, f.most[pool]))
+	var last time.Time
+	for {
+		if !w.sleep(w.until(next, last)) {
+			return
+		}
+		now := time.Now()
+		w.advance(now)
+		x := w.fleet.troubles(w.m.Name)
+		switch {
+		case x.gone:
+			return
+		case x.paused:
+			next, last = now.Add(pausedLook), now
+			continue
+		case now.Before(next) && !(w.hasChanged() && now.Sub(last) >= soonest):
+			continue
+		}
+		last = now
+		if w.report(x) {
+			next = time.Now().Add(w.interval())
+		} else {
+			next = time.Now().Add(nextDoorAfter)
 		}
 	}
 }
 
-// Busy lists the machines on which something runs, in no order.
-func (f *Fleet) Busy() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for _, m := range f.on {
-		out = append(out, m)
+// interval is the time to the next report.
+func (w *worker) interval() time.Duration {
+	every := w.fleet.Every
+	if !w.fleet.Prompt {
+		return every
 	}
-	return out
+	return every*3/4 + rand.N(every/2)
 }
 
-// Pause has a machine's worker make no reports for a while; what runs there runs on
-// until its lease is over.
-func (f *Fleet) Pause(machine string, d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.paused == nil {
-		f.paused = map[string]time.Time{}
+// until is when the worker has something to do next: a report, or the end of a fetch or a run.
+func (w *worker) until(next, last time.Time) time.Time {
+	if !w.fleet.Prompt {
+		return next
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if soon := last.Add(soonest); w.changed && soon.Before(next) {
+		next = soon
 	}
-	f.paused[machine] = time.Now().Add(d)
+	for _, t := range w.tasks {
+		if t.State != workers.Ended && t.until.Before(next) {
+			next = t.until
+		}
+	}
+	return next
 }
 
-// Deafen has a machine's reports arrive, and no answer reach it, for a while.
-func (f *Fleet) Deafen(machine string, d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.deaf == nil {
-		f.deaf = map[string]time.Time{}
+// sleep waits until a time or a change; false says that the machine is gone.
+func (w *worker) sleep(until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-w.down:
+		return false
+	case <-w.wake:
+	case <-timer.C:
 	}
-	f.deaf[machine] = time.Now().Add(d)
+	return true
 }
 
-// Repeat has a copy of one in four reports arrive at some controller, so much later at most.
-func (f *Fleet) Repeat(within time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.copies = within
+func (w *worker) hasChanged() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fleet.Prompt && w.changed
 }
 
-// Late counts the copies of reports that arrived.
-func (f *Fleet) Late() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.late
+// dial reaches the controller that the worker is at.
+func (w *worker) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return w.fleet.traffic(w.at()).DialContext(&net.Dialer{Timeout: reportTimeout})(ctx, network, addr)
 }
 
-// again sends a copy of a report, now and then; nobody hears the answer.
-func (f *Fleet) again(client *http.Client, body []byte) {
-	f.mu.Lock()
-	within := f.copies
-	f.mu.Unlock()
-	if within == 0 || rand.IntN(4) > 0 {
-		return
-	}
-	time.AfterFunc(rand.N(within), func() {
-		resp, err := client.Post(f.Doors[rand.IntN(len(f.Doors))]+"/checkin", "application/json", bytes.NewReader(body))
-		if err == nil {
-			resp.Body.Close()
-			f.mu.Lock()
-			f.late++
-			f.mu.Unlock()
-		}
-	})
+func (w *worker) at() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.door % len(w.fleet.Doors)
 }
 
-// On lists the machines on which tasks of a job run.
-func (f *Fleet) On(job string) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for t, m := range f.on {
-		if id, _, _ := strings.Cut(t, "/"); id == job {
-			out = append(out, m)
-		}
+// current is the worker's report as of now; the caller holds the lock.
+func (w *worker) current() []byte {
+	w.seq++
+	r := workers.Report{Machine: w.m.Name, Address: w.m.Address, Type: w.m.Type, Zone: w.m.Zone, Spot: w.m.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
 	}
-	return out
+	return wire.EncodeReport(&r)
 }
 
-// Down has a machine's worker end.
-func (f *Fleet) Down(m Machine) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.gone[m.Name] = true
-	for t, on := range f.on {
-		if on == m.Name {
-			delete(f.on, t)
+// report makes one report; false says that the next controller is to be tried.
+func (w *worker) report(x troubles) bool {
+	w.mu.Lock()
+	body := w.current()
+	w.changed = false
+	w.mu.Unlock()
+	w.repeat(body, x.copies)
+	sent, door := time.Now(), w.at()
+	status, answer := w.post(door, body)
+	if status == http.StatusMisdirectedRequest {
+		if to, ok := w.fleet.door(wire.ParseElsewhere(answer)); ok && to != door {
+			w.client.CloseIdleConnections()
+			w.move(to)
+			return true
 		}
 	}
-}
-
-// Up begins a machine's worker, which ends with Down.
-func (f *Fleet) Up(m Machine) {
-	f.mu.Lock()
-	if f.gone == nil {
-		f.gone, f.on, f.done = map[string]bool{}, map[string]string{}, map[string]bool{}
+	if status != http.StatusOK || x.deaf {
+		w.move(door + 1)
+		return false
 	}
-	f.mu.Unlock()
-	go (&worker{f: f, m: m, session: 1, tasks: map[string]*running{}, renewed: time.Now()}).live()
-}
-
-// Finished says whether all tasks of a job have completed.
-func (f *Fleet) Finished(job string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.finished(job)
-}
-
-func (f *Fleet) finished(job string) bool {
-	for k := range f.Tasks(job) {
-		if !f.done[job+"/"+strconv.Itoa(k)] {
-			return false
-		}
+	if token, commands, err := wire.ParseReportAnswer(answer); err == nil {
+		w.take(sent, token, commands)
 	}
 	return true
 }
 
-type running struct {
-	Task    string `json:"beast"`
-	Attempt uint64 `json:"try"`
-	State   string `json:"standing"`
-	Why     string `json:"cause,omitempty"`
-	ends    time.Time
+func (w *worker) move(door int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.door = door
 }
 
-type worker struct {
-	f            *Fleet
-	m            Machine
-	session, seq uint64
-	token        uint64
-	tasks        map[string]*running // by task and attempt
-	renewed      time.Time
-	at           int
-}
-
-type call struct {
-	Call    string `json:"call"`
-	Task    string `json:"beast"`
-	Attempt uint64 `json:"try"`
-}
-
-// live reports until the machine is gone.
-func (w *worker) live() {
-	client := &http.Client{Timeout: 4 * time.Second}
-	for {
-		w.f.mu.Lock()
-		over, until := w.f.gone[w.m.Name], w.f.paused[w.m.Name]
-		w.f.mu.Unlock()
-		if over {
-			return
-		}
-		if time.Now().Before(until) {
-			w.advance()
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		pause := w.f.Every
-		if !w.report(client) {
-			pause = time.Second
+// post sends a report to a controller; status 0: there was no answer.
+func (w *worker) post(door int, body []byte) (int, []byte) {
+	var latency time.Duration
+	if w.fleet.Reaches != nil {
+		ok := false
+		if ok, latency = w.fleet.Reaches(w.m.Zone, door); !ok {
+			w.sleepFor(reportTimeout)
+			return 0, nil
 		}
-		time.Sleep(pause)
 	}
-}
-
-// report makes one report; false says that the next node is to be tried.
-func (w *worker) report(client *http.Client) bool {
-	w.advance()
-	w.seq++
-	head := []*running{}
-	for _, t := range w.tasks {
-		head = append(head, t)
-	}
-	body, err := json.Marshal(map[string]any{"stall": w.m.Name, "address": w.m.Address, "breed": w.m.Type, "pasture": w.m.Zone, "loaned_stock": w.m.Spot,
-		"watch": w.session, "tally": w.seq, "crook": w.token, "recall_s": nil, "head": head})
-	if err != nil {
-		panic(err)
-	}
-	w.f.again(client, body)
-	sent := time.Now()
-	door := w.f.Doors[w.at%len(w.f.Doors)]
-	resp, err := client.Post(door+"/checkin", "application/json", bytes.NewReader(body))
+	w.sleepFor(latency)
+	resp, err := w.client.Post(w.fleet.Doors[door]+wire.PathReports, "application/json", bytes.NewReader(body))
 	if err != nil {
-		w.at++
-		return false
+		return 0, nil
 	}
 	defer resp.Body.Close()
-	var answer struct {
-		Token uint64 `json:"crook"`
-		Calls []call `json:"calls"`
-		Node  string `json:"herdsman"`
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err != nil {
+		return 0, nil
 	}
-	_ = json.NewDecoder(resp.Body).Decode(&answer)
-	if n, ok := strings.CutPrefix(answer.Node, "n"); ok && resp.StatusCode == 421 {
-		if i, err := strconv.Atoi(n); err == nil && i != w.at%len(w.f.Doors) {
-			w.at = i
-			return true
-		}
+	w.fleet.traffic(door).Message()
+	w.sleepFor(latency)
+	return resp.StatusCode, answer
+}
+
+func (w *worker) sleepFor(d time.Duration) {
+	if d == 0 {
+		return
 	}
-	if resp.StatusCode != 200 {
-		w.at++
-		return false
+	select {
+	case <-w.down:
+	case <-time.After(d):
 	}
-	w.f.mu.Lock()
-	deaf := time.Now().Before(w.f.deaf[w.m.Name])
-	w.f.mu.Unlock()
-	if deaf {
-		w.at++
-		return false
-	}
-	if answer.Token < w.token {
-		return true
+}
+
+// repeat sends a copy of a report, now and then; nobody hears the answer.
+func (w *worker) repeat(body []byte, within time.Duration) {
+	if within == 0 || rand.IntN(4) > 0 {
+		return
 	}
-	w.token, w.renewed = answer.Token, sent
-	for _, c := range answer.Calls {
-		w.execute(c)
+	door := w.fleet.Doors[rand.IntN(len(w.fleet.Doors))]
+	time.AfterFunc(rand.N(within), func() {
+		resp, err := http.Post(door+wire.PathReports, "application/json", bytes.NewReader(body))
+		if err == nil {
+			resp.Body.Close()
+			w.fleet.mu.Lock()
+			w.fleet.late++
+			w.fleet.mu.Unlock()
+		}
+	})
+}
+
+// take carries out the answer to a report, unless its token is an older one.
+func (w *worker) take(sent time.Time, token uint64, commands []workers.Command) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if token < w.token {
+		return
 	}
-	return true
+	w.token, w.renewed = token, sent
+	w.execute(commands)
 }
 
-// advance ends what has run long enough, and everything when the lease is over.
-func (w *worker) advance() {
-	w.f.mu.Lock()
-	defer w.f.mu.Unlock()
-	if time.Since(w.renewed) > w.f.Lease {
+// advance ends what has been fetched or has run long enough, and everything when the lease is over.
+func (w *worker) advance(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.renewed) > w.fleet.Lease {
 		for _, t := range w.tasks {
-			if t.State == "running" {
-				delete(w.f.on, t.Task)
+			if t.State == workers.Running {
+				w.fleet.recorder().Ended(t.name(), w.m.Name, false)
 			}
 		}
-		w.tasks = map[string]*running{}
+		w.tasks = map[attempt]*task{}
 		w.session++
-		w.renewed = time.Now()
+		w.renewed = now
+		w.changed = true
 	}
 	for _, t := range w.tasks {
-		if t.State == "running" && time.Now().After(t.ends) {
-			t.State, t.Why = "ended", "done"
-			w.f.done[t.Task] = true
-			delete(w.f.on, t.Task)
+		if t.State == workers.Ended || now.Before(t.until) {
+			continue
 		}
+		w.changed = true
+		if t.State == workers.Fetching {
+			w.images[w.image(t)] = true
+			w.run(t)
+			continue
+		}
+		t.State, t.Reason = workers.Ended, workers.Completed
+		w.fleet.recorder().Ended(t.name(), w.m.Name, true)
 	}
 }
 
-func (w *worker) execute(c call) {
-	w.f.mu.Lock()
-	defer w.f.mu.Unlock()
-	key := fmt.Sprint(c.Task, "#", c.Attempt)
-	t := w.tasks[key]
-	switch c.Call {
-	case "start":
-		if t != nil {
-			return
-		}
-		job, _, _ := strings.Cut(c.Task, "/")
-		run, before := w.f.Runs(job)
-		if w.f.Took != nil {
-			run = w.f.Took(c.Task)
-		}
-		if on := w.f.on[c.Task]; on != "" {
-			w.f.broken = append(w.f.broken, fmt.Sprintf("ran_twice: %s on %s while on %s", c.Task, w.m.Name, on))
-		}
-		for _, b := range before {
-			if !w.f.finished(b) {
-				w.f.broken = append(w.f.broken, fmt.Sprintf("too_early: %s before %s was done", c.Task, b))
+func (w *worker) image(t *task) string {
+	if w.fleet.Image == nil {
+		return ""
+	}
+	return w.fleet.Image(wire.FormatID(t.Job))
+}
+
+func (w *worker) run(t *task) {
+	name := t.name()
+	w.fleet.recorder().Started(name, w.m.Name, t.Attempt)
+	var runs time.Duration
+	if w.fleet.Took != nil {
+		runs = w.fleet.Took(name)
+	} else {
+		runs, _ = w.fleet.Runs(wire.FormatID(t.Job))
+	}
+	t.State, t.until = workers.Running, time.Now().Add(runs)
+}
+
+// execute carries out commands; the caller holds the lock.
+func (w *worker) execute(commands []workers.Command) {
+	for _, c := range commands {
+		key := attempt{c.Job, c.Task, c.Attempt}
+		t := w.tasks[key]
+		switch {
+		case c.Op == workers.Start && t == nil:
+			w.start(key)
+		case c.Op == workers.Stop && t != nil && t.State != workers.Ended:
+			if t.State == workers.Running {
+				w.fleet.recorder().Ended(t.name(), w.m.Name, false)
 			}
-		}
-		w.f.on[c.Task] = w.m.Name
-		if w.f.attempts == nil {
-			w.f.attempts = map[string]uint64{}
-		}
-		w.f.attempts[c.Task] = c.Attempt
-		if w.f.Units != nil {
-			w.f.count(c.Task)
-		}
-		w.tasks[key] = &running{Task: c.Task, Attempt: c.Attempt, State: "running", ends: time.Now().Add(run)}
-	case "stop":
-		if t != nil && t.State == "running" {
-			t.State, t.Why = "ended", "stopped"
-			delete(w.f.on, c.Task)
-		}
-	default:
-		if t != nil && t.State == "ended" {
+			t.State, t.Reason = workers.Ended, workers.Stopped
+			w.changed = true
+		case c.Op == workers.Reap && t != nil && t.State == workers.Ended:
 			delete(w.tasks, key)
 		}
 	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) start(key attempt) {
+	t := &task{TaskReport: workers.TaskReport{Job: key.job, Task: key.task, Attempt: key.number}}
+	w.tasks[key] = t
+	w.changed = true
+	if image := w.image(t); image != "" && !w.images[image] {
+		t.State, t.until = workers.Fetching, time.Now().Add(w.fleet.Fetch)
+		return
+	}
+	w.run(t)
 }
 
-// Attempts gives the tasks that run now, with their attempts.
-func (f *Fleet) Attempts() iter.Seq2[string, uint64] {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := map[string]uint64{}
-	for t := range f.on {
-		list[t] = f.attempts[t]
+// ServeHTTP serves direct commands, and shows the worker's report.
+func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody))
+	if err != nil {
+		return // whoever asked is gone
+	}
+	w.fleet.Direct.Message()
+	status, answer := w.serve(r.URL.Path, body)
+	out.WriteHeader(status)
+	_, _ = out.Write(answer)
+}
+
+func (w *worker) serve(path string, body []byte) (int, []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.down:
+		return http.StatusServiceUnavailable, nil
+	default:
+	}
+	switch path {
+	case wire.PathShow:
+		return http.StatusOK, w.current()
+	case wire.PathCommands:
+		d, err := wire.ParseDirect(body)
+		switch {
+		case err != nil || d.Session == 0:
+			return http.StatusBadRequest, nil
+		case d.Token < w.token || d.Session != w.session:
+			return http.StatusConflict, w.current()
+		}
+		w.token = d.Token
+		w.execute(d.Commands)
+		return http.StatusOK, w.current()
 	}
-	return maps.All(list)
+	return http.StatusNotFound, nil
 }
--- /dev/null
+++ b/internal/wire/platform_test.go
@@ -0,0 +1,54 @@
+package wire
+
+import (
+	"net/url"
+	"reflect"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/workers"
+)
+
+// What one side writes the other reads as it was meant.
+func TestBothSidesAgree(t *testing.T) {
+	r := &workers.Report{Machine: "host-000001", Address: "a:1", Type: "m", Zone: "z", Spot: true, Session: 2, Seq: 3, Token: 4, Notice: true, NoticeS: 9,
+		Tasks: []workers.TaskReport{{Job: 1, Task: 2, Attempt: 3, State: workers.Running}, {Job: 4, Attempt: 5, State: workers.Ended, Reason: workers.Completed, Saved: true}}}
+	if got, err := ParseReport(EncodeReport(r)); err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("a report: %+v %v", got, err)
+	}
+	cmds := []workers.Command{{Op: workers.Start, Job: 1, Task: 2, Attempt: 3}, {Op: workers.Stop, Job: 1, Attempt: 4, GraceS: 5}, {Op: workers.Reap, Job: 2, Attempt: 6}}
+	if token, got, err := ParseReportAnswer(ReportAnswer(7, cmds)); err != nil || token != 7 || !reflect.DeepEqual(got, cmds) {
+		t.Errorf("an answer: %d %+v %v", token, got, err)
+	}
+	if d, err := ParseDirect(Direct(7, 8, cmds)); err != nil || d.Token != 7 || d.Session != 8 || !reflect.DeepEqual(d.Commands, cmds) {
+		t.Errorf("direct commands: %+v %v", d, err)
+	}
+	if got := ParseElsewhere(Elsewhere("n1")); got != "n1" {
+		t.Errorf("elsewhere: %q", got)
+	}
+	j := &ledger.Job{ID: 1, Class: "c", Team: "t", Priority: 2, Tasks: 3, CPUs: 1, MemoryGB: 2, Image: "i", ImageGB: .5, Types: []string{"m"}, Zone: "z",
+		Spot: true, EstimateS: 9, DeadlineS: 10, Follows: []uint64{7}}
+	if got := ParseSubmission(EncodeSubmission(j), false); got.Bad != "" || !reflect.DeepEqual(got.Job, j) {
+		t.Errorf("a submission: %+v", got)
+	}
+	if got, err := ParseJobAnswer(JobAnswer(1, Cancelled, true, 2, 3)); err != nil || got != Cancelled {
+		t.Errorf("a job's state: %v %v", got, err)
+	}
+	for _, bad := range []string{"", "[]", `{"calls":[{"call":"dance","beast":"j-000001/0"}]}`, `{"calls":[{"call":"stop","beast":"j-1"}]}`} {
+		if _, _, err := ParseReportAnswer([]byte(bad)); err == nil {
+			t.Errorf("%q was read as an answer", bad)
+		}
+	}
+}
+
+// A query of the state service is read, or refused by its field.
+func TestStateQuery(t *testing.T) {
+	q, err := ParseStateQuery(url.Values{"starts": {"c/"}, "since": {"431"}, "most": {"20"}, "hold_ms": {"1500"}})
+	if want := (StateQuery{Prefix: "c/", After: "431", Most: 20, Since: 431, Wait: 1500 * time.Millisecond}); err != nil || q != want {
+		t.Errorf("%+v %v", q, err)
+	}
+	if _, err := ParseStateQuery(url.Values{"most": {"many"}}); err == nil {
+		t.Error("a number that is none was taken")
+	}
+}
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -72,7 +72,7 @@
 // Get reads a key; a missing one has mark 0.
 func (s *State) Get(ctx context.Context, key string) (Item, error) {
 	var it item
-	status, err := s.c.call(ctx, "GET", "/keys/"+key, nil, &it)
+	status, err := s.c.call(ctx, "GET", PathKeys+"/"+key, nil, &it)
 	if err != nil {
 		return Item{}, err
 	}
@@ -91,12 +91,8 @@
 	if since != "" {
 		q.Set("since", since)
 	}
-	var out struct {
-		Rows []item `json:"rows"`
-		More bool   `json:"has_next"`
-		Rev  uint64 `json:"ledger_mark"`
-	}
-	status, err := s.c.call(ctx, "GET", "/keys?"+q.Encode(), nil, &out)
+	var out page
+	status, err := s.c.call(ctx, "GET", PathKeys+"?"+q.Encode(), nil, &out)
 	if err != nil {
 		return nil, false, 0, err
 	}
@@ -133,7 +129,7 @@
 
 func (s *State) multi(ctx context.Context, t txn) (ledger.Outcome, uint64, []string) {
 	var out txnAnswer
-	status, err := s.c.call(ctx, "POST", "/multi", t, &out)
+	status, err := s.c.call(ctx, "POST", PathTransactions, t, &out)
 	switch {
 	case err != nil:
 		return ledger.Unknown, 0, nil
@@ -201,28 +197,26 @@
 // or saw one rather than failing.
 func (s *State) Follow(ctx context.Context, prefix string, since uint64, wait time.Duration) bool {
 	q := url.Values{"starts": {prefix}, "since": {strconv.FormatUint(since, 10)}, "hold_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	status, err := s.c.call(ctx, "GET", "/follow?"+q.Encode(), nil, nil)
+	status, err := s.c.call(ctx, "GET", PathFollow+"?"+q.Encode(), nil, nil)
 	return err == nil && (status == 200 || status == 410)
 }
 
 // Hold makes a hold.
 func (s *State) Hold(ctx context.Context, life time.Duration) (uint64, bool) {
-	var out struct {
-		ID uint64 `json:"tether"`
-	}
-	status, err := s.c.call(ctx, "POST", "/holds", map[string]int64{"life_ms": life.Milliseconds()}, &out)
+	var out holdAnswer
+	status, err := s.c.call(ctx, "POST", PathHolds, hold{life.Milliseconds()}, &out)
 	return out.ID, err == nil && status == 200
 }
 
 // Renew renews a hold; gone says that it has ended.
 func (s *State) Renew(ctx context.Context, id uint64) (ok, gone bool) {
-	status, err := s.c.call(ctx, "POST", "/holds/"+strconv.FormatUint(id, 10)+"/renew", struct{}{}, nil)
+	status, err := s.c.call(ctx, "POST", PathHolds+"/"+strconv.FormatUint(id, 10)+"/renew", struct{}{}, nil)
 	return err == nil && status == 200, err == nil && status == 404
 }
 
 // Release ends a hold.
 func (s *State) Release(ctx context.Context, id uint64) {
-	_, _ = s.c.call(ctx, "DELETE", "/holds/"+strconv.FormatUint(id, 10), nil, nil) // it ends by itself otherwise
+	_, _ = s.c.call(ctx, "DELETE", PathHolds+"/"+strconv.FormatUint(id, 10), nil, nil) // it ends by itself otherwise
 }
 
 // Cloud is the cloud that rents machines.
@@ -231,23 +225,27 @@
 // NewCloud makes a client of the cloud.
 func NewCloud(addr string) *Cloud { return &Cloud{NewClient(addr, 4)} }
 
+type machineType struct {
+	Name      string   `json:"label"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	MemoryGB  float64  `json:"memory_gb"`
+	CacheGB   float64  `json:"local_gb"`
+	Fetch     float64  `json:"fetch_gb_per_s"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"spot_price"`
+	BootS     float64  `json:"ready_s"`
+	Zones     []string `json:"pastures"`
+}
+
+type machineTypes struct {
+	Types []machineType `json:"breeds"`
+}
+
 // Types reads the machine types.
 func (c *Cloud) Types(ctx context.Context) ([]ledger.Type, error) {
-	var out struct {
-		Types []struct {
-			Name      string   `json:"label"`
-			CPUs      float64  `json:"vcpus"`
-			GPUs      float64  `json:"gpus"`
-			MemoryGB  float64  `json:"memory_gb"`
-			CacheGB   float64  `json:"local_gb"`
-			Fetch     float64  `json:"fetch_gb_per_s"`
-			Price     float64  `json:"price"`
-			SpotPrice float64  `json:"spot_price"`
-			BootS     float64  `json:"ready_s"`
-			Zones     []string `json:"pastures"`
-		} `json:"breeds"`
-	}
-	status, err := c.c.call(ctx, "GET", "/machine_types", nil, &out)
+	var out machineTypes
+	status, err := c.c.call(ctx, "GET", PathMachineTypes, nil, &out)
 	if err != nil {
 		return nil, err
 	}
@@ -276,22 +274,27 @@
 	NoAnswer // outage, rate limit or no response: the same request must be repeated
 )
 
+// noCapacity is the word of a refusal for want of machines.
+const noCapacity = "no capacity"
+
+type rental struct {
+	Request string `json:"hire"`
+	Type    string `json:"breed"`
+	Zone    string `json:"pasture"`
+	Spot    bool   `json:"loaned_stock"`
+	Count   int    `json:"count"`
+}
+
+type machineNames struct {
+	Machines []string `json:"stalls"`
+}
+
 // Rent sends a rental request.
 func (c *Cloud) Rent(ctx context.Context, r ledger.Rental) ([]string, RentResult) {
-	in := struct {
-		Request string `json:"hire"`
-		Type    string `json:"breed"`
-		Zone    string `json:"pasture"`
-		Spot    bool   `json:"loaned_stock"`
-		Count   int    `json:"count"`
-	}{r.Name, r.Type, r.Zone, r.Spot, r.Count}
-	var out struct {
-		Machines []string `json:"stalls"`
-	}
-	req := struct {
-		Error string `json:"error"`
-	}{}
-	status, body, err := c.c.raw(ctx, "POST", "/rentals", in)
+	in := rental{r.Name, r.Type, r.Zone, r.Spot, r.Count}
+	var out machineNames
+	var refused problem
+	status, body, err := c.c.raw(ctx, "POST", PathRentals, in)
 	if err != nil {
 		return nil, NoAnswer
 	}
@@ -304,7 +307,7 @@
 	case 400:
 		return nil, Malformed
 	case 503:
-		if json.Unmarshal(body, &req) == nil && req.Error == "no capacity" {
+		if json.Unmarshal(body, &refused) == nil && refused.Error == noCapacity {
 			return nil, NoCapacity
 		}
 	}
@@ -337,7 +340,7 @@
 
 // Delete returns machines; true means that they are gone.
 func (c *Cloud) Delete(ctx context.Context, names []string) bool {
-	status, err := c.c.call(ctx, "POST", "/rentals/delete", map[string][]string{"stalls": names}, nil)
+	status, err := c.c.call(ctx, "POST", PathDelete, machineNames{names}, nil)
 	return err == nil && status == 200
 }
 
@@ -348,6 +351,23 @@
 	HeldS   float64
 }
 
+const stateFailed = "failed"
+
+type listedMachine struct {
+	Name    string  `json:"name_id"`
+	Address string  `json:"address"`
+	Type    string  `json:"breed"`
+	Zone    string  `json:"pasture"`
+	Spot    bool    `json:"loaned_stock"`
+	State   string  `json:"standing"`
+	HeldS   float64 `json:"held_s"`
+}
+
+type machineList struct {
+	Machines []listedMachine `json:"stalls"`
+	More     bool            `json:"has_next"`
+}
+
 // List reads the whole list of machines.
 func (c *Cloud) List(ctx context.Context) ([]Listed, error) {
 	var all []Listed
@@ -357,19 +377,8 @@
 		if since != "" {
 			q.Set("since", since)
 		}
-		var out struct {
-			Machines []struct {
-				Name    string  `json:"name_id"`
-				Address string  `json:"address"`
-				Type    string  `json:"breed"`
-				Zone    string  `json:"pasture"`
-				Spot    bool    `json:"loaned_stock"`
-				State   string  `json:"standing"`
-				HeldS   float64 `json:"held_s"`
-			} `json:"stalls"`
-			More bool `json:"has_next"`
-		}
-		status, err := c.c.call(ctx, "GET", "/rentals?"+q.Encode(), nil, &out)
+		var out machineList
+		status, err := c.c.call(ctx, "GET", PathRentals+"?"+q.Encode(), nil, &out)
 		if err != nil {
 			return nil, err
 		}
@@ -377,7 +386,7 @@
 			return nil, fmt.Errorf("wire: cloud: status %d", status)
 		}
 		for _, m := range out.Machines {
-			all = append(all, Listed{ledger.Machine{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, m.State == "failed", m.HeldS})
+			all = append(all, Listed{ledger.Machine{Name: m.Name, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, m.State == stateFailed, m.HeldS})
 			since = m.Name
 		}
 		if !out.More || len(out.Machines) == 0 {
--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -26,8 +26,8 @@
 	Task    string `json:"beast"`
 	Attempt uint64 `json:"try"`
 	State   string `json:"standing"`
-	Why     string `json:"cause"`
-	Saved   bool   `json:"kept"`
+	Why     string `json:"cause,omitempty"`
+	Saved   bool   `json:"kept,omitempty"`
 }
 
 var taskStates = map[string]workers.TaskState{
@@ -109,7 +109,7 @@
 func commands(in []workers.Command) []command {
 	out := make([]command, len(in))
 	for i, c := range in {
-		out[i] = command{Op: ops[c.Op], Task: FormatID(c.Job) + "/" + strconv.Itoa(c.Task), Attempt: c.Attempt}
+		out[i] = command{Op: ops[c.Op], Task: FormatTask(c.Job, c.Task), Attempt: c.Attempt}
 		if c.Op == workers.Stop {
 			grace := c.GraceS
 			out[i].GraceS = &grace
