--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,87 @@
+package experiment
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `
+[experiment]
+sizes = 30, 60
+[region east]
+zones = east-a, east-b
+[region west]
+zones = west-a
+[phase peak]
+measure_s = 5
+event = cut-zone
+zone = west-a
+`
+
+func load(t *testing.T, text string) (*Experiment, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadFile(path)
+}
+
+// What is wrong is named by file and field, in one line.
+func TestExperimentFiles(t *testing.T) {
+	e, err := load(t, good)
+	if err != nil || e.Sizes[1] != 60 || e.Phases[0].Zone != "west-a" || strings.Join(e.Zones(), " ") != "east-a west-a east-b" || e.RegionOf("west-a") != 1 {
+		t.Fatalf("%+v %v", e, err)
+	}
+	for text, field := range map[string]string{
+		good + "[load]\nstars = 3\n":                                                              "load.stars",
+		good + "[load]\nstarts = fast\n":                                                          "load.starts",
+		good + "[loads]\nstarts = 3\n":                                                            "loads",
+		strings.Replace(good, "30, 60", "30, 999999", 1):                                          "experiment.sizes",
+		strings.Replace(good, "west-a\n[phase", "east-a\n[phase", 1):                              "region west.zones",
+		strings.Replace(good, "zone = west-a", "zone = moon", 1):                                  "phase peak.zone",
+		strings.Replace(good, "cut-zone", "dance", 1):                                             "phase peak.event",
+		strings.Replace(good, "measure_s = 5", "settle_s = 5", 1):                                 "phase peak.measure_s",
+		good + "[workers]\nreport_s = 5\nlease_s = 9\n":                                           "workers.lease_s",
+		strings.Replace(good, "zone = west-a", "zone = east-a", 1) + "[workers]\nprocesses = 2\n": "phase peak.zone",
+	} {
+		_, err := load(t, text)
+		var wrong *Error
+		if !errors.As(err, &wrong) || wrong.Field != field || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), "x.ini") {
+			t.Errorf("%v, want the field %s named", err, field)
+		}
+	}
+}
+
+// What a machine cannot carry is refused beforehand.
+func TestNeeds(t *testing.T) {
+	e, err := load(t, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := e.Needs(2000)
+	if err := n.Refuse(16<<30, 20000); err != nil {
+		t.Error(err)
+	}
+	for _, err := range []error{n.Refuse(1<<30, 20000), n.Refuse(16<<30, 1000), Needs{Processes: 301}.Refuse(16<<30, 20000)} {
+		if err == nil {
+			t.Error("more than the machine has was not refused")
+		}
+	}
+}
+
+// The files that come with the project are in order.
+func TestExperimentsOfTheProject(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/*.ini")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%v %v", files, err)
+	}
+	for _, f := range files {
+		if _, err := LoadFile(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/netproxy/netproxy_test.go
@@ -0,0 +1,67 @@
+package netproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"bitternmoor/internal/meter"
+)
+
+// What is sent during a cut arrives after it, and all of it is counted.
+func TestProxyHoldsBackAndCounts(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	var traffic meter.Traffic
+	p, err := New(l.Addr().String(), time.Millisecond, &traffic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	c, err := net.Dial("tcp4", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	lines := bufio.NewReader(c)
+	say := func(s string) {
+		t.Helper()
+		if _, err := io.WriteString(c, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear := func(within time.Duration) (string, error) {
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		return lines.ReadString('\n')
+	}
+	say("one\n")
+	if s, err := hear(20 * time.Second); s != "one\n" {
+		t.Fatalf("%q %v", s, err)
+	}
+	p.Cut(true)
+	say("two\n")
+	if s, err := hear(200 * time.Millisecond); err == nil {
+		t.Errorf("%q came through a cut", s)
+	}
+	p.Cut(false)
+	if s, err := hear(20 * time.Second); s != "two\n" {
+		t.Errorf("%q %v", s, err)
+	}
+	if n := traffic.Read(); n.In != 8 || n.Out != 8 || n.Messages != 2 {
+		t.Errorf("%+v", n)
+	}
+}
--- /dev/null
+++ b/internal/scalefit/scalefit.go
@@ -0,0 +1,194 @@
+// Package scalefit fits what roles cost against what grows: by least squares over the results
+// of scale runs of several sizes.
+package scalefit
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/mat"
+
+	"bitternmoor/internal/scalerun"
+)
+
+// Regressors are what a cost may be fitted against, by name.
+var regressors = map[string]func(p *scalerun.Phase) float64{
+	"workers": func(p *scalerun.Phase) float64 { return p.Workers },
+	"starts":  func(p *scalerun.Phase) float64 { return p.StartsPerS },
+	"running": func(p *scalerun.Phase) float64 { return p.Running },
+	"teams":   func(p *scalerun.Phase) float64 { return float64(p.Teams) },
+}
+
+// Regressors lists the names of what a cost may be fitted against.
+func Regressors() []string {
+	names := []string{}
+	for n := range regressors {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Fit is one cost of a role as a linear function.
+type Fit struct {
+	Role      string    `json:"role"`
+	Cost      string    `json:"cost"`
+	Unit      string    `json:"unit"`
+	Against   []string  `json:"against"`
+	Slopes    []float64 `json:"slopes"` // by regressor
+	Intercept float64   `json:"intercept"`
+	Residual  float64   `json:"residual"` // root of the mean square
+	Points    int       `json:"points"`
+	From      []float64 `json:"from"` // range measured, by regressor
+	To        []float64 `json:"to"`
+}
+
+// At is the cost at values of the regressors; extrapolated says that one of them lies outside
+// of what was measured.
+func (f *Fit) At(at []float64) (value float64, extrapolated bool) {
+	value = f.Intercept
+	for i, x := range at {
+		value += f.Slopes[i] * x
+		extrapolated = extrapolated || x < f.From[i] || x > f.To[i]
+	}
+	return value, extrapolated
+}
+
+// cost is one of those that are fitted.
+type cost struct {
+	role, name, unit string
+	of               func(p *scalerun.Phase) (float64, bool)
+}
+
+func roleCost(role, name, unit string, of func(r *scalerun.Role) float64) cost {
+	return cost{role, name, unit, func(p *scalerun.Phase) (float64, bool) {
+		for i := range p.Roles {
+			if r := &p.Roles[i]; r.Role == role && r.Processes > 0 {
+				return of(r), true
+			}
+		}
+		return 0, false
+	}}
+}
+
+func costs() []cost {
+	var out []cost
+	for _, role := range []string{scalerun.RoleLeader, scalerun.RoleController, scalerun.RoleState, scalerun.RoleWorker, scalerun.RoleHollow} {
+		out = append(out, roleCost(role, "processor", "cores", func(r *scalerun.Role) float64 { return r.CPU }),
+			roleCost(role, "memory", "MiB", func(r *scalerun.Role) float64 { return r.RSSMiB }))
+		if role == scalerun.RoleState {
+			continue
+		}
+		out = append(out, roleCost(role, "received", "kB/s", func(r *scalerun.Role) float64 { return r.InKBPerS }),
+			roleCost(role, "sent", "kB/s", func(r *scalerun.Role) float64 { return r.OutKBPerS }),
+			roleCost(role, "messages", "1/s", func(r *scalerun.Role) float64 { return r.MessagesPS }))
+		if role == scalerun.RoleLeader || role == scalerun.RoleController {
+			out = append(out, roleCost(role, "sockets", "", func(r *scalerun.Role) float64 { return float64(r.Sockets) }))
+		}
+	}
+	state := func(name, unit string, of func(u *scalerun.StateUse) float64) cost {
+		return cost{scalerun.RoleState, name, unit, func(p *scalerun.Phase) (float64, bool) { return of(&p.State), true }}
+	}
+	return append(out, state("requests", "1/s", func(u *scalerun.StateUse) float64 { return u.RequestsPerS }),
+		state("changes", "1/s", func(u *scalerun.StateUse) float64 { return u.WritesPerS }),
+		state("written", "kB/s", func(u *scalerun.StateUse) float64 { return u.WrittenKBPS }),
+		state("log", "kB", func(u *scalerun.StateUse) float64 { return u.LogKBMost }))
+}
+
+// Of fits all costs of one phase against regressors.
+func Of(results []scalerun.Result, phase string, against []string) ([]Fit, error) {
+	var of []func(p *scalerun.Phase) float64
+	for _, name := range against {
+		f, ok := regressors[name]
+		if !ok {
+			return nil, fmt.Errorf("against: %q is none of %s", name, strings.Join(Regressors(), ", "))
+		}
+		of = append(of, f)
+	}
+	var phases []*scalerun.Phase
+	for i := range results {
+		for k := range results[i].Phases {
+			if p := &results[i].Phases[k]; p.Name == phase {
+				phases = append(phases, p)
+			}
+		}
+	}
+	if len(phases) < len(against)+2 {
+		return nil, fmt.Errorf("phase: %d runs have one called %q, and %d are needed", len(phases), phase, len(against)+2)
+	}
+	var fits []Fit
+	for _, c := range costs() {
+		f, err := fit(c, phases, against, of)
+		if err != nil {
+			return nil, err
+		}
+		if f != nil {
+			fits = append(fits, *f)
+		}
+	}
+	return fits, nil
+}
+
+// conditionMost is up to which condition number of the regressors a fit is taken.
+const conditionMost = 1e6
+
+// fit fits one cost; nil: too few runs have it.
+func fit(c cost, phases []*scalerun.Phase, against []string, of []func(p *scalerun.Phase) float64) (*Fit, error) {
+	var xs, ys []float64
+	f := &Fit{Role: c.role, Cost: c.name, Unit: c.unit, Against: against, From: filled(len(of), math.Inf(1)), To: filled(len(of), math.Inf(-1))}
+	for _, p := range phases {
+		y, ok := c.of(p)
+		if !ok {
+			continue
+		}
+		ys = append(ys, y)
+		xs = append(xs, 1)
+		for i, x := range of {
+			v := x(p)
+			xs = append(xs, v)
+			f.From[i], f.To[i] = min(f.From[i], v), max(f.To[i], v)
+		}
+	}
+	f.Points = len(ys)
+	if f.Points < len(of)+2 {
+		return nil, nil
+	}
+	// Columns are brought to one scale first, so that the condition number tells of what
+	// depends on one another alone.
+	scale := filled(len(of)+1, 0)
+	for i, x := range xs {
+		scale[i%len(scale)] = max(scale[i%len(scale)], math.Abs(x))
+	}
+	for i := range xs {
+		xs[i] /= cmp.Or(scale[i%len(scale)], 1)
+	}
+	a := mat.NewDense(f.Points, len(scale), xs)
+	if mat.Cond(a, 2) > conditionMost {
+		return nil, fmt.Errorf("against: %s rise together, or do not change, in these runs", strings.Join(against, ", "))
+	}
+	b := mat.NewVecDense(f.Points, ys)
+	var solved mat.VecDense
+	if err := solved.SolveVec(a, b); err != nil {
+		return nil, fmt.Errorf("against: %w", err)
+	}
+	f.Intercept = solved.AtVec(0) / scale[0]
+	for i := range of {
+		f.Slopes = append(f.Slopes, solved.AtVec(i+1)/cmp.Or(scale[i+1], 1))
+	}
+	var estimate mat.VecDense
+	estimate.MulVec(a, &solved)
+	estimate.SubVec(b, &estimate)
+	f.Residual = mat.Norm(&estimate, 2) / math.Sqrt(float64(f.Points))
+	return f, nil
+}
+
+func filled(n int, v float64) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scalerun/measure.go
@@ -0,0 +1,97 @@
+package scalerun
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"bitternmoor/internal/meter"
+	"bitternmoor/internal/standin"
+)
+
+// NodeSample is what one controller has spent so far.
+type NodeSample struct {
+	Name    string      `json:"name"`
+	PID     int         `json:"pid"` // 0: it is down
+	Leads   bool        `json:"leads"`
+	Usage   Usage       `json:"usage"`
+	Workers meter.Count `json:"workers"` // traffic, as the controller sees it
+	Users   meter.Count `json:"users"`
+	Peers   meter.Count `json:"peers"`
+	State   meter.Count `json:"state"`
+	Cloud   meter.Count `json:"cloud"`
+}
+
+func (n *NodeSample) traffic() meter.Count {
+	return n.Workers.Plus(n.Users).Plus(n.Peers).Plus(n.State).Plus(n.Cloud)
+}
+
+// WorkerSample is what one worker's process has spent so far.
+type WorkerSample struct {
+	Usage   Usage       `json:"usage"`
+	Traffic meter.Count `json:"traffic"`
+}
+
+// Sample is one look at everything. Times and traffic add up from the beginning of the run.
+type Sample struct {
+	Size    int                 `json:"size"`
+	Seed    uint64              `json:"seed"`
+	AtS     float64             `json:"at_s"`
+	Phase   string              `json:"phase"`
+	Settled bool                `json:"measured"` // it belongs to the measured part of its phase
+	Leader  string              `json:"leader"`
+	Nodes   []NodeSample        `json:"nodes"`
+	State   Usage               `json:"state_process"`
+	Counts  standin.StateCounts `json:"state"`
+	Workers []WorkerSample      `json:"worker_processes"`
+	Hollow  meter.Count         `json:"hollow"`  // traffic of all hollow workers
+	Run     Usage               `json:"run"`     // hollow workers, users and cloud
+	Up      int                 `json:"workers"` // that are up, hollow ones
+	Running int                 `json:"running"`
+	Starts  uint64              `json:"starts"`
+	Ended   uint64              `json:"ended"`
+}
+
+// flip is traffic as the other side sees it.
+func flip(c meter.Count) meter.Count { return meter.Count{In: c.Out, Out: c.In, Messages: c.Messages} }
+
+// sample looks at everything.
+func (w *world) sample(begin time.Time, phase string, measured bool) Sample {
+	s := Sample{Size: w.size, Seed: w.seed, AtS: time.Since(begin).Seconds(), Phase: phase, Settled: measured, Up: w.fleet.Workers(), Running: w.fleet.Running()}
+	s.Starts, s.Ended = w.latency.counts()
+	if o, err := w.observe(); err == nil {
+		s.Leader, s.Counts = o.Leader, o.Counts
+	}
+	for i, c := range w.controllers {
+		n := NodeSample{Name: c.name, Leads: c.name == s.Leader, Workers: flip(c.reports.Read()), Users: flip(c.door.traffic.Read()), State: c.state.traffic.Read(), Cloud: c.cloud.traffic.Read()}
+		n.Usage, n.PID, _ = c.usage()
+		for k, l := range c.peers {
+			if l != nil {
+				n.Peers = n.Peers.Plus(l.traffic.Read()).Plus(flip(w.controllers[k].peers[i].traffic.Read()))
+			}
+		}
+		s.Hollow = s.Hollow.Plus(c.reports.Read())
+		s.Nodes = append(s.Nodes, n)
+	}
+	s.Hollow = s.Hollow.Plus(w.fleet.Direct.Read())
+	s.State, _ = usageOf(w.state.cmd.Process.Pid)
+	s.Run, _ = usageOf(os.Getpid())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.remotes {
+		if u, ok := usageOf(r.process.cmd.Process.Pid); ok {
+			r.mu.Lock()
+			s.Workers = append(s.Workers, WorkerSample{u, r.last})
+			r.mu.Unlock()
+		}
+	}
+	return s
+}
+
+// keep writes a sample down where samples are kept.
+func (w *world) keep(s Sample) error {
+	if w.options.Samples == nil {
+		return nil
+	}
+	return json.NewEncoder(w.options.Samples).Encode(s)
+}
--- /dev/null
+++ b/internal/scalerun/result.go
@@ -0,0 +1,173 @@
+package scalerun
+
+import (
+	"bitternmoor/internal/meter"
+)
+
+// Names of roles.
+const (
+	RoleLeader     = "leader"
+	RoleController = "other controller"
+	RoleState      = "state service"
+	RoleWorker     = "worker process"
+	RoleHollow     = "hollow worker"
+)
+
+// Role is what one process of a role spends, on average while it had that role.
+type Role struct {
+	Role        string  `json:"role"`
+	Processes   float64 `json:"processes"` // mean number
+	CPU         float64 `json:"cpu"`       // of a core
+	RSSMiB      float64 `json:"rss_mib"`   // largest
+	Sockets     int     `json:"sockets"`   // largest number, with other open files
+	InKBPerS    float64 `json:"in_kb_s"`
+	OutKBPerS   float64 `json:"out_kb_s"`
+	MessagesPS  float64 `json:"messages_s"`
+	PeersKBPerS float64 `json:"peers_kb_s"` // of both directions, with other controllers
+}
+
+// StateUse is what is asked of the state service.
+type StateUse struct {
+	RequestsPerS float64 `json:"requests_s"`
+	WritesPerS   float64 `json:"writes_s"`
+	WrittenKBPS  float64 `json:"written_kb_s"`
+	RateLimited  uint64  `json:"rate_limited"`
+	LogKeys      int     `json:"log_keys"` // at the end
+	LogKB        float64 `json:"log_kb"`
+	LogKBMost    float64 `json:"log_kb_most"`
+}
+
+// Phase is what one phase of a run has measured.
+type Phase struct {
+	Name       string   `json:"phase"`
+	Seconds    float64  `json:"seconds"`
+	Workers    float64  `json:"workers"` // mean, up
+	Running    float64  `json:"running"` // mean, tasks
+	Teams      int      `json:"teams"`
+	StartsPerS float64  `json:"starts_s"`
+	EndsPerS   float64  `json:"ends_s"`
+	Roles      []Role   `json:"roles"`
+	State      StateUse `json:"state"`
+	Urgent     Latency  `json:"urgent_start"` // from the first attempt to submit
+	Other      Latency  `json:"other_start"`
+	Cancel     Latency  `json:"cancel"`   // from the wish to the answer
+	Recovery   Latency  `json:"recovery"` // from a machine's loss until a task of it runs again
+	NoLeaderS  float64  `json:"no_leader_s"`
+}
+
+// Result is what one run has measured.
+type Result struct {
+	Experiment string   `json:"experiment"`
+	Size       int      `json:"size"`
+	Seed       uint64   `json:"seed"`
+	Counts     Counts   `json:"counts"`
+	Accepted   uint64   `json:"jobs_accepted"`
+	Over       uint64   `json:"jobs_over"` // that their users were told to be done or cancelled
+	Phases     []Phase  `json:"phases"`
+	Broken     []string `json:"broken"`
+}
+
+const (
+	kB  = 1000
+	miB = 1 << 20
+)
+
+// account adds up what a role spends over samples.
+type account struct {
+	cpu, seconds float64
+	traffic      meter.Count
+	peers        meter.Count
+	rss, sockets int
+}
+
+func (a *account) add(dt float64, before, after Usage, traffic, peers meter.Count) {
+	a.seconds += dt
+	a.cpu += max(0, after.CPUSeconds-before.CPUSeconds)
+	a.traffic = a.traffic.Plus(traffic)
+	a.peers = a.peers.Plus(peers)
+	a.rss = max(a.rss, after.RSSBytes)
+	a.sockets = max(a.sockets, after.Sockets)
+}
+
+// role gives the account for one process of a role; whole is for how long the phase was measured.
+func (a *account) role(name string, whole float64) Role {
+	r := Role{Role: name, RSSMiB: float64(a.rss) / miB, Sockets: a.sockets}
+	if a.seconds == 0 {
+		return r
+	}
+	r.Processes = a.seconds / whole
+	r.CPU = a.cpu / a.seconds
+	r.InKBPerS = float64(a.traffic.In) / kB / a.seconds
+	r.OutKBPerS = float64(a.traffic.Out) / kB / a.seconds
+	r.MessagesPS = float64(a.traffic.Messages) / a.seconds
+	r.PeersKBPerS = float64(a.peers.In+a.peers.Out) / kB / a.seconds
+	return r
+}
+
+// summarize makes the figures of a phase from its samples.
+func summarize(name string, teams int, samples []Sample, t *times) Phase {
+	p := Phase{Name: name, Teams: teams, Urgent: t.urgent.latency(), Other: t.other.latency(), Cancel: t.cancel.latency(), Recovery: t.recovery.latency()}
+	if len(samples) < 2 {
+		return p
+	}
+	first, last := samples[0], samples[len(samples)-1]
+	p.Seconds = last.AtS - first.AtS
+	var leader, others, state, workers, hollow account
+	for i := 1; i < len(samples); i++ {
+		a, b := &samples[i-1], &samples[i]
+		dt := b.AtS - a.AtS
+		p.Workers += dt * float64(b.Up+len(b.Workers)) / p.Seconds
+		p.Running += dt * float64(b.Running) / p.Seconds
+		p.State.LogKBMost = max(p.State.LogKBMost, float64(b.Counts.Bytes)/kB)
+		if b.Leader == "" {
+			p.NoLeaderS += dt
+		}
+		for k := range b.Nodes {
+			x, y := &a.Nodes[k], &b.Nodes[k]
+			if y.PID == 0 || x.PID != y.PID {
+				continue
+			}
+			to := &others
+			if y.Leads {
+				to = &leader
+			}
+			to.add(dt, x.Usage, y.Usage, y.traffic().Minus(x.traffic()), y.Peers.Minus(x.Peers))
+		}
+		state.add(dt, a.State, b.State, meter.Count{}, meter.Count{})
+		for k := range min(len(a.Workers), len(b.Workers)) {
+			x, y := &a.Workers[k], &b.Workers[k]
+			workers.add(dt, x.Usage, y.Usage, y.Traffic.Minus(x.Traffic), meter.Count{})
+		}
+		hollow.add(dt, a.Run, b.Run, b.Hollow.Minus(a.Hollow), meter.Count{})
+	}
+	h := hollow.role(RoleHollow, p.Seconds)
+	h.share(float64(last.Up))
+	p.Roles = []Role{leader.role(RoleLeader, p.Seconds), others.role(RoleController, p.Seconds), state.role(RoleState, p.Seconds), workers.role(RoleWorker, p.Seconds), h}
+	p.StartsPerS = float64(last.Starts-first.Starts) / p.Seconds
+	p.EndsPerS = float64(last.Ended-first.Ended) / p.Seconds
+	p.State.add(&first, &last, p.Seconds)
+	return p
+}
+
+// share gives what one of so many in a process spends.
+func (r *Role) share(n float64) {
+	if n == 0 {
+		return
+	}
+	r.Processes = n
+	r.CPU /= n
+	r.RSSMiB /= n
+	r.Sockets = 0
+	r.InKBPerS /= n
+	r.OutKBPerS /= n
+	r.MessagesPS /= n
+}
+
+func (u *StateUse) add(first, last *Sample, seconds float64) {
+	a, b := &first.Counts, &last.Counts
+	u.RequestsPerS = float64(b.Requests-a.Requests) / seconds
+	u.WritesPerS = float64(b.Writes-a.Writes) / seconds
+	u.WrittenKBPS = float64(b.BytesWritten-a.BytesWritten) / kB / seconds
+	u.RateLimited = b.RateLimited - a.RateLimited
+	u.LogKeys, u.LogKB = b.Keys, float64(b.Bytes)/kB
+}
--- /dev/null
+++ b/internal/scalerun/run.go
@@ -0,0 +1,291 @@
+package scalerun
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"bitternmoor/internal/experiment"
+)
+
+const (
+	sampleEvery  = time.Second
+	workersBegin = 3 * time.Second // machines come up spread over this time, and report once, before the load begins
+)
+
+// Run plays an experiment with so many workers.
+func Run(ctx context.Context, e *experiment.Experiment, size int, seed uint64, o Options) (*Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, err := newWorld(ctx, e, size, seed, o)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	for _, c := range w.controllers {
+		if err := w.start(c); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.awaitLeader(); err != nil {
+		return nil, err
+	}
+	if err := w.bringUp(); err != nil {
+		return nil, err
+	}
+	r := &Result{Experiment: e.Name, Size: size, Seed: seed}
+	_, r.Counts = schedule(e, size, seed)
+	if err := w.play(r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// bringUp has the machines come up.
+func (w *world) bringUp() error {
+	for k := range w.size {
+		w.cloud.Add(machineType, w.zoneOf(k), false)
+		if err := w.sleep(workersBegin / time.Duration(w.size)); err != nil {
+			return err
+		}
+	}
+	return w.sleep(seconds(w.exp.Workers.ReportS))
+}
+
+func (w *world) sleep(d time.Duration) error {
+	select {
+	case <-w.ctx.Done():
+		return w.ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// play goes through the phases, and waits until all jobs are over.
+func (w *world) play(r *Result) error {
+	stop, end := context.WithCancel(w.ctx)
+	defer end()
+	w.users = &users{net: w.network, fleet: w.fleet, work: &w.work, latency: w.latency, poll: seconds(w.exp.Load.PollS), begin: time.Now(), stop: stop}
+	for _, c := range w.controllers {
+		w.users.doors = append(w.users.doors, c.door)
+	}
+	var open sync.WaitGroup
+	for _, j := range w.jobs {
+		open.Go(func() { w.users.play(j) })
+	}
+	go w.failNow(stop)
+	for _, p := range w.exp.Phases {
+		measured, err := w.phase(p)
+		if err != nil {
+			return err
+		}
+		r.Phases = append(r.Phases, measured)
+	}
+	if err := w.drain(&open); err != nil {
+		return err
+	}
+	w.users.askAgain(w.jobs)
+	end()
+	open.Wait()
+	r.Accepted, r.Over = w.users.accepted.Load(), w.users.over.Load()
+	r.Broken = w.fleet.Broken()
+	if o, err := w.observe(); err == nil {
+		for _, what := range o.Refused {
+			r.Broken = append(r.Broken, "over the state service's limits: "+what)
+		}
+	}
+	return nil
+}
+
+// drain waits until users have heard of the end of all their jobs, as long as it may take.
+func (w *world) drain(open *sync.WaitGroup) error {
+	over := make(chan struct{})
+	go func() { open.Wait(); close(over) }()
+	select {
+	case <-over:
+	case <-time.After(seconds(w.exp.DrainS)):
+	case <-w.ctx.Done():
+		return w.ctx.Err()
+	}
+	return nil
+}
+
+// phase plays one phase and measures it.
+func (w *world) phase(p experiment.Phase) (Phase, error) {
+	if _, err := w.watch(p, false, seconds(p.SettleS)); err != nil {
+		return Phase{}, err
+	}
+	w.latency.turn()
+	w.options.Log.Info("measuring", "size", w.size, "seed", w.seed, "phase", p.Name, "event", p.Event)
+	undo := w.event(p)
+	samples, err := w.watch(p, true, seconds(p.MeasureS))
+	undo()
+	if err != nil {
+		return Phase{}, err
+	}
+	return summarize(p.Name, w.exp.Load.Teams, samples, w.latency.turn()), nil
+}
+
+// watch samples for a while.
+func (w *world) watch(p experiment.Phase, measured bool, lasts time.Duration) (samples []Sample, err error) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); {
+		s := w.sample(w.users.begin, p.Name, measured)
+		if err := w.keep(s); err != nil {
+			return nil, err
+		}
+		samples = append(samples, s)
+		w.fleet.Overdue()
+		if err := w.sleep(min(sampleEvery, time.Until(end))); err != nil {
+			return nil, err
+		}
+		if n := len(samples); n%10 == 0 {
+			w.options.Log.Info("playing", "size", w.size, "phase", p.Name, "running", s.Running, "workers", s.Up+len(s.Workers), "starts", s.Starts, "leader", s.Leader)
+		}
+	}
+	if lasts > 0 {
+		samples = append(samples, w.sample(w.users.begin, p.Name, measured))
+	}
+	return samples, nil
+}
+
+// event does what happens in a phase, and gives what is to be undone at its end.
+func (w *world) event(p experiment.Phase) (undo func()) {
+	undo = func() {}
+	lasts := seconds(p.EventS)
+	if lasts == 0 {
+		lasts = seconds(p.MeasureS)
+	}
+	switch p.Event {
+	case experiment.KillLeader:
+		if o, err := w.observe(); err == nil {
+			for _, c := range w.controllers {
+				if c.name == o.Leader {
+					w.restart(c, seconds(w.exp.Controllers.RestartS))
+				}
+			}
+		}
+	case experiment.KillAll:
+		for _, c := range w.controllers {
+			w.restart(c, seconds(w.exp.Controllers.RestartS))
+		}
+	case experiment.CutZone, experiment.CutRegions:
+		w.network.cut(p.Zone, p.Event == experiment.CutRegions)
+		heal := time.AfterFunc(lasts, func() { w.network.cut(outside, false) })
+		undo = func() {
+			if heal.Stop() {
+				w.network.cut(outside, false)
+			}
+		}
+	case experiment.LoseZone:
+		for _, c := range w.controllers {
+			if c.zone == p.Zone {
+				w.restart(c, lasts)
+			}
+		}
+		w.lose(w.inZone(p.Zone), lasts)
+	case experiment.LoseRack:
+		machines := w.inZone(p.Zone)
+		w.lose(machines[:min(w.exp.Workers.Rack, len(machines))], lasts)
+	case experiment.StateOutage:
+		w.outage(true)
+		back := time.AfterFunc(lasts, func() { w.outage(false) })
+		undo = func() {
+			if back.Stop() {
+				w.outage(false)
+			}
+		}
+	}
+	return undo
+}
+
+func (w *world) outage(down bool) {
+	flag := "0"
+	if down {
+		flag = "1"
+	}
+	resp, err := http.Get("http://" + w.stateAddr + pathOutage + "?down=" + flag)
+	if err != nil {
+		w.options.Log.Error("the state service is gone", "error", err)
+		return
+	}
+	resp.Body.Close()
+}
+
+// restart kills a controller, which is back after a while.
+func (w *world) restart(c *controller, after time.Duration) {
+	c.kill()
+	time.AfterFunc(after, func() {
+		if w.ctx.Err() == nil {
+			if err := w.start(c); err != nil {
+				w.options.Log.Error("a controller does not come back", "node", c.name, "error", err)
+			}
+		}
+	})
+}
+
+func (w *world) inZone(zone string) (names []string) {
+	for _, m := range w.cloud.Machines() {
+		if m.Zone == zone {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// lose has machines stop with all that is on them; others take their places after a while.
+func (w *world) lose(machines []string, replaced time.Duration) {
+	w.latency.fail(machines...)
+	zones := map[string]string{}
+	for _, m := range w.cloud.Machines() {
+		zones[m.Name] = m.Zone
+	}
+	for _, m := range machines {
+		w.cloud.Fail(m)
+	}
+	time.AfterFunc(replaced, func() {
+		for _, m := range machines {
+			if w.ctx.Err() == nil && len(w.inZone(zones[m])) < w.cloud.Capacity[zones[m]] {
+				w.cloud.Add(machineType, zones[m], false)
+			}
+		}
+	})
+}
+
+// failNow loses and restarts single machines at the rate of ordinary days.
+func (w *world) failNow(ctx context.Context) {
+	f := w.exp.Failures
+	perSecond := (f.LossesPerDay + f.RestartsPerDay) * f.Speed * w.exp.Share(w.size) / (24 * time.Hour).Seconds()
+	if perSecond == 0 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(w.seed, uint64(w.size)+1))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(seconds(rng.ExpFloat64() / perSecond)):
+		}
+		machines := w.cloud.Machines()
+		if len(machines) <= w.exp.Workers.Processes {
+			continue
+		}
+		m := machines[w.exp.Workers.Processes+rng.IntN(len(machines)-w.exp.Workers.Processes)]
+		if rng.Float64()*(f.LossesPerDay+f.RestartsPerDay) < f.LossesPerDay {
+			w.lose([]string{m.Name}, seconds(f.ReplacedS))
+			continue
+		}
+		w.latency.fail(m.Name)
+		w.cloud.Take(m.Name)
+		w.cloud.Add(m.Type, m.Zone, m.Spot)
+	}
+}
+
+// MakeDir makes the folder of one run's settings and logs.
+func MakeDir(parent string, name string) (string, error) {
+	dir := filepath.Join(parent, name)
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- /dev/null
+++ b/internal/scalerun/scalerun_test.go
@@ -0,0 +1,122 @@
+package scalerun
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"bitternmoor/internal/experiment"
+	"bitternmoor/internal/standin"
+)
+
+const root = "../.."
+
+func smoke(t *testing.T) *experiment.Experiment {
+	t.Helper()
+	e, err := experiment.LoadFile(filepath.Join(root, "experiments/smoke.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// The same seed and size ask for the same, another seed for something else.
+func TestScheduleRepeats(t *testing.T) {
+	e := smoke(t)
+	one, counts := schedule(e, 100, 1)
+	again, _ := schedule(e, 100, 1)
+	other, _ := schedule(e, 100, 2)
+	if !reflect.DeepEqual(one, again) || reflect.DeepEqual(one, other) {
+		t.Error("the schedule does not follow the seed")
+	}
+	if counts.Jobs != len(one) || counts.Urgent == 0 || counts.Urgent == counts.Jobs || counts.Cancelled == 0 {
+		t.Errorf("%+v", counts)
+	}
+	big, _ := schedule(e, 1000, 1)
+	if ratio := float64(len(big)) / float64(len(one)); ratio < 6 || ratio > 15 {
+		t.Errorf("ten times the workers have %.1f times the jobs", ratio)
+	}
+}
+
+// A run of 100 workers with real controllers, two workers with processes of their own, and a
+// leader that is killed: all jobs are accepted and over, and no rule is broken.
+func TestSmallRun(t *testing.T) {
+	dir := t.TempDir()
+	build := func(name string) string {
+		path := filepath.Join(dir, name)
+		cmd := exec.Command("go", "build", "-o", path, "./cmd/"+name)
+		cmd.Dir = root
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("%v\n%s", err, out)
+		}
+		return path
+	}
+	o := Options{Controller: build("bitternmoor"), Self: build("scalerun"), Log: slog.New(slog.DiscardHandler), Samples: io.Discard, Dir: dir}
+	e := smoke(t)
+	r, err := Run(context.Background(), e, 100, 1, o)
+	if err != nil {
+		log, _ := os.ReadFile(filepath.Join(dir, "processes.log"))
+		t.Fatalf("%v\n%.4000s", err, log)
+	}
+	_, want := schedule(e, 100, 1)
+	if r.Counts != want || int(r.Accepted) != want.Jobs || int(r.Over) != want.Jobs {
+		t.Errorf("asked %+v, accepted %d, over %d, wanted %+v", r.Counts, r.Accepted, r.Over, want)
+	}
+	for _, b := range r.Broken {
+		t.Error(b)
+	}
+	if len(r.Phases) != 2 || r.Phases[0].Urgent.Count == 0 || r.Phases[0].Other.Count == 0 {
+		t.Fatalf("%+v", r.Phases)
+	}
+	for _, role := range r.Phases[0].Roles {
+		if role.Processes == 0 || role.RSSMiB == 0 || role.MessagesPS == 0 && role.Role != RoleState {
+			t.Errorf("%+v", role)
+		}
+	}
+}
+
+// What cannot reach one another in a cut zone, and in regions that are apart.
+func TestNetworkReaches(t *testing.T) {
+	n := &network{exp: smoke(t)}
+	n.cut("east-b", false)
+	for _, x := range []struct {
+		from, to string
+		want     bool
+	}{{"east-b", "east-b", true}, {"east-b", "east-a", false}, {outside, "east-b", false}, {"west-a", outside, true}} {
+		if got := n.reaches(x.from, x.to); got != x.want {
+			t.Errorf("a zone is cut off: from %q to %q: %v", x.from, x.to, got)
+		}
+	}
+	n.cut(outside, true)
+	for _, x := range []struct {
+		from, to string
+		want     bool
+	}{{"west-a", "west-b", true}, {"west-a", "east-b", false}, {outside, "west-a", false}, {"east-b", outside, true}} {
+		if got := n.reaches(x.from, x.to); got != x.want {
+			t.Errorf("the regions are apart: from %q to %q: %v", x.from, x.to, got)
+		}
+	}
+}
+
+// A task whose machine was lost is counted once it runs again, and a first start once.
+func TestLatencies(t *testing.T) {
+	l := newLatencies()
+	l.submitted("j-000001", true)
+	l.fail("host-1")
+	for _, e := range []standin.Event{
+		{Kind: standin.TaskStarted, Task: "j-000001/0", Machine: "host-1"}, {Kind: standin.TaskLost, Task: "j-000001/0", Machine: "host-1"},
+		{Kind: standin.TaskStarted, Task: "j-000001/0", Machine: "host-2"}, {Kind: standin.TaskCompleted, Task: "j-000001/0", Machine: "host-2"},
+	} {
+		l.observe(e)
+	}
+	starts, ended := l.counts()
+	x := l.turn()
+	if starts != 2 || ended != 2 || x.urgent.latency().Count != 1 || x.recovery.latency().Count != 1 || x.other.latency().Count != 0 {
+		t.Errorf("%d starts, %d ends, %+v, %+v", starts, ended, x.urgent.latency(), x.recovery.latency())
+	}
+}
--- /dev/null
+++ b/internal/scalerun/users.go
@@ -0,0 +1,237 @@
+package scalerun
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bitternmoor/internal/meter"
+	"bitternmoor/internal/standin"
+	"bitternmoor/internal/wire"
+)
+
+// What the protocol says of users and of their load balancer.
+const (
+	submitTimeout = 5 * time.Second
+	pollTimeout   = 2 * time.Second
+	retryPause    = time.Second
+	retryMost     = 30 * time.Second
+	giveUpAfter   = 60 * time.Second
+	skipDoorFor   = 3 * time.Second
+	answerBytes   = 64 << 10
+)
+
+// door is a controller as users reach it.
+type door struct {
+	url     string
+	zone    string
+	client  *http.Client
+	traffic meter.Traffic
+
+	mu   sync.Mutex
+	skip time.Time // until then nobody is sent there
+}
+
+// users submits jobs, asks for them until they are over, and cancels some.
+type users struct {
+	net      *network
+	doors    []*door
+	next     atomic.Uint64
+	fleet    *standin.Fleet
+	work     *workload
+	latency  *latencies
+	poll     time.Duration
+	begin    time.Time
+	stop     context.Context // jobs that are not over by then are left alone
+	accepted atomic.Uint64
+	over     atomic.Uint64
+	told     sync.Map // job -> final wire.JobState
+}
+
+func newDoor(addr, zone string) *door {
+	d := &door{url: "http://" + addr, zone: zone}
+	d.client = &http.Client{Transport: &http.Transport{DialContext: d.traffic.DialContext(&net.Dialer{Timeout: 500 * time.Millisecond}),
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second, DisableCompression: true}}
+	return d
+}
+
+// reply is what a user is answered; status 0: nothing.
+type reply struct {
+	status int
+	body   []byte
+	after  time.Duration // when to come back
+}
+
+// ask sends a request to one controller after the other.
+func (u *users) ask(method, path string, body []byte, timeout time.Duration) reply {
+	ctx, cancel := context.WithTimeout(u.stop, timeout)
+	defer cancel()
+	d := u.pick()
+	if !u.net.reaches(outside, d.zone) {
+		d.avoid()
+		return reply{}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, d.url+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		d.avoid()
+		return reply{}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	if err != nil {
+		return reply{}
+	}
+	d.traffic.Message()
+	after, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+	return reply{resp.StatusCode, raw, time.Duration(after) * time.Second}
+}
+
+// pick takes the next controller that is not skipped, as the load balancer does.
+func (u *users) pick() *door {
+	var d *door
+	for range u.doors {
+		d = u.doors[u.next.Add(1)%uint64(len(u.doors))]
+		d.mu.Lock()
+		skipped := time.Now().Before(d.skip)
+		d.mu.Unlock()
+		if !skipped {
+			break
+		}
+	}
+	return d
+}
+
+func (d *door) avoid() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.skip = time.Now().Add(skipDoorFor)
+}
+
+// sleep waits; false says that the run is over.
+func (u *users) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-u.stop.Done():
+		return false
+	}
+}
+
+// insist repeats a request until it has a final answer. 0: it never had one.
+func (u *users) insist(method, path string, body []byte) reply {
+	for end := time.Now().Add(giveUpAfter); time.Now().Before(end); {
+		r := u.ask(method, path, body, submitTimeout)
+		switch r.status {
+		case http.StatusOK, http.StatusCreated, http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusNotFound:
+			return r
+		}
+		if !u.sleep(min(max(retryPause, r.after), retryMost)) {
+			break
+		}
+	}
+	return reply{}
+}
+
+// play is the life of one job, as its user sees it.
+func (u *users) play(j job) {
+	if !u.sleep(time.Until(u.begin.Add(j.at))) {
+		return
+	}
+	id := j.name()
+	u.latency.submitted(id, j.urgent)
+	r := u.insist(http.MethodPost, wire.PathJobs, wire.EncodeSubmission(j.describe(u.work)))
+	switch r.status {
+	case 0:
+		return // never accepted
+	case http.StatusOK, http.StatusCreated:
+	default:
+		u.fleet.Broke(fmt.Sprintf("refused: %s is answered %d: %s", id, r.status, r.body))
+		return
+	}
+	u.accepted.Add(1)
+	var cancel <-chan time.Time
+	if j.cancelAfter > 0 {
+		cancel = time.After(j.cancelAfter)
+	}
+	for {
+		select {
+		case <-u.stop.Done():
+			return
+		case <-cancel:
+			u.cancel(j.id)
+			cancel = nil
+		case <-time.After(u.poll):
+		}
+		if u.look(j.id) {
+			u.over.Add(1)
+			return
+		}
+	}
+}
+
+// look asks for a job, and says whether it is over.
+func (u *users) look(id uint64) bool {
+	r := u.ask(http.MethodGet, wire.JobPath(id), nil, pollTimeout)
+	if r.status == http.StatusNotFound {
+		u.fleet.Broke("forgotten: " + wire.FormatID(id))
+	}
+	if r.status != http.StatusOK {
+		return false
+	}
+	return u.hear(id, r.body)
+}
+
+// hear takes what a user is told of a job, and says whether it is over.
+func (u *users) hear(id uint64, body []byte) bool {
+	name := wire.FormatID(id)
+	state, err := wire.ParseJobAnswer(body)
+	if err != nil {
+		u.fleet.Broke("unreadable: " + name + ": " + err.Error())
+		return false
+	}
+	if before, ok := u.told.Load(name); ok && before != state {
+		u.fleet.Broke(fmt.Sprintf("went_back: %s was in state %v and is in %v", name, before, state))
+	}
+	switch state {
+	case wire.Done:
+		if !u.fleet.Finished(name) {
+			u.fleet.Broke("not_done: " + name)
+		}
+	case wire.Cancelled:
+		u.fleet.Cancelled(name)
+	default:
+		return false
+	}
+	u.told.Store(name, state)
+	return true
+}
+
+func (u *users) cancel(id uint64) {
+	wished := time.Now()
+	if r := u.insist(http.MethodPost, wire.AbortPath(id), nil); r.status == http.StatusOK {
+		u.latency.cancelled(time.Since(wished))
+		u.hear(id, r.body)
+	}
+}
+
+// askAgain asks once more for every job that is over: none may go back.
+func (u *users) askAgain(jobs []job) {
+	for _, j := range jobs {
+		if _, over := u.told.Load(j.name()); over {
+			u.look(j.id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scalerun/world.go
@@ -0,0 +1,450 @@
+package scalerun
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"bitternmoor/internal/experiment"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/meter"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/standin"
+)
+
+// Options say where a run finds its programs, and where it tells what.
+type Options struct {
+	Controller string // the built binary
+	Self       string // this program, whose hidden commands are the state service and the workers
+	Log        *slog.Logger
+	Samples    io.Writer // a JSON line for each sample; nil: they are not kept
+	Dir        string    // for settings files and logs
+}
+
+// controller is a node of the run.
+type controller struct {
+	name, zone       string
+	public, internal string
+	config           string
+	door             *door
+	reports          meter.Traffic // of workers, as they see it
+	state, cloud     *link
+	peers            []*link // to the others
+
+	mu      sync.Mutex
+	process *process // nil: it is down
+}
+
+// remote is a worker with a process of its own.
+type remote struct {
+	process *process
+	addr    string
+	mu      sync.Mutex
+	last    meter.Count
+}
+
+// world is everything of one run.
+type world struct {
+	exp         *experiment.Experiment
+	size        int
+	seed        uint64
+	options     Options
+	ctx         context.Context
+	log         *os.File
+	network     *network
+	work        workload
+	fleet       *standin.Fleet
+	cloud       *standin.Cloud
+	latency     *latencies
+	users       *users
+	state       *process
+	stateAddr   string
+	controllers []*controller
+	jobs        []job
+
+	mu      sync.Mutex
+	remotes map[string]*remote // by machine
+	servers []io.Closer
+}
+
+func newWorld(ctx context.Context, e *experiment.Experiment, size int, seed uint64, o Options) (*world, error) {
+	w := &world{exp: e, size: size, seed: seed, options: o, ctx: ctx, network: &network{exp: e}, remotes: map[string]*remote{}, latency: newLatencies(),
+		work: workload{Seed: seed, TaskS: e.TaskS(), Images: e.Workers.Images}}
+	w.jobs, _ = schedule(e, size, seed)
+	var err error
+	if w.log, err = os.Create(filepath.Join(o.Dir, "processes.log")); err != nil {
+		return nil, err
+	}
+	for _, step := range []func() error{w.startState, w.startCloud, w.makeControllers} {
+		if err := step(); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// close ends all processes and listeners of the run.
+func (w *world) close() {
+	for _, c := range w.controllers {
+		c.kill()
+	}
+	w.mu.Lock()
+	for _, r := range w.remotes {
+		r.process.kill()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	w.mu.Unlock()
+	if w.state != nil {
+		w.state.kill()
+	}
+	w.network.close()
+	_ = w.log.Close()
+}
+
+func (w *world) startState() error {
+	l := w.exp.State
+	var err error
+	w.state, err = spawn(w.ctx, "state service", w.options.Self, w.log, nil, "state", "--rps", ftoa(l.RPS), "--write-rps", ftoa(l.WriteRPS),
+		"--value-kb", ftoa(l.ValueKB), "--txn-ops", strconv.Itoa(l.TxnOps))
+	if err != nil {
+		return err
+	}
+	w.stateAddr, err = w.state.line()
+	return err
+}
+
+func ftoa(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+
+// zoneOf is where a machine stands: those with a process of their own in the first zone.
+func (w *world) zoneOf(machine int) string {
+	zones := w.exp.Zones()
+	if machine < w.exp.Workers.Processes {
+		return zones[0]
+	}
+	return zones[machine%len(zones)]
+}
+
+func (w *world) startCloud() error {
+	e := w.exp
+	w.fleet = w.work.fleet(nil, e.Workers.ReportS, e.Workers.LeaseS, e.Workers.FetchS)
+	w.fleet.CancelWithin = seconds(e.Workers.CancelS)
+	w.fleet.Observe = w.latency.observe
+	byID := map[string]job{}
+	for _, j := range w.jobs {
+		byID[j.name()] = j
+	}
+	w.fleet.Tasks = func(id string) int { return byID[id].tasks }
+	limit := w.teamLimit()
+	w.fleet.Team = func(id string) (string, float64, float64) { return teamName(byID[id].team), taskCPUs, limit }
+	w.fleet.Reaches = func(zone string, door int) (bool, time.Duration) {
+		to := w.controllers[door].zone
+		return w.network.reaches(zone, to), w.network.latency(zone, to)
+	}
+	capacity := map[string]int{}
+	for k := range w.size {
+		capacity[w.zoneOf(k)]++
+	}
+	w.cloud = &standin.Cloud{Capacity: capacity, Boot: machineBoot, Up: w.up, Down: w.down, Address: w.address,
+		Types: []ledger.Type{{Name: machineType, CPUs: e.Workers.CPUs, MemoryGB: e.Workers.MemoryGB, CacheGB: 100, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: machineBoot.Seconds(), Zones: e.Zones()}}}
+	return nil
+}
+
+// machineBoot is how long a rented machine takes to come up.
+const machineBoot = 20 * time.Second
+
+// teamLimit is how many processors a team may use; 0: any number.
+func (w *world) teamLimit() float64 {
+	return float64(int(w.exp.Load.TeamShare * float64(w.size) * w.exp.Workers.CPUs))
+}
+
+// address begins a listener for a machine's worker, or the process of a worker.
+func (w *world) address(m standin.Machine) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.remotes) < min(w.exp.Workers.Processes, w.size) {
+		r, err := w.startWorker(m.Name)
+		if err == nil {
+			w.remotes[m.Name] = r
+			return r.addr
+		}
+		w.options.Log.Error("a worker's process does not start", "error", err)
+	}
+	addr, err := w.serve(&w.fleet.Direct, http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		h := w.fleet.Handler(m.Name)
+		if h == nil || w.network.isolated(m.Zone) {
+			time.Sleep(unreachableFor)
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(out, r)
+	}))
+	if err != nil {
+		w.options.Log.Error("a worker has no address", "machine", m.Name, "error", err)
+	}
+	return addr
+}
+
+// serve begins a server that ends with the run; the caller holds the lock.
+func (w *world) serve(traffic *meter.Traffic, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: serverTimeout}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(counted{l, traffic}) }() // until it is closed
+	return l.Addr().String(), nil
+}
+
+const serverTimeout = 5 * time.Second
+
+// unreachableFor is how long a call to a machine that is gone or cut off has no answer.
+const unreachableFor = 3 * time.Second
+
+// counted is a listener whose connections' traffic is counted.
+type counted struct {
+	net.Listener
+	traffic *meter.Traffic
+}
+
+func (c counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return c.traffic.Conn(conn), nil
+}
+
+func (w *world) startWorker(machine string) (*remote, error) {
+	p, err := spawn(w.ctx, machine, w.options.Self, w.log, nil, "worker")
+	if err != nil {
+		return nil, err
+	}
+	r := &remote{process: p}
+	r.addr, err = p.line()
+	return r, err
+}
+
+func (w *world) remote(machine string) *remote {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.remotes[machine]
+}
+
+// up begins a machine's worker.
+func (w *world) up(m standin.Machine) {
+	r := w.remote(m.Name)
+	if r == nil {
+		w.fleet.Up(m)
+		return
+	}
+	order := workerOrder{Machine: m, Doors: w.fleet.Doors, ReportS: w.exp.Workers.ReportS, LeaseS: w.exp.Workers.LeaseS, FetchS: w.exp.Workers.FetchS, Workload: w.work}
+	if err := json.NewEncoder(r.process.stdin).Encode(order); err != nil {
+		w.options.Log.Error("a worker's process is gone", "machine", m.Name, "error", err)
+		return
+	}
+	go r.hear(m.Name, w.fleet)
+}
+
+// hear takes what a worker's process tells, until it ends.
+func (r *remote) hear(machine string, fleet *standin.Fleet) {
+	for {
+		line, err := r.process.line()
+		if err != nil {
+			return
+		}
+		var n workerNote
+		if json.Unmarshal([]byte(line), &n) != nil {
+			return
+		}
+		switch {
+		case n.Started != "":
+			fleet.Started(n.Started, machine, n.Attempt)
+		case n.Ended != "":
+			fleet.Ended(n.Ended, machine, n.Done)
+		case n.Traffic != nil:
+			r.mu.Lock()
+			r.last = *n.Traffic
+			r.mu.Unlock()
+		}
+		if _, err := io.WriteString(r.process.stdin, "\n"); err != nil {
+			return
+		}
+	}
+}
+
+func (w *world) down(m standin.Machine) {
+	if r := w.remote(m.Name); r != nil {
+		r.process.kill()
+	}
+	w.fleet.Down(m)
+}
+
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (w *world) makeControllers() error {
+	w.mu.Lock()
+	clouds, err := w.serve(&meter.Traffic{}, w.cloud)
+	w.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	zones := w.exp.Zones()
+	for i := range w.exp.Controllers.Count {
+		c := &controller{name: "n" + strconv.Itoa(i), zone: zones[i%len(zones)]}
+		if c.public, err = freeAddr(); err != nil {
+			return err
+		}
+		if c.internal, err = freeAddr(); err != nil {
+			return err
+		}
+		c.door = newDoor(c.public, c.zone)
+		w.controllers = append(w.controllers, c)
+		w.fleet.Doors = append(w.fleet.Doors, "http://"+c.public)
+		w.fleet.Traffic = append(w.fleet.Traffic, &c.reports)
+	}
+	for _, c := range w.controllers {
+		if err := w.connect(c, clouds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connect makes a controller's ways to all others, and its settings.
+func (w *world) connect(c *controller, cloud string) (err error) {
+	if c.state, err = w.network.connect(c.zone, outside, w.stateAddr); err != nil {
+		return err
+	}
+	if c.cloud, err = w.network.connect(c.zone, outside, cloud); err != nil {
+		return err
+	}
+	p := w.platform(c)
+	for _, other := range w.controllers {
+		if other == c {
+			c.peers = append(c.peers, nil)
+			continue
+		}
+		l, err := w.network.connect(c.zone, other.zone, other.internal)
+		if err != nil {
+			return err
+		}
+		c.peers = append(c.peers, l)
+		p.Peers = append(p.Peers, settings.Peer{Node: other.name, Zone: other.zone, Endpoint: l.proxy.Addr()})
+	}
+	raw, err := toml.Marshal(p)
+	if err != nil {
+		return fmt.Errorf("settings of %s: %w", c.name, err)
+	}
+	c.config = filepath.Join(w.options.Dir, c.name+".toml")
+	return os.WriteFile(c.config, raw, 0o600)
+}
+
+// platform is what the platform would tell a controller.
+func (w *world) platform(c *controller) settings.Platform {
+	e := w.exp
+	var p settings.Platform
+	p.Node, p.Zone, p.PublicAddr, p.InternalAddr = c.name, c.zone, c.public, c.internal
+	p.External.State, p.External.Cloud = c.state.proxy.Addr(), c.cloud.proxy.Addr()
+	d := &p.Deployment
+	d.Count, d.Zones, d.TimeBoundMS = e.Controllers.Count, e.Zones(), 1000
+	guarantee := float64(w.size) * e.Workers.CPUs / float64(e.Load.Teams) / 2
+	for i := range e.Load.Teams {
+		limit := w.teamLimit()
+		t := settings.Team{Name: teamName(i), CPUs: guarantee, CPUsMax: limit}
+		if limit > 0 {
+			t.CPUs = min(guarantee, limit)
+		}
+		d.Teams = append(d.Teams, t)
+	}
+	d.Objectives = []settings.Objective{{Kind: settings.AimWait, Class: classUrgent, WithinS: e.Load.UrgentWithinS, Share: 0.99}}
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = e.Workers.ReportS, e.Workers.LeaseS, e.Workers.CancelS
+	d.Workers.GangWaitS, d.Workers.GangPeerS = 35, 5
+	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = e.State.RPS, e.State.WriteRPS, e.State.ValueKB, e.State.TxnOps
+	d.Cloud.RPS, d.Cloud.ListLagS = 9, 1
+	d.MachineLimits.CPU, d.MachineLimits.RAMMB, d.MachineLimits.FDLimit = e.Controllers.CPU, e.Controllers.RAMMB, e.Controllers.FDLimit
+	return p
+}
+
+// start begins a controller's process.
+func (w *world) start(c *controller) error {
+	args := []string{"--config", c.config}
+	for _, s := range w.exp.Controllers.Set {
+		args = append(args, "--set", s)
+	}
+	p, err := spawn(w.ctx, c.name, w.options.Controller, w.log, []string{"LOG_LEVEL=info"}, args...)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.process = p
+	return nil
+}
+
+func (c *controller) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process != nil {
+		c.process.kill()
+		c.process = nil
+	}
+}
+
+// usage is what the controller's process uses; false says that it is down.
+func (c *controller) usage() (Usage, int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process == nil {
+		return Usage{}, 0, false
+	}
+	pid := c.process.cmd.Process.Pid
+	u, ok := usageOf(pid)
+	return u, pid, ok
+}
+
+// observe looks at the state service.
+func (w *world) observe() (o observed, err error) {
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + w.stateAddr + pathObserve)
+	if err != nil {
+		return o, err
+	}
+	defer resp.Body.Close()
+	return o, json.NewDecoder(resp.Body).Decode(&o)
+}
+
+// awaitLeader waits until somebody leads.
+func (w *world) awaitLeader() error {
+	for end := time.Now().Add(seconds(w.exp.Controllers.HealthyWithS)); time.Now().Before(end); {
+		if o, err := w.observe(); err == nil && o.Leader != "" {
+			return nil
+		}
+		select {
+		case <-w.ctx.Done():
+			return w.ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("nobody leads after %v s; %s has the logs", w.exp.Controllers.HealthyWithS, w.log.Name())
+}
--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -41,7 +41,8 @@
 	f.broken = append(f.broken, fmt.Sprintf(rule, args...))
 }
 
-func jobOf(task string) string {
+// JobOf is the job of a task, by its name.
+func JobOf(task string) string {
 	job, _, _ := strings.Cut(task, "/")
 	return job
 }
@@ -54,7 +55,7 @@
 		return // the answer was on its way as the machine went
 	}
 	f.beginAudit()
-	job := jobOf(task)
+	job := JobOf(task)
 	if on := f.on[task]; on != "" {
 		f.breaks("ran_twice: %s on %s while on %s", task, machine, on)
 	}
@@ -91,7 +92,7 @@
 		return
 	}
 	delete(f.on, task)
-	f.countTeam(jobOf(task), -1)
+	f.countTeam(JobOf(task), -1)
 	kind := TaskLost
 	if done {
 		f.done[task] = true
@@ -119,11 +120,11 @@
 func (f *Fleet) countUnits(started string) {
 	held := map[string]int{}
 	for t := range f.on {
-		for pool, n := range f.Units(jobOf(t)) {
+		for pool, n := range f.Units(JobOf(t)) {
 			held[pool] += n
 		}
 	}
-	for pool := range f.Units(jobOf(started)) {
+	for pool := range f.Units(JobOf(started)) {
 		f.peak[pool] = max(f.peak[pool], held[pool])
 		if held[pool] > f.most[pool] {
 			f.breaks("overdrawn: %d units of %s are held, there are %d", held[pool], pool, f.most[pool])
@@ -147,7 +148,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for task, machine := range f.on {
-		if at, told := f.cancelled[jobOf(task)]; told && time.Since(at) > f.CancelWithin {
+		if at, told := f.cancelled[JobOf(task)]; told && time.Since(at) > f.CancelWithin {
 			f.breaks("ran_cancelled: %s on %s %v after its user was told", task, machine, time.Since(at).Round(time.Millisecond))
 		}
 	}
@@ -204,7 +205,7 @@
 	defer f.mu.Unlock()
 	var out []string
 	for t, m := range f.on {
-		if jobOf(t) == job {
+		if JobOf(t) == job {
 			out = append(out, m)
 		}
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -26,7 +26,7 @@
 	// are set.
 	Up, Down func(m Machine)
 	// Address gives the address of a machine's worker. Where it is not set nobody listens there.
-	Address  func(name string) string
+	Address  func(m Machine) string
 	Types    []ledger.Type  // empty: one of 4 processors in zone a
 	Capacity map[string]int // most machines, by zone; nil: any number
 	Boot     time.Duration  // from a rental until Up
@@ -144,7 +144,7 @@
 	c.made++
 	m := Machine{Name: fmt.Sprintf("host-%06d", c.made), Address: "127.0.0.1:1", Type: kind, Zone: zone, Spot: spot}
 	if c.Address != nil {
-		m.Address = c.Address(m.Name)
+		m.Address = c.Address(m)
 	}
 	c.machines[m.Name] = &rental{Machine: m, at: time.Now()}
 	switch {
