--- a/cmd/bitternmoor/main.go
+++ b/cmd/bitternmoor/main.go
@@ -35,6 +35,8 @@
 
 func (f failure) Error() string { return f.err.Error() }
 
+func (f failure) Unwrap() error { return f.err }
+
 func main() {
 	var config, tunables string
 	var set []string
@@ -70,7 +72,7 @@
 		},
 	}
 	check.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
-	root.AddCommand(check, statusCommand(), explainCommand(), takeoversCommand(), servedCommand(), spreadCommand(), forecastCommand(), lateCommand(), runTimesCommand(), poolsCommand(), certsCommand(), &cobra.Command{
+	root.AddCommand(check, statusCommand(), explainCommand(), takeoversCommand(), servedCommand(), spreadCommand(), forecastCommand(), lateCommand(), runTimesCommand(), poolsCommand(), configCommand(), certsCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { cmd.Println("bitternmoor " + version) },
 	})
--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -72,6 +72,11 @@
 	return false
 }
 
+// Covers says whether so much may be used at once.
+func (l Limit) Covers(use amounts.Amounts) bool {
+	return (l.CPU == 0 || use.CPU <= l.CPU) && (l.GPU == 0 || use.GPU <= l.GPU)
+}
+
 // New makes a planner for the teams with these limits.
 func New(limits []Limit, atOnce int) *Planner {
 	return &Planner{Limits: limits, use: make([]amounts.Amounts, len(limits)), AtOnce: atOnce}
@@ -95,8 +100,7 @@
 // Within says whether a team may use a more, with extra counted besides: an
 // unresolved machine counts full against every team.
 func (p *Planner) Within(team int32, a, extra amounts.Amounts) bool {
-	l, u := p.Limits[team], p.use[team]
-	return (l.CPU == 0 || u.CPU+a.CPU+extra.CPU <= l.CPU) && (l.GPU == 0 || u.GPU+a.GPU+extra.GPU <= l.GPU)
+	return p.Limits[team].Covers(p.use[team].Plus(a).Plus(extra))
 }
 
 // Allowed says whether a job's tasks may, and should, be on a machine.
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -11,6 +11,7 @@
 
 	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/leadership"
@@ -52,9 +53,10 @@
 	// when it found that nobody led, Began when it was elected.
 	LastLed, Noticed, Began time.Duration
 	Before                  leadership.Led // the leader before, as this node heard it
-	// Counts and Measures outlive the term.
+	// Counts, Measures and Config outlive the term.
 	Counts   *Counts
 	Measures *Measures
+	Config   *config.Replica // nil: nothing may be changed while controllers run
 }
 
 // State is what all duties of a term share.
@@ -86,6 +88,8 @@
 	TypeNames names.Table
 	PlannedOn []*workers.Machine // all on which tasks may be planned
 
+	teams []bool // of the configuration, by index: they may submit
+
 	unresolved, blind int               // machines, and those without a number among them
 	missing           []amounts.Amounts // what they may be using, by team
 
@@ -181,6 +185,10 @@
 
 // New makes the state of a term that knows nothing yet.
 func New(start Start) *State {
+	if start.Cfg.Tunables.ConfigHistory > 0 {
+		own := *start.Cfg // tunables may change during the term
+		start.Cfg = &own
+	}
 	cfg := start.Cfg
 	if start.Measures == nil {
 		start.Measures = &Measures{}
@@ -192,19 +200,9 @@
 			Xi: cfg.Tunables.Eagerness, Delta: cfg.Tunables.TrainingLimitS, First: cfg.Tunables.FirstSizeS}),
 		Where: map[workers.Ref]*workers.Placement{}, Squared: &squaring.Tally{},
 	}
-	var limits []blocks.Limit
+	s.Plan = blocks.New(nil, cfg.Tunables.TrainingAtOnce)
 	for _, team := range cfg.Deployment.Teams {
-		s.Teams.Index(team.Name)
-		l := amounts.Room(team.CPUsMax, team.GPUsMax, 0)
-		s.Book.Limits = append(s.Book.Limits, team.CPUsMax)
-		limits = append(limits, blocks.Limit{CPU: l.CPU, GPU: l.GPU})
-	}
-	s.Plan = blocks.New(limits, cfg.Tunables.TrainingAtOnce)
-	if cfg.Tunables.GuaranteeFirst == 1 {
-		for _, team := range cfg.Deployment.Teams {
-			g := amounts.Room(team.CPUs, team.GPUs, 0)
-			s.Plan.Guarantees = append(s.Plan.Guarantees, blocks.Limit{CPU: g.CPU, GPU: g.GPU})
-		}
+		s.SetTeam(team)
 	}
 	s.Plan.Locality = settings.Seconds(cfg.Tunables.LocalityS)
 	s.Plan.Affinity = cfg.Tunables.ZoneAffinityS
--- /dev/null
+++ b/internal/cluster/teams.go
@@ -0,0 +1,98 @@
+package cluster
+
+import (
+	"cmp"
+	"slices"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// TeamIndex is the index of a team, of the configuration or not. One that is not has no limit.
+func (s *State) TeamIndex(name string) int32 {
+	team := s.Teams.Index(name)
+	for int(team) >= len(s.Plan.Limits) {
+		s.Plan.AddTeam()
+		s.teams = append(s.teams, false)
+	}
+	return team
+}
+
+// HasTeam says whether a team is of the configuration, so that it may submit.
+func (s *State) HasTeam(team int32) bool { return int(team) < len(s.teams) && s.teams[team] }
+
+// SetTeam has a team's guarantee and limit hold from now on. What runs above a lower limit runs
+// on; what is only planned there is taken back.
+func (s *State) SetTeam(t settings.Team) {
+	team := s.TeamIndex(t.Name)
+	s.teams[team] = true
+	limit := amounts.Room(t.CPUsMax, t.GPUsMax, 0)
+	s.Plan.Limits[team] = blocks.Limit{CPU: limit.CPU, GPU: limit.GPU}
+	for int(team) >= len(s.Book.Limits) {
+		s.Book.Limits = append(s.Book.Limits, 0)
+	}
+	s.Book.Limits[team] = t.CPUsMax
+	if s.Cfg.Tunables.GuaranteeFirst == 1 {
+		s.guarantee(team, amounts.Room(t.CPUs, t.GPUs, 0))
+	}
+	s.takeBackAbove(team)
+	s.Dirty = true
+}
+
+// RemoveTeam has a team submit nothing more. Its open jobs go on under its limit, without a
+// guarantee.
+func (s *State) RemoveTeam(name string) {
+	team := s.TeamIndex(name)
+	s.teams[team] = false
+	if s.Cfg.Tunables.GuaranteeFirst == 1 {
+		s.guarantee(team, amounts.Amounts{})
+	}
+	s.Dirty = true
+}
+
+func (s *State) guarantee(team int32, g amounts.Amounts) {
+	for int(team) >= len(s.Plan.Guarantees) {
+		s.Plan.Guarantees = append(s.Plan.Guarantees, blocks.Limit{})
+	}
+	s.Plan.Guarantees[team] = blocks.Limit{CPU: g.CPU, GPU: g.GPU}
+}
+
+// takeBackAbove takes back plans of a team, the last tasks first, until what is left is within
+// its limit. Of a gang all or none are taken back: none where one may have begun.
+func (s *State) takeBackAbove(team int32) {
+	left := s.Plan.Use(team)
+	if s.Plan.Limits[team].Covers(left) {
+		return
+	}
+	var planned []*workers.Placement
+	begun := map[int32]bool{} // gangs
+	for ref, p := range s.Where {
+		j := s.Jobs.At(ref.Job)
+		gang := j.Rec.Kind == jobs.Gang
+		switch {
+		case j.Team != team:
+		case gang && (!p.Planned || len(p.Offered) > 0):
+			begun[ref.Job] = true
+		case p.Planned:
+			planned = append(planned, p)
+		}
+	}
+	slices.SortFunc(planned, func(a, b *workers.Placement) int {
+		return cmp.Or(cmp.Compare(b.Ref.Job, a.Ref.Job), cmp.Compare(b.Ref.Task, a.Ref.Task))
+	})
+	whole := int32(-1) // the gang of which all is taken back
+	for _, p := range planned {
+		job := p.Ref.Job
+		if begun[job] || (job != whole && s.Plan.Limits[team].Covers(left)) {
+			continue
+		}
+		if s.Jobs.At(job).Rec.Kind == jobs.Gang {
+			whole = job
+		}
+		left = left.Minus(s.Jobs.At(job).Need)
+		s.TakeBack(p)
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"bitternmoor/internal/settings"
+)
+
+func number(v float64) Value { return Value{Number: &v} }
+
+func limit(most float64) Value { return Value{Limits: &Limits{CPUsMax: most}} }
+
+var (
+	idle  = Item{Tunable: "fleet.idle_return"}
+	red   = Item{Team: "red"}
+	green = Item{Team: "green"}
+)
+
+func platform() *settings.Platform {
+	p := &settings.Platform{}
+	p.Deployment.State.ValueKB = 8
+	return p
+}
+
+// What may not be set is refused by its field.
+func TestCheck(t *testing.T) {
+	good := []Change{{idle, number(5)}, {red, limit(9)}, {green, Value{Removed: true}}, {Item{Tunable: "fleet.spot_return"}, Value{}}}
+	if err := Check(good, platform()); err != nil {
+		t.Error(err)
+	}
+	for field, changes := range map[string][]Change{
+		"changes":           nil,
+		"item":              {{Item{}, number(1)}},
+		"fleet.idle_return": {{idle, number(-1)}},
+		"fleet.no_such":     {{Item{Tunable: "fleet.no_such"}, number(1)}},
+		"leadership.hold":   {{Item{Tunable: "leadership.hold"}, number(3)}},
+		"calendar.night":    {{Item{Tunable: "calendar.night"}, Value{}}},
+		"team":              {{Item{Team: "a b"}, limit(1)}},
+		"team red":          {{red, number(3)}},
+		"team red.cpus":     {{red, Value{Limits: &Limits{CPUs: 5, CPUsMax: 4}}}},
+		"team green":        {{green, limit(1)}, {green, limit(2)}},
+		"fleet.spot_return": {{Item{Tunable: "fleet.spot_return"}, limit(3)}},
+	} {
+		err := Check(changes, platform())
+		var wrong *settings.FieldError
+		if !errors.As(err, &wrong) || wrong.Field != field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %v, want %s named", changes, err, field)
+		}
+	}
+	if err := Check(make([]Change, MostChanges+1), platform()); err == nil {
+		t.Error("a bundle of any size is taken")
+	}
+	small := platform()
+	small.Deployment.State.ValueKB = 0.45
+	if err := Check([]Change{{Item{Team: strings.Repeat("t", 60)}, limit(1)}}, small); err == nil {
+		t.Error("a team is taken whose jobs could not be stored")
+	}
+}
+
+// Undo gives back what stood, and says so where it is not known any more.
+func TestUndo(t *testing.T) {
+	history := []Revision{
+		{Number: 4, Changes: []Change{{idle, number(5)}}, Before: []Value{{}}},
+		{Number: 5, Changes: []Change{{red, limit(9)}, {idle, number(6)}}, Before: []Value{limit(3), number(5)}},
+		{Number: 6, Changes: []Change{{red, limit(3)}}, Before: []Value{limit(9)}},
+	}
+	for to, want := range map[uint64][]Change{3: {{idle, Value{}}}, 4: {{idle, number(5)}}, 5: {{red, limit(9)}}} {
+		if got, err := Undo(history, to); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("back to %d: %v %v, want %v", to, got, err, want)
+		}
+	}
+	for _, to := range []uint64{1, 6, 7} {
+		if _, err := Undo(history, to); err == nil {
+			t.Errorf("back to %d was taken", to)
+		}
+	}
+}
+
+// A replica takes what is new, nothing twice, nothing with a gap, and never goes back.
+func TestReplica(t *testing.T) {
+	var d Document
+	d.Apply(&Revision{Number: 1, Changes: []Change{{idle, number(5)}, {red, limit(9)}}})
+	first := d.Update(0)
+	d.Apply(&Revision{Number: 2, Changes: []Change{{red, limit(3)}}})
+	second := d.Update(1)
+	if len(second.Sets) != 1 || len(d.Update(2).Sets) != 0 || len(d.Update(7).Sets) != 0 {
+		t.Errorf("told: %+v", second)
+	}
+	var r Replica
+	r.Hear(1, second)
+	if r.Revision() != 0 || r.Heard() != 1 {
+		t.Error("an update that lacks something was taken")
+	}
+	for now, u := range []Update{first, second, first, second} {
+		r.Hear(2, u)
+		if want := min(uint64(now)+1, 2); r.Revision() != want {
+			t.Errorf("after %d updates it has revision %d", now+1, r.Revision())
+		}
+	}
+	if !reflect.DeepEqual(r.All(), d.All()) {
+		t.Errorf("it has %v of %v", r.All(), d.All())
+	}
+	var old Document
+	old.Apply(&Revision{Number: 1, Changes: []Change{{idle, number(5)}}})
+	r.Keep(3, &old)
+	if r.Revision() != 2 {
+		t.Error("it went back")
+	}
+}
--- /dev/null
+++ b/internal/config/edit_test.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func stands(string) Limits { return Limits{CPUs: 1, CPUsMax: 8} }
+
+// Edits of one team become one change, and leave what they do not name.
+func TestEdits(t *testing.T) {
+	var edits []Edit
+	for _, s := range []string{"team/red/cpus_max=9", "fleet.idle_return=5", "team/red/gpus=2", "team/green=removed", "fleet.spot_return=settings"} {
+		e, err := ParseEdit(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		edits = append(edits, e)
+	}
+	want := []Change{{red, Value{Limits: &Limits{CPUs: 1, CPUsMax: 9, GPUs: 2}}}, {idle, number(5)}, {green, Value{Removed: true}}, {Item{Tunable: "fleet.spot_return"}, Value{}}}
+	if got, err := Changes(edits, stands); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%v %v", got, err)
+	}
+	path := filepath.Join(t.TempDir(), "changes.ini")
+	text := "[team red]\ncpus_max = 9\ngpus = 2\n[fleet]\nidle_return = 5\nspot_return = settings\n[team green]\nis = removed\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	edits, err := FileEdits(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Changes(edits, stands); err != nil || len(got) != 4 || !reflect.DeepEqual(got[0], want[0]) {
+		t.Errorf("%v %v", got, err)
+	}
+}
+
+// What is wrong is named in one line.
+func TestWrongEdits(t *testing.T) {
+	for list, field := range map[string]string{
+		"team/red":                                "team/red",
+		"teams/red/cpus=1":                        "teams/red/cpus=1",
+		"team/red/size=1":                         "team red.size",
+		"team/red/cpus=many":                      "team red.cpus",
+		"team/red=gone":                           "team red",
+		"fleet.idle_return=x":                     "fleet.idle_return",
+		"leadership.hold=3":                       "leadership.hold",
+		"fleet.none=3":                            "fleet.none",
+		"team/red=removed team/red/cpus=1":        "team red.cpus",
+		"fleet.idle_return=1 fleet.idle_return=2": "fleet.idle_return",
+	} {
+		var edits []Edit
+		var err error
+		for s := range strings.FieldsSeq(list) {
+			e, wrong := ParseEdit(s)
+			if err = wrong; err != nil {
+				break
+			}
+			edits = append(edits, e)
+		}
+		if err == nil {
+			_, err = Changes(edits, stands)
+		}
+		if err == nil || !strings.HasPrefix(err.Error(), field+":") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %s named", list, err, field)
+		}
+	}
+	if _, err := FileEdits("none.ini"); err == nil {
+		t.Error("a file that there is not was read")
+	}
+}
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -5,6 +5,7 @@
 
 import (
 	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/wire"
@@ -66,9 +67,10 @@
 		Report Relayed
 	}
 	Hail struct {
-		Peer  string
-		Epoch uint64
-		Fleet leadership.Fleet
+		Peer   string
+		Epoch  uint64
+		Fleet  leadership.Fleet
+		Config *config.Update // what it lacks of the configuration; nil: nothing is said of it
 	}
 	// Probe asks whether a peer can be reached at all.
 	Probe struct{ Peer string }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -340,11 +340,7 @@
 func (d *Duty) enter(rec ledger.Job, now time.Duration) *jobs.Job {
 	rec.Unguard()
 	j := d.Jobs.Add(rec)
-	j.Team = d.Teams.Index(rec.Team)
-	for int(j.Team) >= len(d.Plan.Limits) {
-		// A team of an earlier configuration: its jobs stay accepted.
-		d.Plan.AddTeam()
-	}
+	j.Team = d.TeamIndex(rec.Team) // of an earlier configuration, perhaps: its jobs stay accepted
 	j.Image = d.Images.Index(rec.Image)
 	j.Spot = rec.Spot && (rec.Checkpoint > 0 || rec.EstimateS <= d.Cfg.Tunables.SpotTaskS)
 	d.schedule(j, d.timeOf(rec.AtMS, now))
--- a/internal/lifecycle/users.go
+++ b/internal/lifecycle/users.go
@@ -71,7 +71,7 @@
 // never says why a job can never run, or nothing.
 func (d *Duty) never(j *ledger.Job) string {
 	team, ok := d.Teams.Find(j.Team)
-	if !ok || int(team) >= len(d.Cfg.Deployment.Teams) {
+	if !ok || !d.HasTeam(team) {
 		return "keeper: no such team"
 	}
 	need := amounts.Need(j.CPUs, j.GPUs, j.MemoryGB)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -6,9 +6,11 @@
 
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/reconfig"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/squaring"
 	"bitternmoor/internal/term"
@@ -29,6 +31,7 @@
 
 	counts   cluster.Counts
 	measures cluster.Measures
+	config   config.Replica // what this node has of the configuration that may change
 	hailAt   time.Duration
 	deafAt   time.Duration                 // when this leader last heard of a peer or most of its machines
 	peerAt   map[string]time.Duration      // when a peer last answered a hail
@@ -90,7 +93,7 @@
 	if c.term == nil && leading {
 		c.counts.Terms++
 		led, vacant := c.lead.Vacancy()
-		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), LastLed: led, Before: c.lead.LedBefore(c.lead.Epoch()), Noticed: vacant, Began: now, Counts: &c.counts, Measures: &c.measures})
+		c.term = term.New(cluster.Start{Cfg: c.cfg, Zero: c.zero, Epoch: c.lead.Epoch(), LastLed: led, Before: c.lead.LedBefore(c.lead.Epoch()), Noticed: vacant, Began: now, Counts: &c.counts, Measures: &c.measures, Config: &c.config})
 		c.out = append(c.out, effects.Note{Level: effects.Info, Text: "leading", Args: []any{"epoch", c.term.Epoch}}, effects.Load{Epoch: c.term.Epoch})
 	}
 	if c.term != nil {
@@ -162,7 +165,7 @@
 	if now-c.hailAt >= hailEvery {
 		c.hailAt = now
 		for _, p := range c.cfg.Peers {
-			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch, Fleet: c.term.Fleet()})
+			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch, Fleet: c.term.Fleet(), Config: c.term.ConfigFor(p.Node)})
 		}
 	}
 	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || now-c.term.Began < cutOffAfter || c.heardOf(now) || !c.term.Deaf(now) {
@@ -218,6 +221,35 @@
 	c.after(now)
 }
 
+// ConfigTold takes what the leader that has just hailed tells of the configuration, and gives the
+// revision that this node has in force then.
+func (c *Core) ConfigTold(now time.Duration, node string, u config.Update) uint64 {
+	if c.term == nil && node == c.lead.LeaderName() {
+		c.config.Hear(now, u)
+	}
+	return c.config.Revision()
+}
+
+// ConfigHeld takes a peer's word on the revision that it has in force.
+func (c *Core) ConfigHeld(now time.Duration, epoch uint64, peer string, revision uint64) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.ConfigHeld(now, peer, revision)
+	}
+}
+
+// ConfigHere is what this node has of the configuration, and since when.
+func (c *Core) ConfigHere(now time.Duration) reconfig.Here {
+	leading, leader := c.Leading()
+	h := reconfig.Here{Node: c.cfg.Node, Leads: leading, Leader: leader, Revision: c.config.Revision(), SinceS: (now - c.config.Since()).Seconds(), AgeS: -1, Sets: c.config.All()}
+	switch heard := c.config.Heard(); {
+	case c.ready(now):
+		h.AgeS = 0
+	case heard > 0:
+		h.AgeS = (now - heard).Seconds()
+	}
+	return h
+}
+
 // Submit takes a submission.
 func (c *Core) Submit(now time.Duration, to effects.Asker, s wire.Submission) {
 	if !c.ready(now) {
@@ -614,6 +646,10 @@
 // Show gives what operators may see of a duty; known is false on a node that
 // cannot tell, and the answer nil where there is no such duty.
 func (c *Core) Show(now time.Duration, duty string) (raw json.RawMessage, known bool, err error) {
+	if duty == reconfig.Name+"/"+reconfig.ViewHere && c.cfg.Tunables.ConfigHistory > 0 {
+		raw, err = json.Marshal(c.ConfigHere(now)) // of this node, whoever leads
+		return raw, true, err
+	}
 	if c.term == nil || !c.term.Loaded() {
 		return nil, false, nil
 	}
@@ -623,11 +659,11 @@
 
 // Change has a duty change something that an operator asked for; known is false on
 // a node that is not sure to lead, and the answer nil where there is no such duty.
-func (c *Core) Change(now time.Duration, duty string, body json.RawMessage) (raw json.RawMessage, known bool, err error) {
+func (c *Core) Change(now time.Duration, duty, by string, body json.RawMessage) (raw json.RawMessage, known bool, err error) {
 	if !c.ready(now) {
 		return nil, false, nil
 	}
-	raw, _, err = c.term.Change(now, duty, body)
+	raw, _, err = c.term.Change(now, duty, by, body)
 	c.after(now)
 	return raw, true, err
 }
--- a/internal/node/inside.go
+++ b/internal/node/inside.go
@@ -21,6 +21,7 @@
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/control"
 	"bitternmoor/internal/pools"
+	"bitternmoor/internal/reconfig"
 	"bitternmoor/internal/wire"
 )
 
@@ -74,8 +75,8 @@
 	})
 	r.Post(PathDuties+"*", func(w http.ResponseWriter, r *http.Request) {
 		duty := chi.URLParam(r, "*")
-		if duty == pools.Name {
-			send(w, http.StatusForbidden, wire.Problem("pools are changed at the operators' listener, with a certificate"))
+		if slices.Contains(certified, duty) {
+			send(w, http.StatusForbidden, wire.Problem(duty+": is changed at the operators' listener, with a certificate"))
 			return
 		}
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, changeMost))
@@ -83,12 +84,15 @@
 			send(w, http.StatusBadRequest, wire.Problem("body not readable, or over 16 MiB"))
 			return
 		}
-		raw, err := n.ChangeDuty(duty, body)
+		raw, err := n.ChangeDuty("", duty, body)
 		sendDuty(w, raw, err, http.StatusUnprocessableEntity)
 	})
 	return r, nil
 }
 
+// certified are the duties that are changed at the operators' listener alone.
+var certified = []string{pools.Name, reconfig.Name}
+
 // changeMost is how much an operator may send at once, in bytes.
 const changeMost = 16 << 20
 
@@ -97,6 +101,7 @@
 type ChangeRequest struct {
 	Duty string
 	Body []byte
+	By   string // who asks, by the certificate; older controllers leave it out
 }
 
 // sendDuty answers with what a duty says. refused is the status of an error of its own.
@@ -181,7 +186,9 @@
 
 // Change does what a peer's operator asked of a duty.
 func (c *Controller) Change(in ChangeRequest, out *[]byte) error {
-	return c.duty(out, func(now time.Duration) (json.RawMessage, bool, error) { return c.n.core.Change(now, in.Duty, in.Body) })
+	return c.duty(out, func(now time.Duration) (json.RawMessage, bool, error) {
+		return c.n.core.Change(now, in.Duty, in.By, in.Body)
+	})
 }
 
 func (c *Controller) duty(out *[]byte, f func(now time.Duration) (json.RawMessage, bool, error)) error {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/wire"
@@ -85,6 +86,18 @@
 	return nil
 }
 
+func (n *Node) checkConfig(u config.Update) error {
+	if len(u.Sets) > config.MostItems {
+		return fmt.Errorf("node: hail: %d changes of the configuration", len(u.Sets))
+	}
+	for _, s := range u.Sets {
+		if s.Revision <= u.From || s.Revision > u.To {
+			return fmt.Errorf("node: hail: %s of revision %d, told as of %d to %d", s.Item, s.Revision, u.From, u.To)
+		}
+	}
+	return nil
+}
+
 func (n *Node) checkHail(in HailMessage) error {
 	if n.peers[in.Node] == nil || in.Epoch == 0 {
 		return fmt.Errorf("node: hail: %.20q in epoch %d is no controller that leads", in.Node, in.Epoch)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"golang.org/x/net/netutil"
 
 	"bitternmoor/internal/admission"
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
@@ -205,9 +206,7 @@
 	case effects.Hail:
 		if p := n.peers[e.Peer]; p != nil {
 			go func() {
-				if err := p.call("Controller.Hail", HailMessage{n.cfg.Node, e.Epoch, e.Fleet}, new(bool)); err == nil {
-					n.post(func(now time.Duration) { n.core.HailAnswered(now, e.Peer) })
-				}
+				n.hail(p, e)
 			}()
 		}
 	case effects.Probe:
@@ -314,6 +313,30 @@
 	}
 }
 
+// hail tells a peer that this node leads, and what it lacks of the configuration. A peer of an
+// older version knows nothing of that, and is told the rest.
+func (n *Node) hail(p *peer, e effects.Hail) {
+	m := HailMessage{n.cfg.Node, e.Epoch, e.Fleet}
+	if e.Config != nil {
+		var a ConfigAnswer
+		err := p.call("Controller.HailConfig", HailConfigMessage{Hail: m, Update: *e.Config}, &a)
+		if err == nil {
+			n.post(func(now time.Duration) {
+				n.core.HailAnswered(now, e.Peer)
+				n.core.ConfigHeld(now, e.Epoch, e.Peer, a.Revision)
+			})
+			return
+		}
+		var remote rpc.ServerError
+		if !errors.As(err, &remote) {
+			return
+		}
+	}
+	if err := p.call("Controller.Hail", m, new(bool)); err == nil {
+		n.post(func(now time.Duration) { n.core.HailAnswered(now, e.Peer) })
+	}
+}
+
 // outside makes a call with a deadline; what it returns is the input that
 // brings its result to the core.
 func (n *Node) outside(limit time.Duration, call func(ctx context.Context) func(now time.Duration)) {
@@ -708,6 +731,26 @@
 	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch, in.Fleet) })
 }
 
+// HailConfigMessage is a hail that tells of the configuration besides.
+type HailConfigMessage struct {
+	Hail   HailMessage
+	Update config.Update
+}
+
+// ConfigAnswer is the revision that a controller has in force.
+type ConfigAnswer struct{ Revision uint64 }
+
+// HailConfig takes the leader's word that it leads, and what it tells of the configuration.
+func (c *Controller) HailConfig(in HailConfigMessage, out *ConfigAnswer) error {
+	if err := c.n.refuse(errors.Join(c.n.checkHail(in.Hail), c.n.checkConfig(in.Update))); err != nil {
+		return err
+	}
+	return c.n.here(func(now time.Duration) {
+		c.n.core.Hailed(now, in.Hail.Node, in.Hail.Epoch, in.Hail.Fleet)
+		out.Revision = c.n.core.ConfigTold(now, in.Hail.Node, in.Update)
+	})
+}
+
 // Relay serves a report that another controller received. It is never handed
 // on a second time.
 func (c *Controller) Relay(in effects.Relayed, out *effects.ReportAnswer) error {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("node: operators.listen: %w", err)
 	}
 	go store.Watch(ctx)
-	srv := &http.Server{Handler: control.Handler(n, control.Roles{Read: o.Read, Operate: o.Operate, Admin: o.Admin, Operable: []string{pools.Name}}), TLSConfig: store.Server(),
+	srv := &http.Server{Handler: control.Handler(n, control.Roles{Read: o.Read, Operate: o.Operate, Admin: o.Admin, Operable: certified}), TLSConfig: store.Server(),
 		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 8 << 10,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	go func() { failed <- srv.ServeTLS(netutil.LimitListener(l, operatorsAtOnce), "", "") }()
@@ -54,9 +54,9 @@
 	return n.askDuty("Controller.Show", what, func(now time.Duration) (json.RawMessage, bool, error) { return n.core.Show(now, what) })
 }
 
-// ChangeDuty has a duty change something, here or on the leader.
-func (n *Node) ChangeDuty(duty string, body json.RawMessage) (json.RawMessage, error) {
-	return n.askDuty("Controller.Change", ChangeRequest{Duty: duty, Body: body}, func(now time.Duration) (json.RawMessage, bool, error) { return n.core.Change(now, duty, body) })
+// ChangeDuty has a duty change something that somebody asks for, here or on the leader.
+func (n *Node) ChangeDuty(by, duty string, body json.RawMessage) (json.RawMessage, error) {
+	return n.askDuty("Controller.Change", ChangeRequest{Duty: duty, Body: body, By: by}, func(now time.Duration) (json.RawMessage, bool, error) { return n.core.Change(now, duty, by, body) })
 }
 
 // askDuty asks a duty, here or on the leader. Errors are control.ErrUnknown where
@@ -119,7 +119,7 @@
 		return
 	}
 	for try := 0; ; try++ {
-		raw, err := n.ChangeDuty(pools.Name, ask)
+		raw, err := n.ChangeDuty("", pools.Name, ask)
 		var given pools.Receipt
 		switch {
 		case errors.Is(err, control.ErrRefused):
--- /dev/null
+++ b/internal/reconfig/controllers.go
@@ -0,0 +1,107 @@
+package reconfig
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/config"
+)
+
+// controller is what the leader knows of the configuration that another one has.
+type controller struct {
+	heard       time.Duration // when it last said so, 0: never in this term
+	revision    uint64
+	since       time.Duration // when it was first heard to have it
+	behindSince time.Duration // since when it lacks something; 0: it lacks nothing
+}
+
+// written is a revision that is durable.
+type written struct {
+	revision uint64
+	at       time.Duration
+}
+
+// writtenMost bounds the revisions that are not in force everywhere: a controller may be down for
+// long.
+const writtenMost = 1000
+
+// inForceBounds are the buckets, in seconds, of how long a change takes to be in force.
+var inForceBounds = []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 8, 11, 20, 60}
+
+// wrote notes that a revision is durable, and who lacks it now.
+func (d *Duty) wrote(now time.Duration, revision uint64) {
+	d.written = append(d.written, written{revision, now})
+	d.written = slices.Delete(d.written, 0, max(0, len(d.written)-writtenMost))
+	for _, c := range d.controllers {
+		if c.behindSince == 0 {
+			c.behindSince = now
+		}
+	}
+}
+
+// Tell is what another controller is to be told with the next hail.
+func (d *Duty) Tell(name string) *config.Update {
+	has := uint64(0)
+	if c := d.controllers[name]; c != nil {
+		has = c.revision
+	}
+	u := d.doc.Update(has)
+	return &u
+}
+
+// Held takes another controller's word on the revision that it has in force.
+func (d *Duty) Held(now time.Duration, name string, revision uint64) {
+	c := d.controllers[name]
+	if c == nil {
+		return
+	}
+	if revision > d.doc.Revision() {
+		d.lacks(revision)
+	}
+	if revision != c.revision || c.heard == 0 {
+		c.since = now
+	}
+	for _, w := range d.written {
+		if w.revision > c.revision && w.revision <= revision && c.heard > 0 {
+			d.inForce.Observe(name, (now - w.at).Seconds())
+		}
+	}
+	c.heard, c.revision = now, revision
+	if revision >= d.doc.Revision() {
+		c.behindSince = 0
+	}
+	d.written = slices.DeleteFunc(d.written, func(w written) bool { return d.everywhere(w.revision) })
+}
+
+// everywhere says whether all controllers have a revision.
+func (d *Duty) everywhere(revision uint64) bool {
+	for _, c := range d.controllers {
+		if c.revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// lag is for how long a controller has lacked something.
+func (c *controller) lag(now time.Duration) float64 {
+	if c.behindSince == 0 {
+		return 0
+	}
+	return (now - c.behindSince).Seconds()
+}
+
+// Gauges gives the revision and the lag of each controller.
+func (d *Duty) Gauges(now time.Duration) []cluster.Gauge {
+	revisions, lags := map[string]float64{d.Cfg.Node: float64(d.doc.Revision())}, map[string]float64{d.Cfg.Node: 0}
+	for _, name := range slices.Sorted(maps.Keys(d.controllers)) {
+		c := d.controllers[name]
+		revisions[name], lags[name] = float64(c.revision), c.lag(now)
+	}
+	return []cluster.Gauge{
+		{Name: "bitternmoor_config_revision", Help: "Revision of the configuration that a controller has in force.", Label: "controller", Values: revisions},
+		{Name: "bitternmoor_config_lag_seconds", Help: "For how long a controller has lacked a durable change of the configuration.", Label: "controller", Values: lags},
+	}
+}
--- /dev/null
+++ b/internal/reconfig/duty.go
@@ -0,0 +1,255 @@
+// Package reconfig is the duty of a leader that changes the configuration while controllers run:
+// teams, and tunables that are read each time they are used. docs/configuration.md is its design
+// note and the operators' page.
+//
+// One entry of the log is one revision, with all its changes, so that it is durable whole or not
+// at all, before anybody is told. A lower limit counts from when it is handed to the log, a
+// higher one once it is durable: whoever leads next never allows less than what was started.
+package reconfig
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/config"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/settings"
+)
+
+// Name is that of the duty and of its entries.
+const Name = "config"
+
+// stored is an entry: a revision, or what is still set by those that are not remembered any more.
+type stored struct {
+	Revision *config.Revision `json:"r,omitempty"`
+	Sets     []config.Set     `json:"s,omitempty"`
+}
+
+// Duty changes the configuration in a term.
+type Duty struct {
+	cluster.Plain
+	*cluster.State
+	remember int               // revisions
+	base     settings.Tunables // as the settings say
+	teams    map[string]settings.Team
+
+	doc     config.Document   // what is durable
+	history []config.Revision // the last ones that are durable, oldest first, without gaps
+	pending []config.Revision // on their way, oldest first
+	missing uint64            // a revision that was in force and is not in the log; 0: none
+	kept    []config.Set      // to be written anew in the cleaning under way
+	bytes   int               // of what Keep would write for the whole log
+
+	controllers map[string]*controller
+	written     []written // revisions that are not in force everywhere yet, oldest first
+	inForce     *cluster.Histogram
+}
+
+// New makes the duty of a term.
+func New(s *cluster.State) *Duty {
+	d := &Duty{State: s, remember: s.Cfg.Tunables.ConfigHistory, base: s.Cfg.Tunables, teams: map[string]settings.Team{}, controllers: map[string]*controller{}}
+	for _, t := range s.Cfg.Deployment.Teams {
+		d.teams[t.Name] = t
+	}
+	for _, p := range s.Cfg.Peers {
+		d.controllers[p.Node] = &controller{}
+	}
+	d.inForce = s.Measures.Histogram("bitternmoor_config_in_force_seconds", "From when a change of the configuration was durable until a controller had it in force.", "controller", inForceBounds)
+	return d
+}
+
+func decode(e ledger.Entry) (x stored, ok bool) {
+	return x, e.Own != nil && e.Own.Duty == Name && json.Unmarshal(e.Own.Data, &x) == nil
+}
+
+// Replay takes what is set. While the log is cleaned an entry may be there twice.
+func (d *Duty) Replay(_ time.Duration, e ledger.Entry) {
+	x, ok := decode(e)
+	if !ok {
+		return
+	}
+	for _, s := range x.Sets {
+		d.doc.Put(s)
+	}
+	if x.Revision != nil {
+		d.enter(*x.Revision)
+	}
+}
+
+// enter takes a durable revision.
+func (d *Duty) enter(r config.Revision) {
+	d.doc.Apply(&r)
+	i, known := slices.BinarySearchFunc(d.history, r.Number, func(o config.Revision, n uint64) int { return int(o.Number) - int(n) })
+	if known {
+		return
+	}
+	d.history = slices.Insert(d.history, i, r)
+	d.history = slices.Delete(d.history, 0, max(0, len(d.history)-d.remember))
+}
+
+// Begin has in force what is set.
+func (d *Duty) Begin(now time.Duration) {
+	for _, s := range d.doc.All() {
+		d.apply(s.Item)
+	}
+	d.measure()
+	if d.Config != nil {
+		if had := d.Config.Revision(); had > d.doc.Revision() {
+			d.lacks(had)
+		}
+		d.Config.Keep(now, &d.doc)
+	}
+	for _, c := range d.controllers {
+		c.behindSince = now
+	}
+}
+
+// lacks notes that the log has lost revisions that were in force.
+func (d *Duty) lacks(revision uint64) {
+	if revision <= d.missing {
+		return
+	}
+	d.missing = revision
+	d.Note(effects.Error, "the log lacks changes of the configuration that were in force: nothing more is changed", "revision", d.doc.Revision(), "was", revision)
+}
+
+// Durable has a revision in force.
+func (d *Duty) Durable(now time.Duration, _ bool, e ledger.Entry) {
+	x, ok := decode(e)
+	if !ok || x.Revision == nil {
+		return
+	}
+	r := *x.Revision
+	d.pending = slices.DeleteFunc(d.pending, func(o config.Revision) bool { return o.Number == r.Number })
+	d.enter(r)
+	for _, c := range r.Changes {
+		d.apply(c.Item)
+	}
+	d.measure()
+	if d.Config != nil {
+		d.Config.Keep(now, &d.doc)
+	}
+	d.wrote(now, r.Number)
+	d.Note(effects.Info, "the configuration has changed", "revision", r.Number, "by", r.By, "changes", len(r.Changes), "note", r.Note)
+}
+
+// apply has an item in force as it is set.
+func (d *Duty) apply(i config.Item) {
+	if i.Team != "" {
+		d.applyTeam(i.Team)
+		return
+	}
+	v, _ := d.base.Number(i.Tunable)
+	if set := d.doc.Get(i).Value.Number; set != nil {
+		v = *set
+	}
+	d.Cfg.Tunables.SetNumber(i.Tunable, v)
+	d.Dirty = true
+}
+
+// applyTeam has a team's limits in force: of what is durable and what is on its way the lower.
+func (d *Duty) applyTeam(name string) {
+	t, known := d.teamAt(name, d.doc.Get(config.Item{Team: name}).Value)
+	for _, r := range d.pending {
+		for _, c := range r.Changes {
+			if c.Item.Team == name && c.Value.Limits != nil {
+				t.CPUsMax = lower(t.CPUsMax, c.Value.Limits.CPUsMax)
+				t.GPUsMax = lower(t.GPUsMax, c.Value.Limits.GPUsMax)
+			}
+		}
+	}
+	t.CPUs, t.GPUs = guaranteed(t.CPUs, t.CPUsMax), guaranteed(t.GPUs, t.GPUsMax)
+	d.SetTeam(t)
+	if !known {
+		d.RemoveTeam(name)
+	}
+}
+
+// teamAt is what a team has by a value, and whether it may submit.
+func (d *Duty) teamAt(name string, v config.Value) (settings.Team, bool) {
+	if v.Limits != nil {
+		return v.Limits.Team(name), !v.Removed
+	}
+	t, known := d.teams[name]
+	t.Name = name
+	return t, known && !v.Removed
+}
+
+// lower is the lower of two limits, of which 0 is none.
+func lower(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return a + b
+	}
+	return min(a, b)
+}
+
+// guaranteed is a guarantee that does not go beyond a limit, of which 0 is none.
+func guaranteed(v, limit float64) float64 {
+	if limit == 0 {
+		return v
+	}
+	return min(v, limit)
+}
+
+// measure reckons what Keep would write.
+func (d *Duty) measure() {
+	d.bytes = d.doc.Len() * setBytes
+	for i := range d.history {
+		d.bytes += revisionBytes + len(d.history[i].Changes)*setBytes
+	}
+}
+
+// Roughly what a set item, and a revision beside its changes, take in the log.
+const (
+	setBytes      = 120
+	revisionBytes = 120
+)
+
+// Live is roughly how many bytes Keep would write for the whole log.
+func (d *Duty) Live() int { return d.bytes }
+
+// remembers says whether a revision is in the history.
+func (d *Duty) remembers(revision uint64) bool {
+	return len(d.history) > 0 && revision >= d.history[0].Number
+}
+
+// Keep writes revisions anew that are remembered, and gathers what others have set.
+func (d *Duty) Keep(_ time.Duration, e ledger.Entry) {
+	x, ok := decode(e)
+	switch {
+	case !ok:
+	case x.Revision != nil && d.remembers(x.Revision.Number):
+		d.Log.Append(e)
+	case x.Revision != nil:
+		for _, c := range x.Revision.Changes {
+			d.gather(config.Set{Change: c, Revision: x.Revision.Number})
+		}
+	default:
+		for _, s := range x.Sets {
+			d.gather(s)
+		}
+	}
+}
+
+// gather notes an item that is still set as it was, by a revision that is not remembered.
+func (d *Duty) gather(s config.Set) {
+	if d.doc.Get(s.Item).Revision == s.Revision && !d.remembers(s.Revision) {
+		d.kept = append(d.kept, s)
+	}
+}
+
+// Kept writes anew what was gathered.
+func (d *Duty) Kept() {
+	for len(d.kept) > 0 {
+		n := len(d.kept)
+		for n > 1 && !d.Log.Fits(ledger.NewOwn(Name, stored{Sets: d.kept[:n]})) {
+			n /= 2
+		}
+		d.Log.Append(ledger.NewOwn(Name, stored{Sets: d.kept[:n]}))
+		d.kept = d.kept[n:]
+	}
+	d.kept = nil
+}
--- /dev/null
+++ b/internal/reconfig/show.go
@@ -0,0 +1,125 @@
+package reconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/config"
+	"bitternmoor/internal/settings"
+)
+
+// View is the configuration as operators see it.
+type View struct {
+	Revision    uint64       `json:"revision"`          // durable
+	Pending     int          `json:"pending,omitempty"` // changes that are not
+	Missing     uint64       `json:"missing,omitempty"` // a revision that was in force and is lost
+	Controllers []Controller `json:"controllers"`
+	Teams       []Team       `json:"teams"`
+	Tunables    []Tunable    `json:"tunables"`
+}
+
+// Controller is what one controller has in force.
+type Controller struct {
+	Name     string  `json:"name"`
+	Leads    bool    `json:"leads,omitempty"`
+	Heard    bool    `json:"heard"` // in this term
+	Revision uint64  `json:"revision"`
+	SinceS   float64 `json:"since_s"` // seconds ago it was first heard to have it
+	LagS     float64 `json:"lag_s"`   // for so many seconds it has lacked something
+}
+
+// Team is a team's guarantee and limit in force.
+type Team struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision,omitempty"` // that set it; 0: the settings did
+	Removed  bool   `json:"removed,omitempty"`
+	config.Limits
+}
+
+// Tunable is one that may change while controllers run.
+type Tunable struct {
+	Key      string          `json:"key"`
+	Value    float64         `json:"value"`
+	Settings float64         `json:"in_settings"`
+	Revision uint64          `json:"revision,omitempty"`
+	Effect   settings.Effect `json:"effect"`
+}
+
+// Views of the duty.
+const (
+	ViewHistory = "history"
+	ViewHere    = "here" // what one controller has; answered by it alone
+)
+
+// Show gives the configuration, or its history, the newest revision first.
+func (d *Duty) Show(now time.Duration, view string) (json.RawMessage, error) {
+	var out any
+	switch view {
+	case "":
+		out = d.view(now)
+	case ViewHistory:
+		list := slices.Clone(d.history)
+		slices.Reverse(list)
+		out = list
+	default:
+		return nil, cluster.ErrNoView
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return raw, nil
+}
+
+func (d *Duty) view(now time.Duration) View {
+	v := View{Revision: d.doc.Revision(), Pending: len(d.pending), Missing: d.missing, Tunables: []Tunable{}, Teams: []Team{}}
+	v.Controllers = []Controller{{Name: d.Cfg.Node, Leads: true, Heard: true, Revision: v.Revision, SinceS: d.sinceS(now)}}
+	for _, name := range slices.Sorted(maps.Keys(d.controllers)) {
+		c := d.controllers[name]
+		x := Controller{Name: name, Heard: c.heard > 0, Revision: c.revision, LagS: c.lag(now)}
+		if x.Heard {
+			x.SinceS = (now - c.since).Seconds()
+		}
+		v.Controllers = append(v.Controllers, x)
+	}
+	names := maps.Clone(d.teams)
+	for _, s := range d.doc.All() {
+		if s.Item.Team != "" {
+			names[s.Item.Team] = settings.Team{}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		s := d.doc.Get(config.Item{Team: name})
+		t, known := d.teamAt(name, s.Value)
+		v.Teams = append(v.Teams, Team{Name: name, Revision: s.Revision, Removed: !known, Limits: config.LimitsOf(t)})
+	}
+	for _, key := range settings.LiveTunables() {
+		x := Tunable{Key: key, Revision: d.doc.Get(config.Item{Tunable: key}).Revision, Effect: settings.EffectOf(key)}
+		x.Value, _ = d.Cfg.Tunables.Number(key)
+		x.Settings, _ = d.base.Number(key)
+		v.Tunables = append(v.Tunables, x)
+	}
+	return v
+}
+
+func (d *Duty) sinceS(now time.Duration) float64 {
+	if d.Config == nil {
+		return 0
+	}
+	return (now - d.Config.Since()).Seconds()
+}
+
+// Here is what one controller has, by its own word. It decides nothing by it.
+type Here struct {
+	Node     string       `json:"node"`
+	Leads    bool         `json:"leads,omitempty"`
+	Leader   string       `json:"leader,omitempty"`
+	Revision uint64       `json:"revision"`
+	SinceS   float64      `json:"since_s"` // it has had this revision for so long
+	AgeS     float64      `json:"age_s"`   // a leader last told so long ago; below 0: never
+	Sets     []config.Set `json:"sets"`
+}
--- /dev/null
+++ b/internal/scenario/config_test.go
@@ -0,0 +1,301 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"bitternmoor/internal/config"
+	"bitternmoor/internal/reconfig"
+	"bitternmoor/internal/settings"
+)
+
+// configPlay is what operators change of the configuration on a day, and what must hold of it.
+type configPlay struct {
+	limits  map[string]float64 // most processors of a team, where they were changed; 0: any number
+	queue   []func()           // changes that wait for one another, the one under way first
+	durable uint64             // the newest revision that an operator knows to be durable
+	seen    map[string]uint64  // by controller and life, the newest revision that it had
+	changes int
+}
+
+// onItsWay is for how long a start may be on its way that was sent before a change.
+const onItsWay = 6 * time.Second
+
+// teamLimit is how many processors a team may use now.
+func (s *sim) teamLimit(t settings.Team) float64 {
+	if v, changed := s.configs.limits[t.Name]; changed {
+		return v
+	}
+	return t.CPUsMax
+}
+
+func (s *sim) setLimit(name string, v float64) {
+	if s.configs.limits == nil {
+		s.configs.limits = map[string]float64{}
+	}
+	s.configs.limits[name] = v
+}
+
+// limitIn is the limit that a change gives a team.
+func (s *sim) limitIn(c config.Change) float64 {
+	if c.Value.Limits != nil {
+		return c.Value.Limits.CPUsMax
+	}
+	for _, t := range s.cfg.Deployment.Teams {
+		if t.Name == c.Item.Team && !c.Value.Removed {
+			return t.CPUsMax
+		}
+	}
+	return s.configs.limits[c.Item.Team] // a removed team keeps its limit
+}
+
+func higher(a, b float64) bool { return b != 0 && (a == 0 || a > b) }
+
+// reconfigure has an operator make a change: asked for again until it is durable. One follows
+// the other.
+func (s *sim) reconfigure(id string, changes []config.Change) {
+	p := &s.configs
+	p.queue = append(p.queue, func() { s.reconfigureNow(id, changes) })
+	if len(p.queue) == 1 {
+		p.queue[0]()
+	}
+}
+
+func (s *sim) reconfigureNow(id string, changes []config.Change) {
+	for _, c := range changes {
+		for _, t := range s.cfg.Deployment.Teams {
+			if to := s.limitIn(c); t.Name == c.Item.Team && higher(to, s.teamLimit(t)) {
+				s.setLimit(t.Name, to) // it may count from now on
+			}
+		}
+	}
+	var try func()
+	try = func() {
+		again := func() { s.after(700*time.Millisecond, try) }
+		l := s.leader()
+		if l == nil || l.old || s.stands(l.name) > 0 {
+			again()
+			return
+		}
+		view, ok := l.configView()
+		if !ok {
+			again()
+			return
+		}
+		body, err := json.Marshal(reconfig.Request{ID: id, Revision: view.Revision, Changes: changes})
+		if err != nil {
+			panic(err)
+		}
+		raw, _, err := l.core.Change(l.clock(), reconfig.Name, "operator", body)
+		l.drain()
+		var done reconfig.Answer
+		if err != nil || raw == nil || json.Unmarshal(raw, &done) != nil || !done.Durable {
+			again()
+			return
+		}
+		s.configs.durable = max(s.configs.durable, done.Revision)
+		s.configs.changes++
+		s.after(onItsWay, func() { s.configured(changes) })
+	}
+	try()
+}
+
+// configured has lower limits count, and the next change begin.
+func (s *sim) configured(changes []config.Change) {
+	for _, c := range changes {
+		if c.Item.Team != "" {
+			s.setLimit(c.Item.Team, s.limitIn(c))
+		}
+	}
+	p := &s.configs
+	p.queue = p.queue[1:]
+	if len(p.queue) > 0 {
+		p.queue[0]()
+	}
+}
+
+// configView is what a leader shows, if it is sure to lead.
+func (c *controller) configView() (view reconfig.View, ok bool) {
+	if c.old || !c.up || !c.core.Status(c.clock()).Sure {
+		return view, false
+	}
+	raw, known, err := c.core.Show(c.clock(), reconfig.Name)
+	return view, err == nil && known && raw != nil && json.Unmarshal(raw, &view) == nil
+}
+
+// tellConfig has a controller take what the leader tells of the configuration, and gives the
+// revision that it has then.
+func (s *sim) tellConfig(from, to *controller, u *config.Update) uint64 {
+	if u == nil || to.old {
+		return 0
+	}
+	s.watchConfig(to)
+	defer s.watchConfig(to)
+	return to.core.ConfigTold(to.clock(), from.name, *u)
+}
+
+// watchConfig holds that no controller goes back to an older revision, and that a leader has all
+// that is durable.
+func (s *sim) watchConfig(c *controller) {
+	if !c.up || c.old || c.cfg.Tunables.ConfigHistory == 0 {
+		return
+	}
+	p := &s.configs
+	if p.seen == nil {
+		p.seen = map[string]uint64{}
+	}
+	key := fmt.Sprint(c.name, c.life)
+	now := c.core.ConfigHere(c.clock()).Revision
+	if now < p.seen[key] {
+		s.check.fail("config_went_back", "%s had revision %d and has %d", c.name, p.seen[key], now)
+	}
+	p.seen[key] = now
+	if view, ok := c.configView(); ok && view.Revision < p.durable {
+		s.check.fail("config_lost", "%s leads with revision %d, %d was durable", c.name, view.Revision, p.durable)
+	}
+}
+
+// configDay has operators change limits and tunables on a random day, and give jobs their room
+// in the end.
+func configDay(s *sim, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 77))
+	limit := func(v float64) config.Change {
+		return config.Change{Item: config.Item{Team: "team"}, Value: config.Value{Limits: &config.Limits{CPUsMax: v}}}
+	}
+	for i := range 8 + r.IntN(12) {
+		changes := []config.Change{limit(float64(4 + r.IntN(40)))}
+		if r.IntN(3) == 0 {
+			v := float64(1 + r.IntN(30))
+			changes = append(changes, config.Change{Item: config.Item{Tunable: "fleet.idle_return"}, Value: config.Value{Number: &v}})
+		}
+		if r.IntN(4) == 0 {
+			changes = append(changes, config.Change{Item: config.Item{Team: "guest"}, Value: config.Value{Limits: &config.Limits{CPUs: 2, CPUsMax: 8}}})
+		}
+		s.after(time.Duration(r.IntN(140000))*time.Millisecond, func() { s.reconfigure(fmt.Sprint("change", i), changes) })
+	}
+	s.after(141*time.Second, func() { s.reconfigure("back", []config.Change{limit(20)}) })
+	var watch func()
+	watch = func() {
+		for _, c := range s.nodes {
+			s.watchConfig(c)
+		}
+		s.after(500*time.Millisecond, watch)
+	}
+	s.after(0, watch)
+}
+
+// inForceWithin is how soon a change must be in force everywhere once nothing fails.
+const inForceWithin = 11 * time.Second
+
+// configEverywhere holds that all controllers have what the leader has, soon after the last change.
+func (s *sim) configEverywhere(t *testing.T) {
+	t.Helper()
+	if !s.until(2*time.Minute, func() bool { return len(s.configs.queue) == 0 && s.leader() != nil }) {
+		t.Fatalf("%d changes are not made", len(s.configs.queue))
+	}
+	same := func() bool {
+		l := s.leader()
+		if l == nil {
+			return false
+		}
+		view, ok := l.configView()
+		for _, c := range s.nodes {
+			ok = ok && c.up && c.core.ConfigHere(c.clock()).Revision == view.Revision
+		}
+		return ok && view.Revision >= s.configs.durable
+	}
+	if !s.until(inForceWithin, same) {
+		t.Errorf("not in force everywhere: %s", s.configState())
+	}
+	if s.configs.changes == 0 {
+		t.Error("nothing was changed")
+	}
+}
+
+// configState is what the leader and each controller have.
+func (s *sim) configState() string {
+	var out []string
+	if l := s.leader(); l != nil {
+		if view, ok := l.configView(); ok {
+			out = append(out, fmt.Sprint("revision ", view.Revision))
+			for _, team := range view.Teams {
+				line := fmt.Sprintf("team %s: %v of at most %v", team.Name, team.CPUs, team.CPUsMax)
+				if team.Removed {
+					line += ", removed"
+				}
+				out = append(out, line)
+			}
+			for _, x := range view.Tunables {
+				if x.Revision > 0 {
+					out = append(out, fmt.Sprintf("%s: %v", x.Key, x.Value))
+				}
+			}
+		}
+	}
+	for _, c := range s.nodes {
+		if c.up && !c.old {
+			out = append(out, fmt.Sprintf("%s has %d", c.name, c.core.ConfigHere(c.clock()).Revision))
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+// configChanges reads a command's changes.
+func configChanges(t *testing.T, d *datadriven.TestData) (out []config.Change) {
+	t.Helper()
+	item := config.Item{Team: arg(t, d, "team", "team")}
+	switch {
+	case d.HasArg("remove"):
+		out = append(out, config.Change{Item: item, Value: config.Value{Removed: true}})
+	case d.HasArg("reset"):
+		out = append(out, config.Change{Item: item})
+	case d.HasArg("limit"):
+		out = append(out, config.Change{Item: item, Value: config.Value{Limits: &config.Limits{CPUsMax: float64(arg(t, d, "limit", 0))}}})
+	}
+	if d.HasArg("idle-return") {
+		v := float64(arg(t, d, "idle-return", 0))
+		out = append(out, config.Change{Item: config.Item{Tunable: "fleet.idle_return"}, Value: config.Value{Number: &v}})
+	}
+	return out
+}
+
+// TestConfigCheckerCatches breaks each rule of the configuration on purpose.
+func TestConfigCheckerCatches(t *testing.T) {
+	s, j, w1, _ := freshChecked()
+	j.spec.Job.Tasks = 9
+	s.setLimit("team", 2)
+	for k := range 2 {
+		s.check.started(task{1, k}, w1)
+	}
+	if len(s.check.broken) > 0 {
+		t.Fatal(s.check.broken)
+	}
+	s.setLimit("team", 1) // what runs may go on, and nothing may start
+	s.check.started(task{1, 2}, w1)
+	c := baseSettings()
+	c.Tunables.ConfigHistory = 3
+	d := newSim(c, 1, 3, false)
+	d.run(10 * time.Second)
+	l := d.leader()
+	if l == nil {
+		t.Fatal("nobody leads")
+	}
+	d.configs.durable = 7
+	d.configs.seen = map[string]uint64{fmt.Sprint(l.name, l.life): 9}
+	d.watchConfig(l)
+	for _, x := range []struct {
+		rule   string
+		broken []string
+	}{{"quota", s.check.broken}, {"config_went_back", d.check.broken}, {"config_lost", d.check.broken}} {
+		if !slices.ContainsFunc(x.broken, func(b string) bool { return strings.HasPrefix(b, x.rule) }) {
+			t.Errorf("%s was not seen: %v", x.rule, x.broken)
+		}
+	}
+}
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -71,6 +71,10 @@
 	if counted {
 		poolDay(&c, r, upgrade)
 	}
+	configures := !upgrade && seed%5 < 3 // teams and tunables are changed all the time
+	if configures {
+		c.Tunables.ConfigHistory = 3
+	}
 	count := 3
 	if seed%7 == 5 {
 		count = 7
@@ -90,6 +94,9 @@
 	if learns {
 		s.state.facts = map[uint64]bool{}
 	}
+	if configures {
+		configDay(s, seed)
+	}
 	upgraded := time.Duration(0) // nothing new is asked of the service before
 	if upgrade {
 		for i, n := range s.nodes {
@@ -207,6 +214,9 @@
 	if s.check.starts == 0 {
 		t.Error("nothing ran")
 	}
+	if configures {
+		s.configEverywhere(t)
+	}
 	if learns {
 		countLearned(t, s)
 	}
--- /dev/null
+++ b/internal/settings/live.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+)
+
+// Effect says when a change of a tunable, made while controllers run, begins to count.
+type Effect string
+
+// Effects of a change.
+const (
+	NeedsRestart Effect = "needs a restart"
+	AtOnce       Effect = "at once"
+	LaterJobs    Effect = "for jobs that come later"
+)
+
+// live lists the tunables that may change while controllers run: those that the leader reads
+// each time it uses them. All others are read when a term, or a process, begins.
+var live = map[string]Effect{
+	"fleet.drain_backlog":    AtOnce,
+	"fleet.dear_backlog":     AtOnce,
+	"fleet.idle_return":      AtOnce,
+	"fleet.spot_return":      AtOnce,
+	"fleet.usual_stay":       AtOnce,
+	"fleet.boot_give_up":     AtOnce,
+	"fleet.move_saved":       AtOnce,
+	"exceptions.preempt":     AtOnce,
+	"exceptions.wait_lead":   LaterJobs,
+	"exceptions.low_lead":    LaterJobs,
+	"exceptions.lost_behind": LaterJobs,
+}
+
+// LiveTunables lists the keys that may change while controllers run, SECTION.KEY, in order.
+func LiveTunables() []string { return slices.Sorted(maps.Keys(live)) }
+
+// EffectOf says when a change of a key counts. It is empty where there is no such key.
+func EffectOf(key string) Effect {
+	if e, ok := live[key]; ok {
+		return e
+	}
+	if rowOf(key) != nil || slices.ContainsFunc(texts, func(x Text) bool { return x.Section+"."+x.Key == key }) {
+		return NeedsRestart
+	}
+	return ""
+}
+
+func rowOf(key string) *row {
+	for i := range table {
+		if r := &table[i]; r.Section+"."+r.Key == key {
+			return r
+		}
+	}
+	return nil
+}
+
+// CheckLive says why a tunable may not be given a value while controllers run.
+func CheckLive(key string, value float64) error {
+	switch EffectOf(key) {
+	case "":
+		return wrong(key, "no such tunable")
+	case NeedsRestart:
+		return wrong(key, "cannot change while controllers run: it needs a restart")
+	}
+	return rowOf(key).check(value)
+}
+
+// ParseLive reads a value of a tunable that may change while controllers run.
+func ParseLive(key, value string) (float64, error) {
+	v, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0, wrong(key, "not a number: %q", value)
+	}
+	return v, CheckLive(key, v)
+}
+
+// check holds a value against what the key allows.
+func (r *row) check(v float64) error {
+	name := r.Section + "." + r.Key
+	switch {
+	case v != v:
+		return wrong(name, "not a number: %v", v)
+	case r.Whole && v != float64(int64(v)):
+		return wrong(name, "must be a whole number, is %v", v)
+	case v < r.Min || v > r.Max:
+		return wrong(name, "must be between %v and %v %s, is %v", r.Min, r.Max, r.Unit, v)
+	}
+	return nil
+}
+
+// Number is the value of a tunable that is a number.
+func (t *Tunables) Number(key string) (float64, bool) {
+	if r := rowOf(key); r != nil {
+		return r.get(t), true
+	}
+	return 0, false
+}
+
+// SetNumber gives a tunable a value that has been checked.
+func (t *Tunables) SetNumber(key string, v float64) {
+	if r := rowOf(key); r != nil {
+		r.set(t, v)
+	}
+}
+
+// Check says what is wrong with a team's amounts; field is where they stand.
+func (t Team) Check(field string) error {
+	for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+		if v < 0 || v != v || v > mostAmount {
+			return wrong(field, "%q has an amount that is negative, or over %v", t.Name, mostAmount)
+		}
+	}
+	if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+		return wrong(field+".cpus", "%q is guaranteed more than its cpus_max", t.Name)
+	}
+	if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+		return wrong(field+".gpus", "%q is guaranteed more than its gpus_max", t.Name)
+	}
+	return nil
+}
+
+// mostAmount bounds a team's processors and accelerators.
+const mostAmount = 1e9
+
+// String is a team's amounts in words.
+func (t Team) String() string {
+	return fmt.Sprintf("%s: cpus %v of at most %v, gpus %v of at most %v", t.Name, t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -315,16 +315,8 @@
 			return wrong(field+".name", "%q is named twice", t.Name)
 		}
 		teams[t.Name] = true
-		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
-			if v < 0 || v != v {
-				return wrong(field, "%q has a negative amount", t.Name)
-			}
-		}
-		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
-			return wrong(field+".cpus", "%q is guaranteed more than its cpus_max", t.Name)
-		}
-		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
-			return wrong(field+".gpus", "%q is guaranteed more than its gpus_max", t.Name)
+		if err := t.Check(field); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -346,6 +338,15 @@
 	return entryBytes + team + class + zone
 }
 
+// CarriesTeam says why a job of a team with this name could not be stored.
+func (p *Platform) CarriesTeam(name string) error {
+	least := min(p.Deployment.State.ValueKB, p.Writes().ValueKB)
+	if entry := p.largestEntry() + len(name); least*1024 < float64(entry) {
+		return wrong("team", "a name of %d bytes is too long: an entry would take %d bytes, and a value has %v KiB", len(name), entry, least)
+	}
+	return nil
+}
+
 // Serves says which setting describes a fleet that a controller can start with
 // but cannot serve well; nil if none does. check-config refuses such settings. A
 // controller that is told to start with them says so and does what it can.
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -47,6 +47,7 @@
 	BeginWithinS    float64 // exception: jobs that have not begun for so long go ahead of all but urgent ones; 0: never
 	LostBehind      float64 // exception: jobs that have missed all their aims go behind until this many times the last of them; 0: never
 	TakeoversKept   int     // so many takeovers are written down
+	ConfigHistory   int     // so many changes of the configuration are remembered, which may be made while controllers run; 0: none may
 	RunTimesKinds   int     // so many kinds of work have their run times learned
 	ColdListen      int     // after a start in which nobody led the leader listens before it orders
 	ColdSettled     float64 // share of each zone's machines that must be heard for that
@@ -204,6 +205,7 @@
 	amount("spread", "leader", "share", "the leader's even share, next to 1 of each other controller", 0.7, 0.05, 1, func(t *Tunables) *float64 { return &t.SpreadLeader }),
 	amount("door", "spread", "requests a second", "users who are turned away are told to come back spread over this rate; 0: they are told the least there is", 0, 0, 1e6, func(t *Tunables) *float64 { return &t.DoorRate }),
 	whole("takeovers", "keep", "takeovers", "so many takeovers are written down, with how long each of their steps took; 0: none, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.TakeoversKept }),
+	whole("config", "history", "changes", "teams and some tunables may be changed while controllers run, and so many changes are remembered; 0: nothing may be changed, and nothing is written", 0, 0, 1000, func(t *Tunables) *int { return &t.ConfigHistory }),
 }
 
 // Known lists every tunable with its default.
@@ -238,14 +240,11 @@
 				return wrong(name, "no such tunable")
 			}
 			v, err := strconv.ParseFloat(key.Value(), 64)
-			if err != nil || v != v {
+			if err != nil {
 				return wrong(name, "not a number: %q", key.Value())
 			}
-			if r.Whole && v != float64(int64(v)) {
-				return wrong(name, "must be a whole number, is %v", v)
-			}
-			if v < r.Min || v > r.Max {
-				return wrong(name, "must be between %v and %v %s, is %v", r.Min, r.Max, r.Unit, v)
+			if err := r.check(v); err != nil {
+				return err
 			}
 			r.set(t, v)
 		}
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -12,6 +12,7 @@
 	"bitternmoor/internal/asking"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/coldstart"
+	"bitternmoor/internal/config"
 	"bitternmoor/internal/direct"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/fleet"
@@ -21,6 +22,7 @@
 	"bitternmoor/internal/ordering"
 	"bitternmoor/internal/placing"
 	"bitternmoor/internal/pools"
+	"bitternmoor/internal/reconfig"
 	"bitternmoor/internal/roster"
 	"bitternmoor/internal/runtimes"
 	"bitternmoor/internal/served"
@@ -78,6 +80,7 @@
 	fleet   *fleet.Duty
 	cold    *coldstart.Duty // nil: switched off
 	asking  *asking.Duty    // nil: switched off, or no aim asks for it
+	config  *reconfig.Duty  // nil: switched off
 	direct  *direct.Duty    // nil: switched off, or no aim asks for it
 	duties  []Duty          // in the order in which they begin and tick
 	owners  map[string]Duty // of entries of their own, by name
@@ -104,6 +107,10 @@
 	if keep := start.Cfg.Tunables.TakeoversKept; keep > 0 {
 		t.add(takeovers.Name, takeovers.New(s, keep))
 	}
+	if s.Cfg.Tunables.ConfigHistory > 0 {
+		t.config = reconfig.New(s)
+		t.add(reconfig.Name, t.config)
+	}
 	if start.Cfg.Tunables.ColdListen == 1 || start.Cfg.Tunables.ColdKept > 0 {
 		t.cold = coldstart.New(s)
 		t.add(coldstart.Name, t.cold)
@@ -200,17 +207,40 @@
 	Change(now time.Duration, body json.RawMessage) (json.RawMessage, error)
 }
 
-// Change has the duty with a name change something. It is false where there is no
-// such duty, it is switched off, or there is nothing that could be changed.
-func (t *Term) Change(now time.Duration, name string, body json.RawMessage) (raw json.RawMessage, ok bool, err error) {
-	c, ok := t.owners[name].(changer)
-	if !ok {
+// changerBy is one that remembers who has asked.
+type changerBy interface {
+	ChangeBy(now time.Duration, by string, body json.RawMessage) (json.RawMessage, error)
+}
+
+// Change has the duty with a name change something that somebody asks for. It is false where
+// there is no such duty, it is switched off, or there is nothing that could be changed.
+func (t *Term) Change(now time.Duration, name, by string, body json.RawMessage) (raw json.RawMessage, ok bool, err error) {
+	switch c := t.owners[name].(type) {
+	case changer:
+		raw, err = c.Change(now, body)
+	case changerBy:
+		raw, err = c.ChangeBy(now, by, body)
+	default:
 		return nil, false, nil
 	}
-	raw, err = c.Change(now, body)
 	return raw, true, err
 }
 
+// ConfigFor is what another controller is to be told of the configuration; nil: nothing.
+func (t *Term) ConfigFor(peer string) *config.Update {
+	if t.config == nil || !t.loaded {
+		return nil
+	}
+	return t.config.Tell(peer)
+}
+
+// ConfigHeld takes another controller's word on the revision that it has in force.
+func (t *Term) ConfigHeld(now time.Duration, peer string, revision uint64) {
+	if t.config != nil && t.loaded {
+		t.config.Held(now, peer, revision)
+	}
+}
+
 // Loaded says whether the log has been read: before, nothing is known of jobs.
 func (t *Term) Loaded() bool { return t.loaded }
 
