scalerun: operators change the configuration, and when it is in force everywhere

Change: [config] of an experiment has bursts of changes made through the operators' listener with certificates; all controllers are looked at five times a second from outside, so that the lag is no controller's own word.

--- a/cmd/scalerun/print.go
+++ b/cmd/scalerun/print.go
@@ -25,6 +25,9 @@
 		}
 		fmt.Fprintln(out, "  broken:", b)
 	}
+	if r.Changes > 0 {
+		fmt.Fprintf(out, "%d changes of the configuration, %d of them not in force everywhere at the end\n", r.Changes, r.Waiting)
+	}
 	for i := range r.Phases {
 		printPhase(out, &r.Phases[i])
 	}
@@ -50,7 +53,8 @@
 	for _, l := range []struct {
 		name string
 		of   scalerun.Latency
-	}{{"urgent, submitted to started", p.Urgent}, {"other, submitted to started", p.Other}, {"cancelled, asked to told", p.Cancel}, {"machine lost until a task of it runs again", p.Recovery}} {
+	}{{"urgent, submitted to started", p.Urgent}, {"other, submitted to started", p.Other}, {"cancelled, asked to told", p.Cancel}, {"machine lost until a task of it runs again", p.Recovery},
+		{"configuration, asked to durable", p.Changed}, {"configuration, durable to in force everywhere", p.InForce}} {
 		if l.of.Count > 0 {
 			fmt.Fprintf(out, "%s: %d, median %.3f s, 99th hundredth %.3f, largest %.3f\n", l.name, l.of.Count, l.of.Median, l.of.P99, l.of.Max)
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -114,6 +114,7 @@
 
 // Client calls the service.
 type Client struct {
+	http   *http.Client
 	show   *connect.Client[ShowRequest, Page]
 	change *connect.Client[ChangeRequest, Page]
 }
@@ -122,9 +123,12 @@
 func NewClient(addr string, conf *tls.Config) *Client {
 	h := &http.Client{Transport: &http.Transport{TLSClientConfig: conf, ForceAttemptHTTP2: true, TLSHandshakeTimeout: 5 * time.Second}}
 	opts := []connect.ClientOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(bodyMost)}
-	return &Client{connect.NewClient[ShowRequest, Page](h, "https://"+addr+procedureShow, opts...), connect.NewClient[ChangeRequest, Page](h, "https://"+addr+procedureChange, opts...)}
+	return &Client{h, connect.NewClient[ShowRequest, Page](h, "https://"+addr+procedureShow, opts...), connect.NewClient[ChangeRequest, Page](h, "https://"+addr+procedureChange, opts...)}
 }
 
+// Close ends the connections that the client has kept.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // retries of a call that was not answered, or by a controller that cannot tell now.
 const (
 	triesMost = 8
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -100,6 +100,13 @@
 	ReplacedS                    float64 // a machine that was lost has its place taken after so long
 }
 
+// Config says how often operators change the configuration while controllers run.
+type Config struct {
+	EveryS  float64 // between two bursts; 0: never
+	Burst   int     // changes, one after the other
+	History int     // that are remembered
+}
+
 // Experiment is what one file says.
 type Experiment struct {
 	Name        string
@@ -112,6 +119,7 @@
 	Load        Load
 	State       State
 	Failures    Failures
+	Config      Config
 	Phases      []Phase
 }
 
@@ -199,6 +207,7 @@
 		Load:        Load{Teams: 1, Starts: 10, Running: 100, JobTasks: 20, UrgentTasks: 4, UrgentWithinS: 1.6, PollS: 5},
 		State:       State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 16},
 		Failures:    Failures{Speed: 1, ReplacedS: 60},
+		Config:      Config{Burst: 20, History: 100},
 	}
 }
 
@@ -234,6 +243,8 @@
 		}
 	case "state":
 		return []key{{"rps", number(&s.RPS, 1, 1e6)}, {"write_rps", number(&s.WriteRPS, 1, 1e6)}, {"value_kb", number(&s.ValueKB, 0.5, 1e6)}, {"txn_ops", whole(&s.TxnOps, 3, 10000)}}
+	case "config":
+		return []key{{"every_s", number(&e.Config.EveryS, 0, maxSeconds)}, {"burst", whole(&e.Config.Burst, 1, 1000)}, {"history", whole(&e.Config.History, 1, 1000)}}
 	case "failures":
 		return []key{{"losses_per_day", number(&f.LossesPerDay, 0, 1e6)}, {"restarts_per_day", number(&f.RestartsPerDay, 0, 1e6)}, {"speed", number(&f.Speed, 1, 1e5)}, {"replaced_s", number(&f.ReplacedS, 0, maxSeconds)}}
 	}
--- a/internal/scalerun/latency.go
+++ b/internal/scalerun/latency.go
@@ -45,10 +45,10 @@
 }
 
 // times are the histograms of one phase.
-type times struct{ urgent, other, cancel, recovery *histogram }
+type times struct{ urgent, other, cancel, recovery, changed, inForce *histogram }
 
 func newTimes() *times {
-	return &times{newHistogram(), newHistogram(), newHistogram(), newHistogram()}
+	return &times{newHistogram(), newHistogram(), newHistogram(), newHistogram(), newHistogram(), newHistogram()}
 }
 
 // latencies follows jobs from their submission, and tasks from a loss, to their starts.
@@ -84,6 +84,20 @@
 	l.phase.cancel.add(took)
 }
 
+// changed notes how long a change of the configuration took to be durable, inForce how long after
+// that all controllers had it.
+func (l *latencies) changed(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.phase.changed.add(took)
+}
+
+func (l *latencies) inForce(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.phase.inForce.add(took)
+}
+
 // fail notes that machines are about to be lost.
 func (l *latencies) fail(machines ...string) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/scalerun/operators.go
@@ -0,0 +1,202 @@
+package scalerun
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"bitternmoor/internal/certs"
+	"bitternmoor/internal/config"
+	"bitternmoor/internal/control"
+	"bitternmoor/internal/node"
+	"bitternmoor/internal/reconfig"
+)
+
+const (
+	operatorName = "operator"
+	certLife     = 24 * time.Hour
+	lookEvery    = 200 * time.Millisecond // at which revision controllers are
+	lookTimeout  = time.Second
+	durableEvery = 50 * time.Millisecond // a change is asked for again
+	leastLimit   = 0.9                   // of a team's own, that a change gives it
+)
+
+// operators change the configuration, and watch when it is in force everywhere.
+type operators struct {
+	world *world
+	files certs.Files
+	rng   *rand.Rand
+
+	mu      sync.Mutex
+	written []revisionAt
+	made    int
+}
+
+// revisionAt is a revision that is durable, and not in force everywhere yet.
+type revisionAt struct {
+	revision uint64
+	at       time.Time
+}
+
+// newOperators makes the certificates of operators and controllers.
+func newOperators(w *world) (*operators, error) {
+	dir := w.options.Dir
+	if err := certs.MakeCA(dir, "scalerun", certLife); err != nil {
+		return nil, err
+	}
+	if err := certs.Issue(dir, "node", []string{"127.0.0.1"}, certLife); err != nil {
+		return nil, err
+	}
+	if err := certs.Issue(dir, operatorName, nil, certLife); err != nil {
+		return nil, err
+	}
+	return &operators{world: w, files: filesOf(dir, operatorName), rng: rand.New(rand.NewPCG(w.seed, 3))}, nil
+}
+
+func filesOf(dir, name string) certs.Files {
+	return certs.Files{Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, "ca.pem")}
+}
+
+// settings are what a controller is started with to serve operators.
+func (o *operators) settings(listen string) []string {
+	f := filesOf(o.world.options.Dir, "node")
+	return []string{"config.history=" + fmt.Sprint(o.world.exp.Config.History), "operators.listen=" + listen, "operators.cert_file=" + f.Cert,
+		"operators.key_file=" + f.Key, "operators.ca_file=" + f.CA, "operators.operate=" + operatorName}
+}
+
+// run makes bursts of changes until the load ends.
+func (o *operators) run(ctx context.Context) {
+	go o.watch(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(seconds(o.world.exp.Config.EveryS)):
+		}
+		for range o.world.exp.Config.Burst {
+			o.change(ctx)
+		}
+	}
+}
+
+// change makes one change, and asks for it until it is durable.
+func (o *operators) change(ctx context.Context) {
+	asked := time.Now()
+	id := fmt.Sprint("change-", o.rng.Uint64())
+	changes := o.draw()
+	for ctx.Err() == nil {
+		revision, err := o.ask(ctx, id, changes)
+		if err == nil {
+			o.world.latency.changed(time.Since(asked))
+			o.mu.Lock()
+			o.made++
+			o.written = append(o.written, revisionAt{revision, time.Now()})
+			o.mu.Unlock()
+			return
+		}
+		time.Sleep(durableEvery)
+	}
+}
+
+// draw is a change that breaks nothing: a team's limit a little below its own, and a tunable.
+func (o *operators) draw() []config.Change {
+	w := o.world
+	most := w.teamLimit() * (leastLimit + (1-leastLimit)*o.rng.Float64())
+	backlog := float64(40 + o.rng.IntN(10))
+	return []config.Change{
+		{Item: config.Item{Team: teamName(o.rng.IntN(w.exp.Load.Teams))}, Value: config.Value{Limits: &config.Limits{CPUsMax: most}}},
+		{Item: config.Item{Tunable: "fleet.drain_backlog"}, Value: config.Value{Number: &backlog}},
+	}
+}
+
+// errNotDurable is an answer that is to be asked for again.
+var errNotDurable = fmt.Errorf("not durable yet")
+
+// ask makes a request of some controller, and gives the revision once it is durable.
+func (o *operators) ask(ctx context.Context, id string, changes []config.Change) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	pair, err := o.files.Read()
+	if err != nil {
+		return 0, err
+	}
+	client := control.NewClient(o.world.controllers[o.rng.IntN(len(o.world.controllers))].control, pair.Client())
+	defer client.Close()
+	var view reconfig.View
+	raw, err := client.Show(ctx, reconfig.Name)
+	if err == nil {
+		err = json.Unmarshal(raw, &view)
+	}
+	if err != nil {
+		return 0, err
+	}
+	body, err := json.Marshal(reconfig.Request{ID: id, Revision: view.Revision, Changes: changes})
+	if err != nil {
+		return 0, err
+	}
+	for ctx.Err() == nil {
+		var answer reconfig.Answer
+		raw, err = client.Change(ctx, reconfig.Name, body)
+		if err == nil {
+			err = json.Unmarshal(raw, &answer)
+		}
+		if err != nil || answer.Durable {
+			return answer.Revision, err
+		}
+		time.Sleep(durableEvery)
+	}
+	return 0, errNotDurable
+}
+
+// watch looks at all controllers, and notes what is in force everywhere.
+func (o *operators) watch(ctx context.Context) {
+	client := &http.Client{Timeout: lookTimeout}
+	for ctx.Err() == nil {
+		time.Sleep(lookEvery)
+		least, ok := o.least(client)
+		if !ok {
+			continue
+		}
+		o.mu.Lock()
+		for len(o.written) > 0 && o.written[0].revision <= least {
+			o.world.latency.inForce(time.Since(o.written[0].at))
+			o.written = o.written[1:]
+		}
+		o.mu.Unlock()
+	}
+}
+
+// least is the lowest revision that a controller has; false: one does not answer.
+func (o *operators) least(client *http.Client) (least uint64, ok bool) {
+	for i, c := range o.world.controllers {
+		resp, err := client.Get("http://" + c.internal + node.PathDuties + reconfig.Name + "/" + reconfig.ViewHere)
+		if err != nil {
+			return 0, false
+		}
+		var here reconfig.Here
+		err = json.NewDecoder(resp.Body).Decode(&here)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return 0, false
+		}
+		if i == 0 || here.Revision < least {
+			least = here.Revision
+		}
+	}
+	return least, true
+}
+
+// counts says how many changes were made, and how many of them are not in force everywhere.
+func (o *operators) counts() (made, waiting int) {
+	if o == nil {
+		return 0, 0
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.made, len(o.written)
+}
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -50,8 +50,10 @@
 	State      StateUse `json:"state"`
 	Urgent     Latency  `json:"urgent_start"` // from the first attempt to submit
 	Other      Latency  `json:"other_start"`
-	Cancel     Latency  `json:"cancel"`   // from the wish to the answer
-	Recovery   Latency  `json:"recovery"` // from a machine's loss until a task of it runs again
+	Cancel     Latency  `json:"cancel"`          // from the wish to the answer
+	Recovery   Latency  `json:"recovery"`        // from a machine's loss until a task of it runs again
+	Changed    Latency  `json:"config_durable"`  // from when a change was asked for
+	InForce    Latency  `json:"config_in_force"` // everywhere, from when it was durable
 	NoLeaderS  float64  `json:"no_leader_s"`
 }
 
@@ -62,7 +64,9 @@
 	Seed       uint64   `json:"seed"`
 	Counts     Counts   `json:"counts"`
 	Accepted   uint64   `json:"jobs_accepted"`
-	Over       uint64   `json:"jobs_over"` // that their users were told to be done or cancelled
+	Over       uint64   `json:"jobs_over"`                // that their users were told to be done or cancelled
+	Changes    int      `json:"config_changes"`           // made
+	Waiting    int      `json:"config_changes_not_there"` // in force everywhere, at the end
 	Phases     []Phase  `json:"phases"`
 	Broken     []string `json:"broken"`
 }
@@ -106,7 +110,8 @@
 
 // summarize makes the figures of a phase from its samples.
 func summarize(name string, teams int, samples []Sample, t *times) Phase {
-	p := Phase{Name: name, Teams: teams, Urgent: t.urgent.latency(), Other: t.other.latency(), Cancel: t.cancel.latency(), Recovery: t.recovery.latency()}
+	p := Phase{Name: name, Teams: teams, Urgent: t.urgent.latency(), Other: t.other.latency(), Cancel: t.cancel.latency(), Recovery: t.recovery.latency(),
+		Changed: t.changed.latency(), InForce: t.inForce.latency()}
 	if len(samples) < 2 {
 		return p
 	}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -78,6 +78,9 @@
 		open.Go(func() { w.users.play(j) })
 	}
 	go w.failNow(stop)
+	if w.operators != nil {
+		go w.operators.run(stop)
+	}
 	for _, p := range w.exp.Phases {
 		measured, err := w.phase(p)
 		if err != nil {
@@ -89,6 +92,7 @@
 		return err
 	}
 	w.users.askAgain(w.jobs)
+	r.Changes, r.Waiting = w.operators.counts()
 	end()
 	open.Wait()
 	r.Accepted, r.Over = w.users.accepted.Load(), w.users.over.Load()
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -70,6 +70,9 @@
 	for _, b := range r.Broken {
 		t.Error(b)
 	}
+	if r.Changes < 5 || r.Phases[0].InForce.Count == 0 || r.Waiting > 0 {
+		t.Errorf("%d changes of the configuration, %d not in force everywhere, %+v", r.Changes, r.Waiting, r.Phases[0].InForce)
+	}
 	if len(r.Phases) != 2 || r.Phases[0].Urgent.Count == 0 || r.Phases[0].Other.Count == 0 {
 		t.Fatalf("%+v", r.Phases)
 	}
--- a/internal/scalerun/world.go
+++ b/internal/scalerun/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -36,6 +37,7 @@
 type controller struct {
 	name, zone       string
 	public, internal string
+	control          string // where operators change the configuration
 	config           string
 	door             *door
 	reports          meter.Traffic // of workers, as they see it
@@ -68,6 +70,7 @@
 	cloud       *standin.Cloud
 	latency     *latencies
 	users       *users
+	operators   *operators // nil: nobody changes the configuration
 	state       *process
 	stateAddr   string
 	controllers []*controller
@@ -86,6 +89,12 @@
 	if w.log, err = os.Create(filepath.Join(o.Dir, "processes.log")); err != nil {
 		return nil, err
 	}
+	if e.Config.EveryS > 0 {
+		if w.operators, err = newOperators(w); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
 	for _, step := range []func() error{w.startState, w.startCloud, w.makeControllers} {
 		if err := step(); err != nil {
 			w.close()
@@ -318,6 +327,9 @@
 		if c.internal, err = freeAddr(); err != nil {
 			return err
 		}
+		if c.control, err = freeAddr(); err != nil {
+			return err
+		}
 		c.door = newDoor(c.public, c.zone)
 		w.controllers = append(w.controllers, c)
 		w.fleet.Doors = append(w.fleet.Doors, "http://"+c.public)
@@ -389,7 +401,11 @@
 // start begins a controller's process.
 func (w *world) start(c *controller) error {
 	args := []string{"--config", c.config}
-	for _, s := range w.exp.Controllers.Set {
+	set := w.exp.Controllers.Set
+	if w.operators != nil {
+		set = slices.Concat(set, w.operators.settings(c.control))
+	}
+	for _, s := range set {
 		args = append(args, "--set", s)
 	}
 	p, err := spawn(w.ctx, c.name, w.options.Controller, w.log, []string{"LOG_LEVEL=info"}, args...)
