--- a/cmd/scalerun/print.go
+++ b/cmd/scalerun/print.go
@@ -50,6 +50,10 @@
 	s := p.State
 	fmt.Fprintf(out, "state service: %.1f requests, %.1f changes, %.1f kB written a second, %d refused by its rates; log %d values, %.0f kB, at most %.0f\n",
 		s.RequestsPerS, s.WritesPerS, s.WrittenKBPS, s.RateLimited, s.LogKeys, s.LogKB, s.LogKBMost)
+	if p.Urgent.Count > 0 {
+		fmt.Fprintf(out, "urgent starts soon enough: %.3f of them; ", p.Prompt)
+	}
+	fmt.Fprintf(out, "tasks that went without being done: %d\n", p.Lost)
 	for _, l := range []struct {
 		name string
 		of   scalerun.Latency
@@ -76,7 +80,7 @@
 			if err != nil {
 				return err
 			}
-			fits, err := scalefit.Of(results, phase, names)
+			fits, err := scalefit.Of(results, strings.Split(phase, ","), names)
 			if err != nil {
 				return fmt.Errorf("--%w", err)
 			}
@@ -87,7 +91,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&phase, "phase", "peak", "the phase that is fitted")
+	c.Flags().StringVar(&phase, "phase", "peak", "the phases that are fitted, taken together, separated by commas")
 	c.Flags().StringVar(&against, "against", "workers", "what it is fitted against, separated by commas: "+strings.Join(scalefit.Regressors(), ", "))
 	c.Flags().StringVar(&at, "at", "", "print the costs at these values, one for each of --against, separated by commas")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -44,6 +47,52 @@
 	}
 }
 
+// A lower limit takes back plans above it, the last tasks first, and of a gang all or none; what
+// is not planned any more stays.
+func TestLowerLimitTakesPlansBack(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		kind    uint8
+		begun   int // tasks that are planned no more
+		limit   float64
+		planned int // that are left of six tasks
+	}{
+		{"an array", jobs.Array, 2, 4, 2},
+		{"an array that uses more than that", jobs.Array, 4, 3, 0},
+		{"within the limit", jobs.Array, 2, 6, 4},
+		{"no limit", jobs.Array, 2, 0, 4},
+		{"a gang that has not begun", jobs.Gang, 0, 4, 0},
+		{"a gang that has begun", jobs.Gang, 1, 4, 5},
+	} {
+		cfg := &settings.Settings{Tunables: settings.Defaults()}
+		cfg.Deployment.Teams = []settings.Team{{Name: "team", CPUsMax: 20}}
+		s := New(Start{Cfg: cfg, Counts: &Counts{}})
+		j := s.Jobs.Add(ledger.Job{ID: 1, Team: "team", Kind: c.kind, Tasks: 6, CPUs: 1})
+		j.Phase, j.Need = jobs.Open, amounts.Need(1, 0, 0)
+		m := s.Yard.Add(&workers.Machine{Name: "m", Up: true, Cap: amounts.Room(9, 0, 9), Free: amounts.Room(9, 0, 9)})
+		for k := range 6 {
+			p := &workers.Placement{Ref: workers.Ref{Job: j.Index, Task: int32(k)}, JobID: 1, Need: j.Need, Home: m}
+			m.Plan(p)
+			p.Planned = k >= c.begun
+			s.Where[p.Ref] = p
+			s.Plan.Charge(j.Team, j.Need)
+			j.Place(k)
+		}
+		s.SetTeam(settings.Team{Name: "team", CPUsMax: c.limit})
+		planned, begun := 0, 0
+		for _, p := range s.Where {
+			if p.Planned {
+				planned++
+			} else {
+				begun++
+			}
+		}
+		if planned != c.planned || begun != c.begun {
+			t.Errorf("%s: %d planned and %d others are left", c.name, planned, begun)
+		}
+	}
+}
+
 // Tokens of a term never reach those of the next: direct starts stop asking for them
 // first, and the term ends before they are out.
 func TestTokensOfATerm(t *testing.T) {
--- a/internal/scalerun/latency.go
+++ b/internal/scalerun/latency.go
@@ -45,14 +45,28 @@
 }
 
 // times are the histograms of one phase.
-type times struct{ urgent, other, cancel, recovery, changed, inForce *histogram }
+type times struct {
+	urgent, other, cancel, recovery, changed, inForce *histogram
+	prompt                                            int // urgent starts that were soon enough
+	lost                                              int // tasks that went without being done
+}
 
 func newTimes() *times {
-	return &times{newHistogram(), newHistogram(), newHistogram(), newHistogram(), newHistogram(), newHistogram()}
+	return &times{urgent: newHistogram(), other: newHistogram(), cancel: newHistogram(), recovery: newHistogram(), changed: newHistogram(), inForce: newHistogram()}
+}
+
+// promptShare is the share of urgent starts that were soon enough.
+func (t *times) promptShare() float64 {
+	n := t.urgent.sketch.GetCount()
+	if n == 0 {
+		return 0
+	}
+	return float64(t.prompt) / n
 }
 
 // latencies follows jobs from their submission, and tasks from a loss, to their starts.
 type latencies struct {
+	soon          time.Duration // within which an urgent task should start
 	mu            sync.Mutex
 	phase         *times
 	jobs          map[string]submitted
@@ -67,8 +81,8 @@
 	urgent bool
 }
 
-func newLatencies() *latencies {
-	return &latencies{phase: newTimes(), jobs: map[string]submitted{}, begun: map[string]bool{}, lost: map[string]time.Time{}, failed: map[string]bool{}}
+func newLatencies(soon time.Duration) *latencies {
+	return &latencies{soon: soon, phase: newTimes(), jobs: map[string]submitted{}, begun: map[string]bool{}, lost: map[string]time.Time{}, failed: map[string]bool{}}
 }
 
 // submitted notes the first attempt to submit a job.
@@ -118,6 +132,7 @@
 		l.ended++
 	case standin.TaskLost:
 		l.ended++
+		l.phase.lost++
 		if l.failed[e.Machine] {
 			l.lost[e.Task] = e.At
 		}
@@ -135,10 +150,14 @@
 	}
 	l.begun[e.Task] = true
 	j := l.jobs[standin.JobOf(e.Task)]
-	if j.urgent {
-		l.phase.urgent.add(e.At.Sub(j.at))
-	} else {
-		l.phase.other.add(e.At.Sub(j.at))
+	took := e.At.Sub(j.at)
+	if !j.urgent {
+		l.phase.other.add(took)
+		return
+	}
+	l.phase.urgent.add(took)
+	if took <= l.soon {
+		l.phase.prompt++
 	}
 }
 
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -48,7 +48,9 @@
 	EndsPerS   float64  `json:"ends_s"`
 	Roles      []Role   `json:"roles"`
 	State      StateUse `json:"state"`
-	Urgent     Latency  `json:"urgent_start"` // from the first attempt to submit
+	Urgent     Latency  `json:"urgent_start"`  // from the first attempt to submit
+	Prompt     float64  `json:"urgent_prompt"` // share of them that was soon enough
+	Lost       int      `json:"lost"`          // tasks that went without being done: machines and leases lost, cancellations, preemption
 	Other      Latency  `json:"other_start"`
 	Cancel     Latency  `json:"cancel"`          // from the wish to the answer
 	Recovery   Latency  `json:"recovery"`        // from a machine's loss until a task of it runs again
@@ -110,7 +112,7 @@
 
 // summarize makes the figures of a phase from its samples.
 func summarize(name string, teams int, samples []Sample, t *times) Phase {
-	p := Phase{Name: name, Teams: teams, Urgent: t.urgent.latency(), Other: t.other.latency(), Cancel: t.cancel.latency(), Recovery: t.recovery.latency(),
+	p := Phase{Name: name, Teams: teams, Urgent: t.urgent.latency(), Prompt: t.promptShare(), Lost: t.lost, Other: t.other.latency(), Cancel: t.cancel.latency(), Recovery: t.recovery.latency(),
 		Changed: t.changed.latency(), InForce: t.inForce.latency()}
 	if len(samples) < 2 {
 		return p
