--- a/internal/scenario/frozen_test.go
+++ b/internal/scenario/frozen_test.go
@@ -117,16 +117,6 @@
 	E []prodEntry `json:"e"`
 }
 
-type prodSizes struct {
-	Sizes []prodVirtual `json:"v"`
-}
-
-type prodVirtual struct {
-	ID      uint64  `json:"i"`
-	Size    float64 `json:"s"`
-	Virtual float64 `json:"v"`
-}
-
 // What production's controllers say to one another, as gob sees it: names and
 // types of fields are what counts.
 type (
@@ -240,16 +230,6 @@
 	}
 )
 
-func recode(from, to any) {
-	raw, err := json.Marshal(from)
-	if err == nil {
-		err = json.Unmarshal(raw, to)
-	}
-	if err != nil {
-		panic(err)
-	}
-}
-
 // asProductionReads is what production makes of a segment.
 func asProductionReads(value json.RawMessage) json.RawMessage {
 	var v prodSegment
--- a/internal/scenario/requests_test.go
+++ b/internal/scenario/requests_test.go
@@ -148,7 +148,7 @@
 	})
 	d.cloud.capacity = 30
 	d.state.rates = map[time.Duration]int{}
-	type times struct{ sent, accepted, asked, gone, began time.Duration }
+	type times struct{ sent, asked time.Duration }
 	all := make([]times, count+1)
 	d.run(2 * time.Second)
 	cancelled := 0
