--- /dev/null
+++ b/internal/blocks/order.go
@@ -0,0 +1,146 @@
+package blocks
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/jobs"
+)
+
+// Order lists the jobs in the order in which they get room: HFSP's, with the
+// exceptions before and behind it. Services are not in it. The slice is valid
+// until the next call.
+func (p *Planner) Order(w *World) []int32 {
+	order := w.Book.Order()
+	if p.Guarantees != nil {
+		p.markGuaranteed(w, order)
+	}
+	for len(p.ranks) < len(w.Jobs.All()) {
+		p.ranks = append(p.ranks, 0)
+	}
+	lowest, highest := int8(0), int8(0)
+	for _, i := range order {
+		r := int8(p.rank(w, i))
+		p.ranks[i] = r
+		lowest, highest = min(lowest, r), max(highest, r)
+	}
+	p.scratch = p.scratch[:0]
+	for r := highest; r >= lowest; r-- {
+		for _, i := range order {
+			if p.ranks[i] == r {
+				p.scratch = append(p.scratch, i)
+			}
+		}
+	}
+	return p.scratch
+}
+
+func (p *Planner) markGuaranteed(w *World, order []int32) {
+	p.scratch = append(p.scratch[:0], order...)
+	byArrival := p.scratch
+	slices.SortFunc(byArrival, func(a, b int32) int { return cmp.Compare(w.Jobs.At(a).AcceptedAt, w.Jobs.At(b).AcceptedAt) })
+	sum := make([]amounts.Amounts, len(p.Guarantees))
+	for _, i := range byArrival {
+		j := w.Jobs.At(i)
+		j.Guaranteed = false
+		if int(j.Team) >= len(sum) {
+			continue
+		}
+		g := p.Guarantees[j.Team]
+		sum[j.Team] = sum[j.Team].Plus(j.Need.Times(len(j.Tasks) - j.Finished))
+		s := sum[j.Team]
+		j.Guaranteed = s.CPU <= g.CPU && s.GPU <= g.GPU
+	}
+}
+
+// Why says in plain words what a job's waiting tasks wait for.
+func (p *Planner) Why(w World, j *jobs.Job) []string {
+	if j.Waiting == 0 {
+		return nil
+	}
+	var out []string
+	if w.Now < j.NotBefore {
+		out = append(out, "its tasks failed wherever they were: the next try is in "+(j.NotBefore-w.Now).Round(time.Second).String())
+	}
+	if w.unsettled(j) {
+		out = append(out, "a leader before this one may have started its tasks on machines that have not reported yet")
+	}
+	if !p.Within(j.Team, j.Need, w.missing(j.Team)) {
+		out = append(out, "its team is at its limit")
+	}
+	if len(j.Rec.Counted) > 0 {
+		if w.Units == nil {
+			out = append(out, "it needs counted units, and the leader has no pools in its settings")
+		} else if why := w.Units.Why(j); why != "" {
+			out = append(out, why)
+		}
+	}
+	fits, free := false, false
+	for _, m := range w.Yard.All() {
+		if w.suits(j, m) && m.Usable(w.Now, w.Quiet) {
+			fits = true
+			free = free || j.Need.Fits(m.Free)
+		}
+	}
+	switch {
+	case !fits:
+		out = append(out, "no machine that it may use is up")
+	case !free:
+		out = append(out, "no machine that it may use has room; it gets the next that comes free in its order")
+	}
+	if j.BesideRoom > 0 {
+		left := max(0, leftAfter-(w.Now-j.BesideRoom)).Round(time.Second)
+		out = append(out, "room that it may have is held or kept for others: if that lasts, it gets it in "+left.String()+" (exception left_waiting)")
+	}
+	switch r := p.rank(&w, j.Index); {
+	case j.Rec.Kind == jobs.Service:
+	case p.overdue(&w, j):
+		out = append(out, "none of its tasks has begun for long: it goes ahead of all but urgent jobs (exception begin_within)")
+	case r == keptRank, r == keptFirst:
+		out = append(out, "it goes ahead of others: less than the floor of its class or team would be served in time otherwise (exception served_floor)")
+	case r > keptRank:
+		out = append(out, "it is urgent and goes ahead of the size order (exception urgent_first)")
+	case j.Guaranteed:
+		out = append(out, "it fits into its team's guarantee and goes ahead of the size order (exception guarantee_first)")
+	case r == 1:
+		out = append(out, "it has waited for much of its class's aim and goes ahead of the size order (exception wait_lead)")
+	case r < 0:
+		out = append(out, "it goes behind the size order for now: best-effort work, or all its aims are missed already (exceptions low_lead, lost_behind)")
+	}
+	return out
+}
+
+// Ranks of jobs that are kept: next to those of urgent jobs, which are above 2.
+const (
+	keptRank  = 2
+	keptFirst = 9
+)
+
+// rank is 0 for jobs on the ordinary path, above it for those that an
+// exception puts ahead of the order and below for those it puts behind.
+func (p *Planner) rank(w *World, i int32) int {
+	j := w.Jobs.At(i)
+	switch {
+	case j.Kept == jobs.KeptFirst:
+		return keptFirst
+	case p.UrgentFirst && j.Priority >= 2:
+		return int(j.Priority) + 1
+	case j.Kept == jobs.KeptBehindUrgent, p.overdue(w, j):
+		return keptRank
+	case slices.ContainsFunc(j.Ahead, func(a [2]time.Duration) bool { return a[0] <= w.Now && w.Now < a[1] }):
+		return 1
+	case j.Guaranteed:
+		return 1
+	case w.Now < j.BehindUntil, j.LastAim > 0 && w.Now < j.LostUntil && w.Now+time.Duration(j.Mean()*float64(time.Second)) > j.LastAim:
+		return -1
+	}
+	return 0
+}
+
+// overdue says whether none of a job's tasks has begun for longer than it should wait. The
+// largest come last by size, and where smaller ones keep coming they would never begin.
+func (p *Planner) overdue(w *World, j *jobs.Job) bool {
+	return p.BeginWithin > 0 && !j.HasBegun() && w.Now-j.AcceptedAt >= p.BeginWithin
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -256,7 +256,7 @@
 	phasePrefix  = "phase "
 )
 
-// Load reads a file and checks it.
+// LoadFile reads a file and checks it.
 func LoadFile(path string) (*Experiment, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{Insensitive: false}, path)
 	if err != nil {
--- /dev/null
+++ b/internal/ledger/entries.go
@@ -0,0 +1,218 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Entry is one durable fact; exactly one field is set. What duties beyond those
+// of the first version store goes into Own, each under its own name, so that a
+// new one needs no field here.
+type Entry struct {
+	Job      *Job      `json:"j,omitempty"`
+	Cancel   *uint64   `json:"c,omitempty"`
+	Tasks    *Tasks    `json:"t,omitempty"`
+	Size     *Size     `json:"s,omitempty"`
+	Machine  *Machine  `json:"m,omitempty"`
+	Gone     []string  `json:"x,omitempty"`
+	Rental   *Rental   `json:"r,omitempty"`
+	Answered *Answered `json:"a,omitempty"`
+	Types    []Type    `json:"y,omitempty"`
+	Over     *Over     `json:"f,omitempty"`
+	Grant    *Grant    `json:"g,omitempty"`
+	After    *After    `json:"v,omitempty"`
+	Own      *Own      `json:"o,omitempty"`
+
+	// Unknown is an entry in which nothing that this version knows is set: it is
+	// kept as it was read.
+	Unknown json.RawMessage `json:"-"`
+}
+
+// Own is an entry that only the duty of that name reads and writes.
+type Own struct {
+	Duty string          `json:"d"`
+	Data json.RawMessage `json:"v"`
+}
+
+// NewOwn is a duty's own entry that holds a value as JSON.
+func NewOwn[T any](duty string, v T) Entry {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: an entry of %s that cannot be written: %v", duty, err)) // no duty stores such a value
+	}
+	return Entry{Own: &Own{Duty: duty, Data: raw}}
+}
+
+// known says whether anything is set that this version knows.
+func (e *Entry) known() bool {
+	return e.Job != nil || e.Cancel != nil || e.Tasks != nil || e.Size != nil || e.Machine != nil || e.Gone != nil || e.Rental != nil ||
+		e.Answered != nil || e.Types != nil || e.Over != nil || e.Grant != nil || e.After != nil || e.Own != nil
+}
+
+// encode is an entry as it is written.
+func (e *Entry) encode() ([]byte, error) {
+	if e.Unknown != nil {
+		return e.Unknown, nil
+	}
+	return json.Marshal(e)
+}
+
+// After lists jobs that a job follows, where they are too many for its own
+// entry. It belongs to the job's entry of the same time of acceptance.
+type After struct {
+	ID   uint64   `json:"i"`
+	AtMS int64    `json:"a"`
+	Jobs []uint64 `json:"f"`
+}
+
+// Grant notes, before the first start, that machines may have tasks of a job.
+// A successor knows from it whose tasks a machine that it cannot hear may have.
+// Back takes such a grant back, once no task of the job is on the machine any
+// more and none is on offer to it; the next start there needs a new grant.
+type Grant struct {
+	Job      uint64 `json:"i"`
+	Machines []int  `json:"m"` // their numbers
+	Back     bool   `json:"x,omitempty"`
+}
+
+// Over keeps the final states of jobs once their own entries are gone.
+type Over struct {
+	Done      []uint64 `json:"d,omitempty"`
+	Cancelled []uint64 `json:"c,omitempty"`
+}
+
+// Job is an accepted job, by names.
+type Job struct {
+	ID         uint64   `json:"i"`
+	Class      string   `json:"h"`
+	Team       string   `json:"k"`
+	Kind       uint8    `json:"g"`
+	Priority   uint8    `json:"u"`
+	Tasks      int      `json:"n"`
+	CPUs       float64  `json:"c"`
+	GPUs       float64  `json:"p,omitempty"`
+	MemoryGB   float64  `json:"m"`
+	Image      string   `json:"b"`
+	ImageGB    float64  `json:"z"`
+	Types      []string `json:"t,omitempty"`
+	Zone       string   `json:"o,omitempty"`
+	OneZone    bool     `json:"1,omitempty"`
+	Spread     bool     `json:"2,omitempty"`
+	Spot       bool     `json:"l,omitempty"`
+	EstimateS  float64  `json:"e"`
+	Checkpoint float64  `json:"w,omitempty"`
+	SaveS      float64  `json:"s,omitempty"`
+	DeadlineS  float64  `json:"d,omitempty"`
+	AtMS       int64    `json:"a"` // time of day of the acceptance
+
+	Follows    []uint64 `json:"f,omitempty"` // jobs to be done before any task of this one starts
+	Rest       int      `json:"q,omitempty"` // so many of them stand in entries of their own
+	ReleasedMS int64    `json:"r,omitempty"` // time of day when the last of them was done; then they are left out
+
+	Counted []Counted `json:"-"` // units of pools that it needs; written by way of Guard
+}
+
+// Tasks notes completed tasks of a job as ranges [from, to), and the run
+// time of those whose time is known. For a job that others wait for it has the
+// time of day, from which theirs counts.
+type Tasks struct {
+	ID      uint64   `json:"i"`
+	Ranges  [][2]int `json:"r"`
+	Seconds float64  `json:"s,omitempty"`
+	Known   int      `json:"n,omitempty"`
+	AtMS    int64    `json:"a,omitempty"`
+}
+
+// Add adds a task to the ranges; tasks in ascending order make few of them.
+func (t *Tasks) Add(k int) {
+	if n := len(t.Ranges); n > 0 && t.Ranges[n-1][1] == k {
+		t.Ranges[n-1][1] = k + 1
+	} else {
+		t.Ranges = append(t.Ranges, [2]int{k, k + 1})
+	}
+}
+
+// Size notes a job's final size.
+type Size struct {
+	ID   uint64  `json:"i"`
+	Size float64 `json:"s"`
+}
+
+// Machine notes a machine, before any task is started on it.
+type Machine struct {
+	Name    string `json:"n"`
+	Address string `json:"a"`
+	Type    string `json:"t"`
+	Zone    string `json:"z"`
+	Spot    bool   `json:"s,omitempty"`
+	Number  int    `json:"i,omitempty"` // stands for it in grants; never given twice
+}
+
+// Rental notes a request's name, before it is sent.
+type Rental struct {
+	Name  string `json:"n"`
+	Type  string `json:"t"`
+	Zone  string `json:"z"`
+	Spot  bool   `json:"s,omitempty"`
+	Count int    `json:"c"`
+}
+
+// Answered notes that a rental request had its answer.
+type Answered struct {
+	Name     string   `json:"n"`
+	Machines []string `json:"m,omitempty"`
+}
+
+// Type is a machine type as the cloud gave it.
+type Type struct {
+	Name      string   `json:"n"`
+	CPUs      float64  `json:"c"`
+	GPUs      float64  `json:"g,omitempty"`
+	MemoryGB  float64  `json:"m"`
+	CacheGB   float64  `json:"l"`
+	FetchGBPS float64  `json:"f"`
+	Price     float64  `json:"p"`
+	SpotPrice float64  `json:"q"`
+	BootS     float64  `json:"b"`
+	Zones     []string `json:"z"`
+	More      bool     `json:"w,omitempty"` // these zones are further ones of the type
+}
+
+// VirtualSizes is what one sizes value holds.
+type VirtualSizes struct {
+	Sizes []VirtualSize `json:"v"`
+}
+
+// VirtualSize is a job's estimate and what is left of it.
+type VirtualSize struct {
+	ID      uint64  `json:"i"`
+	Size    float64 `json:"s"`
+	Virtual float64 `json:"v"`
+}
+
+// OwnPrefix is where values of their own begin that a duty keeps beside the log.
+// Unlike the log they need not be read before a term begins.
+const OwnPrefix = "own/"
+
+// Value is one of them, as it is read back.
+type Value struct {
+	Key  string
+	Data json.RawMessage
+}
+
+// ValuePrefix is where a duty's values begin.
+func ValuePrefix(duty string) string { return OwnPrefix + duty + "/" }
+
+// ValueKey is the key of a duty's value with a number.
+func ValueKey(duty string, n int) string { return fmt.Sprintf("%s%06d", ValuePrefix(duty), n) }
+
+// ValueNumber is the number of a duty's value with a key.
+func ValueNumber(duty, key string) (int, error) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, ValuePrefix(duty)))
+	if err != nil {
+		return 0, fmt.Errorf("ledger: key %q: %w", key, err)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"bitternmoor/internal/config"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/wire"
+)
+
+// peer is another controller, called over net/rpc.
+type peer struct {
+	addr   string
+	client atomic.Pointer[rpc.Client]
+}
+
+const peerTimeout = 1200 * time.Millisecond
+
+// late says whether a call has taken longer than it may. A process that stood still finds
+// its answer and its deadline side by side when it goes on: the answer may be as old as that
+// lasted, and its user may have been told something newer elsewhere.
+func late(began time.Time, limit time.Duration) bool { return time.Since(began) > limit }
+
+// call makes one call with a deadline, which net/rpc itself does not have. A
+// connection that missed one is closed.
+func (p *peer) call(method string, in, out any) error {
+	began := time.Now()
+	deadline := time.NewTimer(peerTimeout)
+	defer deadline.Stop()
+	c := p.client.Load()
+	if c == nil {
+		fresh, err := dial(p.addr)
+		if err != nil {
+			return err
+		}
+		if p.client.CompareAndSwap(nil, fresh) {
+			c = fresh
+		} else {
+			_ = fresh.Close()
+			if c = p.client.Load(); c == nil {
+				return errors.New("node: the peer's connection was just lost")
+			}
+		}
+	}
+	call := c.Go(method, in, out, make(chan *rpc.Call, 1))
+	var err error
+	select {
+	case <-call.Done:
+		if err = call.Error; err == nil && late(began, peerTimeout) {
+			err = fmt.Errorf("node: %s: the answer came too late", p.addr)
+		}
+	case <-deadline.C:
+		err = fmt.Errorf("node: %s: no answer in %v", p.addr, peerTimeout)
+	}
+	var remote rpc.ServerError
+	if err != nil && !errors.As(err, &remote) && p.client.CompareAndSwap(c, nil) {
+		_ = c.Close()
+	}
+	return err
+}
+
+// reaches says whether a peer answers. Whether it knows the question does not
+// matter: an error of its own is an answer too.
+func (p *peer) reaches() bool {
+	err := p.call("Controller.Here", struct{}{}, new(bool))
+	var remote rpc.ServerError
+	return err == nil || errors.As(err, &remote)
+}
+
+// Here answers a probe.
+func (c *Controller) Here(struct{}, *bool) error { return nil }
+
+// UserRequest is a user's request as one controller hands it to another.
+type UserRequest struct {
+	Op         string
+	ID         uint64
+	Submission wire.Submission
+	// Whole says that the controller which took the request has read all that it asks
+	// for. Older ones, which do not know of pools, leave it out.
+	Whole bool
+}
+
+// Operations of a UserRequest.
+const (
+	opSubmit = "submit"
+	opQuery  = "query"
+	opAbort  = "abort"
+)
+
+// Controller is what peers may call.
+type Controller struct{ n *Node }
+
+// Ask serves a request that another controller's user made. It is never
+// handed on a second time.
+func (c *Controller) Ask(in UserRequest, out *effects.Answer) error {
+	if err := c.n.refuse(c.n.checkAsk(in)); err != nil {
+		return err
+	}
+	if in.Op == opSubmit && !in.Whole && len(c.n.cfg.Tunables.Pools) > 0 {
+		// What the job needs of pools may have been overlooked at the door.
+		*out = effects.Unavailable("the controller that took this knows nothing of pools")
+		return nil
+	}
+	*out = c.n.serve(in)
+	return nil
+}
+
+// AskCounted serves a submission that needs units of pools. It has a name of its own
+// so that a leader that knows nothing of them refuses it.
+func (c *Controller) AskCounted(in UserRequest, out *effects.Answer) error { return c.Ask(in, out) }
+
+// LedAnswer says how long ago a controller last heard a leader, if it ever did, for how
+// long it heard that one, and what that said of its fleet.
+type LedAnswer struct {
+	Ever            bool
+	AgoMS, LastedMS int64
+	Fleet           leadership.Fleet
+}
+
+// LedBefore tells a new leader when this controller last heard one of an earlier epoch.
+func (c *Controller) LedBefore(epoch uint64, out *LedAnswer) error {
+	return c.n.here(func(now time.Duration) {
+		led := c.n.core.LedBefore(epoch)
+		*out = LedAnswer{led.Ever, (now - led.Until).Milliseconds(), (led.Until - led.Since).Milliseconds(), led.Fleet}
+	})
+}
+
+// HailMessage says who leads, and in which epoch.
+type HailMessage struct {
+	Node  string
+	Epoch uint64
+	Fleet leadership.Fleet // left out where nothing is said
+}
+
+// Hail takes the leader's word that it leads.
+func (c *Controller) Hail(in HailMessage, _ *bool) error {
+	if err := c.n.refuse(c.n.checkHail(in)); err != nil {
+		return err
+	}
+	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch, in.Fleet) })
+}
+
+// HailConfigMessage is a hail that tells of the configuration besides.
+type HailConfigMessage struct {
+	Hail   HailMessage
+	Update config.Update
+}
+
+// ConfigAnswer is the revision that a controller has in force.
+type ConfigAnswer struct{ Revision uint64 }
+
+// HailConfig takes the leader's word that it leads, and what it tells of the configuration.
+func (c *Controller) HailConfig(in HailConfigMessage, out *ConfigAnswer) error {
+	if err := c.n.refuse(errors.Join(c.n.checkHail(in.Hail), c.n.checkConfig(in.Update))); err != nil {
+		return err
+	}
+	return c.n.here(func(now time.Duration) {
+		c.n.core.Hailed(now, in.Hail.Node, in.Hail.Epoch, in.Hail.Fleet)
+		out.Revision = c.n.core.ConfigTold(now, in.Hail.Node, in.Update)
+	})
+}
+
+// Relay serves a report that another controller received. It is never handed
+// on a second time.
+func (c *Controller) Relay(in effects.Relayed, out *effects.ReportAnswer) error {
+	if err := c.n.refuse(c.n.checkRelay(in)); err != nil {
+		return err
+	}
+	a, err := c.n.askReport(func(now time.Duration, to effects.Asker) { c.n.core.Relayed(now, to, in) })
+	*out = a
+	return err
+}
--- /dev/null
+++ b/internal/node/reports.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/squaring"
+	"bitternmoor/internal/workers"
+)
+
+// Report takes a worker's report. The leader answers for its own block; any
+// other node hands the report to the leader and answers as that says.
+func (c *Core) Report(now time.Duration, to effects.Asker, r *workers.Report) {
+	c.counts.Reports++
+	c.met(now, r)
+	c.take(now, to, &openReport{report: r})
+}
+
+// openReport is a report of this node's worker that has no answer yet.
+type openReport struct {
+	report *workers.Report
+	leader string // to which it was handed; empty: to none
+	tries  int
+}
+
+// take has a report answered by this node's term, or hands it to the leader.
+func (c *Core) take(now time.Duration, to effects.Asker, o *openReport) {
+	in := effects.Relayed{Via: c.cfg.Node, Life: c.zero, Report: *o.report}
+	leader := c.lead.LeaderName()
+	switch {
+	case c.term != nil && c.lonely(now) && c.sendAway(now, to, o.report):
+	case c.term != nil:
+		c.open[to] = o
+		c.term.Report(now, c.lead.Sure(now), to, in)
+		c.after(now)
+	case leader != "":
+		o.leader = leader
+		o.tries++
+		c.open[to] = o
+		c.out = append(c.out, effects.Relay{To: to, Leader: leader, Report: in})
+	default:
+		c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.alone(now, o.report)})
+	}
+}
+
+// met ends the term when a worker has seen a token of a later one.
+func (c *Core) met(now time.Duration, r *workers.Report) {
+	epoch := r.Token >> cluster.TokenBits
+	if c.term != nil && squaring.Report(squaring.Machine{Epoch: c.lead.Epoch(), ReportEpoch: epoch}).Settlement() == squaring.StepDown {
+		c.lead.Superseded(now, epoch)
+		c.after(now)
+	}
+}
+
+// pick has the node's block take up what it is offered for the machine.
+func (c *Core) pick(now time.Duration, r *workers.Report, a effects.ReportAnswer) []workers.Command {
+	c.hold.Renew(r.Machine, a.Token, now+settings.Seconds(a.LeaseS))
+	picked := c.hold.Pick(now, a.Offers, a.Room)
+	if c.term != nil {
+		c.term.Started(now, r.Machine, picked)
+	}
+	var starts []workers.Command
+	for _, o := range picked {
+		starts = append(starts, o.Start)
+	}
+	return starts
+}
+
+// alone answers a worker while the leader cannot be asked: with the last
+// token, so that tasks outlive the leader and outages, and with no command.
+func (c *Core) alone(now time.Duration, r *workers.Report) effects.ReportAnswer {
+	if token, ok := c.hold.KeepAlive(now, r); ok {
+		return effects.ReportAnswer{Status: 200, Token: token}
+	}
+	if r.Token > 0 && c.cutOff(now) {
+		return effects.ReportAnswer{Status: 200, Token: r.Token}
+	}
+	return effects.ReportAnswer{Status: 503}
+}
+
+// cutOff says whether this node seems to be cut off with its zone: no leader has hailed it
+// for longer than a dead one's hold lasts, nor does the state service answer. Then it
+// keeps alive whoever comes to it, for as long as the leader waits for a zone: with the
+// highest token that the worker has seen, and with nothing to do. Such a worker has tried
+// the others before, and would be the same at another node that is cut off too.
+func (c *Core) cutOff(now time.Duration) bool {
+	heard, _ := c.lead.Vacancy()
+	silent := now - heard
+	return heard > 0 && silent > c.tooFar()+peerTimeout && silent < settings.Seconds(c.cfg.Tunables.ZonePatienceS) && !c.lead.Served(now)
+}
+
+// finish makes of the leader's word on a report what its worker is told: with
+// what the block takes up, or without the leader.
+func (c *Core) finish(now time.Duration, r *workers.Report, a effects.ReportAnswer) effects.ReportAnswer {
+	switch a.Status {
+	case 200:
+		a.Commands = append(a.Commands, c.pick(now, r, a)...)
+	case 421:
+		c.hold.Release(r.Machine)
+	case 503:
+		a = c.alone(now, r)
+	}
+	return a
+}
+
+// RelayAnswered takes the leader's word on a report that was handed to it.
+func (c *Core) RelayAnswered(now time.Duration, to effects.Asker, a effects.ReportAnswer, ok bool) {
+	o := c.open[to]
+	delete(c.open, to)
+	if o == nil {
+		return
+	}
+	r := o.report
+	c.Reached(now, o.leader, ok)
+	if leader := c.lead.LeaderName(); !ok && o.tries < handOns && leader != "" && leader != o.leader {
+		c.take(now, to, o) // somebody else leads by now, this node perhaps
+		return
+	}
+	if !ok && (c.send(now, to, r) || (c.leftOut(now) && c.sendAway(now, to, r))) {
+		return
+	}
+	switch {
+	case !ok, a.Status == 421 && (a.Node == c.cfg.Node || a.Node == ""):
+		a = effects.ReportAnswer{Status: 503}
+	case a.Status == 421:
+		c.hold.Release(r.Machine)
+	}
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: c.finish(now, r, a)})
+	c.after(now)
+}
+
+// Reached notes whether a call reached the leader of that name, or a probe of it.
+func (c *Core) Reached(now time.Duration, leader string, ok bool) {
+	switch {
+	case leader != c.lead.LeaderName():
+	case ok:
+		c.apartFrom = ""
+	case c.apartFrom != leader:
+		c.apartFrom, c.lostAt, c.probeAt = leader, now, now
+	}
+}
+
+// Apart says whether somebody leads, as the state service shows, whom this node
+// has not reached for longer than a dead leader's hold lasts: it can take neither
+// users' requests nor reports.
+func (c *Core) Apart(now time.Duration) bool {
+	leader := c.lead.LeaderName()
+	return leader != "" && leader == c.apartFrom && now-c.lostAt >= c.tooFar() && c.lead.Watches()
+}
+
+// probe asks now and then whether a leader that was not reached can be: there may
+// be no report or request any more by which that would show.
+func (c *Core) probe(now time.Duration) {
+	if c.apartFrom != c.lead.LeaderName() {
+		c.apartFrom = ""
+	}
+	if c.apartFrom != "" && now-c.probeAt >= hailEvery {
+		c.probeAt = now
+		c.out = append(c.out, effects.Probe{Peer: c.apartFrom})
+	}
+}
+
+// handOns is how often one report is handed on: within twice a peer's deadline its
+// worker still waits for the answer.
+const handOns = 2
+
+// sendAgain is for how long machines are not sent to a leader that this node does
+// not reach, once one that was sent has come back within that time.
+const sendAgain = 15 * time.Second
+
+// send sends a machine to the leader itself when this node has not reached that
+// for longer than the hold of a dead one lasts, while the state service still
+// shows it to lead. Found on days when controllers refused one another: each
+// kept its workers alive for a block's lease, the leader heard most of them no
+// more, gave up leading, and the next one likewise. A machine that comes back
+// has not reached the leader either: then all are kept alive as before.
+func (c *Core) send(now time.Duration, to effects.Asker, r *workers.Report) bool {
+	if _, back := c.sentTo[r.Machine]; back {
+		c.backAt = now
+	}
+	if (c.backAt > 0 && now-c.backAt < sendAgain) || !c.Apart(now) {
+		return false
+	}
+	if _, ours := c.hold.KeepAlive(now, r); !ours {
+		return false // it goes from node to node by itself, and may have come from there
+	}
+	leader := c.lead.LeaderName()
+	c.sentTo[r.Machine] = now
+	c.hold.Release(r.Machine)
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 421, Node: leader}})
+	return true
+}
+
+// lonely says whether this leader has lost the state service and all other controllers,
+// and both at once: then the fault is most likely on its side, and somebody else leads by
+// now or will. Others that were gone before are not cut off from it: found on a day on which
+// the state service went out while they were not back yet from a crash; their leader sent
+// its machines to controllers that were not there.
+func (c *Core) lonely(now time.Duration) bool {
+	var last time.Duration
+	for _, at := range c.peerAt {
+		last = max(last, at)
+	}
+	served := c.sureAt - settings.Seconds(c.cfg.Tunables.LeaderHoldS)
+	return last > 0 && now-c.sureAt > c.tooFar() && now-last >= cutOffAfter && last > served-together
+}
+
+// leftOut says the same of a node that does not lead: for longer than a dead leader's hold
+// lasts and a call takes it has reached neither the leader nor the state service.
+func (c *Core) leftOut(now time.Duration) bool {
+	return c.apartFrom != "" && now-c.lostAt >= c.tooFar()+peerTimeout && !c.lead.Served(now) && c.lostAt < c.lead.LastServed()+together
+}
+
+// together: what is lost within this time of one another is lost at once.
+const together = 4 * time.Second
+
+// sendAway has a machine try the other controllers, once: the leader gives it up when it
+// does not come there in time. Those that come back have found nobody else, as in a zone
+// that is cut off as a whole: then all are kept alive as before. One that was never in this
+// node's block is always sent away. Found in a scenario in which the leader lost the state
+// service and its peers but not its workers: new machines came to it first, were kept alive
+// there, and the next leader never heard them.
+func (c *Core) sendAway(now time.Duration, to effects.Asker, r *workers.Report) bool {
+	if c.cutOff(now) {
+		return false
+	}
+	if _, ours := c.hold.KeepAlive(now, r); ours {
+		if _, back := c.sentTo[r.Machine]; back {
+			c.backAt = now
+		}
+		if c.backAt > 0 && now-c.backAt < sendAgain {
+			return false
+		}
+		c.sentTo[r.Machine] = now
+	}
+	c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 503}})
+	return true
+}
+
+// Relayed serves a report that another controller handed on. It goes no
+// further.
+func (c *Core) Relayed(now time.Duration, to effects.Asker, in effects.Relayed) {
+	c.met(now, &in.Report)
+	if c.term == nil {
+		c.out = append(c.out, effects.ReplyReport{To: to, Answer: effects.ReportAnswer{Status: 503}})
+		return
+	}
+	c.term.Report(now, c.lead.Sure(now), to, in)
+	c.after(now)
+}
--- /dev/null
+++ b/internal/node/results.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"bitternmoor/internal/leadership"
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/term"
+	"bitternmoor/internal/wire"
+	"bitternmoor/internal/workers"
+)
+
+// Seen takes the result of leadership's Read.
+func (c *Core) Seen(now time.Duration, seq uint64, ok bool, v leadership.View) {
+	c.orders(c.lead.Seen(now, seq, ok, v))
+	c.after(now)
+}
+
+// Changed takes the result of leadership's Watch.
+func (c *Core) Changed(now time.Duration, seq uint64, ok bool) {
+	c.orders(c.lead.Changed(now, seq, ok))
+	c.after(now)
+}
+
+// Held takes the result of leadership's Hold.
+func (c *Core) Held(now time.Duration, seq uint64, ok bool, hold uint64) {
+	c.orders(c.lead.Held(now, seq, ok, hold))
+	c.after(now)
+}
+
+// Claimed takes the result of leadership's Claim.
+func (c *Core) Claimed(now time.Duration, seq uint64, ok bool, mark uint64) {
+	c.orders(c.lead.Claimed(now, seq, ok, mark))
+	c.after(now)
+}
+
+// Renewed takes the result of leadership's Renew.
+func (c *Core) Renewed(now time.Duration, seq uint64, ok, gone bool) {
+	c.orders(c.lead.Renewed(now, seq, ok, gone))
+	c.after(now)
+}
+
+// Loaded takes the whole log, read after the term began.
+func (c *Core) Loaded(now time.Duration, epoch uint64, log term.Durable) {
+	if c.term != nil && c.term.Epoch == epoch && !c.term.Loaded() {
+		c.term.Load(now, c.lead.Mark(), log)
+	}
+	c.after(now)
+}
+
+// Committed takes the outcome of a commit of the term.
+func (c *Core) Committed(now time.Duration, epoch, seq uint64, out ledger.Outcome, mark uint64, failed []string) {
+	if c.term != nil && c.term.Epoch == epoch {
+		if c.term.Committed(now, c.lead.Sure(now), seq, out, mark, failed) == ledger.Lost {
+			c.lead.Superseded(now, c.lead.Epoch()+1)
+		}
+	}
+	c.after(now)
+}
+
+// Rechecked takes the value that settles a commit without an answer.
+func (c *Core) Rechecked(now time.Duration, epoch uint64, read bool, mark uint64, value json.RawMessage) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Rechecked(now, c.lead.Sure(now), read, mark, value)
+	}
+	c.after(now)
+}
+
+// Cleaned takes the log's oldest segments, read back: from the first one on,
+// those numbered below end.
+func (c *Core) Cleaned(now time.Duration, epoch uint64, first, end int, read bool, entries []ledger.Entry) {
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.Cleaned(now, first, end, read, entries)
+	}
+	c.after(now)
+}
+
+// GotValues takes a page of a duty's own values.
+func (c *Core) GotValues(now time.Duration, epoch uint64, duty string, list []ledger.Value, more, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.GotValues(now, duty, list, more, ok)
+	}
+	c.after(now)
+}
+
+// Deleted takes the result of a deletion.
+func (c *Core) Deleted(now time.Duration, epoch uint64, list []string, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Deleted(now, list, ok)
+	}
+	c.after(now)
+}
+
+// Asked takes whether a silent worker that was asked has answered.
+func (c *Core) Asked(now time.Duration, epoch uint64, machine string, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Asked(machine, ok)
+	}
+	c.after(now)
+}
+
+// Launched takes a worker's report after starts that were sent straight to it; nil: it is
+// not known what became of them.
+func (c *Core) Launched(now time.Duration, epoch uint64, machine string, token uint64, starts []workers.Command, r *workers.Report) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Launched(now, c.lead.Sure(now), machine, token, starts, r)
+	}
+	c.after(now)
+}
+
+// Rented takes the result of a rental request.
+func (c *Core) Rented(now time.Duration, epoch uint64, name string, machines []string, res wire.RentResult) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Rented(now, name, machines, res)
+	}
+	c.after(now)
+}
+
+// GotTypes takes the machine types; an empty list is a failure.
+func (c *Core) GotTypes(now time.Duration, epoch uint64, list []ledger.Type) {
+	if c.term != nil && c.term.Epoch == epoch && c.term.Loaded() {
+		c.term.GotTypes(now, list)
+	}
+	c.after(now)
+}
+
+// Listed takes the cloud's list of machines.
+func (c *Core) Listed(now time.Duration, epoch uint64, list []wire.Listed, ok bool) {
+	if c.term != nil && c.term.Epoch == epoch {
+		c.term.Listed(now, list, ok)
+	}
+	c.after(now)
+}
--- /dev/null
+++ b/internal/node/storage.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/term"
+	"bitternmoor/internal/wire"
+)
+
+// load reads the whole log and the sizes, trying until it succeeds or the
+// term is over.
+func (n *Node) load(epoch uint64) {
+	for {
+		durable, err := n.readAll()
+		if err == nil {
+			n.post(func(now time.Duration) { n.core.Loaded(now, epoch, durable) })
+			return
+		}
+		n.log.Warn("durable state not read", "epoch", epoch, "error", err)
+		time.Sleep(150*time.Millisecond + rand.N(150*time.Millisecond))
+		over := make(chan bool, 1)
+		n.post(func(time.Duration) { over <- n.core.term == nil || n.core.term.Epoch != epoch })
+		if <-over {
+			return
+		}
+	}
+}
+
+func (n *Node) readAll() (term.Durable, error) {
+	var d term.Durable
+	err := n.readPrefix(ledger.Prefix, func(it wire.Item) error {
+		list, err := decode(it)
+		if err != nil {
+			return err
+		}
+		d.Entries = append(d.Entries, list...)
+		d.Last, err = ledger.Number(it.Key)
+		if d.First == 0 {
+			d.First = d.Last
+		}
+		return err
+	})
+	if err != nil {
+		return term.Durable{}, err
+	}
+	var pieces []wire.Item
+	if err := n.readPrefix(ledger.SizesPrefix, func(it wire.Item) error { pieces = append(pieces, it); return nil }); err != nil {
+		return term.Durable{}, err
+	}
+	// A piece of an earlier list, by whatever version, must not overrule a newer one.
+	slices.SortFunc(pieces, func(a, b wire.Item) int { return cmp.Compare(a.Mark, b.Mark) })
+	for _, it := range pieces {
+		var v ledger.VirtualSizes
+		if err := json.Unmarshal(it.Value, &v); err != nil {
+			return term.Durable{}, fmt.Errorf("%s: %w", it.Key, err)
+		}
+		n, err := ledger.SizesNumber(it.Key)
+		if err != nil {
+			return term.Durable{}, err
+		}
+		d.Sizes = append(d.Sizes, v.Sizes...)
+		d.Pieces = max(d.Pieces, n+1)
+	}
+	return d, nil
+}
+
+// pageItems is how many keys are asked for at once; the state service gives
+// fewer where they are large.
+const pageItems = 256
+
+// decode reads one segment.
+func decode(it wire.Item) ([]ledger.Entry, error) {
+	list, err := ledger.Decode(it.Value)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", it.Key, err)
+	}
+	return list, nil
+}
+
+// segments reads the segments numbered first to end-1; some may be missing.
+func (n *Node) segments(ctx context.Context, first, end int) ([]ledger.Entry, error) {
+	items, _, _, err := n.state.List(ctx, ledger.Prefix, ledger.Key(first-1), end-first)
+	if err != nil {
+		return nil, err
+	}
+	var entries []ledger.Entry
+	for _, it := range items {
+		if it.Key >= ledger.Key(end) {
+			break
+		}
+		list, err := decode(it)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, list...)
+	}
+	return entries, nil
+}
+
+// pageValues is how many of a duty's own values are read at once: nothing waits for
+// them, and the answer should not crowd out others.
+const pageValues = 16
+
+// values reads a page of a duty's own values.
+func (n *Node) values(ctx context.Context, duty, since string) ([]ledger.Value, bool, error) {
+	items, more, _, err := n.state.List(ctx, ledger.ValuePrefix(duty), since, pageValues)
+	if err != nil {
+		return nil, false, err
+	}
+	list := make([]ledger.Value, len(items))
+	for i, it := range items {
+		list[i] = ledger.Value{Key: it.Key, Data: it.Value}
+	}
+	return list, more && len(items) > 0, nil
+}
+
+func (n *Node) readPrefix(prefix string, each func(wire.Item) error) error {
+	since := ""
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		items, more, _, err := n.state.List(ctx, prefix, since, pageItems)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, it := range items {
+			if err := each(it); err != nil {
+				return err
+			}
+			since = it.Key
+		}
+		if !more || len(items) == 0 {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/pools/allow.go
@@ -0,0 +1,285 @@
+package pools
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/ledger"
+)
+
+// Pass begins a pass of the planner. list has the jobs that could start a task if
+// they had units and room, in their order. The first of them that needs a pool has
+// its next units kept for it: others may pass it only where they leave so much.
+// Jobs that hold something as a whole come first, so that they get on and give it
+// back.
+func (d *Duty) Pass(now time.Duration, list []*jobs.Job) {
+	d.count(now)
+	for _, p := range d.pools {
+		p.claim = nil
+		for _, t := range p.teams {
+			t.claim = nil
+		}
+	}
+	d.order = d.order[:0]
+	for _, first := range []bool{true, false} {
+		for _, j := range list {
+			if h := d.byJob[j.Index]; h != nil && (h.whole && h.begun) == first {
+				d.order = append(d.order, h)
+			}
+		}
+	}
+	for _, h := range d.order {
+		for _, n := range h.needs {
+			p := d.pools[n.pool]
+			if t := p.teams[h.job.Team]; t != nil && t.claim == nil && h.wants(n) {
+				t.claim = h
+			}
+			if p.claim == nil && d.couldTake(h, n) {
+				p.claim = h
+			}
+		}
+	}
+}
+
+// wants says whether a job still needs units of a pool to start a task.
+func (h *holder) wants(n need) bool { return h.job.Waiting > 0 && h.next(n) > 0 }
+
+// couldTake says whether it wants some and its team's share lets it have them.
+func (d *Duty) couldTake(h *holder, n need) bool {
+	p := d.pools[n.pool]
+	t := p.teams[h.job.Team]
+	return h.wants(n) && (t == nil || t.out+h.next(n) <= p.shares[h.job.Team])
+}
+
+// claims settles again who is first for a pool: who was may have got all that it
+// could have in this pass.
+func (d *Duty) claims(n need, team int32) {
+	p := d.pools[n.pool]
+	still := func(h *holder, could func(*holder, need) bool) bool {
+		return h == nil || slices.ContainsFunc(h.needs, func(x need) bool { return x.pool == n.pool && could(h, x) })
+	}
+	find := func(could func(*holder, need) bool) *holder {
+		for _, h := range d.order {
+			if still(h, could) {
+				return h
+			}
+		}
+		return nil
+	}
+	if !still(p.claim, d.couldTake) {
+		p.claim = find(d.couldTake)
+	}
+	ofTeam := func(h *holder, x need) bool { return h.job.Team == team && h.wants(x) }
+	if t := p.teams[team]; t != nil && !still(t.claim, ofTeam) {
+		t.claim = find(ofTeam)
+	}
+}
+
+// next is what a job needs of a pool to start the next of its tasks.
+func (h *holder) next(n need) int64 {
+	switch {
+	case !n.perJob && h.job.Rec.Kind == jobs.Gang:
+		return n.units * int64(h.job.Waiting)
+	case n.perJob && h.begun:
+		return 0
+	}
+	return n.units
+}
+
+// cap is how many units of a pool may be out for a job to start.
+func (p *pool) cap(j *jobs.Job) int64 {
+	if j.Priority >= urgent {
+		return p.size
+	}
+	return p.size - int64(p.conf.Reserve)
+}
+
+// Allows says whether so many more tasks of a job may start.
+func (d *Duty) Allows(j *jobs.Job, n int) bool {
+	_, ok := d.blocked(j, int64(n))
+	return ok
+}
+
+// blocked finds the need that keeps a job from starting tasks.
+func (d *Duty) blocked(j *jobs.Job, n int64) (need, bool) {
+	h := d.byJob[j.Index]
+	if h == nil || h.unknown != "" || !d.shelf.read || d.closed {
+		return need{pool: -1}, false
+	}
+	for _, x := range h.needs {
+		if n, ok := x, d.allows(h, x, n); !ok {
+			return n, false
+		}
+	}
+	return need{}, true
+}
+
+func (d *Duty) allows(h *holder, x need, n int64) bool {
+	p, j := d.pools[x.pool], h.job
+	units := x.units
+	switch {
+	case !x.perJob:
+		units *= n
+	case h.begun:
+		return true
+	}
+	if p.drained || (p.conf.HoldAfterLossS > 0 && d.lossesOpen()) {
+		return false
+	}
+	d.claims(x, j.Team)
+	if !p.tally.allows(h, x, units, p.cap(j)) {
+		return false
+	}
+	t := p.teams[j.Team]
+	return t == nil || t.allows(h, x, units, p.shares[j.Team])
+}
+
+// allows says whether units may go out to a job.
+func (t *tally) allows(h *holder, x need, units, most int64) bool {
+	kept, held, task := int64(0), t.held, t.most
+	if c := t.claim; c != nil && c != h {
+		for _, n := range c.needs {
+			if n.pool != x.pool {
+				continue
+			}
+			kept += c.next(n)
+			if n.perJob && !c.begun {
+				held += n.units
+			} else if !n.perJob && c.whole {
+				task = max(task, n.units*together(c.job))
+			}
+		}
+		if h.whole && h.begun && (!c.whole || !c.begun) {
+			kept, held = 0, t.held // it must get on for the others to get anything
+		}
+	}
+	if t.out+units+kept > most {
+		return false
+	}
+	if !h.whole || h.begun {
+		return true
+	}
+	// A job that will hold units as a whole may begin only if, with those that all
+	// such jobs hold, the largest start of any of them can still come about: then
+	// none of them ever waits for what another one keeps.
+	for _, n := range h.needs {
+		if n.pool != x.pool {
+			continue
+		}
+		if n.perJob {
+			held += n.units
+		} else {
+			task = max(task, n.units*together(h.job))
+		}
+	}
+	return held+task <= most
+}
+
+// Took counts a task that was given room.
+func (d *Duty) Took(j *jobs.Job) { d.took(j, 1) }
+
+// Gave takes that back.
+func (d *Duty) Gave(j *jobs.Job) { d.took(j, -1) }
+
+func (d *Duty) took(j *jobs.Job, by int64) {
+	h := d.byJob[j.Index]
+	if h == nil {
+		return
+	}
+	begins := by > 0 && !h.begun
+	ends := by < 0 && j.Placed == 0 && !h.started && j.Finished == 0
+	for _, n := range h.needs {
+		p := d.pools[n.pool]
+		switch {
+		case !n.perJob:
+			p.add(j.Team, by*n.units)
+			if begins && h.whole {
+				p.raise(j.Team, n.units*together(j))
+			}
+		case begins, ends:
+			p.add(j.Team, by*n.units)
+			p.hold(j.Team, by*n.units)
+		}
+	}
+	h.begun = (h.begun || begins) && !ends
+}
+
+// Most is how many more tasks of a job the units that are left would let start:
+// machines for more would stand idle.
+func (d *Duty) Most(j *jobs.Job) int {
+	h := d.byJob[j.Index]
+	if h == nil || h.unknown != "" || !d.shelf.read {
+		return 0
+	}
+	most := j.Waiting
+	for _, n := range h.needs {
+		p := d.pools[n.pool]
+		if p.drained {
+			return 0
+		}
+		left := p.cap(j) - p.out
+		if t := p.teams[j.Team]; t != nil {
+			left = min(left, p.shares[j.Team]-t.out)
+		}
+		switch {
+		case !n.perJob:
+			most = min(most, int(max(0, left)/n.units))
+		case !h.begun && left < n.units:
+			return 0
+		}
+	}
+	return most
+}
+
+// Never says why a job could never have the units that it asks for, or nothing.
+func (d *Duty) Never(rec *ledger.Job) string {
+	type sum struct{ task, job int64 }
+	sums := map[int32]*sum{}
+	team, _ := d.Teams.Find(rec.Team)
+	each := int64(1)
+	if rec.Kind == jobs.Gang {
+		each = int64(rec.Tasks)
+	}
+	for _, c := range rec.Counted {
+		i, ok := d.byName[c.Pool]
+		if !ok || !d.pools[i].known {
+			return fmt.Sprintf("counted: no such pool: %s", c.Pool)
+		}
+		s := sums[i]
+		if s == nil {
+			s = &sum{}
+			sums[i] = s
+		}
+		if c.PerJob {
+			s.job += int64(c.Units)
+		} else {
+			s.task += int64(c.Units) * each
+		}
+	}
+	for _, i := range sortedKeys(sums) {
+		p, s := d.pools[i], sums[i]
+		most, what := max(p.size, p.pending), "it has"
+		if rec.Priority < urgent {
+			most -= int64(p.conf.Reserve)
+			what = "others than urgent jobs may have of it"
+		}
+		if share, ok := p.shares[team]; ok && share < most {
+			most, what = share, "its team may have of it"
+		}
+		if s.task+s.job > most {
+			return fmt.Sprintf("counted: %d units of %s are needed at once, more than the %d that %s", s.task+s.job, p.name, max(0, most), what)
+		}
+	}
+	return ""
+}
+
+func sortedKeys[V any](m map[int32]V) []int32 {
+	out := make([]int32, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/pools/count.go
@@ -0,0 +1,247 @@
+package pools
+
+import (
+	"math"
+	"time"
+
+	"bitternmoor/internal/blocks"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/workers"
+)
+
+// strays are tasks that a machine shows and that no placement stands for.
+type strays struct {
+	needs   []need
+	unknown bool // what one of them needs is not known
+}
+
+// look notes the tasks that a report shows beside those that count as being there.
+func (d *Duty) look(m *workers.Machine, r *workers.Report) {
+	if len(d.holders) == 0 && len(d.over) == 0 && d.strays[m] == nil {
+		return
+	}
+	var s strays
+	for _, t := range r.Tasks {
+		if t.State == workers.Ended {
+			continue
+		}
+		j := d.Jobs.Find(t.Job)
+		if j == nil {
+			list, known := d.over[t.Job]
+			s.needs = append(s.needs, list...)
+			s.unknown = s.unknown || (!known && d.mayNeed(t.Job))
+			continue
+		}
+		h := d.byJob[j.Index]
+		if h == nil {
+			continue
+		}
+		if !m.Stands(workers.Ref{Job: j.Index, Task: int32(t.Task)}, t.Attempt) {
+			s.needs = append(s.needs, h.needs...)
+		}
+	}
+	if before := d.strays[m] != nil; before || len(s.needs) > 0 || s.unknown {
+		d.Dirty = true
+		if len(s.needs) == 0 && !s.unknown {
+			delete(d.strays, m)
+		} else {
+			d.strays[m] = &s
+		}
+	}
+}
+
+// mayNeed says whether a job that is in no table may have needed units: its entry
+// may have been cleaned away.
+func (d *Duty) mayNeed(id uint64) bool {
+	p, over := d.Jobs.Final(id)
+	return !over || p == jobs.Cancelled
+}
+
+// count finds out what is out.
+func (d *Duty) count(now time.Duration) {
+	for _, p := range d.pools {
+		p.tally, p.uncertain, p.lost, p.waiting = tally{claim: p.claim}, 0, 0, 0
+		for _, t := range p.teams {
+			*t = tally{claim: t.claim}
+		}
+	}
+	unresolved, _ := d.Unresolved()
+	d.closed = false
+	var unheard []*workers.Machine
+	if unresolved > 0 {
+		for _, m := range d.Yard.All() {
+			if m.Unresolved() {
+				unheard = append(unheard, m)
+				// A cancelled job whose needs are not known any more may be there, or
+				// no grants were noted at all.
+				d.closed = d.closed || m.AnyTeam || m.Number == 0
+			}
+		}
+	}
+	var perhaps []*holder // with tasks that may be on those
+	for _, h := range d.holders {
+		if d.countHolder(h, unheard) > 0 {
+			perhaps = append(perhaps, h)
+		}
+	}
+	if len(perhaps) > 1 {
+		d.fitUnseen(perhaps, unheard)
+	}
+	for _, s := range d.strays {
+		for _, n := range s.needs {
+			d.pools[n.pool].add(-1, n.units)
+		}
+		d.closed = d.closed || s.unknown
+	}
+	at := d.timeMS(now)
+	for _, l := range d.losses {
+		if l.Until > at {
+			team, ok := d.Teams.Find(l.Team)
+			if !ok {
+				team = -1
+			}
+			p := d.pool(l.Pool)
+			p.add(team, l.Units)
+			p.lost += l.Units
+		}
+	}
+}
+
+// add counts units as out; team -1 is nobody's.
+func (p *pool) add(team int32, units int64) {
+	p.out += units
+	if t := p.teams[team]; t != nil {
+		t.out += units
+	}
+}
+
+// hold counts units as held by a job as a whole, which are out too.
+func (p *pool) hold(team int32, units int64) {
+	p.held += units
+	if t := p.teams[team]; t != nil {
+		t.held += units
+	}
+}
+
+// raise counts what a task needs of a job that holds units as a whole.
+func (p *pool) raise(team int32, units int64) {
+	p.most = max(p.most, units)
+	if t := p.teams[team]; t != nil {
+		t.most = max(t.most, units)
+	}
+}
+
+// fitUnseen takes back what counts as out perhaps beyond what the machines that were
+// not heard could hold all together: each job was counted as if it had them for itself.
+// What runs on a machine fits its processors, so it holds no more units than if all of
+// them went to the job that needs most units for a processor.
+func (d *Duty) fitUnseen(perhaps []*holder, unheard []*workers.Machine) {
+	most := map[int32]float64{}
+	for _, m := range unheard {
+		here := map[int32]float64{}
+		for _, h := range perhaps {
+			if !m.MayHave(h.job.Rec.ID) {
+				continue
+			}
+			for _, n := range h.needs {
+				if n.perJob {
+					continue
+				}
+				units := float64(n.units * int64(blocks.Slots(h.job.Need, m.Cap)))
+				if h.job.Need.CPU > 0 {
+					units = float64(n.units) * float64(m.Cap.CPU) / float64(h.job.Need.CPU)
+				}
+				here[n.pool] = max(here[n.pool], units)
+			}
+		}
+		for pool, units := range here {
+			most[pool] += units
+		}
+	}
+	whole := map[int32]int64{} // for jobs as a whole: these stay
+	for _, h := range perhaps {
+		for _, n := range h.needs {
+			if n.perJob && !h.begun {
+				whole[n.pool] += n.units
+			}
+		}
+	}
+	for i, p := range d.pools {
+		if over := p.uncertain - whole[int32(i)] - int64(math.Ceil(most[int32(i)])); over > 0 {
+			p.uncertain -= over
+			p.out -= over
+		}
+	}
+}
+
+// countHolder counts a job, and says how many tasks of it run perhaps unseen.
+func (d *Duty) countHolder(h *holder, unheard []*workers.Machine) int64 {
+	j := h.job
+	unseen := int64(d.unseen(j, unheard))
+	h.begun = j.Placed > 0 || ((h.started || j.Finished > 0) && j.Finished < len(j.Tasks))
+	for _, n := range h.needs {
+		p := d.pools[n.pool]
+		switch {
+		case !n.perJob:
+			p.add(j.Team, n.units*(int64(j.Placed)+unseen))
+			p.uncertain += n.units * unseen
+			if j.Phase == jobs.Open {
+				p.waiting += n.units * int64(j.Waiting)
+			}
+		case h.begun:
+			p.add(j.Team, n.units)
+			p.hold(j.Team, n.units)
+		case unseen > 0:
+			p.add(j.Team, n.units)
+			p.uncertain += n.units
+		case j.Phase == jobs.Open && j.Waiting > 0:
+			p.waiting += n.units
+		}
+		if !n.perJob && h.whole && h.begun {
+			p.raise(j.Team, n.units*together(j))
+		}
+	}
+	return unseen
+}
+
+// together is how many of a job's tasks start together.
+func together(j *jobs.Job) int64 {
+	if j.Rec.Kind == jobs.Gang {
+		return int64(len(j.Tasks))
+	}
+	return 1
+}
+
+// unseen is how many tasks of a job at most run on machines that have not reported
+// in this term.
+func (d *Duty) unseen(j *jobs.Job, unheard []*workers.Machine) int {
+	if len(unheard) == 0 || !d.MayRunUnseen(j) {
+		return 0
+	}
+	n, room := mayRun(j), 0
+	for _, m := range unheard {
+		if room >= n {
+			break
+		}
+		if m.MayHave(j.Rec.ID) {
+			room += blocks.Slots(j.Need, m.Cap)
+		}
+	}
+	return min(n, room)
+}
+
+// mayRun is how many tasks of a job have no place and may have been started by an
+// earlier term.
+func mayRun(j *jobs.Job) int {
+	list := j.Tasks
+	if j.Rec.Kind != jobs.Gang && !j.ZoneRule() {
+		list = list[:min(j.FreshFrom, len(list))]
+	}
+	n := 0
+	for _, s := range list {
+		if s == jobs.Waiting {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/roster/events.go
@@ -0,0 +1,154 @@
+package roster
+
+import (
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/squaring"
+	"bitternmoor/internal/workers"
+)
+
+// known tells what the leader knows of a task that a report shows. When it is
+// really there, a mere plan for it gives way.
+func (d *Duty) known(m *workers.Machine, id uint64, task int, here bool) (workers.Known, bool) {
+	j := d.Jobs.Find(id)
+	if j == nil {
+		// Leaders of the version in production have users told while tasks still run.
+		p, _ := d.Jobs.Final(id)
+		return workers.Known{Ref: workers.NoRef, Noted: true, Cancelled: true}, p == jobs.Cancelled
+	}
+	if task >= len(j.Tasks) || j.Phase == jobs.Accepting {
+		return workers.Known{}, false
+	}
+	ref := workers.Ref{Job: j.Index, Task: int32(task)}
+	if p := d.Where[ref]; here && p != nil && p.Planned && len(p.Offered) == 0 {
+		d.TakeBack(p)
+	}
+	p := d.Where[ref]
+	elsewhere := p != nil && (p.Home != m || p.Planned)
+	s := j.Tasks[task]
+	return workers.Known{Ref: ref, Need: j.Need, Image: j.Image, ImageGB: j.Rec.ImageGB,
+		Open:  (j.Phase == jobs.Open || j.Phase == jobs.Cancelling) && s != jobs.Finished && s != jobs.Noted && !elsewhere,
+		Noted: s == jobs.Noted, Held: j.Phase == jobs.Held, Elsewhere: elsewhere}, true
+}
+
+func (d *Duty) event(now time.Duration, m *workers.Machine, e workers.Event) {
+	j := d.Jobs.At(e.Ref.Job)
+	k := int(e.Ref.Task)
+	switch e.Kind {
+	case workers.EvAdopted:
+		j.Place(k)
+		d.Plan.Charge(j.Team, j.Need)
+		j.MoveZone(m.Zone, 1)
+		d.Where[e.Ref] = e.Placement
+		d.Tell(cluster.Event{Kind: cluster.TaskAdopted, At: now, Job: j, Task: k, Machine: m})
+		d.stopIfCancelling(j, e.Placement)
+		if j.Rec.Kind == jobs.Gang {
+			diff := d.Squared.Found(squaring.Gang(j.Launch, e.Attempt))
+			if diff == squaring.GangFound {
+				j.Launch = e.Attempt
+			}
+			j.Began = true // or so it must be taken: it is not known whether it ran
+			if diff.Settlement() == squaring.Break {
+				d.BreakGang(j)
+			}
+		}
+	case workers.EvPlaced:
+		p := e.Placement
+		p.Withdrawn = false
+		d.Tell(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: j, Task: k, Machine: m})
+		d.stopIfCancelling(j, p)
+		if j.Rec.Kind == jobs.Gang && (j.Broken || j.Launch != p.Attempt) {
+			p.Stopping, p.GraceS = true, 0
+		}
+	case workers.EvOfferOver:
+		p := e.Placement
+		if p.Frozen = false; p.Withdrawn {
+			p.Withdrawn = false
+			d.TakeBack(p)
+		}
+	case workers.EvBegan:
+		j.Running++
+		if j.FirstAt == 0 {
+			j.FirstAt = now
+		}
+		j.LastAt = now
+		j.Began = j.Began || j.Rec.Kind == jobs.Gang
+		d.Book.Began(e.Ref.Job, k, now.Seconds())
+		d.Tell(cluster.Event{Kind: cluster.TaskBegan, At: now, Job: j, Task: k, Machine: m})
+	case workers.EvCompleted:
+		if e.Running {
+			j.Running--
+		}
+		took := -1.0
+		if e.Ran >= 0 {
+			took = e.Ran.Seconds()
+			j.SumS += took
+			j.SumN++
+		}
+		if d.Where[e.Ref] != nil {
+			delete(d.Where, e.Ref)
+			d.Plan.Refund(j.Team, j.Need)
+			j.MoveZone(m.Zone, -1)
+		}
+		d.Counts.TasksDone++
+		j.Complete(k)
+		d.GangEnds(j)
+		j.Errors, m.Errors = 0, 0
+		d.Book.Completed(e.Ref.Job, k, took)
+		d.Tell(cluster.Event{Kind: cluster.TaskDone, At: now, Job: j, Task: k, Took: took, Mine: d.Mine(e.Attempt), Machine: m})
+		d.Dirty = true
+	case workers.EvGone:
+		if e.Running {
+			j.Running--
+		}
+		if j.Phase == jobs.Open && e.Reason != workers.Stopped {
+			d.Counts.TasksRerun++
+			d.Note(effects.Debug, "task to run again", "job", e.JobID, "task", k, "machine", m.Name, "why", e.Reason.String())
+		}
+		d.Tell(cluster.Event{Kind: cluster.TaskGone, At: now, Job: j, Task: k, Machine: m, Lost: e.Died})
+		d.Lift(e.Ref)
+		if j.Rec.Kind == jobs.Gang && (j.Began || e.Reason == workers.Alone || e.Reason == workers.PeersLost || e.Reason == workers.Failed || e.Reason == workers.Stopped) {
+			d.BreakGang(j)
+		}
+		d.GangEnds(j)
+		switch e.Reason {
+		case workers.Failed:
+			m.Errors++
+			j.Errors++
+			if m.Errors >= 3 {
+				// Few failures without a success between them: the machine is faulty.
+				m.ShunUntil = now + time.Minute
+			}
+			if j.Errors >= 3 {
+				// It fails wherever it goes: tried ever more slowly, so that others get on.
+				j.NotBefore = now + time.Second<<min(j.Errors-3, 6)
+			}
+			d.Note(effects.Debug, "task failed", "job", e.JobID, "task", k, "machine", m.Name)
+		case workers.NoRoom, workers.Busy:
+			m.ShunUntil = now + 2*time.Second // our count of its room is wrong for the moment
+		case workers.UnknownTask:
+			j.NotBefore = now + 2*time.Second
+		}
+	}
+}
+
+// stopIfCancelling has a task stopped that turns out to be on a machine while its job is
+// being cancelled.
+func (d *Duty) stopIfCancelling(j *jobs.Job, p *workers.Placement) {
+	if j.Phase == jobs.Cancelling {
+		p.Stopping, p.GraceS = true, 0
+	}
+}
+
+// offersLost tells of the tasks that were on offer to a machine whose worker has died:
+// another controller may have started them there, and no report will say so any more.
+func (d *Duty) offersLost(now time.Duration, m *workers.Machine) {
+	for ref, p := range m.Offers {
+		if j := d.Jobs.At(ref.Job); p.Planned && j != nil {
+			d.Tell(cluster.Event{Kind: cluster.OfferLost, At: now, Job: j, Task: int(ref.Task), Machine: m})
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/watch.go
@@ -0,0 +1,194 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"bitternmoor/internal/cluster"
+	"bitternmoor/internal/effects"
+	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/settings"
+	"bitternmoor/internal/workers"
+)
+
+// watch looks after every machine: silent ones, boots that take too long,
+// spot notices, tasks that were to be stopped and are still there.
+func (d *Duty) watch(now time.Duration, sure bool) {
+	w := d.Cfg.Deployment.Workers
+	limit := d.Silence()
+	deaf := d.Deaf(now)
+	if deaf {
+		// Most of them at once: the fault is more likely on our side.
+		limit = max(limit, settings.Seconds(1.2*w.LeaseS))
+	}
+	d.watchZones(now, deaf)
+	d.well = d.hears(now)
+	overdue := settings.Seconds(0.5 * w.CancelS)
+	var late []*jobs.Job // being cancelled for longer than tasks may take to stop
+	for _, j := range d.Jobs.All() {
+		if j != nil && j.Phase == jobs.Cancelling && now-j.AskedAt > overdue {
+			late = append(late, j)
+		}
+	}
+	for _, m := range slices.Clone(d.Yard.All()) {
+		if m.Leaving {
+			continue
+		}
+		heard := max(m.Heard, d.Began)
+		if now-heard > d.Quiet() {
+			d.TakeBackAll(m)
+		}
+		switch {
+		case sure && slices.ContainsFunc(late, func(j *jobs.Job) bool { return d.mayBeOn(j, m) }):
+			// The deletion will prove it. Without being sure of the term its user could not be
+			// told so.
+			d.Leave(now, m, cluster.Delete, "a cancelled job's task not proved gone")
+		case sure && !deaf && now-heard > d.Quiet() && d.nothingElse(m):
+			d.Leave(now, m, cluster.Delete, "silent, with nothing but cancelled jobs' tasks")
+		case sure && !m.Up && m.Durable && now-d.Began <= d.Patience(): // it may live, and be on its way here
+		case sure && (m.Up || m.Durable) && now-heard > limit && d.waitsFor(now, m): // with its whole zone
+		case sure && m.Durable && d.mute(m, heard):
+			d.Leave(now, m, cluster.Delete, "does not answer")
+		case sure && (m.Up || m.Durable) && now-heard > limit:
+			d.Leave(now, m, cluster.Delete, "silent")
+		case sure && !m.Up && !m.Durable && now-m.RentedAt > settings.Seconds(d.Cfg.Tunables.BootGiveUpTimes*d.Types[m.Type].BootS)+bootSlack:
+			d.Leave(now, m, cluster.Delete, "never came up")
+		case sure && m.Tainted:
+			d.Leave(now, m, cluster.Delete, "a start sent to it may be carried out by its next life")
+		case sure && m.Deaf(now, settings.Seconds(1.2*w.LeaseS)):
+			d.Leave(now, m, cluster.Delete, "does not hear")
+		case m.Notice && now > m.TakenAt:
+			d.Leave(now, m, cluster.Return, "taken by the cloud")
+		case m.Notice && len(m.Tasks) == 0:
+			d.Leave(now, m, cluster.Return, "to be taken by the cloud")
+		case len(m.Strays) > 0 && now-m.StraysSince > overdue:
+			d.Leave(now, m, cluster.Delete, "tasks that do not stop")
+		}
+		if !m.Notice && !m.Draining {
+			continue // nothing that is on it is of any interest here
+		}
+		for _, p := range m.Tasks {
+			j := d.Jobs.At(p.Ref.Job)
+			if p.Planned || p.Stopping {
+				continue
+			}
+			left := m.TakenAt - now
+			switch {
+			case j.Rec.Kind == jobs.Service && (m.Notice || m.Draining):
+				p.Stopping, p.GraceS = true, j.Rec.SaveS // replaced elsewhere once it is gone
+			case m.Notice && j.Rec.Checkpoint > 0 && p.State == workers.Running && left < settings.Seconds(j.Rec.SaveS+2+1.5*w.ReportS+d.PeerTime(j)):
+				d.SaveAndStop(now, j, p)
+			}
+		}
+	}
+}
+
+// mayBeOn says whether a job may have a task on a machine, as far as is proved.
+func (d *Duty) mayBeOn(j *jobs.Job, m *workers.Machine) bool {
+	if m.Unresolved() {
+		return d.MayRunUnseen(j) && m.MayHave(j.Rec.ID)
+	}
+	for _, p := range m.Tasks {
+		if p.Ref.Job == j.Index && !p.Planned {
+			return true
+		}
+	}
+	return false
+}
+
+// nothingElse says whether all that counts as being on a machine is of jobs that are being
+// cancelled: then nothing is lost with it, and their users wait.
+func (d *Duty) nothingElse(m *workers.Machine) bool {
+	if len(m.Tasks) == 0 || m.Unresolved() {
+		return false
+	}
+	for _, p := range m.Tasks {
+		if d.Jobs.At(p.Ref.Job).Phase != jobs.Cancelling {
+			return false
+		}
+	}
+	return true
+}
+
+// mute says whether a machine has been asked often enough while it was silent, and its zone
+// is heard: it is given up before others.
+func (d *Duty) mute(m *workers.Machine, heard time.Duration) bool {
+	most := d.Cfg.Tunables.AskSilent
+	return most > 0 && m.Unanswered >= most && m.UnansweredAt >= heard && int(m.Zone) < len(d.well) && d.well[m.Zone]
+}
+
+// hears says which zones are heard well: of a zone that is not, machines are no more
+// likely dead than cut off.
+func (d *Duty) hears(now time.Duration) []bool {
+	if d.Cfg.Tunables.AskSilent == 0 || !d.Cfg.Prompts() {
+		return nil
+	}
+	up, silent := make([]int, d.Zones.Len()), make([]int, d.Zones.Len())
+	for _, m := range d.Yard.All() {
+		if m.Durable && !m.Leaving {
+			up[m.Zone]++
+			if now-max(m.Heard, d.Began) > settings.Seconds(1.25*d.Cfg.Deployment.Workers.ReportS) {
+				silent[m.Zone]++
+			}
+		}
+	}
+	well := make([]bool, len(up))
+	for z := range up {
+		well[z] = silent[z]*wellHeard <= up[z]
+	}
+	return well
+}
+
+// wellHeard: a zone is if at most one in so many of its machines is late.
+const wellHeard = 5
+
+// cutZone is what is known of a zone that is silent as a whole, or was until lately.
+type cutZone struct {
+	since, until time.Duration // from when to when; until 0: never
+}
+
+// watchZones notes which zones are silent as a whole: most of their machines are, while
+// others are heard.
+func (d *Duty) watchZones(now time.Duration, deaf bool) {
+	if d.Cfg.Tunables.ZonePatienceS == 0 {
+		return
+	}
+	up, silent := d.Heard(now)
+	for len(d.cuts) < len(up) {
+		d.cuts = append(d.cuts, cutZone{})
+	}
+	for z := range up {
+		if c := &d.cuts[z]; !deaf && cluster.Most(silent[z], up[z]) && d.kept(z) {
+			if c.until == 0 || now-c.until > d.Silence() {
+				c.since = now - d.Quiet()
+				d.Note(effects.Warn, "a zone is silent as a whole: its machines are waited for", "zone", d.Zones.Name(int32(z)), "silent", silent[z], "of", up[z], "for", d.Cfg.Tunables.ZonePatienceS)
+			}
+			c.until = now
+		}
+	}
+}
+
+// kept says whether another controller is in a zone, which may keep its workers alive
+// while it is cut off. Found on a day on which there was none: all leases ran out there,
+// and their machines were waited for in vain.
+func (d *Duty) kept(zone int) bool {
+	name := d.Zones.Name(int32(zone))
+	return slices.ContainsFunc(d.Cfg.Peers, func(p settings.Peer) bool { return p.Zone == name })
+}
+
+// waitsFor says whether a silent machine is waited for with its whole zone: for a bounded
+// time, and for as long as any machine has to come back after that time or the cut's end.
+// One whose tasks are not known is not waited for where it takes much of a team's limit:
+// until it is resolved, nothing of that team may start. Found on days with a zone cut for
+// longer than a machine is usually waited for: all that ran there was started again, on
+// machines that had to be rented first, while there it went on to its end.
+func (d *Duty) waitsFor(now time.Duration, m *workers.Machine) bool {
+	if int(m.Zone) >= len(d.cuts) {
+		return false
+	}
+	c := d.cuts[m.Zone]
+	if c.until == 0 || now-c.until > d.Silence() || now-c.since > settings.Seconds(d.Cfg.Tunables.ZonePatienceS)+d.Silence() || (c.until == now && now-c.since > settings.Seconds(d.Cfg.Tunables.ZonePatienceS)) {
+		return false
+	}
+	return !m.Unresolved() || !d.Crowded()
+}
--- /dev/null
+++ b/internal/workers/direct.go
@@ -0,0 +1,112 @@
+package workers
+
+import (
+	"slices"
+	"time"
+)
+
+// StartDirect notes that a task planned here is sent straight to the worker. From now on
+// it counts as being here, until a report at a higher token shows that it is not: the
+// command may be carried out late.
+func (m *Machine) StartDirect(p *Placement) {
+	m.moveIn(p)
+	p.seq = m.Seq
+	if m.directs == nil {
+		m.directs = map[attempt]*directStart{}
+	}
+	m.directs[attempt{p.Ref, p.Attempt}] = &directStart{token: m.Token}
+}
+
+// Launched takes the worker's answer to starts sent straight to it, under a token: its
+// report after them, nil if there was none or it does not say that they were carried out.
+// Of the report only the tasks that were sent are looked at: it may overtake the answer to
+// a report, and what is absent or newer in it proves nothing here.
+func (m *Machine) Launched(now time.Duration, token uint64, refs []Ref, r *Report) {
+	m.Calling = false
+	for _, ref := range refs {
+		p := m.Tasks[ref]
+		if p == nil || p.Planned || p.Seen {
+			continue // a report has shown more meanwhile
+		}
+		s := m.directOf(p)
+		if s == nil || s.token != token {
+			continue // likewise
+		}
+		if r == nil || r.Machine != m.Name || r.Session != m.Session || !slices.ContainsFunc(r.Tasks, func(t TaskReport) bool {
+			return t.Job == p.JobID && t.Task == int(ref.Task) && t.Attempt == p.Attempt
+		}) {
+			m.doubt(now, token)
+			continue
+		}
+		p.Seen, p.State, p.seq = true, Fetching, max(p.seq, r.Seq)
+		s.arrived = true
+	}
+}
+
+// directOf is the start of a task that counts as being here, if that was sent straight to
+// the worker; nil: it was not.
+func (m *Machine) directOf(p *Placement) *directStart { return m.directs[attempt{p.Ref, p.Attempt}] }
+
+// unanswered says whether a task that counts as being here was sent straight to the worker,
+// and nothing has shown that it arrived.
+func (m *Machine) unanswered(p *Placement) bool {
+	s := m.directOf(p)
+	return s != nil && !s.arrived
+}
+
+// doubt has the machine get nothing new until it has seen a token above this one, which it
+// is given with its next report.
+func (m *Machine) doubt(now time.Duration, token uint64) {
+	if m.Doubt == 0 {
+		m.told = 0
+	}
+	m.Doubt, m.raise = max(m.Doubt, token), RaiseNow
+}
+
+// Stale takes a report that is older than one taken in, though nothing newer has come for
+// longer than a worker is silent: the machine may have begun anew.
+func (m *Machine) Stale(now, silent time.Duration) {
+	if m.Up && m.Doubt == 0 && now-m.Heard > silent {
+		m.doubt(now, m.Token)
+	}
+}
+
+// Deaf says whether the machine has been heard since it was given a higher token for being
+// in doubt, and has not shown it for so long. Time in which nobody could give it one, as in
+// an outage, does not count.
+func (m *Machine) Deaf(now, limit time.Duration) bool {
+	return m.Doubt > 0 && m.told > 0 && m.Heard > m.told && now-m.told > limit
+}
+
+// Seen is the highest token that the machine has shown.
+func (m *Machine) Seen() uint64 { return m.seen }
+
+// WantsToken says whether the machine should be given a higher token now, and takes it
+// that it will be.
+func (m *Machine) WantsToken(now time.Duration) bool {
+	pause := raiseSometimePause
+	if m.raise == RaiseNow {
+		pause = raiseNowPause
+	}
+	if m.raise == NoRaise || (m.raised > 0 && now-m.raised < pause) {
+		return false
+	}
+	m.raise, m.raised = NoRaise, now
+	if m.Doubt > 0 && m.told == 0 {
+		m.told = now
+	}
+	return true
+}
+
+// direct says whether an attempt was sent straight to the worker and may still begin, or
+// begin once more, when the worker has seen no higher token than this one.
+func (m *Machine) direct(ref Ref, n, token uint64) bool {
+	s := m.directs[attempt{ref, n}]
+	return s != nil && token <= s.token
+}
+
+// WasSent says whether a task that counts as being here was sent straight to the worker.
+func (m *Machine) WasSent(ref Ref) bool {
+	p := m.Tasks[ref]
+	return p != nil && m.directOf(p) != nil
+}
--- /dev/null
+++ b/internal/workers/known.go
@@ -0,0 +1,190 @@
+package workers
+
+import (
+	"maps"
+	"time"
+
+	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/squaring"
+)
+
+// Known is what the leader knows of a reported task.
+type Known struct {
+	Ref       Ref
+	Need      amounts.Amounts
+	Image     int32
+	ImageGB   float64
+	Open      bool // the job is open and the task not finished
+	Noted     bool // the task's end is durable, or the job is over
+	Cancelled bool // the job is, and Ref is NoRef
+	Held      bool // the job waits for others
+	Elsewhere bool // it counts as being on another machine
+}
+
+// EventKind is what a report told.
+type EventKind uint8
+
+// Events of a report.
+const (
+	EvBegan EventKind = iota // began to run
+	EvAdopted
+	EvPlaced    // an offered task turned out to be on the machine
+	EvOfferOver // no offer of a planned task is open any more
+	EvCompleted
+	EvGone
+)
+
+// Event is something a report told.
+type Event struct {
+	Kind      EventKind
+	Ref       Ref
+	JobID     uint64
+	Attempt   uint64
+	Reason    Reason
+	Ran       time.Duration // how long it ran; negative: not known
+	Running   bool          // it was running
+	Died      bool          // of EvGone: the worker was lost with it
+	Placement *Placement    // of EvAdopted, EvPlaced and EvOfferOver
+}
+
+// Fresh says whether a report is newer than all that were taken in.
+func (m *Machine) Fresh(r *Report) bool {
+	return r.Session > m.Session || (r.Session == m.Session && r.Seq > m.Seq)
+}
+
+// Absorb takes in a fresh report. known tells what the leader knows of a
+// task that is here, or whose result is; tally counts the differences found and may
+// be nil. It returns the events and the commands that follow from the report
+// alone: reaps and the stops of tasks that should not be there. What follows from
+// which difference is package squaring's table.
+func (m *Machine) Absorb(now time.Duration, r *Report, token uint64, tally *squaring.Tally, known func(job uint64, task int, here bool) (Known, bool)) ([]Event, []Command) {
+	var events []Event
+	var cmds []Command
+	gone := func(p *Placement, why Reason) *Event {
+		ran := time.Duration(-1)
+		if p.Runs() {
+			ran = now - p.RanAt
+		}
+		events = append(events, Event{Kind: EvGone, Ref: p.Ref, JobID: p.JobID, Attempt: p.Attempt, Reason: why, Ran: ran, Running: p.Runs()})
+		m.Take(p.Ref)
+		return &events[len(events)-1]
+	}
+	reborn, doubted := !m.Fresh(r), m.Doubt > 0
+	if (r.Session > m.Session && m.Session != 0) || reborn {
+		for _, p := range m.Tasks {
+			if p.Planned {
+				continue
+			}
+			if tally.Found(squaring.Absent(true, m.unanswered(p), false)).Settlement() == squaring.Leave {
+				gone(p, Vanished).Died = true
+			} else {
+				m.Tainted = true
+			}
+		}
+		m.images = nil
+		maps.DeleteFunc(m.directs, func(_ attempt, s *directStart) bool { return s.arrived }) // the others name the session too, and a new life may be in it
+		if m.Up && !reborn {
+			// It was heard, and its lease ran out all the same: it may not hear us.
+			m.doubt(now, m.Token)
+		}
+	}
+	if r.Token > m.Doubt {
+		m.Doubt = 0
+	}
+	m.seen = r.Token
+	if !m.Up || r.Token >= m.first {
+		m.Heard = now // a machine that goes on reporting without the token of this term does not hear us
+	}
+	events = append(events, m.settleOffers(r)...)
+	m.Session, m.Seq = r.Session, r.Seq
+	m.Up = true
+	if r.Notice {
+		m.Notice = true
+		m.TakenAt = now + time.Duration(r.NoticeS*float64(time.Second))
+	} else {
+		m.Notice = false
+	}
+	current := r.Token == token
+	m.Resolved = m.Resolved || current
+	var strays []uint64
+	for _, t := range r.Tasks {
+		k, ok := known(t.Job, t.Task, t.State != Ended || t.Reason == Completed)
+		var p *Placement
+		if ok {
+			if p = m.Tasks[k.Ref]; p != nil && p.Planned {
+				p = nil
+			}
+			if t.State != Fetching && t.State != Ended && k.Ref != NoRef {
+				m.UseImage(k.Image, k.ImageGB, now)
+			}
+		}
+		st := squaring.Stored{Known: ok, Open: k.Open, Durable: k.Noted, Cancelled: k.Cancelled, Held: k.Held, Elsewhere: k.Elsewhere, Here: p != nil}
+		if p != nil {
+			st.Attempt = p.Attempt
+		}
+		st.Direct = ok && m.direct(k.Ref, t.Attempt, r.Token)
+		diff := tally.Found(squaring.Task(st, squaring.Shown{Attempt: t.Attempt, Ended: t.State == Ended, Done: t.State == Ended && t.Reason == Completed, Saved: t.Saved, Saving: t.State == Saving}))
+		switch diff.Settlement() {
+		case squaring.Complete:
+			ev := Event{Kind: EvCompleted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Ran: -1}
+			if diff == squaring.Completed && p.Runs() {
+				ev.Ran, ev.Running = now-p.RanAt, true
+			}
+			m.Take(k.Ref)
+			events = append(events, ev)
+		case squaring.Wait:
+			if diff == squaring.EndedDirect {
+				if m.raise = max(m.raise, RaiseSometime); p != nil && p.Attempt == t.Attempt {
+					m.raise, p.Seen, p.seq = RaiseNow, true, r.Seq
+				}
+			}
+		case squaring.LeaveReap:
+			delete(m.directs, attempt{k.Ref, t.Attempt})
+			gone(p, t.Reason)
+			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Reap:
+			delete(m.directs, attempt{k.Ref, t.Attempt})
+			cmds = append(cmds, Command{Op: Reap, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Stop:
+			strays = append(strays, t.Job)
+			cmds = append(cmds, Command{Op: Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		case squaring.Adopt:
+			p = &Placement{Ref: k.Ref, JobID: t.Job, Image: k.Image, Need: k.Need, Attempt: t.Attempt, Home: m, State: Fetching}
+			m.add(p)
+			events = append(events, Event{Kind: EvAdopted, Ref: k.Ref, JobID: t.Job, Attempt: t.Attempt, Placement: p})
+			fallthrough
+		case squaring.Keep:
+			if t.State == Running && (!p.Seen || p.State != Running) {
+				p.RanAt = now
+				events = append(events, Event{Kind: EvBegan, Ref: p.Ref, JobID: t.Job, Attempt: t.Attempt})
+			}
+			p.State, p.Seen, p.seq = t.State, true, r.Seq
+			if s := m.directOf(p); s != nil {
+				s.arrived = true
+			}
+		}
+	}
+	for _, p := range m.Tasks {
+		// Sent with an earlier answer and not shown by this report.
+		if p.Planned || p.seq >= r.Seq {
+			continue
+		}
+		late := !p.Seen && m.direct(p.Ref, p.Attempt, r.Token)
+		tainted := m.Tainted && m.unanswered(p)
+		if tally.Found(squaring.Absent(tainted, late || tainted, current)).Settlement() == squaring.Leave {
+			delete(m.directs, attempt{p.Ref, p.Attempt})
+			gone(p, Vanished).Died = doubted // it may have begun anew, and have counted on past what we knew
+		}
+	}
+	if len(strays) > 0 && len(m.Strays) == 0 {
+		m.StraysSince = now
+	}
+	m.Strays = strays
+	return events, cmds
+}
+
+// Stands says whether an attempt of a task is the one that counts as being here.
+func (m *Machine) Stands(ref Ref, attempt uint64) bool {
+	p := m.Tasks[ref]
+	return p != nil && !p.Planned && squaring.Task(squaring.Stored{Known: true, Here: true, Attempt: p.Attempt}, squaring.Shown{Attempt: attempt}) == squaring.AsStored
+}
