--- a/internal/coldstart/duty.go
+++ b/internal/coldstart/duty.go
@@ -40,7 +40,7 @@
 	// catchUp ends pacing, and needless orders are looked for a while longer.
 	catchUp  = time.Minute
 	lookFor  = 2 * time.Minute
-	awayFrom = 3 * time.Second // without an answer to a hail
+	awayFrom = 3 * time.Second // without an answer to a heartbeat
 	// saysWithin is how long after its election a leader has told the others so.
 	saysWithin = 2 * time.Second
 )
@@ -151,7 +151,7 @@
 	}
 }
 
-// PeerHeard notes that another controller has answered a hail.
+// PeerHeard notes that another controller has answered a heartbeat.
 func (d *Duty) PeerHeard(now time.Duration, peer string, _ time.Duration) { d.heard[peer] = now }
 
 func (d *Duty) decide(now time.Duration, k kind) {
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -66,7 +66,7 @@
 		Leader string
 		Report Relayed
 	}
-	Hail struct {
+	Heartbeat struct {
 		Peer   string
 		Epoch  uint64
 		Fleet  leadership.Fleet
@@ -133,7 +133,7 @@
 func (Reply) effect()       {}
 func (ReplyReport) effect() {}
 func (Relay) effect()       {}
-func (Hail) effect()        {}
+func (Heartbeat) effect()   {}
 func (Probe) effect()       {}
 func (AskLed) effect()      {}
 func (Lead) effect()        {}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -345,10 +345,10 @@
 	return nil
 }
 
-// Hailed takes a leader's word, from the leader itself, that it leads: a node
+// HeartbeatReceived takes a leader's word, from the leader itself, that it leads: a node
 // that the state service does not serve learns so where to send users and
 // workers. It is a hint for routing; nothing else depends on it.
-func (c *Core) Hailed(now time.Duration, node string, epoch uint64, fleet Fleet) {
+func (c *Core) HeartbeatReceived(now time.Duration, node string, epoch uint64, fleet Fleet) {
 	if epoch < c.Highest() || node == c.node {
 		return
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -26,13 +26,13 @@
 	hold *blocks.Holder
 	out  []effects.Effect
 
-	counts   cluster.Counts
-	measures cluster.Measures
-	config   config.Replica // what this node has of the configuration that may change
-	hailAt   time.Duration
-	deafAt   time.Duration                 // when this leader last heard of a peer or most of its machines
-	peerAt   map[string]time.Duration      // when a peer last answered a hail
-	open     map[effects.Asker]*openReport // reports of this node's workers without an answer yet
+	counts      cluster.Counts
+	measures    cluster.Measures
+	config      config.Replica // what this node has of the configuration that may change
+	heartbeatAt time.Duration
+	deafAt      time.Duration                 // when this leader last heard of a peer or most of its machines
+	peerAt      map[string]time.Duration      // when a peer last answered a heartbeat
+	open        map[effects.Asker]*openReport // reports of this node's workers without an answer yet
 
 	// The leader that the last call did not reach, or empty; since when none has,
 	// when it was last probed, and when machines were sent to it themselves.
@@ -51,7 +51,7 @@
 	lead := leadership.New(cfg.Node, settings.Seconds(cfg.Tunables.LeaderHoldS))
 	if cfg.Tunables.ZonePatienceS > 0 || cfg.Tunables.ColdListen == 1 {
 		// To tell a leader that merely does not reach this node from one that is gone.
-		lead.Doubt = settings.Seconds(cfg.Tunables.LeaderHoldS) + hailEvery/2
+		lead.Doubt = settings.Seconds(cfg.Tunables.LeaderHoldS) + heartbeatEvery/2
 	}
 	return &Core{cfg: cfg, zero: zero, hold: blocks.NewHolder(), open: map[effects.Asker]*openReport{}, peerAt: map[string]time.Duration{}, sentTo: map[string]time.Duration{}, lead: lead}
 }
@@ -138,7 +138,7 @@
 	}
 	if c.term != nil {
 		c.term.Tick(now, c.lead.Sure(now))
-		c.hail(now)
+		c.heartbeat(now)
 		if c.term.Spent() {
 			// After hundreds of thousands of machines that changed their block, or direct starts
 			// that had to be reaped: the next term has its own.
@@ -150,19 +150,19 @@
 }
 
 const (
-	hailEvery   = time.Second
-	cutOffAfter = 4 * time.Second  // without a peer's answer
-	resignFor   = 10 * time.Second // for others to take over
+	heartbeatEvery = time.Second
+	cutOffAfter    = 4 * time.Second  // without a peer's answer
+	resignFor      = 10 * time.Second // for others to take over
 )
 
-// hail tells the peers who leads. A leader that no peer answers and that
+// heartbeat tells the peers who leads. A leader that no peer answers and that
 // hears few of its machines is cut off itself: it makes room for one that is
 // not, rather than delete machines that it merely cannot hear.
-func (c *Core) hail(now time.Duration) {
-	if now-c.hailAt >= hailEvery {
-		c.hailAt = now
+func (c *Core) heartbeat(now time.Duration) {
+	if now-c.heartbeatAt >= heartbeatEvery {
+		c.heartbeatAt = now
 		for _, p := range c.cfg.Peers {
-			c.out = append(c.out, effects.Hail{Peer: p.Node, Epoch: c.term.Epoch, Fleet: c.term.Fleet(), Config: c.term.ConfigFor(p.Node)})
+			c.out = append(c.out, effects.Heartbeat{Peer: p.Node, Epoch: c.term.Epoch, Fleet: c.term.Fleet(), Config: c.term.ConfigFor(p.Node)})
 		}
 	}
 	if len(c.cfg.Peers) == 0 || !c.lead.Sure(now) || now-c.term.Began < cutOffAfter || c.heardOf(now) || !c.term.Deaf(now) {
@@ -189,14 +189,14 @@
 // tooFar is how long a leader that this node does not reach must not have been
 // reached: for longer than the hold of a dead one lasts.
 func (c *Core) tooFar() time.Duration {
-	return settings.Seconds(c.cfg.Tunables.LeaderHoldS) + hailEvery/2
+	return settings.Seconds(c.cfg.Tunables.LeaderHoldS) + heartbeatEvery/2
 }
 
-// HailAnswered takes a peer's answer to a hail.
-func (c *Core) HailAnswered(now time.Duration, peer string) {
+// HeartbeatAnswered takes a peer's answer to a heartbeat.
+func (c *Core) HeartbeatAnswered(now time.Duration, peer string) {
 	c.peerAt[peer] = now
 	if c.term != nil {
-		c.term.PeerHeard(now, peer, now-c.hailAt)
+		c.term.PeerHeard(now, peer, now-c.heartbeatAt)
 	}
 }
 
@@ -212,13 +212,13 @@
 	c.after(now)
 }
 
-// Hailed takes a hail of the leader.
-func (c *Core) Hailed(now time.Duration, node string, epoch uint64, fleet leadership.Fleet) {
-	c.lead.Hailed(now, node, epoch, fleet)
+// HeartbeatReceived takes a heartbeat of the leader.
+func (c *Core) HeartbeatReceived(now time.Duration, node string, epoch uint64, fleet leadership.Fleet) {
+	c.lead.HeartbeatReceived(now, node, epoch, fleet)
 	c.after(now)
 }
 
-// ConfigTold takes what the leader that has just hailed tells of the configuration, and gives the
+// ConfigTold takes what the leader that has just sent a heartbeat tells of the configuration, and gives the
 // revision that this node has in force then.
 func (c *Core) ConfigTold(now time.Duration, node string, u config.Update) uint64 {
 	if c.term == nil && node == c.lead.LeaderName() {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -13,7 +13,7 @@
 // What other controllers send is looked at before anything follows from it: a message that is
 // malformed, too large, or of somebody who is no controller of this installation is refused
 // and counted, and changes nothing. Before, a request of an unknown kind was taken for a
-// cancellation, and a hail of anybody sent users and workers there.
+// cancellation, and a heartbeat of anybody sent users and workers there.
 
 // reportMost bounds the tasks of a report: a worker's is at most 64 KiB.
 const reportMost = 4096
@@ -88,19 +88,19 @@
 
 func (n *Node) checkConfig(u config.Update) error {
 	if len(u.Sets) > config.MostItems {
-		return fmt.Errorf("node: hail: %d changes of the configuration", len(u.Sets))
+		return fmt.Errorf("node: heartbeat: %d changes of the configuration", len(u.Sets))
 	}
 	for _, s := range u.Sets {
 		if s.Revision <= u.From || s.Revision > u.To {
-			return fmt.Errorf("node: hail: %s of revision %d, told as of %d to %d", s.Item, s.Revision, u.From, u.To)
+			return fmt.Errorf("node: heartbeat: %s of revision %d, told as of %d to %d", s.Item, s.Revision, u.From, u.To)
 		}
 	}
 	return nil
 }
 
-func (n *Node) checkHail(in HailMessage) error {
+func (n *Node) checkHeartbeat(in HeartbeatMessage) error {
 	if n.peers[in.Node] == nil || in.Epoch == 0 {
-		return fmt.Errorf("node: hail: %.20q in epoch %d is no controller that leads", in.Node, in.Epoch)
+		return fmt.Errorf("node: heartbeat: %.20q in epoch %d is no controller that leads", in.Node, in.Epoch)
 	}
 	return nil
 }
--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -64,9 +64,9 @@
 		"more tasks than fit": func() error {
 			return c.Relay(relay(func(r *workers.Report) { r.Tasks = make([]workers.TaskReport, 5000) }), &effects.ReportAnswer{})
 		},
-		"a hail of nobody":     func() error { return c.Hail(HailMessage{Node: "n9", Epoch: 9}, new(bool)) },
-		"a hail of no epoch":   func() error { return c.Hail(HailMessage{Node: "n1"}, new(bool)) },
-		"a hail in one's name": func() error { return c.Hail(HailMessage{Node: "n0", Epoch: 9}, new(bool)) },
+		"a heartbeat of nobody":     func() error { return c.Hail(HeartbeatMessage{Node: "n9", Epoch: 9}, new(bool)) },
+		"a heartbeat of no epoch":   func() error { return c.Hail(HeartbeatMessage{Node: "n1"}, new(bool)) },
+		"a heartbeat in one's name": func() error { return c.Hail(HeartbeatMessage{Node: "n0", Epoch: 9}, new(bool)) },
 	}
 	for what, f := range bad {
 		if f() == nil {
@@ -92,8 +92,8 @@
 	if err := c.Ask(job(func(*ledger.Job) {}), &a); err != nil || a.Status != 503 { // nobody leads
 		t.Errorf("a submission: %v, %+v", err, a)
 	}
-	if err := c.Hail(HailMessage{Node: "n1", Epoch: 3}, new(bool)); err != nil {
-		t.Errorf("a hail: %v", err)
+	if err := c.Hail(HeartbeatMessage{Node: "n1", Epoch: 3}, new(bool)); err != nil {
+		t.Errorf("a heartbeat: %v", err)
 	}
 	if err := c.Relay(relay(same), &effects.ReportAnswer{}); err != nil {
 		t.Errorf("a report: %v", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,10 +198,10 @@
 			}
 			n.post(func(now time.Duration) { n.core.RelayAnswered(now, e.To, a, ok) })
 		}()
-	case effects.Hail:
+	case effects.Heartbeat:
 		if p := n.peers[e.Peer]; p != nil {
 			go func() {
-				n.hail(p, e)
+				n.heartbeat(p, e)
 			}()
 		}
 	case effects.Probe:
@@ -308,16 +308,16 @@
 	}
 }
 
-// hail tells a peer that this node leads, and what it lacks of the configuration. A peer of an
+// heartbeat tells a peer that this node leads, and what it lacks of the configuration. A peer of an
 // older version knows nothing of that, and is told the rest.
-func (n *Node) hail(p *peer, e effects.Hail) {
-	m := HailMessage{n.cfg.Node, e.Epoch, e.Fleet}
+func (n *Node) heartbeat(p *peer, e effects.Heartbeat) {
+	m := HeartbeatMessage{n.cfg.Node, e.Epoch, e.Fleet}
 	if e.Config != nil {
 		var a ConfigAnswer
-		err := p.call("Controller.HailConfig", HailConfigMessage{Hail: m, Update: *e.Config}, &a)
+		err := p.call("Controller.ConfigHeartbeat", ConfigHeartbeatMessage{Heartbeat: m, Update: *e.Config}, &a)
 		if err == nil {
 			n.post(func(now time.Duration) {
-				n.core.HailAnswered(now, e.Peer)
+				n.core.HeartbeatAnswered(now, e.Peer)
 				n.core.ConfigHeld(now, e.Epoch, e.Peer, a.Revision)
 			})
 			return
@@ -328,7 +328,7 @@
 		}
 	}
 	if err := p.call("Controller.Hail", m, new(bool)); err == nil {
-		n.post(func(now time.Duration) { n.core.HailAnswered(now, e.Peer) })
+		n.post(func(now time.Duration) { n.core.HeartbeatAnswered(now, e.Peer) })
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -130,38 +130,38 @@
 	})
 }
 
-// HailMessage says who leads, and in which epoch.
-type HailMessage struct {
+// HeartbeatMessage says who leads, and in which epoch.
+type HeartbeatMessage struct {
 	Node  string
 	Epoch uint64
 	Fleet leadership.Fleet // left out where nothing is said
 }
 
-// Hail takes the leader's word that it leads.
-func (c *Controller) Hail(in HailMessage, _ *bool) error {
-	if err := c.n.refuse(c.n.checkHail(in)); err != nil {
+// Hail takes the leader's heartbeat. Its name is the one that older versions call.
+func (c *Controller) Hail(in HeartbeatMessage, _ *bool) error {
+	if err := c.n.refuse(c.n.checkHeartbeat(in)); err != nil {
 		return err
 	}
-	return c.n.try(func(now time.Duration) { c.n.core.Hailed(now, in.Node, in.Epoch, in.Fleet) })
+	return c.n.try(func(now time.Duration) { c.n.core.HeartbeatReceived(now, in.Node, in.Epoch, in.Fleet) })
 }
 
-// HailConfigMessage is a hail that tells of the configuration besides.
-type HailConfigMessage struct {
-	Hail   HailMessage
-	Update config.Update
+// ConfigHeartbeatMessage is a heartbeat that tells of the configuration besides.
+type ConfigHeartbeatMessage struct {
+	Heartbeat HeartbeatMessage
+	Update    config.Update
 }
 
 // ConfigAnswer is the revision that a controller has in force.
 type ConfigAnswer struct{ Revision uint64 }
 
-// HailConfig takes the leader's word that it leads, and what it tells of the configuration.
-func (c *Controller) HailConfig(in HailConfigMessage, out *ConfigAnswer) error {
-	if err := c.n.refuse(errors.Join(c.n.checkHail(in.Hail), c.n.checkConfig(in.Update))); err != nil {
+// ConfigHeartbeat takes the leader's word that it leads, and what it tells of the configuration.
+func (c *Controller) ConfigHeartbeat(in ConfigHeartbeatMessage, out *ConfigAnswer) error {
+	if err := c.n.refuse(errors.Join(c.n.checkHeartbeat(in.Heartbeat), c.n.checkConfig(in.Update))); err != nil {
 		return err
 	}
 	return c.n.here(func(now time.Duration) {
-		c.n.core.Hailed(now, in.Hail.Node, in.Hail.Epoch, in.Hail.Fleet)
-		out.Revision = c.n.core.ConfigTold(now, in.Hail.Node, in.Update)
+		c.n.core.HeartbeatReceived(now, in.Heartbeat.Node, in.Heartbeat.Epoch, in.Heartbeat.Fleet)
+		out.Revision = c.n.core.ConfigTold(now, in.Heartbeat.Node, in.Update)
 	})
 }
 
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -80,7 +80,7 @@
 	return effects.ReportAnswer{Status: 503}
 }
 
-// cutOff says whether this node seems to be cut off with its zone: no leader has hailed it
+// cutOff says whether this node seems to be cut off with its zone: no leader has sent it a heartbeat
 // for longer than a dead one's hold lasts, nor does the state service answer. Then it
 // keeps alive whoever comes to it, for as long as the leader waits for a zone: with the
 // highest token that the worker has seen, and with nothing to do. Such a worker has tried
@@ -156,7 +156,7 @@
 	if c.apartFrom != c.lead.LeaderName() {
 		c.apartFrom = ""
 	}
-	if c.apartFrom != "" && now-c.probeAt >= hailEvery {
+	if c.apartFrom != "" && now-c.probeAt >= heartbeatEvery {
 		c.probeAt = now
 		c.out = append(c.out, effects.Probe{Peer: c.apartFrom})
 	}
--- a/internal/reconfig/controllers.go
+++ b/internal/reconfig/controllers.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// Tell is what another controller is to be told with the next hail.
+// Tell is what another controller is to be told with the next heartbeat.
 func (d *Duty) Tell(name string) *config.Update {
 	has := uint64(0)
 	if c := d.controllers[name]; c != nil {
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -436,18 +436,18 @@
 				}
 			})
 		}
-	case effects.Hail:
+	case effects.Heartbeat:
 		if o := s.node(e.Peer); o != nil {
 			call(s, c.name, o.name, wait, func(reply func(uint64)) {
 				if o.up {
-					o.core.Hailed(o.clock(), c.name, e.Epoch, e.Fleet)
+					o.core.HeartbeatReceived(o.clock(), c.name, e.Epoch, e.Fleet)
 					reply(s.tellConfig(c, o, e.Config))
 					o.drain()
 				}
 			}, func(revision uint64, ok bool) {
 				if ok {
 					c.into(func(now time.Duration) {
-						c.core.HailAnswered(now, o.name)
+						c.core.HeartbeatAnswered(now, o.name)
 						if e.Config != nil && !o.old {
 							c.core.ConfigHeld(now, e.Epoch, o.name, revision)
 						}
--- a/internal/scenario/upgrade_test.go
+++ b/internal/scenario/upgrade_test.go
@@ -111,7 +111,7 @@
 			Room: amounts.Amounts{CPU: 96000, GPU: 8000, Mem: 768000}, LeaseS: 20}, &prodReportAnswer{}},
 		{"ask.gob", node.UserRequest{Op: "submit", ID: 412, Submission: wire.Submission{ID: 412, HasID: true, Job: job, Bad: "x"}}, &prodRequest{}},
 		{"ask_answer.gob", effects.Answer{Status: 200, ID: 412, State: wire.Cancelled, Counts: true, Done: 3, Running: 2, Why: "w", RetryAfter: 4}, &prodAnswer{}},
-		{"hail.gob", node.HailMessage{Node: "drover-1", Epoch: 7}, &prodHail{}},
+		{"hail.gob", node.HeartbeatMessage{Node: "drover-1", Epoch: 7}, &prodHail{}},
 		{"status.gob", node.Status{Node: "drover-0", Leader: "drover-1", Epoch: 7, Sure: true, Loaded: true, Unsaved: 2,
 			Queue:  []node.JobStatus{{ID: "j-000413", Class: "c", Team: "vision", Virtual: 12.3, Size: 31.5, Final: true, Waiting: 1}},
 			Counts: cluster.Counts{Terms: 1, TasksDone: 9}}, &prodStatus{}},
--- a/internal/spread/duty.go
+++ b/internal/spread/duty.go
@@ -21,7 +21,7 @@
 const (
 	lookEvery = 500 * time.Millisecond
 	steady    = 10 * time.Second // without a gap, before machines are sent to a controller
-	lostAfter = 3 * time.Second  // without an answer to a hail
+	lostAfter = 3 * time.Second  // without an answer to a heartbeat
 	leastPart = 0.25             // of a slow controller's weight
 	smoothing = 0.2              // of the newest answer's time in the mean
 	slowFrom  = 20 * time.Millisecond
@@ -52,7 +52,7 @@
 	return d
 }
 
-// PeerHeard notes that a controller has answered a hail, after so long.
+// PeerHeard notes that a controller has answered a heartbeat, after so long.
 func (d *Duty) PeerHeard(now time.Duration, name string, took time.Duration) {
 	p := d.peers[name]
 	if p == nil {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -317,12 +317,12 @@
 	return t.cold.Fleet()
 }
 
-// peerHearer is a duty that hears when other controllers answer hails.
+// peerHearer is a duty that hears when other controllers answer heartbeats.
 type peerHearer interface {
 	PeerHeard(now time.Duration, peer string, took time.Duration)
 }
 
-// PeerHeard notes that another controller has answered a hail, after so long.
+// PeerHeard notes that another controller has answered a heartbeat, after so long.
 func (t *Term) PeerHeard(now time.Duration, peer string, took time.Duration) {
 	for _, d := range t.duties {
 		if h, ok := d.(peerHearer); ok {
