Rename: amounts is resources

Cause: a name of our own for a standard thing. Change: the package of exact sums of processors, accelerators and memory is called resources. Nothing else.

--- a/internal/blocks/accel_test.go
+++ b/internal/blocks/accel_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/sizing"
 	"bitternmoor/internal/workers"
 )
@@ -18,7 +18,7 @@
 	p := New([]Limit{{}}, 10)
 	w := World{Now: time.Second, Quiet: time.Minute, Jobs: jobs.NewTable(), Yard: workers.NewYard(), Book: sizing.New(sizing.Params{Train: 5, Xi: 1, Delta: 60, First: 30}), Zone: func(string) int32 { return 0 }}
 	for i := range n {
-		for _, room := range []amounts.Amounts{amounts.Room(12, 2, 48), amounts.Room(8, 0, 64)} {
+		for _, room := range []resources.Amounts{resources.Room(12, 2, 48), resources.Room(8, 0, 64)} {
 			w.Yard.Add(&workers.Machine{Name: fmt.Sprint(i, room.GPU), Cap: room, Durable: true, Up: true, Resolved: true, FetchGBPS: 1})
 		}
 	}
@@ -103,7 +103,7 @@
 func BenchmarkScalePass(b *testing.B) {
 	p, w, _ := accelWorld(1)
 	for i := range 850 {
-		room := []amounts.Amounts{amounts.Room(8, 0, 64), amounts.Room(32, 0, 128), amounts.Room(64, 0, 128), amounts.Room(12, 2, 48)}[i%4]
+		room := []resources.Amounts{resources.Room(8, 0, 64), resources.Room(32, 0, 128), resources.Room(64, 0, 128), resources.Room(12, 2, 48)}[i%4]
 		m := w.Yard.Add(&workers.Machine{Name: fmt.Sprint("m", i), Cap: room, Durable: true, Up: true, Resolved: true, FetchGBPS: 1})
 		if i%10 > 0 {
 			m.Plan(&workers.Placement{Ref: workers.Ref{Job: 1 << 20, Task: int32(i)}, Need: room})
--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/workers"
 )
 
@@ -20,7 +20,7 @@
 // Planner gives waiting tasks to machines.
 type Planner struct {
 	Limits []Limit // by team
-	use    []amounts.Amounts
+	use    []resources.Amounts
 	AtOnce int // T
 	// UrgentFirst is an exception to the size order: urgent and critical jobs
 	// go ahead of it, in size order among themselves.
@@ -42,7 +42,7 @@
 	scratch  []int32
 	refusals []refusal // of this pass
 	paced    bool      // a place was left out in the last try of give, since starts are paced
-	accel    amounts.Amounts
+	accel    resources.Amounts
 	accelAt  time.Duration
 	plain    bool // tests hold the quick path against one that remembers nothing
 }
@@ -51,7 +51,7 @@
 // while a pass goes on, so whatever needs as much of the same machines, or of
 // fewer, finds none either.
 type refusal struct {
-	need  amounts.Amounts
+	need  resources.Amounts
 	spot  bool
 	types []bool
 	zone  string
@@ -72,33 +72,33 @@
 }
 
 // Covers says whether so much may be used at once.
-func (l Limit) Covers(use amounts.Amounts) bool {
+func (l Limit) Covers(use resources.Amounts) bool {
 	return (l.CPU == 0 || use.CPU <= l.CPU) && (l.GPU == 0 || use.GPU <= l.GPU)
 }
 
 // New makes a planner for the teams with these limits.
 func New(limits []Limit, atOnce int) *Planner {
-	return &Planner{Limits: limits, use: make([]amounts.Amounts, len(limits)), AtOnce: atOnce}
+	return &Planner{Limits: limits, use: make([]resources.Amounts, len(limits)), AtOnce: atOnce}
 }
 
 // AddTeam adds a team without a limit.
 func (p *Planner) AddTeam() {
 	p.Limits = append(p.Limits, Limit{})
-	p.use = append(p.use, amounts.Amounts{})
+	p.use = append(p.use, resources.Amounts{})
 }
 
 // Charge counts a task against its team, Refund takes it back.
-func (p *Planner) Charge(team int32, a amounts.Amounts) { p.use[team] = p.use[team].Plus(a) }
+func (p *Planner) Charge(team int32, a resources.Amounts) { p.use[team] = p.use[team].Plus(a) }
 
 // Refund takes back what Charge counted.
-func (p *Planner) Refund(team int32, a amounts.Amounts) { p.use[team] = p.use[team].Minus(a) }
+func (p *Planner) Refund(team int32, a resources.Amounts) { p.use[team] = p.use[team].Minus(a) }
 
 // Use is what a team's tasks count as using.
-func (p *Planner) Use(team int32) amounts.Amounts { return p.use[team] }
+func (p *Planner) Use(team int32) resources.Amounts { return p.use[team] }
 
 // Within says whether a team may use a more, with extra counted besides: an
 // unresolved machine counts full against every team.
-func (p *Planner) Within(team int32, a, extra amounts.Amounts) bool {
+func (p *Planner) Within(team int32, a, extra resources.Amounts) bool {
 	return p.Limits[team].Covers(p.use[team].Plus(a).Plus(extra))
 }
 
@@ -140,18 +140,18 @@
 
 // Accelerated is the largest need of a task with accelerators: of the jobs there are, or of
 // the last ones for a while after they have left.
-func (p *Planner) Accelerated(now time.Duration, t *jobs.Table) amounts.Amounts {
-	var most amounts.Amounts
+func (p *Planner) Accelerated(now time.Duration, t *jobs.Table) resources.Amounts {
+	var most resources.Amounts
 	for _, j := range t.All() {
 		if j != nil && j.Need.GPU > 0 {
-			most = amounts.Amounts{CPU: max(most.CPU, j.Need.CPU), GPU: max(most.GPU, j.Need.GPU), Mem: max(most.Mem, j.Need.Mem)}
+			most = resources.Amounts{CPU: max(most.CPU, j.Need.CPU), GPU: max(most.GPU, j.Need.GPU), Mem: max(most.Mem, j.Need.Mem)}
 		}
 	}
 	switch {
 	case most.GPU > 0:
 		p.accel, p.accelAt = most, now
 	case now-p.accelAt > accelKept:
-		p.accel = amounts.Amounts{}
+		p.accel = resources.Amounts{}
 	}
 	return p.accel
 }
@@ -587,7 +587,7 @@
 }
 
 // Slots is how many tasks fit into room.
-func Slots(need, room amounts.Amounts) int {
+func Slots(need, room resources.Amounts) int {
 	n := int64(1 << 30)
 	for _, d := range [][2]int64{{need.CPU, room.CPU}, {need.GPU, room.GPU}, {need.Mem, room.Mem}} {
 		if d[0] > 0 {
--- a/internal/blocks/holder.go
+++ b/internal/blocks/holder.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/workers"
 )
 
@@ -56,7 +56,7 @@
 
 // Pick takes up offers for the machine whose report is answered: those with
 // room kept there, then such that fit into the room left.
-func (h *Holder) Pick(now time.Duration, offers []workers.Offer, room amounts.Amounts) []workers.Offer {
+func (h *Holder) Pick(now time.Duration, offers []workers.Offer, room resources.Amounts) []workers.Offer {
 	var out []workers.Offer
 	for _, here := range []bool{true, false} {
 		for _, o := range offers {
--- a/internal/blocks/move.go
+++ b/internal/blocks/move.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/workers"
 )
 
@@ -41,7 +41,7 @@
 	}
 	type room struct {
 		m    *workers.Machine
-		free amounts.Amounts
+		free resources.Amounts
 	}
 	var rooms []room
 	var drain []*workers.Machine
--- a/internal/blocks/order.go
+++ b/internal/blocks/order.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/resources"
 )
 
 // Order lists the jobs in the order in which they get room: HFSP's, with the
@@ -41,7 +41,7 @@
 	p.scratch = append(p.scratch[:0], order...)
 	byArrival := p.scratch
 	slices.SortFunc(byArrival, func(a, b int32) int { return cmp.Compare(w.Jobs.At(a).AcceptedAt, w.Jobs.At(b).AcceptedAt) })
-	sum := make([]amounts.Amounts, len(p.Guarantees))
+	sum := make([]resources.Amounts, len(p.Guarantees))
 	for _, i := range byArrival {
 		j := w.Jobs.At(i)
 		j.Guaranteed = false
--- a/internal/blocks/preempt.go
+++ b/internal/blocks/preempt.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/workers"
 )
 
@@ -116,7 +116,7 @@
 		}
 		return cmp.Compare(a.Attempt, b.Attempt)
 	})
-	freed := map[*workers.Machine]amounts.Amounts{}
+	freed := map[*workers.Machine]resources.Amounts{}
 	chosen := map[*workers.Machine][]*workers.Placement{}
 	var out []*workers.Placement
 	got := 0
@@ -127,7 +127,7 @@
 		if n := Slots(j.Need, m.Free.Plus(freed[m])); n > 0 {
 			got += n
 			out = append(out, chosen[m]...)
-			chosen[m], freed[m] = nil, amounts.Amounts{}.Minus(m.Free) // counted: the rest adds from nothing
+			chosen[m], freed[m] = nil, resources.Amounts{}.Minus(m.Free) // counted: the rest adds from nothing
 		}
 		if got >= j.Waiting || len(out) >= victimsMost {
 			break
--- a/internal/blocks/world.go
+++ b/internal/blocks/world.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/sizing"
 	"bitternmoor/internal/workers"
 )
@@ -16,10 +16,10 @@
 	Jobs    *jobs.Table
 	Yard    *workers.Yard
 	Book    *sizing.Book
-	Missing []amounts.Amounts // by team: machines of an earlier term that may have its tasks
-	Blind   bool              // one of them may have tasks of any job
-	Accel   amounts.Amounts   // the largest need of a task with accelerators, as of late; zero: there is none
-	Units   Units             // nil: there are none
+	Missing []resources.Amounts // by team: machines of an earlier term that may have its tasks
+	Blind   bool                // one of them may have tasks of any job
+	Accel   resources.Amounts   // the largest need of a task with accelerators, as of late; zero: there is none
+	Units   Units               // nil: there are none
 	Zone    func(string) int32
 	Place   func(j *jobs.Job, k int, m *workers.Machine)
 	Pace    func(j *jobs.Job, m *workers.Machine) bool // whether a task may be started now; nil: any
@@ -30,11 +30,11 @@
 }
 
 // missing is what machines that are not resolved may be using of a team.
-func (w *World) missing(team int32) amounts.Amounts {
+func (w *World) missing(team int32) resources.Amounts {
 	if int(team) < len(w.Missing) {
 		return w.Missing[team]
 	}
-	return amounts.Amounts{}
+	return resources.Amounts{}
 }
 
 // unsettled says whether tasks of a job that are not seen may run on machines
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/config"
 	"bitternmoor/internal/effects"
@@ -17,6 +16,7 @@
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/names"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/sizing"
 	"bitternmoor/internal/squaring"
@@ -90,8 +90,8 @@
 
 	teams []bool // of the configuration, by index: they may submit
 
-	unresolved, blind int               // machines, and those without a number among them
-	missing           []amounts.Amounts // what they may be using, by team
+	unresolved, blind int                 // machines, and those without a number among them
+	missing           []resources.Amounts // what they may be using, by team
 
 	listeners []Listener
 	out       []effects.Effect
@@ -311,7 +311,7 @@
 		s.blind += by
 	}
 	for len(s.missing) < len(s.Plan.Limits) {
-		s.missing = append(s.missing, amounts.Amounts{})
+		s.missing = append(s.missing, resources.Amounts{})
 	}
 	for team := range s.missing {
 		if m.AnyTeam || m.Number == 0 || slices.Contains(m.Claims, int32(team)) {
@@ -526,7 +526,7 @@
 	}
 	ty := s.Types[i]
 	return s.Yard.Add(&workers.Machine{Name: m.Name, Address: m.Address, Type: i, Zone: s.Zones.Index(m.Zone), Spot: m.Spot,
-		Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), Token: s.Token, RentedAt: now, Heard: now})
+		Cap: resources.Room(ty.CPUs, ty.GPUs, ty.MemoryGB), CacheGB: ty.CacheGB, FetchGBPS: max(ty.FetchGBPS, 0.001), Token: s.Token, RentedAt: now, Heard: now})
 }
 
 // NextToken is a token that no machine had before.
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -68,8 +68,8 @@
 		cfg.Deployment.Teams = []settings.Team{{Name: "team", CPUsMax: 20}}
 		s := New(Start{Cfg: cfg, Counts: &Counts{}})
 		j := s.Jobs.Add(ledger.Job{ID: 1, Team: "team", Kind: c.kind, Tasks: 6, CPUs: 1})
-		j.Phase, j.Need = jobs.Open, amounts.Need(1, 0, 0)
-		m := s.Yard.Add(&workers.Machine{Name: "m", Up: true, Cap: amounts.Room(9, 0, 9), Free: amounts.Room(9, 0, 9)})
+		j.Phase, j.Need = jobs.Open, resources.Need(1, 0, 0)
+		m := s.Yard.Add(&workers.Machine{Name: "m", Up: true, Cap: resources.Room(9, 0, 9), Free: resources.Room(9, 0, 9)})
 		for k := range 6 {
 			p := &workers.Placement{Ref: workers.Ref{Job: j.Index, Task: int32(k)}, JobID: 1, Need: j.Need, Home: m}
 			m.Plan(p)
--- a/internal/cluster/teams.go
+++ b/internal/cluster/teams.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/jobs"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -29,14 +29,14 @@
 func (s *State) SetTeam(t settings.Team) {
 	team := s.TeamIndex(t.Name)
 	s.teams[team] = true
-	limit := amounts.Room(t.CPUsMax, t.GPUsMax, 0)
+	limit := resources.Room(t.CPUsMax, t.GPUsMax, 0)
 	s.Plan.Limits[team] = blocks.Limit{CPU: limit.CPU, GPU: limit.GPU}
 	for int(team) >= len(s.Book.Limits) {
 		s.Book.Limits = append(s.Book.Limits, 0)
 	}
 	s.Book.Limits[team] = t.CPUsMax
 	if s.Cfg.Tunables.GuaranteeFirst == 1 {
-		s.guarantee(team, amounts.Room(t.CPUs, t.GPUs, 0))
+		s.guarantee(team, resources.Room(t.CPUs, t.GPUs, 0))
 	}
 	s.takeBackAbove(team)
 	s.Dirty = true
@@ -48,12 +48,12 @@
 	team := s.TeamIndex(name)
 	s.teams[team] = false
 	if s.Cfg.Tunables.GuaranteeFirst == 1 {
-		s.guarantee(team, amounts.Amounts{})
+		s.guarantee(team, resources.Amounts{})
 	}
 	s.Dirty = true
 }
 
-func (s *State) guarantee(team int32, g amounts.Amounts) {
+func (s *State) guarantee(team int32, g resources.Amounts) {
 	for int(team) >= len(s.Plan.Guarantees) {
 		s.Plan.Guarantees = append(s.Plan.Guarantees, blocks.Limit{})
 	}
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -4,10 +4,10 @@
 package effects
 
 import (
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/config"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -35,7 +35,7 @@
 	Node     string
 	// For the controller that holds the machine's block:
 	Offers []workers.Offer
-	Room   amounts.Amounts
+	Room   resources.Amounts
 	LeaseS float64
 }
 
--- a/internal/fleet/renting.go
+++ b/internal/fleet/renting.go
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/pacing"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -646,7 +646,7 @@
 		if !ok || !k.has(ty.GPUs) {
 			return false
 		}
-		m := &workers.Machine{Type: i, Zone: d.Zones.Index(zone), Spot: spot, Cap: amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
+		m := &workers.Machine{Type: i, Zone: d.Zones.Index(zone), Spot: spot, Cap: resources.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)}
 		return slices.ContainsFunc(open, func(j *jobs.Job) bool {
 			if !j.Need.Fits(m.Cap) || !blocks.Allowed(j, m, d.Zones.Index) {
 				return false
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 )
 
 // Kinds of jobs.
@@ -58,7 +58,7 @@
 	Rec     ledger.Job
 	Team    int32
 	Image   int32
-	Need    amounts.Amounts
+	Need    resources.Amounts
 	Phase   Phase
 	Earlier bool // accepted in an earlier term: unseen tasks may be running
 	// Unsettled counts the machines that may have tasks of an earlier term and
@@ -135,7 +135,7 @@
 
 // Add enters a job.
 func (t *Table) Add(rec ledger.Job) *Job {
-	j := &Job{Rec: rec, Need: amounts.Need(rec.CPUs, rec.GPUs, rec.MemoryGB), Priority: rec.Priority, Tasks: make([]TaskState, rec.Tasks), Waiting: rec.Tasks}
+	j := &Job{Rec: rec, Need: resources.Need(rec.CPUs, rec.GPUs, rec.MemoryGB), Priority: rec.Priority, Tasks: make([]TaskState, rec.Tasks), Waiting: rec.Tasks}
 	if n := len(t.free); n > 0 {
 		j.Index = t.free[n-1]
 		t.free = t.free[:n-1]
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -9,11 +9,11 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -425,7 +425,7 @@
 	j.OnPlain = false
 	for i, ty := range d.Types {
 		j.OnPlain = j.OnPlain || (ty.GPUs == 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) && (j.Rec.Zone == "" || slices.Contains(ty.Zones, j.Rec.Zone)) &&
-			j.Need.Fits(amounts.Room(ty.CPUs, 0, ty.MemoryGB)))
+			j.Need.Fits(resources.Room(ty.CPUs, 0, ty.MemoryGB)))
 	}
 }
 
--- a/internal/lifecycle/users.go
+++ b/internal/lifecycle/users.go
@@ -4,11 +4,11 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/blocks"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/wire"
 )
 
@@ -74,9 +74,9 @@
 	if !ok || !d.HasTeam(team) {
 		return "keeper: no such team"
 	}
-	need := amounts.Need(j.CPUs, j.GPUs, j.MemoryGB)
+	need := resources.Need(j.CPUs, j.GPUs, j.MemoryGB)
 	fits := slices.ContainsFunc(d.Types, func(ty ledger.Type) bool {
-		return need.Fits(amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)) &&
+		return need.Fits(resources.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)) &&
 			(j.Types == nil || slices.Contains(j.Types, ty.Name)) && (j.Zone == "" || slices.Contains(ty.Zones, j.Zone))
 	})
 	if !fits {
@@ -100,7 +100,7 @@
 	best := j.Rec.CPUs
 	found := false
 	for i, ty := range d.Types {
-		if n := blocks.Slots(j.Need, amounts.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
+		if n := blocks.Slots(j.Need, resources.Room(ty.CPUs, ty.GPUs, ty.MemoryGB)); n > 0 && (j.Types == nil || (i < len(j.Types) && j.Types[i])) {
 			if s := ty.CPUs / float64(n); !found || s < best {
 				best, found = s, true
 			}
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/jobs"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/workers"
 )
@@ -344,7 +344,7 @@
 func TestTakeover(t *testing.T) {
 	w := newWorld(t, settings.Pool{Name: "p", Units: 4, HoldAfterLossS: 30})
 	w.lead(true)
-	m := w.d.Yard.Add(&workers.Machine{Name: "old", Durable: true, Number: 7, Session: 1, Cap: amounts.Room(4, 0, 16)})
+	m := w.d.Yard.Add(&workers.Machine{Name: "old", Durable: true, Number: 7, Session: 1, Cap: resources.Room(4, 0, 16)})
 	w.d.Expect(m)
 	j := w.job("a", 8, 1, jobs.Array, per("p", 1))
 	j.Earlier, j.Unsettled, j.FreshFrom = true, 1, 3
--- a/internal/amounts/amounts.go
+++ b/internal/resources/resources.go
@@ -1,6 +1,6 @@
-// Package amounts counts what tasks take and machines have, in thousandths,
+// Package resources counts what tasks take and machines have, in thousandths,
 // so that sums are exact.
-package amounts
+package resources
 
 import "math"
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,10 +10,10 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/ledger"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/settings"
 	"bitternmoor/internal/squaring"
 	"bitternmoor/internal/workers"
@@ -347,11 +347,11 @@
 // start in thirty was refused for want of room, and each refusal kept its machine from work
 // for two seconds.
 func (d *Duty) fit(m *workers.Machine) {
-	if (amounts.Amounts{}).Fits(m.Free) {
+	if (resources.Amounts{}).Fits(m.Free) {
 		return
 	}
 	for _, p := range m.PlannedHere() {
-		if d.TakeBack(p); (amounts.Amounts{}).Fits(m.Free) {
+		if d.TakeBack(p); (resources.Amounts{}).Fits(m.Free) {
 			return
 		}
 	}
--- a/internal/scenario/upgrade_test.go
+++ b/internal/scenario/upgrade_test.go
@@ -9,12 +9,12 @@
 	"reflect"
 	"testing"
 
-	"bitternmoor/internal/amounts"
 	"bitternmoor/internal/cluster"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/leadership"
 	"bitternmoor/internal/ledger"
 	"bitternmoor/internal/node"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/wire"
 	"bitternmoor/internal/workers"
 )
@@ -107,8 +107,8 @@
 	}{
 		{"relay.gob", effects.Relayed{Via: "drover-1", Life: 1764590000000, Report: report}, &prodRelayed{}},
 		{"relay_answer.gob", effects.ReportAnswer{Status: 200, Token: 7<<20 + 5, Commands: []workers.Command{{Op: workers.Stop, Job: 412, Task: 1, Attempt: 4, GraceS: 9}},
-			Node: "drover-2", Offers: []workers.Offer{{Start: start, Serial: 77, Need: amounts.Amounts{CPU: 500, Mem: 1000}, Here: true}},
-			Room: amounts.Amounts{CPU: 96000, GPU: 8000, Mem: 768000}, LeaseS: 20}, &prodReportAnswer{}},
+			Node: "drover-2", Offers: []workers.Offer{{Start: start, Serial: 77, Need: resources.Amounts{CPU: 500, Mem: 1000}, Here: true}},
+			Room: resources.Amounts{CPU: 96000, GPU: 8000, Mem: 768000}, LeaseS: 20}, &prodReportAnswer{}},
 		{"ask.gob", node.UserRequest{Op: "submit", ID: 412, Submission: wire.Submission{ID: 412, HasID: true, Job: job, Bad: "x"}}, &prodRequest{}},
 		{"ask_answer.gob", effects.Answer{Status: 200, ID: 412, State: wire.Cancelled, Counts: true, Done: 3, Running: 2, Why: "w", RetryAfter: 4}, &prodAnswer{}},
 		{"hail.gob", node.HeartbeatMessage{Node: "drover-1", Epoch: 7}, &prodHail{}},
--- a/internal/workers/known.go
+++ b/internal/workers/known.go
@@ -4,14 +4,14 @@
 	"maps"
 	"time"
 
-	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/resources"
 	"bitternmoor/internal/squaring"
 )
 
 // Known is what the leader knows of a reported task.
 type Known struct {
 	Ref       Ref
-	Need      amounts.Amounts
+	Need      resources.Amounts
 	Image     int32
 	ImageGB   float64
 	Open      bool // the job is open and the task not finished
--- a/internal/workers/tasks.go
+++ b/internal/workers/tasks.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/resources"
 )
 
 // TaskState is a task's state as its worker reports it.
@@ -88,7 +88,7 @@
 	Ref     Ref
 	JobID   uint64
 	Image   int32
-	Need    amounts.Amounts
+	Need    resources.Amounts
 	Attempt uint64
 	Planned bool // not known to be anywhere yet: Home's room is kept for it
 	Home    *Machine
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/resources"
 )
 
 type image struct {
@@ -26,8 +26,8 @@
 	Name, Address string
 	Type, Zone    int32
 	Spot          bool
-	Cap, Free     amounts.Amounts
-	Plain         amounts.Amounts // of what is not free: taken by tasks that need no accelerator
+	Cap, Free     resources.Amounts
+	Plain         resources.Amounts // of what is not free: taken by tasks that need no accelerator
 	CacheGB       float64
 	FetchGBPS     float64
 	Number        int             // in the registry
@@ -213,7 +213,7 @@
 type Offer struct {
 	Start  Command
 	Serial uint64
-	Need   amounts.Amounts
+	Need   resources.Amounts
 	Here   bool
 }
 
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -5,19 +5,19 @@
 	"testing"
 	"time"
 
-	"bitternmoor/internal/amounts"
+	"bitternmoor/internal/resources"
 )
 
 const token = 7
 
 func machine() (*Yard, *Machine) {
 	y := NewYard()
-	m := y.Add(&Machine{Name: "m", Cap: amounts.Room(4, 0, 8), CacheGB: 10, FetchGBPS: 1, Durable: true})
+	m := y.Add(&Machine{Name: "m", Cap: resources.Room(4, 0, 8), CacheGB: 10, FetchGBPS: 1, Durable: true})
 	return y, m
 }
 
 func place(m *Machine, job uint64, task int32) *Placement {
-	p := &Placement{Ref: Ref{Job: int32(job), Task: task}, JobID: job, Need: amounts.Need(1, 0, 1), Attempt: 1}
+	p := &Placement{Ref: Ref{Job: int32(job), Task: task}, JobID: job, Need: resources.Need(1, 0, 1), Attempt: 1}
 	m.Plan(p)
 	m.moveIn(p)
 	p.seq = m.Seq
@@ -26,7 +26,7 @@
 
 func absorb(m *Machine, r Report) []Event {
 	events, _ := m.Absorb(time.Second, &r, token, nil, func(job uint64, task int, _ bool) (Known, bool) {
-		return Known{Ref: Ref{Job: int32(job), Task: int32(task)}, Need: amounts.Need(1, 0, 1), Open: true}, true
+		return Known{Ref: Ref{Job: int32(job), Task: int32(task)}, Need: resources.Need(1, 0, 1), Open: true}, true
 	})
 	return events
 }
@@ -74,7 +74,7 @@
 // beyond the task.
 func TestOffersWaitForGrants(t *testing.T) {
 	_, m := machine()
-	p := &Placement{Ref: Ref{Job: 3}, JobID: 3, Need: amounts.Need(1, 0, 1)}
+	p := &Placement{Ref: Ref{Job: 3}, JobID: 3, Need: resources.Need(1, 0, 1)}
 	m.Plan(p)
 	n := uint64(0)
 	next := func() uint64 { n++; return n }
@@ -98,7 +98,7 @@
 	_, m := machine()
 	m.Grants = map[uint64]bool{1: true, 2: true, 3: true, 4: true, 5: false}
 	place(m, 1, 0)
-	m.Plan(&Placement{Ref: Ref{Job: 2}, JobID: 2, Need: amounts.Need(1, 0, 1)})
+	m.Plan(&Placement{Ref: Ref{Job: 2}, JobID: 2, Need: resources.Need(1, 0, 1)})
 	stray := Report{Tasks: []TaskReport{{Job: 3, State: Running}}}
 	if got := m.Unused(0, 8*time.Second, &stray); len(got) != 0 {
 		t.Errorf("%v at once", got)
@@ -122,7 +122,7 @@
 	if !m.Still() {
 		t.Error("an empty machine is not")
 	}
-	p := &Placement{Ref: Ref{Job: 1}, JobID: 1, Need: amounts.Need(1, 0, 1), Noted: true}
+	p := &Placement{Ref: Ref{Job: 1}, JobID: 1, Need: resources.Need(1, 0, 1), Noted: true}
 	m.Plan(p)
 	if !m.Still() {
 		t.Error("a plan that is on offer to nobody keeps it")
