--- a/cmd/scalerun/print.go
+++ b/cmd/scalerun/print.go
@@ -37,8 +37,8 @@
 const brokenShown = 10
 
 func printPhase(out io.Writer, p *scalerun.Phase) {
-	fmt.Fprintf(out, "\n%s: %.0f s, %.0f workers, %.0f tasks running, %.1f starts and %.1f ends a second, nobody led for %.0f s\n",
-		p.Name, p.Seconds, p.Workers, p.Running, p.StartsPerS, p.EndsPerS, p.NoLeaderS)
+	fmt.Fprintf(out, "\n%s: %.0f s, %.0f workers, %.0f tasks running, %.1f starts and %.1f ends a second, no start for %.0f s\n",
+		p.Name, p.Seconds, p.Workers, p.Running, p.StartsPerS, p.EndsPerS, p.NoStartsS)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "ROLE\tPROCESSES\tCORES\tMiB\tSOCKETS\tIN kB/s\tOUT kB/s\tMESSAGES/s\tPEERS kB/s\t")
 	for _, r := range p.Roles {
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -56,7 +56,7 @@
 	Recovery   Latency  `json:"recovery"`        // from a machine's loss until a task of it runs again
 	Changed    Latency  `json:"config_durable"`  // from when a change was asked for
 	InForce    Latency  `json:"config_in_force"` // everywhere, from when it was durable
-	NoLeaderS  float64  `json:"no_leader_s"`
+	NoStartsS  float64  `json:"no_starts_s"` // seconds in which no task was started
 }
 
 // Result is what one run has measured.
@@ -126,8 +126,8 @@
 		p.Workers += dt * float64(b.Up+len(b.Workers)) / p.Seconds
 		p.Running += dt * float64(b.Running) / p.Seconds
 		p.State.LogKBMost = max(p.State.LogKBMost, float64(b.Counts.Bytes)/kB)
-		if b.Leader == "" {
-			p.NoLeaderS += dt
+		if a.Starts == b.Starts {
+			p.NoStartsS += dt
 		}
 		for k := range b.Nodes {
 			x, y := &a.Nodes[k], &b.Nodes[k]
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -116,3 +117,38 @@
 		}
 	}
 }
+
+// A higher token is reported at once, though no more than once in half of a lease: a new leader
+// learns by that what a machine has.
+func TestHigherTokenIsReported(t *testing.T) {
+	token, reports := uint64(1), make(chan uint64, 64)
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := wire.ReadBody(r.Body)
+		report, err := wire.ParseReport(body)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		reports <- report.Token
+		_, _ = w.Write(wire.ReportAnswer(token, nil))
+		token++ // each answer has a higher one
+	}))
+	defer door.Close()
+	f := &Fleet{Doors: []string{door.URL}, Every: time.Second, Lease: time.Hour, Prompt: true}
+	f.Up(Machine{Name: "host-1"})
+	first, second, third := <-reports, <-reports, <-reports
+	f.Down(Machine{Name: "host-1"})
+	if first != 0 || second != 1 || third != 2 {
+		t.Errorf("tokens %d, %d and %d were reported", first, second, third)
+	}
+	w := newWorker(f, Machine{Name: "host-2"})
+	w.see(7)
+	if !w.changed {
+		t.Error("a higher token is no change")
+	}
+	w.changed = false
+	w.see(8)
+	if w.changed || w.token != 8 {
+		t.Error("a second one within half of a lease is")
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -52,7 +52,8 @@
 	tasks        map[attempt]*task
 	images       map[string]bool
 	renewed      time.Time
-	changed      bool // since the last report
+	changed      bool      // since the last report
+	raised       time.Time // when a higher token last counted as a change
 	door         int
 }
 
@@ -258,10 +259,19 @@
 	if token < w.token {
 		return
 	}
-	w.token, w.renewed = token, sent
+	w.renewed = sent
+	w.see(token)
 	w.execute(commands)
 }
 
+// see notes a token. A higher one counts as a change no more than once in half of a lease.
+func (w *worker) see(token uint64) {
+	if now := time.Now(); token > w.token && now.Sub(w.raised) >= w.fleet.Lease/2 {
+		w.raised, w.changed = now, true
+	}
+	w.token = token
+}
+
 // advance ends what has been fetched or has run long enough, and everything when the lease is over.
 func (w *worker) advance(now time.Time) {
 	w.mu.Lock()
@@ -377,7 +387,7 @@
 		case d.Token < w.token || d.Session != w.session:
 			return http.StatusConflict, w.current()
 		}
-		w.token = d.Token
+		w.see(d.Token)
 		w.execute(d.Commands)
 		return http.StatusOK, w.current()
 	}
