scalerun: runs beside one another have addresses of their own

And the last change of the configuration was counted as not in force where it had just been made. Change: controllers of a process's runs listen at a loopback address of their own, all found before any is given back; changes end with the phases, and the last ones are waited for.

--- a/internal/scalerun/operators.go
+++ b/internal/scalerun/operators.go
@@ -49,7 +49,7 @@
 	if err := certs.MakeCA(dir, "scalerun", certLife); err != nil {
 		return nil, err
 	}
-	if err := certs.Issue(dir, "node", []string{"127.0.0.1"}, certLife); err != nil {
+	if err := certs.Issue(dir, "node", []string{host()}, certLife); err != nil {
 		return nil, err
 	}
 	if err := certs.Issue(dir, operatorName, nil, certLife); err != nil {
@@ -71,7 +71,6 @@
 
 // run makes bursts of changes until the load ends.
 func (o *operators) run(ctx context.Context) {
-	go o.watch(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -191,6 +190,18 @@
 	return least, true
 }
 
+// settleWithin is for how long the last changes are waited for.
+const settleWithin = 11 * time.Second
+
+// settle waits until what was changed is in force everywhere.
+func (o *operators) settle(ctx context.Context) {
+	for end := time.Now().Add(settleWithin); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(lookEvery) {
+		if _, waiting := o.counts(); waiting == 0 {
+			return
+		}
+	}
+}
+
 // counts says how many changes were made, and how many of them are not in force everywhere.
 func (o *operators) counts() (made, waiting int) {
 	if o == nil {
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -56,7 +56,7 @@
 	Recovery   Latency  `json:"recovery"`        // from a machine's loss until a task of it runs again
 	Changed    Latency  `json:"config_durable"`  // from when a change was asked for
 	InForce    Latency  `json:"config_in_force"` // everywhere, from when it was durable
-	NoStartsS  float64  `json:"no_starts_s"` // seconds in which no task was started
+	NoStartsS  float64  `json:"no_starts_s"`     // seconds in which no task was started
 }
 
 // Result is what one run has measured.
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -78,8 +78,11 @@
 		open.Go(func() { w.users.play(j) })
 	}
 	go w.failNow(stop)
+	changing, endChanges := context.WithCancel(stop)
+	defer endChanges()
 	if w.operators != nil {
-		go w.operators.run(stop)
+		go w.operators.run(changing)
+		go w.operators.watch(stop)
 	}
 	for _, p := range w.exp.Phases {
 		measured, err := w.phase(p)
@@ -88,9 +91,11 @@
 		}
 		r.Phases = append(r.Phases, measured)
 	}
+	endChanges()
 	if err := w.drain(&open); err != nil {
 		return err
 	}
+	w.operators.settle(stop)
 	w.users.askAgain(w.jobs)
 	r.Changes, r.Waiting = w.operators.counts()
 	end()
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,3 +125,18 @@
 		t.Errorf("%d starts, %d ends, %+v, %+v", starts, ended, x.urgent.latency(), x.recovery.latency())
 	}
 }
+
+// Controllers of runs beside one another have addresses of their own, and no two of one run the same.
+func TestAddressesAreApart(t *testing.T) {
+	addrs, err := freeAddrs(30)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for _, a := range addrs {
+		if seen[a] || !strings.HasPrefix(a, host()+":") || strings.HasPrefix(a, "127.0.0.1:") {
+			t.Errorf("%s", a)
+		}
+		seen[a] = true
+	}
+}
--- a/internal/scalerun/world.go
+++ b/internal/scalerun/world.go
@@ -302,15 +302,31 @@
 	w.fleet.Down(m)
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// host is the loopback address of the controllers of this process's runs. Runs beside one another
+// have their own, since a port that is free now is taken only once a controller has begun: two runs
+// that were started together had taken the same ports, and served one another's jobs.
+func host() string {
+	const digits = 254
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid/digits%digits, 1+pid%digits)
+}
+
+// freeAddrs finds so many addresses that nobody listens at.
+func freeAddrs(count int) (addrs []string, err error) {
+	for range count {
+		l, err := net.Listen("tcp4", host()+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // not before all are found: otherwise one may be found twice
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addrs, nil
 }
 
+// addrsOfController is how many addresses one has.
+const addrsOfController = 3
+
 func (w *world) makeControllers() error {
 	w.mu.Lock()
 	clouds, err := w.serve(&meter.Traffic{}, w.cloud)
@@ -318,18 +334,15 @@
 	if err != nil {
 		return err
 	}
+	addrs, err := freeAddrs(addrsOfController * w.exp.Controllers.Count)
+	if err != nil {
+		return err
+	}
 	zones := w.exp.Zones()
 	for i := range w.exp.Controllers.Count {
 		c := &controller{name: "n" + strconv.Itoa(i), zone: zones[i%len(zones)]}
-		if c.public, err = freeAddr(); err != nil {
-			return err
-		}
-		if c.internal, err = freeAddr(); err != nil {
-			return err
-		}
-		if c.control, err = freeAddr(); err != nil {
-			return err
-		}
+		own := addrs[i*addrsOfController:]
+		c.public, c.internal, c.control = own[0], own[1], own[2]
 		c.door = newDoor(c.public, c.zone)
 		w.controllers = append(w.controllers, c)
 		w.fleet.Doors = append(w.fleet.Doors, "http://"+c.public)
