config rollback over a team's beginning removes it; one loop asks until durable

Cause: tried against real controllers, a rollback to before a team had come to be was refused, since the settings say nothing of it. And pools and config each had the loop that asks until a change is durable. Change: a team of which the settings say nothing is removed by going back to them; the loop is one function; fits take the results of one experiment.

--- a/cmd/bitternmoor/config.go
+++ b/cmd/bitternmoor/config.go
@@ -189,28 +189,19 @@
 
 // make asks for a change until it is durable.
 func (c *configChanger) make(cmd *cobra.Command, client *control.Client, request reconfig.Request) error {
-	ctx, cancel := context.WithTimeout(cmd.Context(), durableWithin)
-	defer cancel()
-	for {
+	return untilDurable(cmd.Context(), "the change is asked for, and not known to be durable: a takeover may undo it; see config history", func(ctx context.Context) (bool, error) {
 		var answer reconfig.Answer
 		raw, err := ask(ctx, client, request, &answer)
-		if err != nil {
-			return err
+		if err != nil || !answer.Durable {
+			return false, err
 		}
-		if answer.Durable {
-			if c.json {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s\n", raw)
-			} else {
-				fmt.Fprintf(cmd.OutOrStdout(), "done: revision %d\n", answer.Revision)
-			}
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return failure{errors.New("the change is asked for, and not known to be durable: a takeover may undo it; see config history")}
-		case <-time.After(durablePause):
+		if c.json {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s\n", raw)
+		} else {
+			fmt.Fprintf(cmd.OutOrStdout(), "done: revision %d\n", answer.Revision)
 		}
-	}
+		return true, nil
+	})
 }
 
 // ask makes one request of the duty.
--- a/cmd/bitternmoor/pools.go
+++ b/cmd/bitternmoor/pools.go
@@ -161,28 +161,37 @@
 	if err != nil {
 		return failure{err}
 	}
-	ctx, cancel := context.WithTimeout(cmd.Context(), durableWithin)
-	defer cancel()
-	for {
+	return untilDurable(cmd.Context(), "the change is made, and not known to be durable: a takeover may undo it; see pools show", func(ctx context.Context) (bool, error) {
 		raw, err := client.Change(ctx, pools.Name, body)
 		if err != nil {
-			return failure{err}
+			return false, failure{err}
 		}
 		var done pools.Changed
-		if err := understand("controller", raw, &done); err != nil {
-			return err
+		if err := understand("controller", raw, &done); err != nil || !done.Durable {
+			return false, err
 		}
-		if done.Durable {
-			if c.json {
-				fmt.Fprintf(out, "%s\n", raw)
-			} else {
-				fmt.Fprintf(out, "done: version %d, %d units, %d out%s\n", done.Version, done.Pool.Units, done.Pool.Out, drained(done.Pool.Drained))
-			}
-			return nil
+		if c.json {
+			fmt.Fprintf(out, "%s\n", raw)
+		} else {
+			fmt.Fprintf(out, "done: version %d, %d units, %d out%s\n", done.Version, done.Pool.Units, done.Pool.Out, drained(done.Pool.Drained))
+		}
+		return true, nil
+	})
+}
+
+// untilDurable asks for a change until it is durable; unknown is what is said where that is not
+// known in time.
+func untilDurable(ctx context.Context, unknown string, ask func(ctx context.Context) (durable bool, err error)) error {
+	ctx, cancel := context.WithTimeout(ctx, durableWithin)
+	defer cancel()
+	for {
+		durable, err := ask(ctx)
+		if err != nil || durable {
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return failure{errors.New("the change is made, and not known to be durable: a takeover may undo it; see pools show")}
+			return failure{errors.New(unknown)}
 		case <-time.After(durablePause):
 		}
 	}
--- a/cmd/scalerun/print.go
+++ b/cmd/scalerun/print.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -66,7 +67,7 @@
 }
 
 func fitCommand() *cobra.Command {
-	var phase, against, at string
+	var name, phase, against, at string
 	var asJSON bool
 	c := &cobra.Command{
 		Use: "fit FILE...", Short: "Fit what roles cost, by least squares over results of several sizes", Args: cobra.MinimumNArgs(1),
@@ -75,6 +76,9 @@
 			if err != nil {
 				return err
 			}
+			if name != "" {
+				results = slices.DeleteFunc(results, func(r scalerun.Result) bool { return r.Experiment != name })
+			}
 			names := strings.Split(against, ",")
 			where, err := parseAt(at, len(names))
 			if err != nil {
@@ -91,6 +95,7 @@
 			return nil
 		},
 	}
+	c.Flags().StringVar(&name, "experiment", "", "take the results of this experiment alone")
 	c.Flags().StringVar(&phase, "phase", "peak", "the phases that are fitted, taken together, separated by commas")
 	c.Flags().StringVar(&against, "against", "workers", "what it is fitted against, separated by commas: "+strings.Join(scalefit.Regressors(), ", "))
 	c.Flags().StringVar(&at, "at", "", "print the costs at these values, one for each of --against, separated by commas")
--- a/internal/reconfig/change.go
+++ b/internal/reconfig/change.go
@@ -143,16 +143,17 @@
 		return before, nil
 	}
 	t, known := d.teamAt(c.Item.Team, before.Value)
-	_, inSettings := d.teams[c.Item.Team]
-	switch {
-	case c.Value.Removed && !known:
+	if _, inSettings := d.teams[c.Item.Team]; c.Value.AsSettings() && !inSettings {
+		c.Value.Removed = true // the settings say that there is no such team
+	}
+	if !c.Value.Removed {
+		return before, nil
+	}
+	if !known {
 		return before, &settings.FieldError{Field: c.Item.String(), Why: "there is no such team"}
-	case c.Value.AsSettings() && !inSettings:
-		return before, &settings.FieldError{Field: c.Item.String(), Why: "is not in the settings: it can be removed"}
-	case c.Value.Removed: // its open jobs go on under the limit that it had
-		l := config.LimitsOf(t)
-		c.Value.Limits = &l
 	}
+	l := config.LimitsOf(t) // its open jobs go on under the limit that it had
+	c.Value.Limits = &l
 	return before, nil
 }
 
