Who asks for a change is tested to be the certificate's; words for the role

Cause: the listener's test did not look at who a change is said to come from, and operators were said to change units alone. Change: the test's backend takes changes of the two certificates that may make them only; the words name the configuration too. Measured: the test fails where no name is handed on.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -33,6 +33,9 @@
 	if b.calls.Add(1) <= b.fails {
 		return nil, errors.New("no leader is known at present")
 	}
+	if by != "operator" && by != "boss" { // who asks is told by the certificate alone
+		return nil, fmt.Errorf("asked by %q (%w)", by, ErrRefused)
+	}
 	if string(body) == `"bad"` {
 		return nil, fmt.Errorf("units: more than there may be (%w)", ErrRefused)
 	}
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -120,7 +120,7 @@
 	{"operators", "key_file", "and its key", "", func(t *Tunables) *string { return &t.OperatorsKey }},
 	{"operators", "ca_file", "certificates of those who sign operators' certificates", "", func(t *Tunables) *string { return &t.OperatorsCA }},
 	{"operators", "read", "names of certificates that may look, separated by commas", "", func(t *Tunables) *string { return &t.OperatorsRead }},
-	{"operators", "operate", "and that may change units and drain", "", func(t *Tunables) *string { return &t.OperatorsOperate }},
+	{"operators", "operate", "and that may change pools and the configuration", "", func(t *Tunables) *string { return &t.OperatorsOperate }},
 	{"operators", "admin", "and that may do everything", "", func(t *Tunables) *string { return &t.OperatorsAdmin }},
 	{"webhook", "key_file", "file with the key that they are signed with, of 16 bytes at least", "", func(t *Tunables) *string { return &t.WebhookKeyFile }},
 }
