scalerun: samples of worker processes are paired by machine

Cause: read over once more: the samples stood in the order of a map, and a phase paired them by place, so that the processor time of a worker's process came out up to ten times too high; traffic and memory did not. Change: a sample names its machine, and is paired by it; the jobs of a run are drawn once instead of twice. Not run again at size.

--- a/internal/scalerun/measure.go
+++ b/internal/scalerun/measure.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"bitternmoor/internal/meter"
@@ -28,28 +30,29 @@
 
 // WorkerSample is what one worker's process has spent so far.
 type WorkerSample struct {
+	Machine string      `json:"machine"`
 	Usage   Usage       `json:"usage"`
 	Traffic meter.Count `json:"traffic"`
 }
 
 // Sample is one look at everything. Times and traffic add up from the beginning of the run.
 type Sample struct {
-	Size    int                 `json:"size"`
-	Seed    uint64              `json:"seed"`
-	AtS     float64             `json:"at_s"`
-	Phase   string              `json:"phase"`
-	Settled bool                `json:"measured"` // it belongs to the measured part of its phase
-	Leader  string              `json:"leader"`
-	Nodes   []NodeSample        `json:"nodes"`
-	State   Usage               `json:"state_process"`
-	Counts  standin.StateCounts `json:"state"`
-	Workers []WorkerSample      `json:"worker_processes"`
-	Hollow  meter.Count         `json:"hollow"`  // traffic of all hollow workers
-	Run     Usage               `json:"run"`     // hollow workers, users and cloud
-	Up      int                 `json:"workers"` // that are up, hollow ones
-	Running int                 `json:"running"`
-	Starts  uint64              `json:"starts"`
-	Ended   uint64              `json:"ended"`
+	Size     int                 `json:"size"`
+	Seed     uint64              `json:"seed"`
+	AtS      float64             `json:"at_s"`
+	Phase    string              `json:"phase"`
+	Measured bool                `json:"measured"` // it belongs to the measured part of its phase
+	Leader   string              `json:"leader"`
+	Nodes    []NodeSample        `json:"nodes"`
+	State    Usage               `json:"state_process"`
+	Counts   standin.StateCounts `json:"state"`
+	Workers  []WorkerSample      `json:"worker_processes"`
+	Hollow   meter.Count         `json:"hollow"`  // traffic of all hollow workers
+	Run      Usage               `json:"run"`     // hollow workers, users and cloud
+	Up       int                 `json:"workers"` // that are up, hollow ones
+	Running  int                 `json:"running"`
+	Starts   uint64              `json:"starts"`
+	Ended    uint64              `json:"ended"`
 }
 
 // flip is traffic as the other side sees it.
@@ -57,7 +60,7 @@
 
 // sample looks at everything.
 func (w *world) sample(begin time.Time, phase string, measured bool) Sample {
-	s := Sample{Size: w.size, Seed: w.seed, AtS: time.Since(begin).Seconds(), Phase: phase, Settled: measured, Up: w.fleet.Workers(), Running: w.fleet.Running()}
+	s := Sample{Size: w.size, Seed: w.seed, AtS: time.Since(begin).Seconds(), Phase: phase, Measured: measured, Up: w.fleet.Workers(), Running: w.fleet.Running()}
 	s.Starts, s.Ended = w.latency.counts()
 	if o, err := w.observe(); err == nil {
 		s.Leader, s.Counts = o.Leader, o.Counts
@@ -78,10 +81,11 @@
 	s.Run, _ = usageOf(os.Getpid())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, r := range w.remotes {
+	for _, machine := range slices.Sorted(maps.Keys(w.remotes)) {
+		r := w.remotes[machine]
 		if u, ok := usageOf(r.process.cmd.Process.Pid); ok {
 			r.mu.Lock()
-			s.Workers = append(s.Workers, WorkerSample{u, r.last})
+			s.Workers = append(s.Workers, WorkerSample{machine, u, r.last})
 			r.mu.Unlock()
 		}
 	}
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -1,6 +1,8 @@
 package scalerun
 
 import (
+	"slices"
+
 	"bitternmoor/internal/meter"
 )
 
@@ -141,9 +143,11 @@
 			to.add(dt, x.Usage, y.Usage, y.traffic().Minus(x.traffic()), y.Peers.Minus(x.Peers))
 		}
 		state.add(dt, a.State, b.State, meter.Count{}, meter.Count{})
-		for k := range min(len(a.Workers), len(b.Workers)) {
-			x, y := &a.Workers[k], &b.Workers[k]
-			workers.add(dt, x.Usage, y.Usage, y.Traffic.Minus(x.Traffic), meter.Count{})
+		for k := range b.Workers {
+			y := &b.Workers[k]
+			if x := a.worker(y.Machine); x != nil {
+				workers.add(dt, x.Usage, y.Usage, y.Traffic.Minus(x.Traffic), meter.Count{})
+			}
 		}
 		hollow.add(dt, a.Run, b.Run, b.Hollow.Minus(a.Hollow), meter.Count{})
 	}
@@ -156,6 +160,15 @@
 	return p
 }
 
+// worker is the sample of a machine's worker; nil: it has no process.
+func (s *Sample) worker(machine string) *WorkerSample {
+	i := slices.IndexFunc(s.Workers, func(w WorkerSample) bool { return w.Machine == machine })
+	if i < 0 {
+		return nil
+	}
+	return &s.Workers[i]
+}
+
 // share gives what one of so many in a process spends.
 func (r *Role) share(n float64) {
 	if n == 0 {
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -37,8 +37,7 @@
 	if err := w.bringUp(); err != nil {
 		return nil, err
 	}
-	r := &Result{Experiment: e.Name, Size: size, Seed: seed}
-	_, r.Counts = schedule(e, size, seed)
+	r := &Result{Experiment: e.Name, Size: size, Seed: seed, Counts: w.counts}
 	if err := w.play(r); err != nil {
 		return nil, err
 	}
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bitternmoor/internal/experiment"
+	"bitternmoor/internal/meter"
 	"bitternmoor/internal/standin"
 )
 
@@ -140,3 +141,22 @@
 		seen[a] = true
 	}
 }
+
+// What a worker's process spends is taken from its own samples, in whatever order they stand and
+// whichever others are gone. Paired by their places, each processor's time came out too high.
+func TestWorkersArePairedByMachine(t *testing.T) {
+	of := func(machine string, cpu float64, sent uint64) WorkerSample {
+		return WorkerSample{machine, Usage{CPUSeconds: cpu}, meter.Count{Out: sent}}
+	}
+	samples := []Sample{
+		{AtS: 0, Workers: []WorkerSample{of("a", 10, 1000), of("b", 20, 5000), of("c", 90, 9000)}},
+		{AtS: 1, Workers: []WorkerSample{of("b", 20.5, 6000), of("a", 10.5, 2000)}},
+		{AtS: 2, Workers: []WorkerSample{of("a", 11, 3000), of("b", 21, 7000)}},
+	}
+	p := summarize("x", 1, samples, newTimes())
+	for _, r := range p.Roles {
+		if r.Role == RoleWorker && (r.CPU != 0.5 || r.OutKBPerS != 1 || r.Processes != 2) {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/internal/scalerun/world.go
+++ b/internal/scalerun/world.go
@@ -75,6 +75,7 @@
 	stateAddr   string
 	controllers []*controller
 	jobs        []job
+	counts      Counts // of the jobs
 
 	mu      sync.Mutex
 	remotes map[string]*remote // by machine
@@ -84,7 +85,7 @@
 func newWorld(ctx context.Context, e *experiment.Experiment, size int, seed uint64, o Options) (*world, error) {
 	w := &world{exp: e, size: size, seed: seed, options: o, ctx: ctx, network: &network{exp: e}, remotes: map[string]*remote{}, latency: newLatencies(seconds(e.Load.UrgentWithinS)),
 		work: workload{Seed: seed, TaskS: e.TaskS(), Images: e.Workers.Images}}
-	w.jobs, _ = schedule(e, size, seed)
+	w.jobs, w.counts = schedule(e, size, seed)
 	var err error
 	if w.log, err = os.Create(filepath.Join(o.Dir, "processes.log")); err != nil {
 		return nil, err
