--- a/internal/scalerun/operators.go
+++ b/internal/scalerun/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -114,7 +115,7 @@
 }
 
 // errNotDurable is an answer that is to be asked for again.
-var errNotDurable = fmt.Errorf("not durable yet")
+var errNotDurable = errors.New("not durable yet")
 
 // ask makes a request of some controller, and gives the revision once it is durable.
 func (o *operators) ask(ctx context.Context, id string, changes []config.Change) (uint64, error) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -119,7 +119,7 @@
 	}
 	count := req.Count
 	if c.Capacity != nil {
-		count = min(count, c.Capacity[req.Zone]-c.inZone(req.Zone))
+		count = min(count, c.room(req.Zone))
 	}
 	if count <= 0 {
 		return reply{http.StatusServiceUnavailable, wire.NoCapacityProblem()}
@@ -131,13 +131,22 @@
 	return reply{http.StatusOK, wire.RentalAnswer(names)}
 }
 
-func (c *Cloud) inZone(zone string) (n int) {
+// room is how many more machines a zone has; the caller holds the lock.
+func (c *Cloud) room(zone string) int {
+	left := c.Capacity[zone]
 	for _, m := range c.machines {
 		if m.Zone == zone && !m.failed {
-			n++
+			left--
 		}
 	}
-	return n
+	return left
+}
+
+// Room is how many more machines a zone has, where there is a capacity.
+func (c *Cloud) Room(zone string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.room(zone)
 }
 
 func (c *Cloud) add(kind, zone string, spot bool, boot time.Duration) Machine {
