Review case 1: a repeated direct start runs a task twice after a machine's restart

Cause: an answered direct start counts as gone once a newer report at the same token lacks it, so a restarted machine may still carry out a repeat of it.

--- /dev/null
+++ b/review/lab/audit.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+)
+
+// audit follows which tasks are on which machines, and finds broken rules.
+type audit struct {
+	rec *record
+
+	mu       sync.Mutex
+	on       map[string]map[string]bool // machines that a task is on
+	doneOn   map[string]bool            // tasks that have completed
+	startsOf map[string]int
+	broken   []string
+}
+
+func newAudit(rec *record) *audit {
+	return &audit{rec: rec, on: map[string]map[string]bool{}, doneOn: map[string]bool{}, startsOf: map[string]int{}}
+}
+
+func (a *audit) started(task, machine string, try uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rec.add("run: %s attempt %d begins on %s", task, try, machine)
+	a.startsOf[task]++
+	for other := range a.on[task] {
+		if other != machine {
+			a.breakRule(fmt.Sprintf("ran_twice: %s starts on %s while it is on %s", task, machine, other))
+		}
+	}
+	if a.on[task] == nil {
+		a.on[task] = map[string]bool{}
+	}
+	a.on[task][machine] = true
+}
+
+func (a *audit) ended(task, machine, why string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rec.add("run: %s ends on %s: %s", task, machine, why)
+	delete(a.on[task], machine)
+}
+
+func (a *audit) done(task, machine string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rec.add("run: %s is done on %s", task, machine)
+	delete(a.on[task], machine)
+	a.doneOn[task] = true
+}
+
+// breakRule is called with the lock held.
+func (a *audit) breakRule(what string) {
+	a.rec.add("BROKEN %s", what)
+	a.broken = append(a.broken, what)
+}
+
+// starts returns how often a task has begun.
+func (a *audit) starts(task string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.startsOf[task]
+}
+
+// violations returns the broken rules.
+func (a *audit) violations() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string(nil), a.broken...)
+}
