--- a/review/lab/audit.go
+++ b/review/lab/audit.go
@@ -64,6 +64,17 @@
 	return a.startsOf[task]
 }
 
+// allStarts returns how often any task has begun.
+func (a *audit) allStarts() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sum := 0
+	for _, n := range a.startsOf {
+		sum += n
+	}
+	return sum
+}
+
 // violations returns the broken rules.
 func (a *audit) violations() []string {
 	a.mu.Lock()
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -85,7 +85,7 @@
 	node     int
 	listener net.Listener
 	tooLarge int // responses with a line over 64 KiB
-	refused  int // reports that were answered with 400
+	largest  int // the longest such line
 }
 
 // machineAddress opens the address of a machine's worker. Nothing answers there until it is up.
@@ -416,14 +416,12 @@
 		if len(line) > maxBytes {
 			w.mu.Lock()
 			w.tooLarge++
+			w.largest = max(w.largest, len(line))
 			w.mu.Unlock()
 			return 0, nil, fmt.Sprintf("%d with a line of %d bytes, which is over 64 KiB: dropped", resp.StatusCode, len(line))
 		}
 	}
 	if resp.StatusCode == http.StatusBadRequest {
-		w.mu.Lock()
-		w.refused++
-		w.mu.Unlock()
 		return resp.StatusCode, nil, "400"
 	}
 	return resp.StatusCode, answer, ""
@@ -463,3 +461,15 @@
 	w.execute(in.Calls)
 	return http.StatusOK, w.body()
 }
+
+// tooLargeLines returns how many responses to workers had a line over 64 KiB, and the longest one.
+func (c *cluster) tooLargeLines() (count, longest int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		w.mu.Lock()
+		count, longest = count+w.tooLarge, max(longest, w.largest)
+		w.mu.Unlock()
+	}
+	return count, longest
+}
