--- a/review/lab/audit.go
+++ b/review/lab/audit.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 )
 
@@ -13,11 +16,12 @@
 	on       map[string]map[string]bool // machines that a task is on
 	doneOn   map[string]bool            // tasks that have completed
 	startsOf map[string]int
+	unknown  map[string]bool // tasks that workers were told to start and that nobody submitted
 	broken   []string
 }
 
 func newAudit(rec *record) *audit {
-	return &audit{rec: rec, on: map[string]map[string]bool{}, doneOn: map[string]bool{}, startsOf: map[string]int{}}
+	return &audit{rec: rec, on: map[string]map[string]bool{}, doneOn: map[string]bool{}, startsOf: map[string]int{}, unknown: map[string]bool{}}
 }
 
 func (a *audit) started(task, machine string, try uint64) {
@@ -75,6 +79,37 @@
 	return sum
 }
 
+// doneTasks returns how many tasks of a job have completed.
+func (a *audit) doneTasks(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for task := range a.doneOn {
+		if strings.HasPrefix(task, id+"/") {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *audit) isDone(id string, tasks int) bool { return a.doneTasks(id) == tasks }
+
+func (a *audit) unknownStart(task, machine string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.unknown[task] {
+		a.rec.add("%s is told to start %s, which nobody submitted", machine, task)
+	}
+	a.unknown[task] = true
+}
+
+// unknownStarts returns the tasks that workers were told to start and that nobody submitted.
+func (a *audit) unknownStarts() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Sorted(maps.Keys(a.unknown))
+}
+
 // violations returns the broken rules.
 func (a *audit) violations() []string {
 	a.mu.Lock()
--- a/review/lab/rewritten.go
+++ b/review/lab/rewritten.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,7 +12,8 @@
 
 func init() { cases["rewritten"] = playRewritten }
 
-// playRewritten keeps values as JSON values, and loses the answer to one transaction that was carried out.
+// playRewritten has a state service that keeps values as JSON values: what it returns has the same members, in the
+// order of their names. The answer to one transaction that was carried out is lost.
 func playRewritten(rec *record, trouble bool) ([]string, error) {
 	c, err := newCluster(rec, lendingSite())
 	if err != nil {
@@ -50,13 +52,24 @@
 		return nil, err
 	}
 	if !c.submit(batch("j-000001", "repayment-recon", 20, 1, 5)) {
-		return nil, fmt.Errorf("the first job was not accepted")
+		return nil, errors.New("the first job was not accepted")
 	}
+	accepted := time.Now()
 	mu.Lock()
 	armed = trouble
 	mu.Unlock()
-	if !c.submit(batch("j-000002", "repayment-recon", 20, 1, 5)) {
-		return []string{"no submission was accepted for 60 s after one answer of the state service was lost"}, nil
+	other := make(chan bool, 1)
+	go func() { other <- c.submit(batch("j-000002", "repayment-recon", 20, 1, 5)) }()
+	for time.Since(accepted) < waitsAtMost && !c.audit.isDone("j-000001", 20) {
+		time.Sleep(200 * time.Millisecond)
 	}
-	return nil, nil
+	var broken []string
+	if !c.audit.isDone("j-000001", 20) {
+		broken = append(broken, fmt.Sprintf("forgotten work: %d of 20 tasks of an accepted job have completed %v after its acceptance",
+			c.audit.doneTasks("j-000001"), waitsAtMost))
+	}
+	if !<-other {
+		broken = append(broken, "no answer: a submission was not answered for 60 s")
+	}
+	return broken, nil
 }
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -277,6 +277,7 @@
 	t := &attempt{Task: call.Task, Try: call.Try, State: "ended"}
 	j := w.jobOf(call.Task)
 	if j == nil {
+		w.c.audit.unknownStart(call.Task, w.machine.Name)
 		t.Why = "unknown"
 		return t
 	}
