--- a/review/lab/cluster.go
+++ b/review/lab/cluster.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +56,8 @@
 	// rewrite changes the body of an answer of the state service.
 	rewrite func(r *http.Request, status int, answer []byte) []byte
 
+	// beforeCommand is told of a direct request before it reaches the worker.
+	beforeCommand func(w *worker, path string, body []byte)
 	// commandDone is told of direct commands that a worker has carried out.
 	commandDone func(w *worker, body []byte)
 
@@ -81,20 +86,24 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
 
+// Ports of controllers are below those that the system gives to outgoing connections, so that none is taken
+// between the check and the start of a controller.
+const firstPort, lastPort = 12_000, 31_000
+
 // freeAddresses returns addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	var open []net.Listener
-	for range n {
-		l, err := listen()
-		if err != nil {
-			return nil, fmt.Errorf("free address: %w", err)
+	for tries := 0; len(list) < n; tries++ {
+		if tries > 1000 {
+			return nil, errors.New("no free addresses")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp4", address)
+		if err != nil || slices.Contains(list, address) {
+			continue
 		}
-		open = append(open, l)
-		list = append(list, l.Addr().String())
-	}
-	for _, l := range open {
 		_ = l.Close() // the address is free again
+		list = append(list, address)
 	}
 	return list, nil
 }
@@ -242,3 +251,19 @@
 	}
 	_ = os.RemoveAll(c.dir)
 }
+
+// leader returns the number of the controller that leads, as the state service has it.
+func (c *cluster) leader() (int, error) {
+	var holder struct {
+		Node string `json:"n"`
+	}
+	if err := json.Unmarshal(c.state.Value("lead/holder"), &holder); err != nil {
+		return 0, fmt.Errorf("no leader: %w", err)
+	}
+	for i := range c.site.nodes {
+		if nodeName(i) == holder.Node {
+			return i, nil
+		}
+	}
+	return 0, errors.New("no leader")
+}
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -71,7 +72,12 @@
 
 	mu       sync.Mutex
 	up       time.Time
-	life     int // increases when the machine restarts
+	ctx      context.Context // ends when the machine restarts
+	cancel   context.CancelFunc
+	cutOff   bool     // packets between the machine and one controller are held back
+	cutNode  int      // that controller
+	held     [][]byte // direct commands that are held back
+	life     int      // increases when the machine restarts
 	gone     bool
 	session  uint64
 	seq      uint64
@@ -100,9 +106,10 @@
 			w.cpus = t.CPUs
 		}
 	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.reset(1)
 	w.node = rand.IntN(max(1, c.site.nodes))
-	w.client = &http.Client{Timeout: reportWait, Transport: &http.Transport{}}
+	w.client = &http.Client{Transport: &http.Transport{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.workers[m.Name] = w
@@ -156,7 +163,45 @@
 	w.c.rec.add("%s restarts: it has lost all tasks, its session is 1 and its token 0", w.machine.Name)
 	w.dropTasks("the machine restarts")
 	w.life++
+	w.cancel()
+	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.reset(1)
+	if w.cutOff {
+		w.node = w.cutNode // it tries this one first
+	}
+}
+
+// interrupt holds back the packets between the machine and one controller. The controller is the one that sends
+// direct commands at present.
+func (w *worker) interrupt(node int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutOff, w.cutNode = true, node
+	w.c.rec.add("the network between %s and %s is interrupted", w.machine.Name, nodeName(node))
+}
+
+// heal ends the interruption: the direct commands that were held back are delivered, in order.
+func (w *worker) heal() {
+	w.mu.Lock()
+	held := w.held
+	w.cutOff, w.held = false, nil
+	w.mu.Unlock()
+	w.c.rec.add("the interruption is over")
+	for _, body := range held {
+		status, _ := w.serve("/do", body)
+		w.c.rec.add("%s: a command that was held back arrives: %d %s", w.machine.Name, status, body)
+	}
+}
+
+// holdsBack reports whether a direct request is held back on its way.
+func (w *worker) holdsBack(path string, body []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutOff && path == "/do" {
+		w.held = append(w.held, body)
+		w.c.rec.add("a command to %s is held back: %s", w.machine.Name, body)
+	}
+	return w.cutOff
 }
 
 // dropTasks ends all tasks. The caller holds the lock.
@@ -355,9 +400,19 @@
 func (w *worker) reportOnce() bool {
 	w.mu.Lock()
 	body, sent, life, session, node := w.body(), time.Now(), w.life, w.session, w.node
+	ctx, cut := w.ctx, w.cutOff && w.cutNode == node
 	w.changed = false
 	w.mu.Unlock()
-	status, answer, problem := w.post(node, body)
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	var status int
+	var answer []byte
+	problem := "no response"
+	if cut {
+		<-ctx.Done() // the report is held back, and so would be its answer
+	} else {
+		status, answer, problem = w.post(ctx, node, body)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if life != w.life {
@@ -402,9 +457,13 @@
 }
 
 // post sends a report. problem says why there is no answer that the worker can use.
-func (w *worker) post(node int, body []byte) (status int, answer []byte, problem string) {
+func (w *worker) post(ctx context.Context, node int, body []byte) (status int, answer []byte, problem string) {
 	url := "http://" + w.c.public[node] + "/checkin"
-	resp, err := w.client.Post(url, "application/json", bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, "no response"
+	}
+	resp, err := w.client.Do(r)
 	if err != nil {
 		return 0, nil, "no response"
 	}
@@ -434,6 +493,13 @@
 	if err != nil {
 		return // the controller has disconnected
 	}
+	if w.c.beforeCommand != nil {
+		w.c.beforeCommand(w, r.URL.Path, body)
+	}
+	if w.holdsBack(r.URL.Path, body) {
+		<-r.Context().Done() // until the controller gives up
+		panic(http.ErrAbortHandler)
+	}
 	status, answer := w.serve(r.URL.Path, body)
 	if r.URL.Path == "/do" && status == http.StatusOK && w.c.commandDone != nil {
 		w.c.commandDone(w, body)
