Review: one start for the cases 1 and 2

Cause: the two cases repeated one another, and the linter found a parameter that never varies. Change: one function, no parameter.

--- a/review/lab/held.go
+++ b/review/lab/held.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -40,24 +39,9 @@
 			}
 		}
 	}
-	if err := c.start(); err != nil {
+	if err := c.startWithQuickJobs(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
-		return nil, err
-	}
-	// Three machines and a part of a fourth get full. Seven places on them are free again after some seconds.
-	if !c.submit(batch("j-000001", "contract-batch", 93, 1, 110)) || !c.submit(batch("j-000002", "contract-batch", 7, 1, 6)) {
-		return nil, errors.New("the first jobs were not accepted")
-	}
-	for n := 0; n < 200 && c.audit.starts("j-000002/6") == 0; n++ {
-		time.Sleep(100 * time.Millisecond)
-	}
-	for n := range quickChecks {
-		if !c.submit(batch(fmt.Sprintf("j-%06d", 10+n), "dawn-checks", 1, 1, 40)) {
-			return nil, errors.New("a quick job was not accepted")
-		}
-	}
 	time.Sleep(time.Second)
 	mu.Lock()
 	w, at := cut, cutAt
--- a/review/lab/large.go
+++ b/review/lab/large.go
@@ -33,7 +33,7 @@
 	if err := c.start(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.awaitServing(); err != nil {
 		return nil, err
 	}
 	if !c.submit(batch("j-000001", "contract-batch", 1, 1, 2)) {
--- a/review/lab/rewritten.go
+++ b/review/lab/rewritten.go
@@ -48,7 +48,7 @@
 	if err := c.start(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.awaitServing(); err != nil {
 		return nil, err
 	}
 	if !c.submit(batch("j-000001", "repayment-recon", 20, 1, 5)) {
--- a/review/lab/tiny.go
+++ b/review/lab/tiny.go
@@ -27,7 +27,7 @@
 	if err := c.start(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.awaitServing(); err != nil {
 		return nil, err
 	}
 	j := batch("j-000001", "repayment-recon", tinyTasks, 0.5, 20)
--- a/review/lab/twice.go
+++ b/review/lab/twice.go
@@ -47,24 +47,9 @@
 			time.AfterFunc(restartAfter, w.restart)
 		}
 	}
-	if err := c.start(); err != nil {
-		return nil, err
-	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.startWithQuickJobs(); err != nil {
 		return nil, err
 	}
-	// Three machines and a part of a fourth get full. Seven places on them are free again after some seconds.
-	if !c.submit(batch("j-000001", "contract-batch", 93, 1, 100)) || !c.submit(batch("j-000002", "contract-batch", 7, 1, 6)) {
-		return nil, errors.New("the first jobs were not accepted")
-	}
-	for n := 0; n < 200 && c.audit.starts("j-000002/6") == 0; n++ {
-		time.Sleep(100 * time.Millisecond)
-	}
-	for n := range quickChecks {
-		if !c.submit(batch(fmt.Sprintf("j-%06d", 10+n), "dawn-checks", 1, 1, 40)) {
-			return nil, errors.New("a quick job was not accepted")
-		}
-	}
 	time.Sleep(time.Second)
 	mu.Lock()
 	done := first
@@ -82,6 +67,29 @@
 	return c.audit.violations(), nil
 }
 
+// startWithQuickJobs starts the deployment, and submits quick jobs when most machines are full and one has just booted.
+func (c *cluster) startWithQuickJobs() error {
+	if err := c.start(); err != nil {
+		return err
+	}
+	if err := c.awaitServing(); err != nil {
+		return err
+	}
+	// Three machines and a part of a fourth get full. Seven places on them are free again after some seconds.
+	if !c.submit(batch("j-000001", "contract-batch", 93, 1, 110)) || !c.submit(batch("j-000002", "contract-batch", 7, 1, 6)) {
+		return errors.New("the first jobs were not accepted")
+	}
+	for n := 0; n < 200 && c.audit.starts("j-000002/6") == 0; n++ {
+		time.Sleep(100 * time.Millisecond)
+	}
+	for n := range quickChecks {
+		if !c.submit(batch(fmt.Sprintf("j-%06d", 10+n), "dawn-checks", 1, 1, 40)) {
+			return errors.New("a quick job was not accepted")
+		}
+	}
+	return nil
+}
+
 // batch returns an array of tasks.
 func batch(id, class string, tasks int, cpus, run float64) *job {
 	team := "haskovo-leasing"
--- a/review/lab/unknown.go
+++ b/review/lab/unknown.go
@@ -22,7 +22,7 @@
 	if err := c.start(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.awaitServing(); err != nil {
 		return nil, err
 	}
 	j := batch("j-000001", "fraud-screen", 2, 1, 5)
--- a/review/lab/users.go
+++ b/review/lab/users.go
@@ -116,7 +116,8 @@
 }
 
 // awaitServing waits until a controller answers questions about jobs.
-func (c *cluster) awaitServing(limit time.Duration) error {
+func (c *cluster) awaitServing() error {
+	const limit = 20 * time.Second
 	end := time.Now().Add(limit)
 	for n := 0; time.Now().Before(end); n++ {
 		if status, _ := c.poll(n%len(c.public), "j-999999"); status == http.StatusNotFound {
--- a/review/lab/vast.go
+++ b/review/lab/vast.go
@@ -56,7 +56,7 @@
 	if err := c.start(); err != nil {
 		return nil, err
 	}
-	if err := c.awaitServing(20 * time.Second); err != nil {
+	if err := c.awaitServing(); err != nil {
 		return nil, err
 	}
 	if !c.submit(batch("j-000001", "contract-batch", tasks, 0.25, 30)) {
