--- a/review/lab/audit.go
+++ b/review/lab/audit.go
@@ -68,6 +68,19 @@
 	return a.startsOf[task]
 }
 
+// startsOfJob returns how many tasks of a job have begun.
+func (a *audit) startsOfJob(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for task := range a.startsOf {
+		if strings.HasPrefix(task, id+"/") {
+			n++
+		}
+	}
+	return n
+}
+
 // allStarts returns how often any task has begun.
 func (a *audit) allStarts() int {
 	a.mu.Lock()
