Log which report proved a task gone, and the token of its direct start

Change: the debug line "task requeued" names the session, the number and the token of the report, and the token of the start if that was sent directly. The event carries it (Event.StartToken).

--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -46,6 +46,7 @@
 	RunTime    time.Duration // how long it ran; negative if not known
 	WasRunning bool          // it was running when it was last reported
 	WorkerLost bool          // EventGone only: its worker's session or machine ended, or may have ended
+	StartToken uint64        // EventGone only: the token of its direct start; 0: it was not started directly
 
 	Placement *Placement // set for EventAdopted, EventPlaced and EventOfferClosed
 }
@@ -187,8 +188,8 @@
 			u.awaitHigherToken(t)
 		}
 	case reconcile.ReleaseAndReap:
-		delete(u.machine.directStarts, t.key())
 		u.release(t.placed, t.Reason, false)
+		delete(u.machine.directStarts, t.key())
 		u.command(Reap, t)
 	case reconcile.Reap:
 		delete(u.machine.directStarts, t.key())
@@ -308,10 +309,10 @@
 		quarantined := m.Quarantined && m.unconfirmedDirectStart(p)
 		diff := u.tally.Count(reconcile.Absent(quarantined, mayArrive || quarantined, u.current))
 		if diff.Resolution() == reconcile.Release {
-			delete(m.directStarts, attemptKey{p.Ref, p.Attempt})
 			// A suspect machine may have been restarted, and its session and report numbers may already be
 			// above the last ones that the leader received.
 			u.release(p, Vanished, u.wasSuspect)
+			delete(m.directStarts, attemptKey{p.Ref, p.Attempt})
 		}
 	}
 }
@@ -333,6 +334,10 @@
 	if p.IsRunning() {
 		runTime = u.now - p.RunningSince
 	}
+	startToken := uint64(0)
+	if s := u.machine.directStartOf(p); s != nil {
+		startToken = s.token
+	}
 	u.events = append(u.events, Event{
 		Kind:       EventGone,
 		Ref:        p.Ref,
@@ -342,6 +347,7 @@
 		RunTime:    runTime,
 		WasRunning: p.IsRunning(),
 		WorkerLost: workerLost,
+		StartToken: startToken,
 	})
 	u.machine.RemovePlacement(p.Ref)
 }
--- a/internal/leader/registry/task_events.go
+++ b/internal/leader/registry/task_events.go
@@ -186,8 +186,7 @@
 	}
 	if j.Phase == jobs.Open && e.Reason != workers.Stopped {
 		c.Counts.TasksRerun++
-		c.LogMessage(effects.Debug, "task requeued", "job", e.JobID, "task", task,
-			"machine", m.Name, "why", e.Reason.String())
+		c.logRequeued(m, e)
 	}
 	c.Publish(cluster.Event{Kind: cluster.TaskGone, At: now, Job: j, Task: task, Machine: m, WorkerDied: e.WorkerLost})
 	c.ReleasePlacement(e.Ref)
@@ -205,6 +204,19 @@
 	}
 }
 
+// logRequeued logs which report proved a task gone, and the token of its start if that was sent
+// directly: a worker that has seen no higher token than that may still carry the start out.
+func (c *Component) logRequeued(m *workers.Machine, e workers.Event) {
+	fields := []any{
+		"job", e.JobID, "task", e.Ref.Task, "machine", m.Name, "why", e.Reason.String(),
+		"session", m.Session, "report", m.Seq, "token", m.HighestTokenSeen(),
+	}
+	if e.StartToken != 0 {
+		fields = append(fields, "start_token", e.StartToken)
+	}
+	c.LogMessage(effects.Debug, "task requeued", fields...)
+}
+
 // failsGang reports whether the loss of a task for this reason fails its gang's attempt even if
 // the gang had not begun.
 func failsGang(why workers.Reason) bool {
