--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -305,7 +305,10 @@
 			continue
 		}
 		// The task was sent with an earlier answer, and this report does not list it.
-		mayArrive := !p.Reported && m.mayStartLate(p.Ref, p.Attempt, r.Token)
+		mayArrive := m.mayStartLate(p.Ref, p.Attempt, r.Token)
+		if mayArrive && p.Reported {
+			m.suspect(r.Token) // only a restarted worker can lack a task that was there and was not reaped
+		}
 		quarantined := m.Quarantined && m.unconfirmedDirectStart(p)
 		diff := u.tally.Count(reconcile.Absent(quarantined, mayArrive || quarantined, u.current))
 		if diff.Resolution() == reconcile.Release {
--- a/internal/core/workers/tokens.go
+++ b/internal/core/workers/tokens.go
@@ -51,6 +51,15 @@
 	m.SuspectBelow, m.tokenUrgency = max(m.SuspectBelow, token), TokenNow
 }
 
+// CheckRestart is called for a report that is older than one that was applied. A worker that has no token
+// although the machine has reported one has restarted, unless the report is a copy of the machine's first one.
+// The machine becomes suspect, so that the worker gets a token that no earlier incarnation had.
+func (m *Machine) CheckRestart(r *Report) {
+	if r.Token == 0 && m.highestTokenSeen > 0 && m.SuspectBelow == 0 {
+		m.suspect(m.Token)
+	}
+}
+
 // CheckStale is called for a report that is older than one that was applied. The machine becomes suspect,
 // as it may have been restarted, if no newer report has arrived for longer than maxSilence, the longest time
 // that a running worker may go without one.
--- a/internal/leader/registry/heartbeat.go
+++ b/internal/leader/registry/heartbeat.go
@@ -49,7 +49,7 @@
 	difference := c.Reconciled.Count(c.reconcileReport(m, report))
 	switch difference.Resolution() {
 	case reconcile.Ignore:
-		c.replyWithoutApplying(now, leaseValid, request, m)
+		c.replyWithoutApplying(now, leaseValid, request, m, report)
 		return
 	case reconcile.Register:
 		if m = c.AddMachine(now, machineEntry(report)); m == nil {
@@ -109,10 +109,11 @@
 // replyWithoutApplying answers a heartbeat whose report is ignored: the report is late, or its
 // machine is deleted or of an unknown type. m is nil if the machine is not in the inventory.
 func (c *Component) replyWithoutApplying(
-	now time.Duration, leaseValid bool, request effects.RequestID, m *workers.Machine,
+	now time.Duration, leaseValid bool, request effects.RequestID, m *workers.Machine, report *workers.Report,
 ) {
 	answer := effects.HeartbeatAnswer{Status: statusOK, Token: c.Token}
 	if m != nil {
+		m.CheckRestart(report)
 		m.CheckStale(now, settings.Seconds(staleIntervals*c.Cfg.Deployment.Workers.ReportS))
 		if leaseValid && m.TakeTokenRequest(now) {
 			m.Token = c.NextToken()
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -81,11 +81,12 @@
 
 	startTimeOfDay time.Duration // time of day at simulated time 0
 
-	redirects        []time.Duration        // when machines switched to another controller
-	directDispatches int                    // number of start commands sent directly to workers
-	runEnds          map[task]time.Duration // when the latest run of a task is due to complete
-	coverage         map[string]int         // how often each effect of a fault occurred, by description
-	loadStats        *loadStats             // nil except in runs that measure scale
+	redirects        []time.Duration             // when machines switched to another controller
+	directDispatches int                         // number of start commands sent directly to workers
+	holdDispatch     func(effects.Dispatch) bool // if set, returns whether a start command is held back; it then has no answer
+	runEnds          map[task]time.Duration      // when the latest run of a task is due to complete
+	coverage         map[string]int              // how often each effect of a fault occurred, by description
+	loadStats        *loadStats                  // nil except in runs that measure scale
 
 	configs      configTracker
 	poolUnits    map[string]int      // most units that may be in use, by pool
@@ -536,6 +537,7 @@
 		epoch := c.core.Epoch()
 		if target := s.cloud.machines[e.Address]; target != nil {
 			s.directDispatches++
+			held := s.holdDispatch != nil && s.holdDispatch(e)
 			targetIncarnation := target.incarnation
 			recordArrival := func() {
 				if target.incarnation != targetIncarnation && target.up && !target.hung && e.Session == target.session && e.Token >= target.token {
@@ -544,6 +546,9 @@
 			}
 			s.maybeDuplicate(func() { target.handleDirect(e.Token, e.Session, e.Starts, func(*workers.Report) {}) })
 			call(s, c.name, target.name, time.Second, func(reply func(*workers.Report)) {
+				if held {
+					return
+				}
 				recordArrival()
 				target.handleDirect(e.Token, e.Session, e.Starts, reply)
 			}, func(report *workers.Report, _ bool) {
