Record which task is sent directly to which machine, so that the next leader binds it too

Cause: grants and marks tell a successor which machines may have tasks of a job and which tasks were handed out, not which task was sent where. After all machines had reported at its token, it started the task elsewhere, and a later incarnation carried out its predecessor's start.

Change: an entry of the component `direct` records a task's machine before it is sent, in the commit of the grant where that is new; it is withdrawn if the task was not sent, rewritten by compaction while the job and the machine exist. The next leader binds each unfinished task to that machine (State.BindToMachine). A bound task keeps its room; its restart asks for its job's zone rule and units. A report of a task that an earlier term started confirms its start, so that cancelling it deletes no machine.

--- a/internal/core/jobs/zones.go
+++ b/internal/core/jobs/zones.go
@@ -19,6 +19,19 @@
 	return !j.Record.Spread || j.PlacedByZone[zone] < j.MaxTasksPerZone()
 }
 
+// ZoneAllowsPlaced reports whether the job's zone rules allow the tasks that are placed in a zone to start
+// there, given the zones of its other placed tasks.
+func (j *Job) ZoneAllowsPlaced(zone int32) bool {
+	if j.Record.OneZone {
+		for other, placed := range j.PlacedByZone {
+			if placed > 0 && other != zone {
+				return false
+			}
+		}
+	}
+	return !j.Record.Spread || j.PlacedByZone[zone] <= j.MaxTasksPerZone()
+}
+
 // CountInZone adds change (1 or -1) to the number of placed tasks in a zone, if the job has a zone rule.
 func (j *Job) CountInZone(zone int32, change int) {
 	if !j.HasZoneRule() {
--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -265,6 +265,9 @@
 		State:   Fetching,
 	}
 	u.machine.addPlacement(t.placed)
+	if s := u.machine.directStarts[t.record.Ref][unknownAttempt]; s != nil {
+		s.confirmed = true
+	}
 	event := t.event(EventAdopted)
 	event.Placement = t.placed
 	u.events = append(u.events, event)
--- a/internal/core/workers/direct_start.go
+++ b/internal/core/workers/direct_start.go
@@ -8,6 +8,9 @@
 	confirmed bool   // the worker has acknowledged it, or a report has listed its task
 }
 
+// unknownAttempt stands for the attempt of a start that an earlier term may have sent.
+const unknownAttempt = 0
+
 // MayStartLate reports whether a start of a task may still be carried out on the machine, or carried out once
 // more, although the task is not there: one was sent directly. Only the machine's deletion rules that out. A
 // higher token or a later session does so for the worker that reports it, but a later incarnation of the
@@ -26,6 +29,22 @@
 	return false
 }
 
+// RestoreDirectStart records that an earlier term may have sent a start of a task directly.
+func (m *Machine) RestoreDirectStart(ref TaskRef) {
+	m.startsOf(ref)[unknownAttempt] = &directStart{}
+}
+
+// startsOf returns the direct starts of a task, to which the caller may add.
+func (m *Machine) startsOf(ref TaskRef) map[uint64]*directStart {
+	if m.directStarts == nil {
+		m.directStarts = map[TaskRef]map[uint64]*directStart{}
+	}
+	if m.directStarts[ref] == nil {
+		m.directStarts[ref] = map[uint64]*directStart{}
+	}
+	return m.directStarts[ref]
+}
+
 // ForgetDirectStarts drops the direct starts of a job that is over, given by its index.
 func (m *Machine) ForgetDirectStarts(job int32) {
 	for ref := range m.directStarts {
@@ -45,13 +64,7 @@
 func (m *Machine) Dispatch(p *Placement) {
 	m.placePlanned(p)
 	p.lastReportSeq = m.Seq
-	if m.directStarts == nil {
-		m.directStarts = map[TaskRef]map[uint64]*directStart{}
-	}
-	if m.directStarts[p.Ref] == nil {
-		m.directStarts[p.Ref] = map[uint64]*directStart{}
-	}
-	m.directStarts[p.Ref][p.Attempt] = &directStart{token: m.Token}
+	m.startsOf(p.Ref)[p.Attempt] = &directStart{token: m.Token}
 }
 
 // ApplyDispatchResult applies the worker's answer to direct starts that were sent with the given token. r is the
--- a/internal/core/workers/placement.go
+++ b/internal/core/workers/placement.go
@@ -39,9 +39,9 @@
 	Withdrawn          bool              // the plan is withdrawn once all its offers are closed
 	PushDispatch       bool              // to be started directly, without waiting for an idle worker's report
 
-	// AwaitsRoomSince is set while the task may start again only on its machine and does not fit there: since
-	// when. 0: it fits, or its job may not start tasks.
-	AwaitsRoomSince time.Duration
+	// AwaitsMachineSince is set while the task may start again only on its machine, and cannot be planned there
+	// although its job may start tasks: since when.
+	AwaitsMachineSince time.Duration
 
 	// State as reported.
 	State         TaskState
@@ -73,9 +73,22 @@
 // addPlacement adds a placement and subtracts its resources from the free ones.
 func (m *Machine) addPlacement(p *Placement) {
 	m.Tasks[p.Ref] = p
-	m.Free = m.Free.Minus(p.Need)
-	if p.Need.GPU == 0 {
-		m.UsedWithoutGPU = m.UsedWithoutGPU.Plus(p.Need)
+	m.KeepRoom(p.Need)
+}
+
+// KeepRoom subtracts resources from the free ones.
+func (m *Machine) KeepRoom(need resources.Amounts) {
+	m.Free = m.Free.Minus(need)
+	if need.GPU == 0 {
+		m.UsedWithoutGPU = m.UsedWithoutGPU.Plus(need)
+	}
+}
+
+// ReturnRoom reverses KeepRoom.
+func (m *Machine) ReturnRoom(need resources.Amounts) {
+	m.Free = m.Free.Plus(need)
+	if need.GPU == 0 {
+		m.UsedWithoutGPU = m.UsedWithoutGPU.Minus(need)
 	}
 }
 
@@ -101,10 +114,7 @@
 // RemovePlacement removes a task's placement, if the machine has one, and frees its resources.
 func (m *Machine) RemovePlacement(ref TaskRef) {
 	if p := m.Tasks[ref]; p != nil {
-		m.Free = m.Free.Plus(p.Need)
-		if p.Need.GPU == 0 {
-			m.UsedWithoutGPU = m.UsedWithoutGPU.Minus(p.Need)
-		}
+		m.ReturnRoom(p.Need)
 		delete(m.Tasks, ref)
 	}
 }
--- a/internal/leader/cluster/plans.go
+++ b/internal/leader/cluster/plans.go
@@ -41,7 +41,7 @@
 		return
 	}
 	delete(s.Placements, ref)
-	delete(s.AwaitingRestart, ref)
+	s.EndAwaitingRestart(ref)
 	j := s.Jobs.ByIndex(ref.Job)
 	j.CountInZone(p.Machine.Zone, -1)
 	s.Scheduler.Refund(j.Team, j.Need)
--- a/internal/leader/cluster/restarts.go
+++ b/internal/leader/cluster/restarts.go
@@ -11,7 +11,8 @@
 // ReleaseOrRestart lets a task that is not on its machine start again. If a start of it was sent there
 // directly, a later incarnation of the worker may still carry that out (see Machine.MayStartLate). The task then
 // awaits its restart on the same machine, or the answered deletion of the machine. Until then it counts as
-// placed, with its team, its zone and its units, and its job is not quiescent. Any other task is released.
+// placed, with its room there, its team, its zone and its units, and its job is not quiescent. Any other task is
+// released.
 //
 // sameAttempt is true if the attempt may not have arrived, and false if it has ended.
 func (s *State) ReleaseOrRestart(p *workers.Placement, sameAttempt bool) {
@@ -20,11 +21,40 @@
 		return
 	}
 	p.PrepareRestart(sameAttempt)
-	s.AwaitingRestart[p.Ref] = p
+	s.awaitRestart(p)
 	s.Estimator.TaskLost(p.Ref.Job, int(p.Ref.Task))
 	s.NeedsCycle = true
 }
 
+// BindToMachine records that a waiting task of an earlier term may start only on this machine: the task
+// awaits its restart there, unless a report shows where it is.
+func (s *State) BindToMachine(j *jobs.Job, task int, m *workers.Machine) {
+	ref := workers.TaskRef{Job: j.Index, Task: int32(task)}
+	p := &workers.Placement{Ref: ref, JobID: j.Record.ID, Image: j.Image, Need: j.Need, Machine: m}
+	p.PrepareRestart(false)
+	j.Place(task)
+	j.CountInZone(m.Zone, 1)
+	s.Scheduler.Charge(j.Team, j.Need)
+	s.Placements[ref] = p
+	s.awaitRestart(p)
+}
+
+// awaitRestart keeps the room of a task that awaits its restart.
+func (s *State) awaitRestart(p *workers.Placement) {
+	if s.AwaitingRestart[p.Ref] == nil {
+		s.AwaitingRestart[p.Ref] = p
+		p.Machine.KeepRoom(p.Need)
+	}
+}
+
+// EndAwaitingRestart reverses awaitRestart. It does nothing if the task does not await its restart.
+func (s *State) EndAwaitingRestart(ref workers.TaskRef) {
+	if p := s.AwaitingRestart[ref]; p != nil {
+		delete(s.AwaitingRestart, ref)
+		p.Machine.ReturnRoom(p.Need)
+	}
+}
+
 // mustRestartHere reports whether a task may start again only on its machine. A job that is being cancelled
 // waits only for starts that nothing has shown to have arrived: to rule out repeats of the others as well, each
 // machine that has had a task of a cancelled job would have to be deleted.
--- a/internal/leader/dispatch/dispatch.go
+++ b/internal/leader/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	cluster.NopComponent
 	*cluster.State
 	callsInFlight int
+	records       records
 	sentTo        map[int32]map[*workers.Machine]bool // by job index, machines to which its tasks were dispatched
 
 	// Totals of the term, for the view and metrics.
@@ -46,7 +47,7 @@
 
 // New returns the component of a term.
 func New(s *cluster.State) *Component {
-	return &Component{State: s, sentTo: map[int32]map[*workers.Machine]bool{}, startSeconds: s.Metrics.Histogram("bitternmoor_start_seconds",
+	return &Component{State: s, records: newRecords(), sentTo: map[int32]map[*workers.Machine]bool{}, startSeconds: s.Metrics.Histogram("bitternmoor_start_seconds",
 		"Time from a job's acceptance or release until one of its tasks was seen running, by class and way of starting.",
 		"start", startSecondsBuckets)}
 }
@@ -59,6 +60,7 @@
 			m.ForgetDirectStarts(e.Job.Index)
 		}
 		delete(c.sentTo, e.Job.Index)
+		c.records.forgetJob(e.Job.Index)
 	case cluster.TaskBegan:
 		c.measureStart(e)
 	}
@@ -85,7 +87,7 @@
 	})
 }
 
-// AfterCycle dispatches tasks whose grant and intent are durable (see package placement) to
+// AfterCycle dispatches tasks whose grant, intent (see package placement) and record are durable to
 // machines with nothing else in flight, with at most one command to each.
 func (c *Component) AfterCycle(now time.Duration, leaseValid bool) {
 	if !leaseValid || len(c.DispatchQueue) == 0 {
@@ -97,6 +99,7 @@
 		m := p.Machine
 		switch {
 		case !p.Planned || c.Placements[p.Ref] != p: // it was started by an offer, or its plan was cancelled
+			c.records.withdraw(p.Ref)
 		case dispatched[m] || !c.hasCallBudget() || !c.isDispatchable(now, m):
 			kept = append(kept, p)
 		default:
@@ -128,7 +131,7 @@
 func (c *Component) dispatchTo(now time.Duration, m *workers.Machine) {
 	var starts []workers.Command
 	for _, p := range m.PlannedHere() {
-		if !mayDispatch(m, p) {
+		if !c.mayDispatch(m, p) {
 			continue
 		}
 		if p.Attempt == 0 {
@@ -165,12 +168,13 @@
 }
 
 // mayDispatch reports whether a planned task may be sent straight to its machine: it is marked
-// for a direct start, it is neither withdrawn nor on offer, and its grant and intent are durable.
-func mayDispatch(m *workers.Machine, p *workers.Placement) bool {
+// for a direct start, it is neither withdrawn nor on offer, and its grant, its intent and the record that
+// it may be sent to this machine are durable.
+func (c *Component) mayDispatch(m *workers.Machine, p *workers.Placement) bool {
 	if p.NoNewOffers || p.Withdrawn || len(p.Offered) > 0 {
 		return false
 	}
-	return p.PushDispatch && m.Grants[p.JobID] && p.IntentDurable
+	return p.PushDispatch && m.Grants[p.JobID] && p.IntentDurable && c.records.names(p.Ref, m)
 }
 
 // Dispatched applies the report with which a worker answered dispatched starts; report is nil if
--- /dev/null
+++ b/internal/leader/dispatch/records.go
@@ -0,0 +1,256 @@
+package dispatch
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"bitternmoor/internal/core/eventlog"
+	"bitternmoor/internal/core/jobs"
+	"bitternmoor/internal/core/workers"
+	"bitternmoor/internal/effects"
+)
+
+// Which task is sent to which machine is recorded durably before it is sent. A later incarnation of that
+// machine's worker may carry the start out in any later term, so the next leader too must start the
+// task on no other machine. A record stays until its job is over or its machine is deleted. It is
+// withdrawn if the task was not sent after all; where that is not durable, the next leader takes the
+// record as it is.
+
+const (
+	maxRangeBytes      = 64 // upper bound for the bytes of a range in an entry
+	usualBytesPerStart = 8  // usual number of bytes of a recorded task
+)
+
+// recordEntry is one of the component's own entries.
+type recordEntry struct {
+	Ranges []taskRange `json:"r"`
+}
+
+// taskRange names a machine to which tasks [From, To) of a job may be sent, or withdraws their records.
+type taskRange struct {
+	Job     uint64 `json:"j"`
+	Machine int    `json:"m"` // number of the machine; noMachine: the records are withdrawn
+	From    int    `json:"f"`
+	To      int    `json:"t"`
+}
+
+// noMachine is the number of no machine.
+const noMachine = 0
+
+// record is the latest record of a task. It is replaced, not changed, when the task is recorded again.
+type record struct {
+	machine *workers.Machine // nil: the record is withdrawn
+	durable bool
+}
+
+// number returns the number of the record's machine, or noMachine.
+func (r *record) number() int {
+	if r == nil || r.machine == nil {
+		return noMachine
+	}
+	return r.machine.Number
+}
+
+// records holds the records of a term.
+type records struct {
+	byTask   map[workers.TaskRef]*record
+	unsent   []workers.TaskRef           // tasks whose records are to be withdrawn
+	inFlight [][]*record                 // records of each entry in flight to the log, in order
+	replayed map[uint64]map[int]int      // machine numbers by job id and task, while the log is replayed
+	numbers  map[int]*workers.Machine    // machines by number, while the log is compacted
+	ofJob    map[int32][]workers.TaskRef // recorded tasks, by job index; a task may be listed twice
+}
+
+func newRecords() records {
+	return records{
+		byTask:   map[workers.TaskRef]*record{},
+		replayed: map[uint64]map[int]int{},
+		ofJob:    map[int32][]workers.TaskRef{},
+	}
+}
+
+// set replaces a task's record.
+func (r *records) set(ref workers.TaskRef, machine *workers.Machine, durable bool) {
+	if _, known := r.byTask[ref]; !known {
+		r.ofJob[ref.Job] = append(r.ofJob[ref.Job], ref)
+	}
+	r.byTask[ref] = &record{machine: machine, durable: durable}
+}
+
+// names reports whether a durable record names a machine for a task.
+func (r *records) names(ref workers.TaskRef, m *workers.Machine) bool {
+	known, ok := r.byTask[ref]
+	return ok && known.durable && known.machine == m
+}
+
+// withdraw withdraws the record of a task that was not sent to the machine that it names.
+func (r *records) withdraw(ref workers.TaskRef) {
+	known, ok := r.byTask[ref]
+	if ok && known.machine != nil && !known.machine.MayStartLate(ref) {
+		r.byTask[ref] = &record{}
+		r.unsent = append(r.unsent, ref)
+	}
+}
+
+// takeUnsent returns the tasks whose records are to be withdrawn and have not been replaced since.
+func (r *records) takeUnsent() []workers.TaskRef {
+	unsent := slices.DeleteFunc(r.unsent, func(ref workers.TaskRef) bool {
+		known, ok := r.byTask[ref]
+		return !ok || known.machine != nil
+	})
+	r.unsent = nil
+	return unsent
+}
+
+// current returns the current records of tasks.
+func (r *records) current(refs []workers.TaskRef) []*record {
+	list := make([]*record, 0, len(refs))
+	for _, ref := range refs {
+		list = append(list, r.byTask[ref])
+	}
+	return list
+}
+
+// forgetJob drops the records of a job that was removed, given by its index.
+func (r *records) forgetJob(job int32) {
+	for _, ref := range r.ofJob[job] {
+		delete(r.byTask, ref)
+	}
+	delete(r.ofJob, job)
+}
+
+// Replay reads the records of earlier terms.
+func (c *Component) Replay(_ time.Duration, e eventlog.Entry) {
+	if e.Component == nil {
+		return
+	}
+	var entry recordEntry
+	if err := json.Unmarshal(e.Component.Data, &entry); err != nil {
+		c.LogMessage(effects.Error, "unreadable record of direct starts skipped", "error", err)
+		return
+	}
+	for _, r := range entry.Ranges {
+		if c.records.replayed[r.Job] == nil {
+			c.records.replayed[r.Job] = map[int]int{}
+		}
+		for task := r.From; task < r.To; task++ {
+			c.records.replayed[r.Job][task] = r.Machine
+		}
+	}
+}
+
+// Begin binds the unfinished tasks that earlier terms may have sent to machines that still exist.
+func (c *Component) Begin(time.Duration) {
+	machines := c.machinesByNumber()
+	for id, tasks := range c.records.replayed {
+		job := c.Jobs.ByID(id)
+		if job == nil {
+			continue
+		}
+		for task, number := range tasks {
+			m := machines[number]
+			if m != nil && number != noMachine && task < len(job.Tasks) && job.Tasks[task] == jobs.Waiting {
+				ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
+				c.records.set(ref, m, true)
+				c.rememberMachine(job.Index, m)
+				m.RestoreDirectStart(ref)
+				c.BindToMachine(job, task, m)
+			}
+		}
+	}
+	c.records.replayed = nil
+}
+
+func (c *Component) machinesByNumber() map[int]*workers.Machine {
+	machines := map[int]*workers.Machine{}
+	for _, m := range c.Inventory.All() {
+		machines[m.Number] = m
+	}
+	return machines
+}
+
+// AppendEntries records the planned tasks that are to be sent to their machines, and withdraws the records of
+// those that were not sent.
+func (c *Component) AppendEntries(time.Duration) {
+	refs := c.records.takeUnsent()
+	for _, p := range c.DispatchQueue {
+		known, recorded := c.records.byTask[p.Ref]
+		if !p.Planned || c.Placements[p.Ref] != p || p.Machine.Number == noMachine || (recorded && known.machine == p.Machine) {
+			continue
+		}
+		c.records.set(p.Ref, p.Machine, false)
+		refs = append(refs, p.Ref)
+	}
+	c.appendRecords(refs)
+}
+
+// appendRecords appends the current records of tasks to the log, in parts that fit into an entry.
+func (c *Component) appendRecords(refs []workers.TaskRef) {
+	slices.SortFunc(refs, func(a, b workers.TaskRef) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+	})
+	tasksPerEntry := max(1, (c.EventLog.MaxEntryBytes()-eventlog.EntryOverheadBytes)/maxRangeBytes)
+	for part := range slices.Chunk(refs, tasksPerEntry) {
+		entry := eventlog.NewComponentEntry(Name, recordEntry{Ranges: c.rangesOf(part)})
+		c.records.inFlight = append(c.records.inFlight, c.records.current(part))
+		c.EventLog.AppendTracked(entry)
+	}
+}
+
+// rangesOf returns the current records of tasks, which must be sorted.
+func (c *Component) rangesOf(refs []workers.TaskRef) []taskRange {
+	var ranges []taskRange
+	for _, ref := range refs {
+		id, machine, task := c.Jobs.ByIndex(ref.Job).Record.ID, c.records.byTask[ref].number(), int(ref.Task)
+		if n := len(ranges) - 1; n >= 0 && ranges[n].Job == id && ranges[n].Machine == machine && ranges[n].To == task {
+			ranges[n].To++
+			continue
+		}
+		ranges = append(ranges, taskRange{Job: id, Machine: machine, From: task, To: task + 1})
+	}
+	return ranges
+}
+
+// EntryDurable allows the tasks of the first entry in flight, which is now durable, to be sent.
+func (c *Component) EntryDurable(_ time.Duration, _ bool, e eventlog.Entry) {
+	if e.Component == nil {
+		return
+	}
+	for _, r := range c.records.inFlight[0] {
+		r.durable = true
+	}
+	c.records.inFlight = c.records.inFlight[1:]
+}
+
+// LiveBytes estimates how many bytes Compact would write for the whole log.
+func (c *Component) LiveBytes() int { return len(c.records.byTask) * usualBytesPerStart }
+
+// Compact rewrites the records of an entry that are still needed.
+func (c *Component) Compact(_ time.Duration, e eventlog.Entry) {
+	var entry recordEntry
+	if e.Component == nil || json.Unmarshal(e.Component.Data, &entry) != nil {
+		return
+	}
+	if c.records.numbers == nil {
+		c.records.numbers = c.machinesByNumber()
+	}
+	var live []workers.TaskRef
+	for _, r := range entry.Ranges {
+		job := c.Jobs.ByID(r.Job)
+		if job == nil || r.Machine == noMachine || c.records.numbers[r.Machine] == nil {
+			continue
+		}
+		for task := r.From; task < min(r.To, len(job.Tasks)); task++ {
+			ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
+			if c.records.byTask[ref].number() == r.Machine && job.Tasks[task] != jobs.FinishedDurably {
+				live = append(live, ref)
+			}
+		}
+	}
+	c.appendRecords(live)
+}
+
+// CompactionDone drops the state of the compaction.
+func (c *Component) CompactionDone() { c.records.numbers = nil }
--- a/internal/leader/placement/restarts.go
+++ b/internal/leader/placement/restarts.go
@@ -10,22 +10,24 @@
 	"bitternmoor/internal/settings"
 )
 
-// planRestarts plans the tasks that may start again only on their machine (State.ReleaseOrRestart). They
-// come before all others, since their room was just theirs, and are started with the answer to a heartbeat. A
-// machine that has had no room for one for the length of a lease is drained: its deletion lets the
-// task start elsewhere.
+// planRestarts plans the tasks that may start again only on their machine (State.ReleaseOrRestart). Their room
+// there is kept, and they are started with the answer to a heartbeat. A machine on which one cannot be planned
+// for the length of a lease is drained: its deletion lets the task start elsewhere.
 func (c *Component) planRestarts(snap *scheduler.Snapshot) {
+	if snap.Pools != nil && len(c.AwaitingRestart) > 0 {
+		snap.Pools.BeginCycle(snap.Now, nil) // counts the units in use
+	}
 	patience := settings.Seconds(c.Cfg.Deployment.Workers.LeaseS)
 	for _, p := range c.Restarts() {
 		job := c.Jobs.ByIndex(p.Ref.Job)
 		switch {
-		case !c.mayRestart(snap, job):
-			p.AwaitsRoomSince = 0
-		case c.fitsAgain(snap, job, p):
+		case !c.mayRestart(snap, job) || !unitsAllowRestart(snap, job):
+			p.AwaitsMachineSince = 0
+		case c.machineAccepts(snap, job, p):
 			c.planRestart(snap.Now, job, p)
-		case p.AwaitsRoomSince == 0:
-			p.AwaitsRoomSince = snap.Now
-		case snap.Now-p.AwaitsRoomSince > patience:
+		case p.AwaitsMachineSince == 0:
+			p.AwaitsMachineSince = snap.Now
+		case snap.Now-p.AwaitsMachineSince > patience:
 			p.Machine.Draining = true
 		}
 	}
@@ -40,16 +42,26 @@
 		c.Scheduler.TeamMayUse(job.Team, resources.Amounts{}, snap.UnresolvedUseOf(job.Team))
 }
 
-// fitsAgain reports whether a task can be planned again on its machine now.
-func (c *Component) fitsAgain(snap *scheduler.Snapshot, job *jobs.Job, p *workers.Placement) bool {
+// unitsAllowRestart reports whether the counted units that a job has in use allow its tasks to start again. They
+// include those of the tasks that are to start again, and those that are held for lost ones.
+func unitsAllowRestart(snap *scheduler.Snapshot, job *jobs.Job) bool {
+	return len(job.Record.Counted) == 0 || (snap.Pools != nil && snap.Pools.AllowsStart(job, 0))
+}
+
+// machineAccepts reports whether a task can be planned again on its machine now.
+func (c *Component) machineAccepts(snap *scheduler.Snapshot, job *jobs.Job, p *workers.Placement) bool {
 	paced := snap.MayStart != nil && job.Record.Kind == jobs.Array && !snap.MayStart(job, p.Machine)
-	return !paced && p.Need.Fits(p.Machine.Free) && p.Machine.AcceptsPlans(snap.Now, snap.SuspectAfter)
+	var none resources.Amounts
+	return !paced &&
+		none.Fits(p.Machine.Free) &&
+		job.ZoneAllowsPlaced(p.Machine.Zone) &&
+		p.Machine.AcceptsPlans(snap.Now, snap.SuspectAfter)
 }
 
 // planRestart plans a task again on its machine.
 func (c *Component) planRestart(now time.Duration, job *jobs.Job, p *workers.Placement) {
-	delete(c.AwaitingRestart, p.Ref)
-	p.AwaitsRoomSince = 0
+	c.EndAwaitingRestart(p.Ref)
+	p.AwaitsMachineSince = 0
 	p.Machine.Plan(p)
 	c.planned = append(c.planned, p)
 	if c.StartPacer != nil {
--- a/internal/leader/pools/losses.go
+++ b/internal/leader/pools/losses.go
@@ -81,11 +81,15 @@
 // holdUnreportedAfterLoss calls holdAfterLoss for the tasks that may have been on a machine that was
 // lost, or whose agent restarted, before it reported in this term.
 func (d *Component) holdUnreportedAfterLoss(now time.Duration, m *workers.Machine) {
+	awaiting := map[int32]int{} // tasks that may start only on this machine, by job index
+	for _, p := range d.RestartsOn(m) {
+		awaiting[p.Ref.Job]++
+	}
 	for _, h := range d.holders {
 		if !m.MayHaveTasksOf(h.job.Record.ID) {
 			continue
 		}
-		if n := min(countPossiblyRunning(h.job), scheduler.TasksThatFit(h.job.Need, m.Capacity)); n > 0 {
+		if n := min(countPossiblyRunning(h.job)+awaiting[h.job.Index], scheduler.TasksThatFit(h.job.Need, m.Capacity)); n > 0 {
 			d.holdAfterLoss(now, h.job, h.requirements, int64(n))
 		}
 	}
--- a/internal/leader/registry/task_events.go
+++ b/internal/leader/registry/task_events.go
@@ -163,7 +163,7 @@
 	}
 	if c.Placements[e.Ref] != nil {
 		delete(c.Placements, e.Ref)
-		delete(c.AwaitingRestart, e.Ref)
+		c.EndAwaitingRestart(e.Ref)
 		c.Scheduler.Refund(j.Team, j.Need)
 		j.CountInZone(m.Zone, -1)
 	}
--- a/internal/scenario/direct_start_orders_test.go
+++ b/internal/scenario/direct_start_orders_test.go
@@ -122,6 +122,12 @@
 	}},
 	{"report", func(h *harness, _ *directStart) { h.run(7 * time.Second) }},
 	{"copy", func(h *harness, start *directStart) { h.repeatStart(start); h.run(2 * time.Second) }},
+	{"takeover", func(h *harness, _ *directStart) {
+		h.restartLeader(6 * time.Second)
+		h.run(2 * time.Second)
+		h.awaitLeader()
+		h.run(6 * time.Second)
+	}},
 	{"session", func(h *harness, start *directStart) { // the worker's lease expires
 		h.inboundLost[start.target.name] = true
 		h.run(20 * time.Second)
@@ -147,8 +153,8 @@
 }
 
 // TestOrdersAfterDirectStart enumerates the orders of the events that may follow a direct start: reports,
-// restarts, later sessions and copies of the start. In no order may the task run twice, and it must run in
-// the end. ORDER_LENGTH sets the number of events.
+// restarts, later sessions, takeovers and copies of the start. In no order may the task run twice, and it must
+// run in the end. ORDER_LENGTH sets the number of events.
 func TestOrdersAfterDirectStart(t *testing.T) {
 	length, err := strconv.Atoi(cmp.Or(os.Getenv("ORDER_LENGTH"), "3"))
 	if err != nil {
@@ -185,3 +191,50 @@
 		t.Errorf("violated invariants: %s", strings.Join(h.check.violations, "\n"))
 	}
 }
+
+// TestCancelAfterTakeoverKeepsMachines guards against machines that are deleted although nothing is lost: the
+// next leader must learn from reports that the starts of its predecessor have arrived.
+func TestCancelAfterTakeoverKeepsMachines(t *testing.T) {
+	runSeeds(t, 8, func(t *testing.T, seed uint64) *sim {
+		h := newHarness(t, seed, directDispatchSettings)
+		h.bootThirdMachine()
+		j, _ := h.captureDirectStart(600*time.Second, false)
+		h.awaitRunning(j, 1)
+		h.restartLeader(6 * time.Second)
+		h.run(3 * time.Second)
+		h.awaitLeader()
+		h.run(8 * time.Second)
+		deletions := h.cloud.deletions
+		h.cancelJob(j, 0)
+		if !h.runUntil(12*time.Second, func() bool { return j.reportedCancelled }) {
+			t.Errorf("the job is %s", j.state)
+		}
+		if h.cloud.deletions > deletions {
+			t.Errorf("%d machines were deleted for a cancellation", h.cloud.deletions-deletions)
+		}
+		return h.endFaultsAndSettle(10 * time.Minute)
+	})
+}
+
+// TestHeldStartOfCancelledJob guards against a task of a cancelled job that starts because nothing has shown
+// that its start arrived, and it arrives after the machine's restart, long after the user was told.
+func TestHeldStartOfCancelledJob(t *testing.T) {
+	runSeeds(t, 8, func(t *testing.T, seed uint64) *sim {
+		h := newHarness(t, seed, directDispatchSettings)
+		h.bootThirdMachine()
+		j, start := h.captureDirectStart(600*time.Second, true)
+		h.run(time.Duration(seed%4) * 3 * time.Second)
+		h.cancelJob(j, 0)
+		if !h.runUntil(2*time.Minute, func() bool { return j.reportedCancelled }) {
+			t.Fatalf("the job is %s", j.state)
+		}
+		h.run(settingsSeconds(h.cfg.Deployment.Workers.CancelS) + time.Second)
+		if start.target.up {
+			h.delayPackets(start.target)
+			start.target.restartEmpty()
+		}
+		h.repeatStart(start)
+		h.run(5 * time.Second)
+		return h.endFaultsAndSettle(10 * time.Minute)
+	})
+}
