Keep by task where a start was sent directly; arrays with a zone rule get none

Callers would see a task run twice, or an array in two zones.

Cause, from traces: (1) a copy of a report of an earlier term showed a bound task on a third machine. A new leader adopted it there, and when a newer report lacked it, released it, since the rule asked only the machine of the placement. (2) Copies of starts of tasks that were done ran while the array's other tasks ran in another zone.

Change: State.SentTo keeps the machine by task, and ReleaseOrRestart binds to that machine wherever the task was placed last. Starts of arrays with a zone rule are not pushed; replicas are never done.

Workers of the scenario engine fetch images in a time that a test can set, so that a repeated start is faster than the leader's stop.

--- a/internal/leader/cluster/restarts.go
+++ b/internal/leader/cluster/restarts.go
@@ -8,18 +8,26 @@
 	"bitternmoor/internal/core/workers"
 )
 
-// ReleaseOrRestart lets a task that is not on its machine start again. If a start of it was sent there
-// directly, a later incarnation of the worker may still carry that out (see Machine.MayStartLate). The task then
-// awaits its restart on the same machine, or the answered deletion of the machine. Until then it counts as
+// ReleaseOrRestart lets a task that is not on its machine start again. If a start of it was sent directly to a
+// machine, this one or one where an earlier leader placed it, a later incarnation of that machine's worker may
+// still carry it out (see Machine.MayStartLate). The task then awaits its restart on that machine, or the answered
+// deletion of the machine. Until then it counts as
 // placed, with its room there, its team, its zone and its units, and its job is not quiescent. Any other task is
 // released.
 //
 // sameAttempt is true if the attempt may not have arrived, and false if it has ended.
 func (s *State) ReleaseOrRestart(p *workers.Placement, sameAttempt bool) {
-	if !s.mustRestartHere(p) {
+	m := s.restartMachine(p.Ref)
+	if m == nil {
 		s.ReleasePlacement(p.Ref)
 		return
 	}
+	if m != p.Machine {
+		j := s.Jobs.ByIndex(p.Ref.Job)
+		j.CountInZone(p.Machine.Zone, -1)
+		j.CountInZone(m.Zone, 1)
+		p.Machine = m
+	}
 	p.PrepareRestart(sameAttempt)
 	s.awaitRestart(p)
 	s.Estimator.TaskLost(p.Ref.Job, int(p.Ref.Task))
@@ -30,6 +38,8 @@
 // awaits its restart there, unless a report shows where it is.
 func (s *State) BindToMachine(j *jobs.Job, task int, m *workers.Machine) {
 	ref := workers.TaskRef{Job: j.Index, Task: int32(task)}
+	m.RestoreDirectStart(ref)
+	s.SentTo[ref] = m
 	p := &workers.Placement{Ref: ref, JobID: j.Record.ID, Image: j.Image, Need: j.Need, Machine: m}
 	p.PrepareRestart(false)
 	j.Place(task)
@@ -55,17 +65,21 @@
 	}
 }
 
-// mustRestartHere reports whether a task may start again only on its machine. A job that is being cancelled
-// waits only for starts that nothing has shown to have arrived: to rule out repeats of the others as well, each
-// machine that has had a task of a cancelled job would have to be deleted.
-func (s *State) mustRestartHere(p *workers.Placement) bool {
-	switch s.Jobs.ByIndex(p.Ref.Job).Phase {
-	case jobs.Open, jobs.Held:
-		return p.Machine.MayStartLate(p.Ref)
-	case jobs.Cancelling:
-		return p.Machine.HasUnconfirmedStart(p.Ref)
+// restartMachine returns the only machine on which a task may start again, or nil if there is no such
+// restriction. A job that is being cancelled waits only for starts that nothing has shown to have arrived: to
+// rule out repeats of the others as well, each machine that has had a task of a cancelled job would have to be
+// deleted.
+func (s *State) restartMachine(ref workers.TaskRef) *workers.Machine {
+	m := s.SentTo[ref]
+	if m == nil {
+		return nil
+	}
+	phase := s.Jobs.ByIndex(ref.Job).Phase
+	open := phase == jobs.Open || phase == jobs.Held
+	if (open && m.MayStartLate(ref)) || (phase == jobs.Cancelling && m.HasUnconfirmedStart(ref)) {
+		return m
 	}
-	return false
+	return nil
 }
 
 // RestartsOn returns the tasks that await their restart on a machine, ordered by job and task.
--- a/internal/leader/cluster/state.go
+++ b/internal/leader/cluster/state.go
@@ -67,6 +67,7 @@
 	Inventory         *workers.Inventory
 	Placements        map[workers.TaskRef]*workers.Placement
 	AwaitingRestart   map[workers.TaskRef]*workers.Placement // see ReleaseOrRestart
+	SentTo            map[workers.TaskRef]*workers.Machine   // machine to which a start was sent directly; written by dispatch
 	MachinesWithPlans []*workers.Machine                     // machines that may have plans; placement removes the others
 	LastMachineNumber int                                    // highest number assigned to a machine by registry or placement
 	Reconciled        *reconcile.Tally                       // stored state compared with this term's heartbeats, by registry
@@ -127,6 +128,7 @@
 			InitialSize:   tunables.FirstSizeS,
 		}),
 		Placements:      map[workers.TaskRef]*workers.Placement{},
+		SentTo:          map[workers.TaskRef]*workers.Machine{},
 		AwaitingRestart: map[workers.TaskRef]*workers.Placement{},
 		Reconciled:      &reconcile.Tally{},
 	}
--- a/internal/leader/dispatch/dispatch.go
+++ b/internal/leader/dispatch/dispatch.go
@@ -35,7 +35,7 @@
 	*cluster.State
 	callsInFlight int
 	records       records
-	sentTo        map[int32]map[*workers.Machine]bool // by job index, machines to which its tasks were dispatched
+	machinesOf    map[int32]map[*workers.Machine]bool // by job index, machines to which its tasks were dispatched
 
 	// Totals of the term, for the view and metrics.
 	callsSent       uint64
@@ -47,7 +47,7 @@
 
 // New returns the component of a term.
 func New(s *cluster.State) *Component {
-	return &Component{State: s, records: newRecords(), sentTo: map[int32]map[*workers.Machine]bool{}, startSeconds: s.Metrics.Histogram("bitternmoor_start_seconds",
+	return &Component{State: s, records: newRecords(), machinesOf: map[int32]map[*workers.Machine]bool{}, startSeconds: s.Metrics.Histogram("bitternmoor_start_seconds",
 		"Time from a job's acceptance or release until one of its tasks was seen running, by class and way of starting.",
 		"start", startSecondsBuckets)}
 }
@@ -56,11 +56,7 @@
 func (c *Component) HandleEvent(e cluster.Event) {
 	switch e.Kind {
 	case cluster.JobRemoved:
-		for m := range c.sentTo[e.Job.Index] {
-			m.ForgetDirectStarts(e.Job.Index)
-		}
-		delete(c.sentTo, e.Job.Index)
-		c.records.forgetJob(e.Job.Index)
+		c.forgetJob(e.Job.Index)
 	case cluster.TaskBegan:
 		c.measureStart(e)
 	}
@@ -139,6 +135,7 @@
 		}
 		m.Dispatch(p)
 		c.rememberMachine(p.Ref.Job, m)
+		c.SentTo[p.Ref] = m
 		task := int(p.Ref.Task)
 		starts = append(starts, workers.Command{Op: workers.Start, Job: p.JobID, Task: task, Attempt: p.Attempt})
 		c.Publish(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: c.Jobs.ByIndex(p.Ref.Job), Task: task, Machine: m})
@@ -161,10 +158,10 @@
 
 // rememberMachine records that a task of a job was dispatched to a machine.
 func (c *Component) rememberMachine(job int32, m *workers.Machine) {
-	if c.sentTo[job] == nil {
-		c.sentTo[job] = map[*workers.Machine]bool{}
+	if c.machinesOf[job] == nil {
+		c.machinesOf[job] = map[*workers.Machine]bool{}
 	}
-	c.sentTo[job][m] = true
+	c.machinesOf[job][m] = true
 }
 
 // mayDispatch reports whether a planned task may be sent straight to its machine: it is marked
--- a/internal/leader/dispatch/records.go
+++ b/internal/leader/dispatch/records.go
@@ -113,12 +113,17 @@
 	return list
 }
 
-// forgetJob drops the records of a job that was removed, given by its index.
-func (r *records) forgetJob(job int32) {
-	for _, ref := range r.ofJob[job] {
-		delete(r.byTask, ref)
+// forgetJob drops the records and the starts of a job that was removed, given by its index.
+func (c *Component) forgetJob(job int32) {
+	for m := range c.machinesOf[job] {
+		m.ForgetDirectStarts(job)
 	}
-	delete(r.ofJob, job)
+	delete(c.machinesOf, job)
+	for _, ref := range c.records.ofJob[job] {
+		delete(c.records.byTask, ref)
+		delete(c.SentTo, ref)
+	}
+	delete(c.records.ofJob, job)
 }
 
 // Replay reads the records of earlier terms.
@@ -155,7 +160,6 @@
 				ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
 				c.records.set(ref, m, true)
 				c.rememberMachine(job.Index, m)
-				m.RestoreDirectStart(ref)
 				c.BindToMachine(job, task, m)
 			}
 		}
--- a/internal/leader/lifecycle/deadlines.go
+++ b/internal/leader/lifecycle/deadlines.go
@@ -52,11 +52,18 @@
 	if c.Cfg.Tunables.WaitLeadS > 0 {
 		c.addPriorityWindow(j, at, objective.WithinS)
 	}
-	if c.Cfg.Tunables.MaxPushDispatches > 0 && j.Record.Kind != jobs.Gang && c.Cfg.NeedsDispatch(objective) {
+	if c.Cfg.Tunables.MaxPushDispatches > 0 && mayPushStarts(j) && c.Cfg.NeedsDispatch(objective) {
 		j.PushDispatch = true
 	}
 }
 
+// mayPushStarts reports whether starts of a job may be pushed to workers. The tasks of a gang start together. A
+// late copy of the start of a task that is done could break the zone rule of an array whose other tasks run
+// elsewhere by then; replicas of services are never done.
+func mayPushStarts(j *jobs.Job) bool {
+	return j.Record.Kind == jobs.Service || (j.Record.Kind == jobs.Array && !j.HasZoneRule())
+}
+
 // addStartDeadline adds a window in which the rank of a best-effort job, which is lowered at
 // first, is raised so that the job ends within withinSeconds after at. If the estimate leaves no
 // time for that, the window begins at once, because such jobs determine when the day's work
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -83,6 +83,7 @@
 
 	redirects        []time.Duration             // when machines switched to another controller
 	directDispatches int                         // number of start commands sent directly to workers
+	imageFetch       time.Duration               // time that a worker takes to fetch an image
 	holdDispatch     func(effects.Dispatch) bool // if set, returns whether a start command is held back; it then has no answer
 	runEnds          map[task]time.Duration      // when the latest run of a task is due to complete
 	coverage         map[string]int              // how often each effect of a fault occurred, by description
@@ -105,6 +106,7 @@
 		startTimeOfDay: startTimeOfDay, rng: rand.New(rand.NewPCG(seed, 7)), cfg: cfg, jobs: map[uint64]*userJob{},
 		inboundLost: map[string]bool{}, reportsLost: map[string]bool{}, pausedUntil: map[string]time.Duration{},
 		lastInvalidID: 999_000, latency: map[string]time.Duration{}, runEnds: map[task]time.Duration{},
+		imageFetch: 300 * time.Millisecond,
 	}
 	s.state = &stateService{sim: s, items: map[string]item{}, leases: map[uint64]*lease{}, refused: map[string]bool{}}
 	s.cloud = &cloud{
--- a/internal/scenario/worker_test.go
+++ b/internal/scenario/worker_test.go
@@ -329,7 +329,7 @@
 	run := &taskAttempt{attempt: attempt, state: workers.Fetching}
 	w.tasks[t] = run
 	session := w.session
-	w.sim.after(300*time.Millisecond, func() {
+	w.sim.after(w.sim.imageFetch, func() {
 		if w.tasks[t] != run || w.session != session {
 			return
 		}
