Known red: a repeat of an answered direct start after a cancellation

The start was answered, the job cancelled and told; 25 s later the machine restarts, and a repeat of the start arrives before the new worker's first answer.

To rule it out each machine that had a task of a cancelled job would have to be deleted before its user is told, and services end by cancellation (docs/direct-starts.md, "What is not covered").

--- a/internal/scenario/direct_start_orders_test.go
+++ b/internal/scenario/direct_start_orders_test.go
@@ -238,3 +238,24 @@
 		return h.endFaultsAndSettle(10 * time.Minute)
 	})
 }
+
+// TestRepeatAfterCancellation guards against a task of a cancelled job that starts again because a repeat of its
+// start, which was answered, arrives after the machine's restart, long after the user was told.
+func TestRepeatAfterCancellation(t *testing.T) {
+	h := newHarness(t, 1, directDispatchSettings)
+	h.bootThirdMachine()
+	j, start := h.captureDirectStart(600*time.Second, false)
+	h.awaitRunning(j, 1)
+	h.cancelJob(j, 0)
+	if !h.runUntil(time.Minute, func() bool { return j.reportedCancelled }) {
+		t.Fatalf("the job is %s", j.state)
+	}
+	h.run(settingsSeconds(h.cfg.Deployment.Workers.CancelS) + time.Second)
+	if start.target.up {
+		h.delayPackets(start.target)
+		start.target.restartEmpty()
+	}
+	h.repeatStart(start)
+	h.run(5 * time.Second)
+	h.endFaultsAndSettle(10 * time.Minute)
+}
