Direct starts: drop what is kept of finished tasks, and say the zone rule once

Cause: the starts and records of tasks whose end is durable were kept until their job was removed, some hundred bytes a task. The loop over the zones of a job's tasks stood twice in zones.go.

Change: the starts are dropped when the ended attempt is reaped, the records when the log is compacted. allowsZone has the loop. Whole names in apply_status.go, one comment wrapped.

--- a/internal/core/jobs/zones.go
+++ b/internal/core/jobs/zones.go
@@ -9,27 +9,26 @@
 // ZoneAllows reports whether the job's zone rules allow one more task in a zone, given the zones of its
 // placed tasks.
 func (j *Job) ZoneAllows(zone int32) bool {
-	if j.Record.OneZone {
-		for other, placed := range j.PlacedByZone {
-			if placed > 0 && other != zone {
-				return false
-			}
-		}
-	}
-	return !j.Record.Spread || j.PlacedByZone[zone] < j.MaxTasksPerZone()
+	return j.allowsZone(zone) && (!j.Record.Spread || j.PlacedByZone[zone] < j.MaxTasksPerZone())
 }
 
 // ZoneAllowsPlaced reports whether the job's zone rules allow the tasks that are placed in a zone to start
 // there, given the zones of its other placed tasks.
 func (j *Job) ZoneAllowsPlaced(zone int32) bool {
-	if j.Record.OneZone {
-		for other, placed := range j.PlacedByZone {
-			if placed > 0 && other != zone {
-				return false
-			}
+	return j.allowsZone(zone) && (!j.Record.Spread || j.PlacedByZone[zone] <= j.MaxTasksPerZone())
+}
+
+// allowsZone reports whether a job whose tasks must be in one zone has none in another zone.
+func (j *Job) allowsZone(zone int32) bool {
+	if !j.Record.OneZone {
+		return true
+	}
+	for other, placed := range j.PlacedByZone {
+		if placed > 0 && other != zone {
+			return false
 		}
 	}
-	return !j.Record.Spread || j.PlacedByZone[zone] <= j.MaxTasksPerZone()
+	return true
 }
 
 // CountInZone adds change (1 or -1) to the number of placed tasks in a zone, if the job has a zone rule.
--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -179,6 +179,9 @@
 		u.release(t.placed, t.Reason, false)
 		u.command(Reap, t)
 	case reconcile.Reap:
+		if t.record.EndDurable {
+			delete(u.machine.directStarts, t.record.Ref) // no leader starts it again
+		}
 		u.command(Reap, t)
 	case reconcile.Stop:
 		u.orphans = append(u.orphans, t.Job)
@@ -265,8 +268,8 @@
 		State:   Fetching,
 	}
 	u.machine.addPlacement(t.placed)
-	if s := u.machine.directStarts[t.record.Ref][unknownAttempt]; s != nil {
-		s.confirmed = true
+	if start := u.machine.directStarts[t.record.Ref][unknownAttempt]; start != nil {
+		start.confirmed = true
 	}
 	event := t.event(EventAdopted)
 	event.Placement = t.placed
@@ -281,8 +284,8 @@
 		u.events = append(u.events, t.event(EventStarted))
 	}
 	p.State, p.Reported, p.lastReportSeq = t.State, true, u.report.Seq
-	if s := u.machine.directStartOf(p); s != nil && p.PushDispatch { // a restart has the same attempt
-		s.confirmed = true
+	if start := u.machine.directStartOf(p); start != nil && p.PushDispatch { // a restart has the same attempt
+		start.confirmed = true
 	}
 }
 
@@ -329,8 +332,8 @@
 		runTime = u.now - p.RunningSince
 	}
 	startToken := uint64(0)
-	if s := u.machine.directStartOf(p); s != nil {
-		startToken = s.token
+	if start := u.machine.directStartOf(p); start != nil {
+		startToken = start.token
 	}
 	u.events = append(u.events, Event{
 		Kind:       EventGone,
--- a/internal/leader/cluster/restarts.go
+++ b/internal/leader/cluster/restarts.go
@@ -11,9 +11,8 @@
 // ReleaseOrRestart lets a task that is not on its machine start again. If a start of it was sent directly to a
 // machine, this one or one where an earlier leader placed it, a later incarnation of that machine's worker may
 // still carry it out (see Machine.MayStartLate). The task then awaits its restart on that machine, or the answered
-// deletion of the machine. Until then it counts as
-// placed, with its room there, its team, its zone and its units, and its job is not quiescent. Any other task is
-// released.
+// deletion of the machine. Until then it counts as placed, with its room there, its team, its zone and its units,
+// and its job is not quiescent. Any other task is released.
 //
 // sameAttempt is true if the attempt may not have arrived, and false if it has ended.
 func (s *State) ReleaseOrRestart(p *workers.Placement, sameAttempt bool) {
--- a/internal/leader/dispatch/records.go
+++ b/internal/leader/dispatch/records.go
@@ -248,7 +248,11 @@
 		}
 		for task := r.From; task < min(r.To, len(job.Tasks)); task++ {
 			ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
-			if c.records.byTask[ref].number() == r.Machine && job.Tasks[task] != jobs.FinishedDurably {
+			switch {
+			case job.Tasks[task] == jobs.FinishedDurably:
+				delete(c.records.byTask, ref)
+				delete(c.SentTo, ref)
+			case c.records.byTask[ref].number() == r.Machine:
 				live = append(live, ref)
 			}
 		}
