Do not release a task while its machine's report shows another attempt of it running

Callers would see a task on two machines, or replicas in a zone that their rule excludes.

Cause, from the trace of applied reports: after a restart and a takeover, a copy of a report of the first incarnation was applied first, so that the new leader took over its attempts. The next report listed the same tasks with new attempts. They were stopped as unwanted, and released at once because their old attempts were missing: the tasks started elsewhere before the stop arrived.

Change: releaseAbsent leaves a task placed while the report lists another attempt of it that has not ended.

--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"time"
 
 	"bitternmoor/internal/core/reconcile"
@@ -101,6 +102,9 @@
 	events   []Event
 	commands []Command
 	orphans  []uint64 // jobs of the tasks that are to be stopped
+
+	// runOtherAttempt holds the tasks of which the machine runs another attempt than the one placed there.
+	runOtherAttempt []TaskRef
 }
 
 // applySession releases the tasks placed on the machine if the report is of a later session, or of a
@@ -184,6 +188,9 @@
 		}
 		u.command(Reap, t)
 	case reconcile.Stop:
+		if diff == reconcile.RunsOtherAttempt {
+			u.runOtherAttempt = append(u.runOtherAttempt, t.record.Ref)
+		}
 		u.orphans = append(u.orphans, t.Job)
 		u.command(Stop, t)
 	case reconcile.Adopt:
@@ -289,11 +296,12 @@
 	}
 }
 
-// releaseAbsent releases the tasks placed on the machine whose absence from the report proves them gone.
+// releaseAbsent releases the tasks placed on the machine whose absence from the report proves them gone. A task
+// of which another attempt runs here is not released before that one has been stopped.
 func (u *statusUpdate) releaseAbsent() {
 	m, r := u.machine, u.report
 	for _, p := range m.Tasks {
-		if p.Planned || p.lastReportSeq >= r.Seq {
+		if p.Planned || p.lastReportSeq >= r.Seq || slices.Contains(u.runOtherAttempt, p.Ref) {
 			continue
 		}
 		// The task was sent with an earlier answer, and this report does not list it.
--- a/internal/core/workers/workers_test.go
+++ b/internal/core/workers/workers_test.go
@@ -42,6 +42,7 @@
 // ended, or a later session begins.
 func TestProofsThatATaskIsGone(t *testing.T) {
 	running := TaskReport{Job: 3, Task: 0, Attempt: 1, State: Running}
+	other := TaskReport{Job: 3, Task: 0, Attempt: 2, State: Running} // it would run twice if it were released
 	failed := TaskReport{Job: 3, Task: 0, Attempt: 1, State: Ended, Reason: Failed}
 	cases := []struct {
 		name   string
@@ -51,6 +52,7 @@
 		{"a report at an older token lacks it", Report{Session: 1, Seq: 5, Token: token - 1}, false},
 		{"a report at the current token lacks it", Report{Session: 1, Seq: 5, Token: token}, true},
 		{"a report at the current token lists it", Report{Session: 1, Seq: 5, Token: token, Tasks: []TaskReport{running}}, false},
+		{"a report lists another attempt of it", Report{Session: 1, Seq: 5, Token: token, Tasks: []TaskReport{other}}, false},
 		{"a report shows it ended", Report{Session: 1, Seq: 5, Token: token, Tasks: []TaskReport{failed}}, true},
 		{"a later session, at an older token", Report{Session: 2, Seq: 1, Token: token - 1}, true},
 	}
