Any report of a task that was sent directly confirms its start, also after a takeover

Cause: the next leader waits with a cancellation for starts that nothing has shown to have arrived. Only adopted tasks counted as shown; the tasks of that service had been stopped before, and were reported as ended.

Change: confirmStart takes any report of the task, except of an attempt that was started again with the answer to a heartbeat, and a cancelling job releases its confirmed tasks at once.

--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -172,6 +172,7 @@
 func (u *statusUpdate) applyTask(reported *TaskReport) {
 	task, diff := u.compare(reported)
 	t := &task
+	u.confirmStart(t)
 	switch diff.Resolution() {
 	case reconcile.RecordCompletion:
 		u.recordCompletion(t, diff)
@@ -201,6 +202,19 @@
 	}
 }
 
+// confirmStart records that a direct start of a reported task has arrived. A report of an attempt that was
+// started again with the answer to a heartbeat does not show that.
+func (u *statusUpdate) confirmStart(t *reportedTask) {
+	starts := u.machine.directStarts[t.record.Ref]
+	if start := starts[unknownAttempt]; start != nil {
+		start.confirmed = true
+	}
+	notRestarted := (t.placed != nil && t.placed.PushDispatch) || (t.placed == nil && t.State != Ended)
+	if start := starts[t.Attempt]; start != nil && notRestarted {
+		start.confirmed = true
+	}
+}
+
 // compare looks up the leader's record of a reported task and returns the difference. If the task has
 // fetched its image and has not ended, compare also records that the image is on the machine.
 func (u *statusUpdate) compare(reported *TaskReport) (reportedTask, reconcile.Diff) {
@@ -275,9 +289,6 @@
 		State:   Fetching,
 	}
 	u.machine.addPlacement(t.placed)
-	if start := u.machine.directStarts[t.record.Ref][unknownAttempt]; start != nil {
-		start.confirmed = true
-	}
 	event := t.event(EventAdopted)
 	event.Placement = t.placed
 	u.events = append(u.events, event)
@@ -291,9 +302,6 @@
 		u.events = append(u.events, t.event(EventStarted))
 	}
 	p.State, p.Reported, p.lastReportSeq = t.State, true, u.report.Seq
-	if start := u.machine.directStartOf(p); start != nil && p.PushDispatch { // a restart has the same attempt
-		start.confirmed = true
-	}
 }
 
 // releaseAbsent releases the tasks placed on the machine whose absence from the report proves them gone. A task
--- a/internal/leader/lifecycle/cancellation.go
+++ b/internal/leader/lifecycle/cancellation.go
@@ -86,7 +86,9 @@
 // the leases of its workers alive.
 func (c *Component) appendCancellations(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(c.cancelling)) {
-		switch j := c.cancelling[id]; {
+		j := c.cancelling[id]
+		c.releaseConfirmed(j)
+		switch {
 		case j.Finished == len(j.Tasks): // its tasks completed before they could be stopped
 			delete(c.cancelling, id)
 		case c.Quiescent(j):
@@ -96,6 +98,19 @@
 	}
 }
 
+// releaseConfirmed releases the tasks of a job that is being cancelled that awaited their restart until a report
+// showed that their starts had arrived.
+func (c *Component) releaseConfirmed(j *jobs.Job) {
+	if len(c.AwaitingRestart) == 0 {
+		return
+	}
+	for k := range j.Tasks {
+		if p := c.AwaitingRestart[workers.TaskRef{Job: j.Index, Task: int32(k)}]; p != nil {
+			c.ReleaseOrRestart(p, true)
+		}
+	}
+}
+
 // appendCancellation appends the cancellation of a job to the log.
 func (c *Component) appendCancellation(now time.Duration, j *jobs.Job) {
 	j.CancelPending = true
--- a/internal/scenario/direct_start_orders_test.go
+++ b/internal/scenario/direct_start_orders_test.go
@@ -259,3 +259,26 @@
 	h.run(5 * time.Second)
 	h.endFaultsAndSettle(10 * time.Minute)
 }
+
+// TestCancelAcrossTakeoverKeepsMachines guards against machines that are deleted for a cancellation although the
+// next leader is shown that the starts of its predecessor had arrived: the tasks have ended by then.
+func TestCancelAcrossTakeoverKeepsMachines(t *testing.T) {
+	runSeeds(t, 8, func(t *testing.T, seed uint64) *sim {
+		h := newHarness(t, seed, directDispatchSettings)
+		h.bootThirdMachine()
+		j, _ := h.captureDirectStart(600*time.Second, false)
+		h.awaitRunning(j, 1)
+		h.cancelJob(j, 0)
+		h.run(time.Duration(seed) * 500 * time.Microsecond)
+		h.restartLeader(6 * time.Second)
+		h.cover("cancelled just before a takeover")
+		deletions := h.cloud.deletions
+		if !h.runUntil(25*time.Second, func() bool { return j.reportedCancelled }) {
+			t.Errorf("the job is %s", j.state)
+		}
+		if h.cloud.deletions > deletions {
+			t.Errorf("%d machines were deleted for a cancellation", h.cloud.deletions-deletions)
+		}
+		return h.endFaultsAndSettle(10 * time.Minute)
+	})
+}
