--- a/internal/leader/dispatch/dispatch.go
+++ b/internal/leader/dispatch/dispatch.go
@@ -7,9 +7,12 @@
 // token and session match. A dispatched task therefore counts as being on its machine from
 // before the command is sent. If the task is not seen there, a report at a higher token or a later
 // session proves that it is gone, and it starts again on the same machine; only the answered deletion
-// of the machine lets it start elsewhere (see Machine.MayStartLate). A task that has ended is reaped only after such a proof too, since a late copy of
-// the command would start it again. A machine that did not answer gets no further dispatch until
-// it has seen a higher token, which it is given with the answer to its next heartbeat.
+// of the machine lets it start elsewhere (see Machine.MayStartLate). A task that has ended is reaped
+// only after a report at a higher token, since a late copy of the command would start it again. A
+// machine that did not answer gets no further dispatch until it has seen a higher token, which it is
+// given with the answer to its next heartbeat.
+//
+// records.go records which task may be sent to which machine, for the next leader.
 package dispatch
 
 import (
