--- /dev/null
+++ b/review/lab2/smalltasks.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// smallTasks plays an array of many tasks that each take a thousandth of a machine. Without the trouble, its
+// tasks take a fiftieth of one.
+func smallTasks(l *lab) error {
+	if err := l.start(sofia(1)); err != nil {
+		return err
+	}
+	l.cloud.AddMachine("kantor", "sofia-east", true)
+	time.Sleep(2 * time.Second)
+	// Another job has a task that runs on the machine meanwhile.
+	other := &job{id: "j-000502", tasks: 1, cpus: 1, image: "img-01", fetchS: 0.5, runs: 40 * time.Second}
+	if status := l.submit(other, submission(other, "archive-compact", "credit-ops", "normal", nil), false); status != http.StatusCreated {
+		return fmt.Errorf("the other job got %d", status)
+	}
+	time.Sleep(4 * time.Second)
+	small := &job{id: "j-000501", tasks: 1750, cpus: 0.004, image: "img-02", fetchS: 0.5, runs: 3 * time.Second}
+	if !l.trouble {
+		small.tasks, small.cpus = 175, 0.04
+	}
+	body := submission(small, "repayment-recon", "credit-ops", "normal", map[string]any{"memory_gb": 0.01})
+	if status := l.submit(small, body, false); status != http.StatusCreated {
+		return fmt.Errorf("the job of small tasks got %d", status)
+	}
+	accepted := time.Now()
+	for time.Since(accepted) < leftWaiting+5*time.Second {
+		time.Sleep(3 * time.Second)
+		done, _ := l.doneCount(small)
+		_, standing := l.poll(small.id)
+		if standing == "done" && done == small.tasks {
+			return nil
+		}
+	}
+	done, _ := l.doneCount(small)
+	started := l.startedCount(small)
+	l.breach("%s, accepted %v ago, is not done: %d of its tasks have started, %d are done", small.id, time.Since(accepted).Round(time.Second), started, done)
+	return nil
+}
