Review: case 4 can cancel one job instead of killing the leader

Cause: the same walk over all jobs that a job follows is taken when a job of the last stage is cancelled. The lab has the machine type orel.

--- a/review/lab2/barriers.go
+++ b/review/lab2/barriers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -14,8 +15,8 @@
 )
 
 // barriers plays a pipeline of seven stages of 300 jobs each, in which each job follows all jobs of the stage
-// before it. Then the leader is killed, and comes back after some seconds. Without the trouble, nobody is
-// killed.
+// before it. Then the leader is killed, and comes back after some seconds; with TROUBLE=cancel, a job of the last
+// stage is cancelled instead. Without the trouble, nobody is killed.
 func barriers(l *lab) error {
 	if err := l.start(maritsa(1)); err != nil {
 		return err
@@ -30,7 +31,10 @@
 	if l.now() > 48 {
 		return fmt.Errorf("the stages took %.0f s to submit", l.now())
 	}
-	if l.trouble {
+	switch {
+	case os.Getenv("TROUBLE") == "cancel": // instead of the kill
+		go l.cancel(stageID(barrierStages-1, 0))
+	case l.trouble:
 		leader, err := l.killLeader()
 		if err != nil {
 			return err
--- a/review/lab2/sites.go
+++ b/review/lab2/sites.go
@@ -36,6 +36,7 @@
 		cloudRPS: 5, listLagS: 3, cpu: 0.48, ramMB: 234, fds: 1500,
 		types: []eventlog.MachineType{
 			{Name: "vrabche", CPUs: 8, MemoryGB: 64, CacheGB: 40, FetchGBPS: 0.6, Price: 0.74, SpotPrice: 0.22, BootS: 15, Zones: zones},
+			{Name: "orel", CPUs: 64, MemoryGB: 128, CacheGB: 35, FetchGBPS: 0.8, Price: 4.07, SpotPrice: 1.08, BootS: 25, Zones: zones},
 			{Name: "sova", CPUs: 12, GPUs: 2, MemoryGB: 48, CacheGB: 120, FetchGBPS: 0.6, Price: 6.9, SpotPrice: 1.84, BootS: 45, Zones: zones},
 		},
 		capacity: map[string]int{"haskovo-north": machines, "stara-zagora": 0},
--- a/review/lab2/smalltasks.go
+++ b/review/lab2/smalltasks.go
@@ -6,25 +6,25 @@
 	"time"
 )
 
-// smallTasks plays an array of many tasks that each take a thousandth of a machine. Without the trouble, its
-// tasks take a fiftieth of one.
+// smallTasks plays an array of 1,280 small tasks that all fit on one machine. Without the trouble, it has 120
+// tasks, each of which takes ten times as much.
 func smallTasks(l *lab) error {
-	if err := l.start(sofia(1)); err != nil {
+	if err := l.start(maritsa(1)); err != nil {
 		return err
 	}
-	l.cloud.AddMachine("kantor", "sofia-east", true)
+	l.cloud.AddMachine("orel", "haskovo-north", true)
 	time.Sleep(2 * time.Second)
 	// Another job has a task that runs on the machine meanwhile.
 	other := &job{id: "j-000502", tasks: 1, cpus: 1, image: "img-01", fetchS: 0.5, runs: 40 * time.Second}
-	if status := l.submit(other, submission(other, "archive-compact", "credit-ops", "normal", nil), false); status != http.StatusCreated {
+	if status := l.submit(other, submission(other, "contract-batch", "haskovo-leasing", "normal", map[string]any{"breeds": []string{"orel"}}), false); status != http.StatusCreated {
 		return fmt.Errorf("the other job got %d", status)
 	}
 	time.Sleep(4 * time.Second)
-	small := &job{id: "j-000501", tasks: 1750, cpus: 0.004, image: "img-02", fetchS: 0.5, runs: 3 * time.Second}
+	small := &job{id: "j-000501", tasks: 1280, cpus: 0.05, image: "img-02", fetchS: 0.5, runs: 3 * time.Second}
 	if !l.trouble {
-		small.tasks, small.cpus = 175, 0.04
+		small.tasks, small.cpus = 120, 0.5
 	}
-	body := submission(small, "repayment-recon", "credit-ops", "normal", map[string]any{"memory_gb": 0.01})
+	body := submission(small, "contract-batch", "haskovo-leasing", "normal", map[string]any{"memory_gb": 0.05, "breeds": []string{"orel"}})
 	if status := l.submit(small, body, false); status != http.StatusCreated {
 		return fmt.Errorf("the job of small tasks got %d", status)
 	}
