--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -28,7 +28,9 @@
 	record    *os.File
 	closed    bool
 	broken    []string
-	longLines bool // a response had too long a line
+	startedAt *worker // that got the last direct start
+	startedBy []byte  // the body of that command
+	longLines bool    // a response had too long a line
 	jobs      map[string]*job
 	workers   map[string]*worker
 	servers   []*http.Server
@@ -44,6 +46,7 @@
 	runs    time.Duration // run time of a task
 	fails   bool          // every task fails on every machine after its run time
 	ended   map[int]time.Time
+	starts  int // of its tasks, all in all
 	started map[int]bool
 }
 
@@ -152,6 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j.started[task] = true
+	j.starts++
 	l.write("worker %s: %s/%d starts", machine, j.id, task)
 }
 
--- a/review/lab2/sites.go
+++ b/review/lab2/sites.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strconv"
 	"time"
 
 	"bitternmoor/internal/core/eventlog"
@@ -48,3 +49,5 @@
 	return "[[deployment.objectives]]\nkind = \"" + kind + "\"\nclass = \"" + class + "\"\nwithin_s = " +
 		ftoa(within) + "\nshare = " + ftoa(share) + "\n"
 }
+
+func ftoa(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -315,6 +315,7 @@
 		default:
 			w.noteToken(d.Token)
 			w.execute(d.Commands)
+			w.lab.seeDirect(w, d, body)
 		}
 	}
 	if status != http.StatusBadRequest {
