--- a/review/lab2/barriers.go
+++ b/review/lab2/barriers.go
@@ -34,6 +34,7 @@
 	switch {
 	case os.Getenv("TROUBLE") == "cancel": // instead of the kill
 		go l.cancel(stageID(barrierStages-1, 0))
+		time.Sleep(time.Second) // it has arrived before the next submission
 	case l.trouble:
 		leader, err := l.killLeader()
 		if err != nil {
