--- a/review/lab2/deploy.go
+++ b/review/lab2/deploy.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -156,18 +157,23 @@
 	return b.String()
 }
 
-// freePorts returns loopback addresses with ports that are free at present.
+// freePorts returns loopback addresses with ports that are free at present. They are below those that the system
+// hands out, so that no other listener of a run beside this one takes them meanwhile.
 func freePorts(count int) ([]string, error) {
+	const from, to = 12_000, 30_000
 	var list []string
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range 100 * count {
+		if len(list) == count {
+			return list, nil
+		}
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", from+rand.IntN(to-from)))
 		if err != nil {
-			return nil, err
+			continue // taken
 		}
 		defer func() { _ = listener.Close() }() // its port is used from then on
 		list = append(list, listener.Addr().String())
 	}
-	return list, nil
+	return nil, errors.New("no free ports")
 }
 
 // probeNodes asks for the health of all controllers once a second, as the load balancer does.
