Let the first lease of empty workers lapse, so that starts can be sent in a later session

Change: while nothing is on a machine, planned there or on its way, the leader answers its worker without a token, which the worker drops, until its lease has expired. [fleet] lapse_share bounds how many machines do so at a time; it is 0 by default, and then nothing changes. The later session is expected: the machine is not suspect, and its images count as still there.

Measured: TestLapseEndsWithLaterSession and TestLapseIsGivenUp pass, as do the tests of all packages under internal/core/workers, leader, settings and contract.

--- a/internal/core/workers/apply_status.go
+++ b/internal/core/workers/apply_status.go
@@ -123,6 +123,11 @@
 		u.tally.Count(reconcile.Absent(reconcile.AbsentTask{LaterSession: true, SentDirectly: m.MayStartLate(p.Ref)}))
 		u.release(p, Vanished, true)
 	}
+	lapsed := m.Lapsing && !restarted
+	m.Lapsing = false
+	if lapsed {
+		return // as intended: it has lost no task, and its images are still there
+	}
 	m.images = nil
 	if m.Up && !restarted {
 		// Its lease expired although the leader received its reports: the leader's answers may not reach it.
--- a/internal/core/workers/direct_start.go
+++ b/internal/core/workers/direct_start.go
@@ -11,6 +11,14 @@
 // unknownAttempt stands for the attempt of a start that an earlier term may have sent.
 const unknownAttempt = 0
 
+// FirstSession is the session in which each incarnation of a worker begins. Until its first answer has reached it,
+// a new incarnation carries out a late copy of every direct start that was sent in this session. It refuses those of
+// later sessions until it has been without an answer for a whole lease.
+const FirstSession = 1
+
+// InFirstSession reports whether the worker's latest report was of its first session.
+func (m *Machine) InFirstSession() bool { return m.Session <= FirstSession }
+
 // MayStartLate reports whether a start of a task may still be carried out on the machine, or carried out once
 // more, although the task is not there: one was sent directly. Only the machine's deletion rules that out. A
 // higher token or a later session does so for the worker that reports it, but a later incarnation of the
--- a/internal/core/workers/machine.go
+++ b/internal/core/workers/machine.go
@@ -104,6 +104,10 @@
 	directStarts map[TaskRef]map[uint64]*directStart // starts that were sent directly, by task and attempt
 	Dispatching  bool                                // a call with direct starts is in progress
 
+	// Lapse of the worker's first lease, see CanLapse.
+	Lapsing    bool          // its reports are not answered
+	lapseBegan time.Duration // when the lapse began; 0: there was none in this term
+
 	// Fencing tokens and suspicion.
 	Token            uint64 // current token; raised when the machine changes its shard, or by TakeTokenRequest
 	highestTokenSeen uint64 // highest token in a report that was applied
@@ -129,7 +133,7 @@
 func (m *Machine) CanRunTasks(now, maxSilence time.Duration) bool {
 	known := m.Durable && m.Up && m.Resolved
 	trusted := m.SuspectBelow == 0 && len(m.Orphans) == 0
-	stays := !m.Deleting && !m.PreemptionNotice
+	stays := !m.Deleting && !m.PreemptionNotice && !m.Lapsing
 	return known && trusted && stays && now >= m.AvoidUntil && now-m.LastHeartbeat <= maxSilence
 }
 
--- a/internal/core/workers/tokens.go
+++ b/internal/core/workers/tokens.go
@@ -49,6 +49,7 @@
 		m.tokenIssuedAt = 0
 	}
 	m.SuspectBelow, m.tokenUrgency = max(m.SuspectBelow, token), TokenNow
+	m.Lapsing = false
 }
 
 // CheckRestart is called for a report that is older than one that was applied. A worker that has no token
--- a/internal/core/workers/workers_test.go
+++ b/internal/core/workers/workers_test.go
@@ -181,3 +181,44 @@
 		t.Error("unreachable must begin 20 s after the token was issued")
 	}
 }
+
+// TestLapseEndsWithLaterSession: a worker is left without answers only while nothing is on its machine, and is trusted
+// at once when its lease has expired as intended.
+func TestLapseEndsWithLaterSession(t *testing.T) {
+	_, m := newMachine()
+	applyReport(m, Report{Session: FirstSession, Seq: 1, Token: token})
+	p := placeTask(m, 7, 1)
+	if m.CanLapse() {
+		t.Error("the lease may lapse although a task is on the machine")
+	}
+	m.RemovePlacement(p.Ref)
+	if !m.CanLapse() {
+		t.Fatalf("the lease of an empty machine may not lapse: %+v", m)
+	}
+	m.BeginLapse(time.Second)
+	if m.AcceptsPlans(0, time.Hour) {
+		t.Error("tasks may be planned on a machine whose lease lapses")
+	}
+	applyReport(m, Report{Session: FirstSession, Seq: 2, Token: token})
+	if !m.Lapsing {
+		t.Error("the lapse ends before the session does")
+	}
+	applyReport(m, Report{Session: FirstSession + 1, Seq: 3, Token: token})
+	if m.Lapsing || m.SuspectBelow > 0 || !m.AcceptsPlans(0, time.Hour) || m.InFirstSession() || m.CanLapse() {
+		t.Errorf("after the lapse: %+v", m)
+	}
+}
+
+// TestLapseIsGivenUp: a worker that is kept alive by another controller is answered again.
+func TestLapseIsGivenUp(t *testing.T) {
+	_, m := newMachine()
+	m.BeginLapse(time.Second)
+	m.EndLapseAfter(time.Minute, time.Hour)
+	if !m.Lapsing {
+		t.Error("the lapse is given up too early")
+	}
+	m.EndLapseAfter(2*time.Hour, time.Hour)
+	if m.Lapsing || m.CanLapse() {
+		t.Errorf("lapsing: %v; it may lapse again: %v", m.Lapsing, m.CanLapse())
+	}
+}
--- a/internal/leader/registry/failure_detector.go
+++ b/internal/leader/registry/failure_detector.go
@@ -53,6 +53,7 @@
 // machines and evacuates those that will be preempted or returned.
 func (c *Component) detectFailures(now time.Duration, leaseValid bool) {
 	check := c.newFailureCheck(now, leaseValid)
+	c.checkLapses(now)
 	for _, m := range slices.Clone(c.Inventory.All()) {
 		if m.Deleting {
 			continue
--- a/internal/leader/registry/heartbeat.go
+++ b/internal/leader/registry/heartbeat.go
@@ -77,6 +77,10 @@
 		c.redirect(request, target)
 		return
 	}
+	if c.lapses(now, leaseValid, m) {
+		c.replyWithoutRenewal(request)
+		return
+	}
 	if leaseValid && m.TakeTokenRequest(now) {
 		m.Token = c.NextToken() // once the worker has seen it, no earlier push dispatch can start
 	}
--- a/internal/leader/registry/registry.go
+++ b/internal/leader/registry/registry.go
@@ -4,7 +4,8 @@
 // writes log entries of machines.
 //
 // heartbeat.go applies heartbeats, and task_events.go applies their effects on tasks.
-// registration.go adds and removes machines, and failure_detector.go decommissions failed ones.
+// registration.go adds and removes machines, failure_detector.go decommissions failed ones, cancellations.go
+// decides which machines delay the end of a cancellation, and lapse.go lets the first lease of workers expire.
 package registry
 
 import (
@@ -48,6 +49,8 @@
 	replayedMachines map[string]eventlog.Machine
 	replayedReturns  []returnRecord
 
+	lapsing int // number of machines whose lease is left to lapse, see lapses
+
 	returnsToRecord []string // empty machines whose return is to be recorded before they are deleted
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -255,6 +255,11 @@
 		"if a class should start sooner than the quickest machine boots, capacity is returned only when it "+
 			"was not needed for at least this time; 0: the usual times apply",
 		func(t *Tunables) *float64 { return &t.ReadyWindowS }),
+	floatSetting("fleet", "lapse_share", "share", numberRange{Default: 0, Min: 0, Max: 1},
+		"if starts are sent directly, at most this share of the machines is left without answers at a time while "+
+			"they are empty, until their workers' first lease has expired: later starts cannot be repeated after a "+
+			"restart; 0: none",
+		func(t *Tunables) *float64 { return &t.LapseShare }),
 	integerSetting("fleet", "move_saved", "0 or 1", numberRange{Default: 1, Min: 0, Max: 1},
 		"tasks that save their progress are moved off machines that are to be returned, if that costs "+
 			"less than waiting for their end",
--- a/internal/settings/tunables.go
+++ b/internal/settings/tunables.go
@@ -81,7 +81,9 @@
 	SpotReturnS    float64 // capacity of spot machines that was not needed for this time is returned
 	// ReadyWindowS is the least value of these two if work should start sooner than a machine boots; 0: the
 	// two apply unchanged.
-	ReadyWindowS  float64
+	ReadyWindowS float64
+	// LapseShare is the greatest share of the machines whose workers' first lease lapses at a time; 0: none does.
+	LapseShare    float64
 	RecordReturns int // 0 or 1: the return of an empty machine is recorded before the machine is returned
 	// MoveSaved, 0 or 1: tasks that save checkpoints are moved off machines that are to be returned.
 	MoveSaved int
