Tell of a cancellation only when no restart lets a copy of a direct start in

Its start had been sent directly, carried out and answered; after the user was told, the machine restarted and a copy of the start arrived.

Cause: a start that had been shown to arrive counted as harmless once its task was gone. But of a copy's two fences the token is refused only by a worker that has seen a higher one, and a new incarnation begins without a token, in session 1, for which the start was sent.

Change: a user is told only once every machine is deleted to which a start of the job, also of a task that is done, was sent directly in its worker's first session. The record of a direct start says whether it may be sent in the first session (field l), so that the next leader knows; records of earlier versions count as such. Services, which end by being cancelled, are sent directly in later sessions only.

--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -132,6 +132,13 @@
 	PreemptedAt  time.Duration // when tasks of other jobs were last preempted for it
 }
 
+// MayPushTo reports whether a start of one of the job's tasks may be pushed to a worker in its first session, or in
+// a later one. A machine to which a start was pushed in the first session must be deleted before the job's user is
+// told that the job is cancelled. Services end by being cancelled, so their starts are pushed in later sessions only.
+func (j *Job) MayPushTo(firstSession bool) bool {
+	return j.PushDispatch && (!firstSession || j.Record.Kind != Service)
+}
+
 // HasStarted reports whether a task of the job is placed, has run or is done, as far as the leader knows. For a
 // gang, tasks that are placed and have not run do not count.
 func (j *Job) HasStarted() bool {
--- a/internal/leader/cluster/restarts.go
+++ b/internal/leader/cluster/restarts.go
@@ -65,9 +65,8 @@
 }
 
 // restartMachine returns the only machine on which a task may start again, or nil if there is no such
-// restriction. A job that is being cancelled waits only for starts that nothing has shown to have arrived: to
-// rule out repeats of the others as well, each machine that has had a task of a cancelled job would have to be
-// deleted.
+// restriction. A task of a job that is being cancelled keeps its place only if nothing has shown that its start has
+// arrived. Repeats of the others are ruled out by the session of the start, see FirstSessionStarts.
 func (s *State) restartMachine(ref workers.TaskRef) *workers.Machine {
 	m := s.SentTo[ref]
 	if m == nil {
--- a/internal/leader/cluster/state.go
+++ b/internal/leader/cluster/state.go
@@ -64,13 +64,16 @@
 	// Machines and the tasks on them. registry adds machines, applies their heartbeats and
 	// adopts tasks; placement plans tasks. A planned task is assigned to a machine, but
 	// is not known to have been started.
-	Inventory         *workers.Inventory
-	Placements        map[workers.TaskRef]*workers.Placement
-	AwaitingRestart   map[workers.TaskRef]*workers.Placement // see ReleaseOrRestart
-	SentTo            map[workers.TaskRef]*workers.Machine   // machine to which a start was sent directly; written by dispatch
-	MachinesWithPlans []*workers.Machine                     // machines that may have plans; placement removes the others
-	LastMachineNumber int                                    // highest number assigned to a machine by registry or placement
-	Reconciled        *reconcile.Tally                       // stored state compared with this term's heartbeats, by registry
+	Inventory       *workers.Inventory
+	Placements      map[workers.TaskRef]*workers.Placement
+	AwaitingRestart map[workers.TaskRef]*workers.Placement // see ReleaseOrRestart
+	SentTo          map[workers.TaskRef]*workers.Machine   // machine to which a start was sent directly; written by dispatch
+	// FirstSessionStarts holds, by job index, the machines to which starts of the job's tasks were sent directly in
+	// their workers' first session, until the machines are deleted; written by dispatch.
+	FirstSessionStarts map[int32]map[*workers.Machine]bool
+	MachinesWithPlans  []*workers.Machine // machines that may have plans; placement removes the others
+	LastMachineNumber  int                // highest number assigned to a machine by registry or placement
+	Reconciled         *reconcile.Tally   // stored state compared with this term's heartbeats, by registry
 
 	// NeedsCycle is set when a change requires a scheduling cycle. Every component may set
 	// it; placement resets it.
@@ -127,10 +130,11 @@
 			Delta:         tunables.TrainingLimitS,
 			InitialSize:   tunables.FirstSizeS,
 		}),
-		Placements:      map[workers.TaskRef]*workers.Placement{},
-		SentTo:          map[workers.TaskRef]*workers.Machine{},
-		AwaitingRestart: map[workers.TaskRef]*workers.Placement{},
-		Reconciled:      &reconcile.Tally{},
+		Placements:         map[workers.TaskRef]*workers.Placement{},
+		SentTo:             map[workers.TaskRef]*workers.Machine{},
+		FirstSessionStarts: map[int32]map[*workers.Machine]bool{},
+		AwaitingRestart:    map[workers.TaskRef]*workers.Placement{},
+		Reconciled:         &reconcile.Tally{},
 	}
 	s.Scheduler = scheduler.New(nil, tunables.TrainingAtOnce)
 	for _, team := range start.Cfg.Deployment.Teams {
--- a/internal/leader/dispatch/dispatch.go
+++ b/internal/leader/dispatch/dispatch.go
@@ -60,6 +60,8 @@
 	switch e.Kind {
 	case cluster.JobRemoved:
 		c.forgetJob(e.Job.Index)
+	case cluster.MachineProvedGone:
+		c.forgetMachine(e.Machine)
 	case cluster.TaskBegan:
 		c.measureStart(e)
 	}
@@ -139,6 +141,9 @@
 		m.Dispatch(p)
 		c.rememberMachine(p.Ref.Job, m)
 		c.SentTo[p.Ref] = m
+		if m.InFirstSession() {
+			c.addFirstSessionStart(p.Ref.Job, m)
+		}
 		task := int(p.Ref.Task)
 		starts = append(starts, workers.Command{Op: workers.Start, Job: p.JobID, Task: task, Attempt: p.Attempt})
 		c.Publish(cluster.Event{Kind: cluster.TaskPlaced, At: now, Job: c.Jobs.ByIndex(p.Ref.Job), Task: task, Machine: m})
@@ -167,14 +172,26 @@
 	c.machinesOf[job][m] = true
 }
 
+// addFirstSessionStart records that a start of a task of a job was sent to a machine in its worker's first session,
+// or may have been.
+func (c *Component) addFirstSessionStart(job int32, m *workers.Machine) {
+	if c.FirstSessionStarts[job] == nil {
+		c.FirstSessionStarts[job] = map[*workers.Machine]bool{}
+	}
+	c.FirstSessionStarts[job][m] = true
+}
+
 // mayDispatch reports whether a planned task may be sent straight to its machine: it is marked
 // for a direct start, it is neither withdrawn nor on offer, and its grant, its intent and the record that
-// it may be sent to this machine are durable.
+// it may be sent to this machine are durable. The job and the record must allow it in the worker's present session.
 func (c *Component) mayDispatch(m *workers.Machine, p *workers.Placement) bool {
-	if p.NoNewOffers || p.Withdrawn || len(p.Offered) > 0 {
+	if !p.PushDispatch || p.NoNewOffers || p.Withdrawn || len(p.Offered) > 0 {
 		return false
 	}
-	return p.PushDispatch && m.Grants[p.JobID] && p.IntentDurable && c.records.names(p.Ref, m)
+	return m.Grants[p.JobID] &&
+		p.IntentDurable &&
+		c.records.allows(p.Ref, m) &&
+		c.Jobs.ByIndex(p.Ref.Job).MayPushTo(m.InFirstSession())
 }
 
 // Dispatched applies the report with which a worker answered dispatched starts; report is nil if
--- a/internal/leader/dispatch/records.go
+++ b/internal/leader/dispatch/records.go
@@ -14,7 +14,9 @@
 
 // Which task is sent to which machine is recorded durably before it is sent. A later incarnation of that
 // machine's worker may carry the start out in any later term, so the next leader too must start the
-// task on no other machine. A record stays until its job is over or its machine is deleted. It is
+// task on no other machine. A start that was sent in a worker's first session is moreover carried out again after a
+// restart, so that a cancellation waits for the machine's deletion; the record tells whether it may have been.
+// A record stays until its job is over or its machine is deleted. It is
 // withdrawn if the task was not sent after all; where that is not durable, the next leader takes the
 // record as it is.
 
@@ -34,6 +36,14 @@
 	Machine int    `json:"m"` // number of the machine; noMachine: the records are withdrawn
 	From    int    `json:"f"`
 	To      int    `json:"t"`
+	// LaterSession is true if the tasks are sent only in a session after the worker's first one. Versions that do
+	// not write it send in any session.
+	LaterSession bool `json:"l,omitempty"`
+}
+
+// follows reports whether a range continues another one by the next task.
+func (r taskRange) follows(previous taskRange) bool {
+	return r.Job == previous.Job && r.Machine == previous.Machine && r.LaterSession == previous.LaterSession && r.From == previous.To
 }
 
 // noMachine is the number of no machine.
@@ -41,8 +51,14 @@
 
 // record is the latest record of a task. It is replaced, not changed, when the task is recorded again.
 type record struct {
-	machine *workers.Machine // nil: the record is withdrawn
-	durable bool
+	machine      *workers.Machine // nil: the record is withdrawn
+	laterSession bool             // it does not allow the start in the worker's first session
+	durable      bool
+}
+
+// covers reports whether a start on a machine, in its worker's present session, needs no other record.
+func (r *record) covers(m *workers.Machine) bool {
+	return r.machine == m && (!r.laterSession || !m.InFirstSession())
 }
 
 // number returns the number of the record's machine, or noMachine.
@@ -56,33 +72,39 @@
 // records holds the records of a term.
 type records struct {
 	byTask   map[workers.TaskRef]*record
-	unsent   []workers.TaskRef           // tasks whose records are to be withdrawn
-	inFlight [][]*record                 // records of each entry in flight to the log, in order
-	replayed map[uint64]map[int]int      // machine numbers by job id and task, while the log is replayed
-	numbers  map[int]*workers.Machine    // machines by number, while the log is compacted
-	ofJob    map[int32][]workers.TaskRef // recorded tasks, by job index; a task may be listed twice
+	unsent   []workers.TaskRef                 // tasks whose records are to be withdrawn
+	inFlight [][]*record                       // records of each entry in flight to the log, in order
+	replayed map[uint64]map[int]replayedRecord // by job id and task, while the log is replayed
+	numbers  map[int]*workers.Machine          // machines by number, while the log is compacted
+	ofJob    map[int32][]workers.TaskRef       // recorded tasks, by job index; a task may be listed twice
+}
+
+// replayedRecord is the latest record of a task in the log.
+type replayedRecord struct {
+	machine      int // its number
+	laterSession bool
 }
 
 func newRecords() records {
 	return records{
 		byTask:   map[workers.TaskRef]*record{},
-		replayed: map[uint64]map[int]int{},
+		replayed: map[uint64]map[int]replayedRecord{},
 		ofJob:    map[int32][]workers.TaskRef{},
 	}
 }
 
 // set replaces a task's record.
-func (r *records) set(ref workers.TaskRef, machine *workers.Machine, durable bool) {
+func (r *records) set(ref workers.TaskRef, replacement record) {
 	if _, known := r.byTask[ref]; !known {
 		r.ofJob[ref.Job] = append(r.ofJob[ref.Job], ref)
 	}
-	r.byTask[ref] = &record{machine: machine, durable: durable}
+	r.byTask[ref] = &replacement
 }
 
-// names reports whether a durable record names a machine for a task.
-func (r *records) names(ref workers.TaskRef, m *workers.Machine) bool {
+// allows reports whether a durable record allows a start of a task on a machine in its worker's present session.
+func (r *records) allows(ref workers.TaskRef, m *workers.Machine) bool {
 	known, ok := r.byTask[ref]
-	return ok && known.durable && known.machine == m
+	return ok && known.durable && known.covers(m)
 }
 
 // withdraw withdraws the record of a task that was not sent to the machine that it names.
@@ -119,6 +141,7 @@
 		m.ForgetDirectStarts(job)
 	}
 	delete(c.machinesOf, job)
+	delete(c.FirstSessionStarts, job)
 	for _, ref := range c.records.ofJob[job] {
 		delete(c.records.byTask, ref)
 		delete(c.SentTo, ref)
@@ -126,6 +149,16 @@
 	delete(c.records.ofJob, job)
 }
 
+// forgetMachine records that a machine is deleted: no start is carried out on it any more.
+func (c *Component) forgetMachine(m *workers.Machine) {
+	for job, machines := range c.FirstSessionStarts {
+		delete(machines, m)
+		if len(machines) == 0 {
+			delete(c.FirstSessionStarts, job)
+		}
+	}
+}
+
 // Replay reads the records of earlier terms.
 func (c *Component) Replay(_ time.Duration, e eventlog.Entry) {
 	if e.Component == nil {
@@ -138,10 +171,10 @@
 	}
 	for _, r := range entry.Ranges {
 		if c.records.replayed[r.Job] == nil {
-			c.records.replayed[r.Job] = map[int]int{}
+			c.records.replayed[r.Job] = map[int]replayedRecord{}
 		}
 		for task := r.From; task < r.To; task++ {
-			c.records.replayed[r.Job][task] = r.Machine
+			c.records.replayed[r.Job][task] = replayedRecord{r.Machine, r.LaterSession}
 		}
 	}
 }
@@ -154,19 +187,35 @@
 		if job == nil {
 			continue
 		}
-		for task, number := range tasks {
-			m := machines[number]
-			if m != nil && number != noMachine && task < len(job.Tasks) && job.Tasks[task] == jobs.Waiting {
-				ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
-				c.records.set(ref, m, true)
-				c.rememberMachine(job.Index, m)
-				c.BindToMachine(job, task, m)
+		for task, replayed := range tasks {
+			m := machines[replayed.machine]
+			if m == nil || replayed.machine == noMachine || task >= len(job.Tasks) {
+				continue
 			}
+			c.resume(job, task, record{machine: m, laterSession: replayed.laterSession, durable: true})
 		}
 	}
 	c.records.replayed = nil
 }
 
+// resume continues from the record of a task that an earlier term may have sent. A task that is done starts nowhere
+// again, but its record still counts if the job is cancelled.
+func (c *Component) resume(job *jobs.Job, task int, earlier record) {
+	ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
+	unfinished := job.Tasks[task] == jobs.Waiting
+	if !unfinished && earlier.laterSession {
+		return
+	}
+	c.records.set(ref, earlier)
+	if !earlier.laterSession {
+		c.addFirstSessionStart(job.Index, earlier.machine)
+	}
+	if unfinished {
+		c.rememberMachine(job.Index, earlier.machine)
+		c.BindToMachine(job, task, earlier.machine)
+	}
+}
+
 func (c *Component) machinesByNumber() map[int]*workers.Machine {
 	machines := map[int]*workers.Machine{}
 	for _, m := range c.Inventory.All() {
@@ -181,10 +230,13 @@
 	refs := c.records.takeUnsent()
 	for _, p := range c.DispatchQueue {
 		known, recorded := c.records.byTask[p.Ref]
-		if !p.Planned || c.Placements[p.Ref] != p || p.Machine.Number == noMachine || (recorded && known.machine == p.Machine) {
+		if !p.Planned || c.Placements[p.Ref] != p || p.Machine.Number == noMachine || (recorded && known.covers(p.Machine)) {
 			continue
 		}
-		c.records.set(p.Ref, p.Machine, false)
+		if !c.Jobs.ByIndex(p.Ref.Job).MayPushTo(p.Machine.InFirstSession()) {
+			continue // the worker was restarted since the task was planned
+		}
+		c.records.set(p.Ref, record{machine: p.Machine, laterSession: !p.Machine.InFirstSession()})
 		refs = append(refs, p.Ref)
 	}
 	c.appendRecords(refs)
@@ -207,12 +259,19 @@
 func (c *Component) rangesOf(refs []workers.TaskRef) []taskRange {
 	var ranges []taskRange
 	for _, ref := range refs {
-		id, machine, task := c.Jobs.ByIndex(ref.Job).Record.ID, c.records.byTask[ref].number(), int(ref.Task)
-		if n := len(ranges) - 1; n >= 0 && ranges[n].Job == id && ranges[n].Machine == machine && ranges[n].To == task {
-			ranges[n].To++
+		current := c.records.byTask[ref]
+		next := taskRange{
+			Job:          c.Jobs.ByIndex(ref.Job).Record.ID,
+			Machine:      current.number(),
+			From:         int(ref.Task),
+			To:           int(ref.Task) + 1,
+			LaterSession: current.laterSession,
+		}
+		if n := len(ranges) - 1; n >= 0 && next.follows(ranges[n]) {
+			ranges[n].To = next.To
 			continue
 		}
-		ranges = append(ranges, taskRange{Job: id, Machine: machine, From: task, To: task + 1})
+		ranges = append(ranges, next)
 	}
 	return ranges
 }
@@ -248,11 +307,12 @@
 		}
 		for task := r.From; task < min(r.To, len(job.Tasks)); task++ {
 			ref := workers.TaskRef{Job: job.Index, Task: int32(task)}
+			current := c.records.byTask[ref]
 			switch {
-			case job.Tasks[task] == jobs.FinishedDurably:
+			case job.Tasks[task] == jobs.FinishedDurably && (current == nil || current.laterSession):
 				delete(c.records.byTask, ref)
 				delete(c.SentTo, ref)
-			case c.records.byTask[ref].number() == r.Machine:
+			case current.number() == r.Machine:
 				live = append(live, ref)
 			}
 		}
--- a/internal/leader/dispatch/records_test.go
+++ b/internal/leader/dispatch/records_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -27,8 +28,9 @@
 	state.EventLog = eventlog.NewLog(limits, "lead/epoch", 1, 0, 0)
 	state.Jobs.Add(eventlog.Job{ID: jobID, Team: "team", Tasks: jobTasks}).Phase = jobs.Open
 	for i, name := range []string{"m1", "m2"} {
-		state.Inventory.Add(&workers.Machine{Name: name, Number: i + 1, Durable: true, Capacity: resources.Room(64, 0, 64)})
+		state.Inventory.Add(&workers.Machine{Name: name, Number: i + 1, Durable: true, Session: 2, Capacity: resources.Room(64, 0, 64)})
 	}
+	state.Jobs.ByID(jobID).PushDispatch = true
 	c := New(state)
 	for _, entry := range log {
 		c.Replay(0, entry)
@@ -84,12 +86,12 @@
 		plans = append(plans, plan(c, task, []string{"m1", "m2"}[task%2]))
 	}
 	c.AppendEntries(0)
-	if c.records.names(plans[3].Ref, plans[3].Machine) {
+	if c.records.allows(plans[3].Ref, plans[3].Machine) {
 		t.Error("a task may be sent before its record is durable")
 	}
 	log := commit(t, c)
 	for _, p := range plans {
-		if !c.records.names(p.Ref, p.Machine) {
+		if !c.records.allows(p.Ref, p.Machine) {
 			t.Errorf("task %d may not be sent although its record is durable", p.Ref.Task)
 		}
 	}
@@ -135,3 +137,70 @@
 		t.Errorf("%d records of deleted machines are kept", len(left))
 	}
 }
+
+// TestNextTermKnowsFirstSessionStarts guards against a leader that reports a job as cancelled although a machine to
+// which its predecessor sent a start in the worker's first session still exists, also if the task is done or the log
+// was compacted.
+func TestNextTermKnowsFirstSessionStarts(t *testing.T) {
+	c := newTerm(2)
+	c.Inventory.Find("m1").Session = workers.FirstSession
+	finished := plan(c, 0, "m1")
+	plan(c, 1, "m2")
+	c.AppendEntries(0)
+	log := commit(t, c)
+	awaited := func(c *Component, machine string) bool {
+		return c.FirstSessionStarts[c.Jobs.ByID(jobID).Index][c.Inventory.Find(machine)]
+	}
+	c.Jobs.ByID(jobID).MarkDurable(int(finished.Ref.Task))
+	for _, entry := range log {
+		c.Compact(0, entry)
+	}
+	c.CompactionDone()
+	for name, entries := range map[string][]eventlog.Entry{"as written": log, "compacted": commit(t, c)} {
+		next := newTerm(3, entries...)
+		if !awaited(next, "m1") || awaited(next, "m2") {
+			t.Errorf("%s: m1 is awaited: %v, m2: %v", name, awaited(next, "m1"), awaited(next, "m2"))
+		}
+		next.HandleEvent(cluster.Event{Kind: cluster.MachineProvedGone, Machine: next.Inventory.Find("m1")})
+		if len(next.FirstSessionStarts) > 0 {
+			t.Errorf("%s: a deleted machine is awaited", name)
+		}
+	}
+}
+
+// TestRecordOfEarlierVersion: a record that does not tell the session counts as sent in the first one.
+func TestRecordOfEarlierVersion(t *testing.T) {
+	entry := eventlog.NewComponentEntry(Name, json.RawMessage(`{"r":[{"j":7,"m":2,"f":0,"t":3}]}`))
+	c := newTerm(3, entry)
+	if !c.FirstSessionStarts[c.Jobs.ByID(jobID).Index][c.Inventory.Find("m2")] {
+		t.Error("a cancellation of the job does not await the machine's deletion")
+	}
+}
+
+// TestRestartBeforeDispatch guards against a start that is sent in a worker's first session although its record
+// allows it only in a later one, since the worker was restarted in between.
+func TestRestartBeforeDispatch(t *testing.T) {
+	c := newTerm(2)
+	p := plan(c, 0, "m1")
+	c.AppendEntries(0)
+	commit(t, c)
+	c.Jobs.ByID(jobID).PushDispatch = false
+	if !c.records.allows(p.Ref, p.Machine) {
+		t.Error("the start is not allowed although its record is durable")
+	}
+	p.Machine.Session = workers.FirstSession
+	if c.records.allows(p.Ref, p.Machine) {
+		t.Error("the start is allowed in the first session")
+	}
+	c.AppendEntries(0)
+	commit(t, c)
+	if c.records.allows(p.Ref, p.Machine) {
+		t.Error("a start of a job that is not pushed in the first session is allowed")
+	}
+	c.Jobs.ByID(jobID).PushDispatch = true
+	c.AppendEntries(0)
+	commit(t, c)
+	if !c.records.allows(p.Ref, p.Machine) {
+		t.Error("the start is not allowed although a record for the first session is durable")
+	}
+}
--- a/internal/leader/lifecycle/cancellation.go
+++ b/internal/leader/lifecycle/cancellation.go
@@ -80,7 +80,8 @@
 // appendCancellations appends cancellations to the log, in the order of their jobs' ids.
 //
 // A cancellation is written and confirmed only once no task of the job is on any machine, or
-// can be. Then no later failure or change of leader can leave a task of it running. Confirming
+// can be, and each machine is deleted on which a copy of a direct start could still start one after a
+// restart. Then no later failure or change of leader can leave a task of it running. Confirming
 // earlier failed when the state service refused first the leader alone and then all controllers:
 // a new leader confirmed cancellations while the old one, which could not learn of them, kept
 // the leases of its workers alive.
@@ -91,7 +92,7 @@
 		switch {
 		case j.Finished == len(j.Tasks): // its tasks completed before they could be stopped
 			delete(c.cancelling, id)
-		case c.Quiescent(j):
+		case c.Quiescent(j) && len(c.FirstSessionStarts[j.Index]) == 0:
 			delete(c.cancelling, id)
 			c.appendCancellation(now, j)
 		}
--- a/internal/leader/placement/placement.go
+++ b/internal/leader/placement/placement.go
@@ -183,7 +183,7 @@
 		Image:          job.Image,
 		Need:           job.Need,
 		BoundToMachine: job.Record.Kind == jobs.Gang || job.HasZoneRule(),
-		PushDispatch:   job.PushDispatch,
+		PushDispatch:   job.MayPushTo(machine.InFirstSession()),
 	}
 	c.Placements[ref] = plan
 	if job.Record.Kind == jobs.Gang {
--- a/internal/leader/registry/failure_detector.go
+++ b/internal/leader/registry/failure_detector.go
@@ -40,6 +40,7 @@
 	silenceLimit      time.Duration // a machine silent for longer is decommissioned
 	overdueStop       time.Duration // a stop that takes longer is overdue
 	lateCancellations []*jobs.Job   // cancelled jobs whose tasks should have stopped by now
+	cancellations     []*jobs.Job   // cancelled jobs that wait for the deletion of machines
 }
 
 // verdict is the failure detector's decision on a machine; without a reason the machine stays.
@@ -61,6 +62,9 @@
 		if now-c.lastHeard(m) > c.SuspectAfter() {
 			c.CancelPlans(m)
 		}
+		if c.awaitedByCancellation(check.cancellations, m) {
+			m.Draining = true
+		}
 		if v := c.evaluate(check, m); v.reason != "" {
 			c.Decommission(now, m, v.action, v.reason)
 		}
@@ -88,9 +92,15 @@
 	c.trackZoneOutages(now, check.mostSilent)
 	c.zoneReachable = c.reachableZones(now)
 	for _, j := range c.Jobs.All() {
-		if j != nil && j.Phase == jobs.Cancelling && now-j.CancelRequestedAt > check.overdueStop {
+		if j == nil || j.Phase != jobs.Cancelling {
+			continue
+		}
+		if now-j.CancelRequestedAt > check.overdueStop {
 			check.lateCancellations = append(check.lateCancellations, j)
 		}
+		if len(c.FirstSessionStarts[j.Index]) > 0 {
+			check.cancellations = append(check.cancellations, j)
+		}
 	}
 	return check
 }
@@ -125,21 +135,6 @@
 	return verdict{}
 }
 
-// evaluateCancellation decides to delete a machine that delays the end of a cancellation: its
-// deletion proves that the tasks are gone. This requires a valid lease, without which the leader
-// could not report the end to the user.
-func (c *Component) evaluateCancellation(check failureCheck, m *workers.Machine) verdict {
-	mayHaveTask := func(j *jobs.Job) bool { return c.mayHaveTaskOn(j, m) }
-	silent := check.now-c.lastHeard(m) > c.SuspectAfter()
-	switch {
-	case slices.ContainsFunc(check.lateCancellations, mayHaveTask):
-		return verdict{cluster.Delete, "a cancelled job's task not proved gone"}
-	case !check.mostSilent && silent && c.hasOnlyCancelledTasks(m):
-		return verdict{cluster.Delete, "silent, with nothing but cancelled jobs' tasks"}
-	}
-	return verdict{}
-}
-
 // evaluateSilence decides to delete a machine that was silent for too long or never booted. If
 // decided is true with an empty verdict, the machine is waited for and no later rule applies.
 func (c *Component) evaluateSilence(check failureCheck, m *workers.Machine) (v verdict, decided bool) {
@@ -211,35 +206,6 @@
 	return true
 }
 
-// mayHaveTaskOn reports whether a job may have a task on a machine, that is, whether the
-// opposite is not proved.
-func (c *Component) mayHaveTaskOn(j *jobs.Job, m *workers.Machine) bool {
-	if m.Unresolved() {
-		return c.MayRunUnreported(j) && m.MayHaveTasksOf(j.Record.ID)
-	}
-	for _, p := range m.Tasks {
-		if p.Ref.Job == j.Index && !p.Planned {
-			return true
-		}
-	}
-	return slices.ContainsFunc(c.RestartsOn(m), func(p *workers.Placement) bool { return p.Ref.Job == j.Index })
-}
-
-// hasOnlyCancelledTasks reports whether all tasks that count as being on a machine belong to
-// jobs that are being cancelled. Deleting such a machine loses no work, and users wait for the
-// end of the cancellations.
-func (c *Component) hasOnlyCancelledTasks(m *workers.Machine) bool {
-	if len(m.Tasks) == 0 || m.Unresolved() {
-		return false
-	}
-	for _, p := range m.Tasks {
-		if c.Jobs.ByIndex(p.Ref.Job).Phase != jobs.Cancelling {
-			return false
-		}
-	}
-	return true
-}
-
 // probesUnanswered reports whether enough liveness probes of a silent machine went unanswered
 // while its zone is reachable. Such a machine is decommissioned earlier than other silent ones.
 func (c *Component) probesUnanswered(m *workers.Machine, heard time.Duration) bool {
--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// checkDispatch checks that no start of a service is sent directly in a worker's first session: services end by being
+// cancelled, and the machine would have to be deleted then.
+func (c *checker) checkDispatch(e effects.Dispatch) {
+	for _, start := range e.Starts {
+		if e.Session <= workers.FirstSession && c.sim.jobs[start.Job].spec.Job.Kind == jobs.Service {
+			c.fail("pushed_service", "a start of job %d was sent directly to %s in its first session", start.Job, e.Machine)
+		}
+	}
+}
+
 // taskRemoved records that a task no longer runs on a machine.
 func (c *checker) taskRemoved(t task, w *worker) {
 	if c.placements[t][w.name] {
--- a/internal/scenario/direct_start_orders_test.go
+++ b/internal/scenario/direct_start_orders_test.go
@@ -11,12 +11,14 @@
 	"bitternmoor/internal/core/eventlog"
 	"bitternmoor/internal/core/workers"
 	"bitternmoor/internal/effects"
+	"bitternmoor/internal/settings"
 )
 
 // directStart is a start that was sent directly to a worker. A test delivers copies of it.
 type directStart struct {
 	command effects.Dispatch
 	target  *worker
+	job     *userJob
 }
 
 // repeatStart delivers a copy of a start. For a moment packets of the machine take so long that the task has
@@ -42,17 +44,38 @@
 		if start != nil {
 			return false
 		}
-		start = &directStart{command, h.cloud.machines[command.Address]}
+		start = &directStart{command: command, target: h.cloud.machines[command.Address]}
 		return held
 	}
 	j := h.submitJob(run, eventlog.Job{Priority: 1, Spot: true})
 	if !h.runUntil(5*time.Second, func() bool { return start != nil }) {
 		h.t.Fatal("no start was sent directly to a worker")
 	}
+	start.job = j
 	h.run(100 * time.Millisecond)
 	return j, start
 }
 
+// captureLaterStart is captureDirectStart for a start that is sent in the second session of a worker, which new
+// incarnations of the worker refuse. It needs the settings of lapsingSettings.
+func (h *harness) captureLaterStart() (*userJob, *directStart) {
+	h.t.Helper()
+	h.warmUp(3*time.Second, eventlog.Job{Tasks: 12, Priority: 1, Spot: true})
+	h.run(60 * time.Second)
+	j, start := h.captureDirectStart(600*time.Second, false)
+	if start.command.Session <= workers.FirstSession {
+		h.t.Fatal("the start was sent in the first session")
+	}
+	return j, start
+}
+
+// lapsingSettings is directDispatchSettings where empty workers are left without answers until their first lease
+// has expired.
+func lapsingSettings(c *settings.Settings) {
+	directDispatchSettings(c)
+	c.Tunables.LapseShare = 1
+}
+
 // bootThirdMachine fills two machines, and waits until a third one that was rented for one more task has
 // begun it. Only the third has room then. Once the job that it returns is cancelled, each of the others has
 // room that fits one task exactly, so that they are preferred.
@@ -133,6 +156,36 @@
 		h.run(20 * time.Second)
 		delete(h.inboundLost, start.target.name)
 	}},
+	{"controller", func(h *harness, start *directStart) { // the worker's controller is back within a second
+		c := h.nodes[start.target.controllerIndex%len(h.nodes)]
+		c.crash()
+		h.faults.restartAfter(c, 400*time.Millisecond)
+		h.run(2 * time.Second)
+		h.awaitLeader()
+	}},
+	{"cancel", func(h *harness, start *directStart) {
+		h.cancelJob(start.job, 0)
+		if !h.runUntil(2*time.Minute, func() bool { return start.job.reportedCancelled || start.job.reportedDone }) {
+			h.t.Errorf("its user has cancelled the job, which is %s", start.job.state)
+		}
+	}},
+	{"end", func(h *harness, start *directStart) {
+		for _, w := range h.machinesWithTasks(start.job) {
+			t := task{start.job.id, 0}
+			if run := w.tasks[t]; w.up && run.state == workers.Running {
+				w.complete(t, run)
+			}
+		}
+		h.run(time.Second)
+	}},
+	{"move", func(h *harness, start *directStart) { // the cloud takes the machine back
+		if start.target.up && start.target.reclaimAt == 0 {
+			start.target.reclaimAt = h.now + 10*time.Second
+			start.target.reportSoon()
+			h.after(10*time.Second, start.target.terminate)
+			h.run(12 * time.Second)
+		}
+	}},
 }
 
 // ordersOf returns all orders of up to length events that end with a copy of the start.
@@ -153,8 +206,9 @@
 }
 
 // TestOrdersAfterDirectStart enumerates the orders of the events that may follow a direct start: reports,
-// restarts, later sessions, takeovers and copies of the start. In no order may the task run twice, and it must
-// run in the end. ORDER_LENGTH sets the number of events.
+// restarts of its machine or a controller, later sessions, takeovers, the end of the task, its cancellation or move,
+// and copies of the start. In no order may the task run twice, or start once its user was told that its job is
+// cancelled. If it has neither ended nor been cancelled, it must run in the end. ORDER_LENGTH sets the number of events.
 func TestOrdersAfterDirectStart(t *testing.T) {
 	length, err := strconv.Atoi(cmp.Or(os.Getenv("ORDER_LENGTH"), "3"))
 	if err != nil {
@@ -165,40 +219,69 @@
 		for _, event := range order {
 			names = append(names, event.name)
 		}
-		for _, answer := range []string{"answered", "held"} {
-			t.Run(answer+","+strings.Join(names, ","), func(t *testing.T) {
+		for kind, simulate := range startsToFollow {
+			t.Run(kind+","+strings.Join(names, ","), func(t *testing.T) {
 				t.Parallel()
-				simulateOrder(t, order, answer == "held")
+				h, start := simulate(t)
+				h.followStart(start, order)
 			})
 		}
 	}
 }
 
-// simulateOrder lets events follow a direct start. held is true if the start itself is held back.
-func simulateOrder(t *testing.T, order []orderEvent, held bool) {
+// startsToFollow are the direct starts that TestOrdersAfterDirectStart lets events follow: in the worker's first
+// session with and without an answer, and in a later session.
+var startsToFollow = map[string]func(t *testing.T) (*harness, *directStart){
+	"answered": func(t *testing.T) (*harness, *directStart) { return startInFirstSession(t, false) },
+	"held":     func(t *testing.T) (*harness, *directStart) { return startInFirstSession(t, true) },
+	"later": func(t *testing.T) (*harness, *directStart) {
+		h := newHarness(t, 1, lapsingSettings)
+		_, start := h.captureLaterStart()
+		return h, start
+	},
+}
+
+// startInFirstSession sends a start directly to a worker in its first session. held is true if it is held back.
+func startInFirstSession(t *testing.T, held bool) (*harness, *directStart) {
 	h := newHarness(t, 1, directDispatchSettings)
 	others := h.bootThirdMachine()
-	j, start := h.captureDirectStart(600*time.Second, held)
+	_, start := h.captureDirectStart(600*time.Second, held)
 	h.cancelJob(others, 0)
+	return h, start
+}
+
+// followStart lets events follow a direct start, and checks the job in the end.
+func (h *harness) followStart(start *directStart, order []orderEvent) {
 	for _, event := range order {
 		event.occur(h, start)
 	}
 	h.run(5 * time.Second)
-	if !h.runUntil(90*time.Second, func() bool { return h.runningTasks(j.id) == 1 }) {
-		t.Error("the task does not run")
+	if !h.runUntil(90*time.Second, func() bool { return h.isSettled(start.job) }) {
+		h.t.Errorf("%d tasks run, and the job is %s", h.runningTasks(start.job.id), start.job.state)
 	}
 	if len(h.check.violations) > 0 {
-		t.Errorf("violated invariants: %s", strings.Join(h.check.violations, "\n"))
+		h.t.Errorf("violated invariants: %s", strings.Join(h.check.violations, "\n"))
+	}
+}
+
+// isSettled reports whether a job of one task is as its user expects: done, cancelled or running.
+func (h *harness) isSettled(j *userJob) bool {
+	switch {
+	case h.check.allCompleted(j.id):
+		return j.reportedDone || j.reportedCancelled
+	case j.cancelRequested:
+		return j.reportedCancelled && h.tasksOnMachines(j.id) == 0
 	}
+	return h.runningTasks(j.id) == 1
 }
 
 // TestCancelAfterTakeoverKeepsMachines guards against machines that are deleted although nothing is lost: the
-// next leader must learn from reports that the starts of its predecessor have arrived.
+// next leader must learn from reports that the starts of its predecessor have arrived, and from its records that
+// they were sent in a later session than the first.
 func TestCancelAfterTakeoverKeepsMachines(t *testing.T) {
 	runSeeds(t, 8, func(t *testing.T, seed uint64) *sim {
-		h := newHarness(t, seed, directDispatchSettings)
-		h.bootThirdMachine()
-		j, _ := h.captureDirectStart(600*time.Second, false)
+		h := newHarness(t, seed, lapsingSettings)
+		j, _ := h.captureLaterStart()
 		h.awaitRunning(j, 1)
 		h.restartLeader(6 * time.Second)
 		h.run(3 * time.Second)
@@ -249,21 +332,22 @@
 // TestRepeatAfterCancellation guards against a task of a cancelled job that starts again because a repeat of its
 // start, which was answered, arrives after the machine's restart, long after the user was told.
 func TestRepeatAfterCancellation(t *testing.T) {
-	h := newHarness(t, 1, directDispatchSettings)
-	h.bootThirdMachine()
-	j, start := h.captureDirectStart(600*time.Second, false)
-	h.awaitRunning(j, 1)
-	h.cancelAndRepeat(j, start)
-	h.endFaultsAndSettle(10 * time.Minute)
+	runSeeds(t, 16, func(t *testing.T, seed uint64) *sim {
+		h := newHarness(t, seed, directDispatchSettings)
+		h.bootThirdMachine()
+		j, start := h.captureDirectStart(600*time.Second, false)
+		h.awaitRunning(j, 1)
+		h.cancelAndRepeat(j, start)
+		return h.endFaultsAndSettle(10 * time.Minute)
+	})
 }
 
 // TestCancelAcrossTakeoverKeepsMachines guards against machines that are deleted for a cancellation although the
 // next leader is shown that the starts of its predecessor had arrived: the tasks have ended by then.
 func TestCancelAcrossTakeoverKeepsMachines(t *testing.T) {
 	runSeeds(t, 8, func(t *testing.T, seed uint64) *sim {
-		h := newHarness(t, seed, directDispatchSettings)
-		h.bootThirdMachine()
-		j, _ := h.captureDirectStart(600*time.Second, false)
+		h := newHarness(t, seed, lapsingSettings)
+		j, _ := h.captureLaterStart()
 		h.awaitRunning(j, 1)
 		h.cancelJob(j, 0)
 		h.run(time.Duration(seed) * 500 * time.Microsecond)
--- a/internal/scenario/direct_start_restarts_test.go
+++ b/internal/scenario/direct_start_restarts_test.go
@@ -10,18 +10,22 @@
 	"bitternmoor/internal/core/jobs"
 	"bitternmoor/internal/core/workers"
 	"bitternmoor/internal/effects"
+	"bitternmoor/internal/settings"
 )
 
-// TestRestartsAndRepeatedStarts guards against tasks that run twice where machines restart all the time while
-// reports and direct starts are repeated, held back or lost, and leaders change. Copies of earlier starts arrive
-// just after restarts. RESTART_DAYS sets the number of runs.
+// TestRestartsAndRepeatedStarts guards against tasks that run twice, or after their user was told of a cancellation,
+// where machines restart all the time while reports and direct starts are repeated, held back or lost, and leaders
+// change. Copies of earlier starts arrive just after restarts. RESTART_DAYS sets the number of runs.
 func TestRestartsAndRepeatedStarts(t *testing.T) {
 	runs := 24
 	if v, err := strconv.Atoi(os.Getenv("RESTART_DAYS")); err == nil {
 		runs = v
 	}
 	runSeeds(t, runs, func(t *testing.T, seed uint64) *sim {
-		h := newHarness(t, seed, directDispatchSettings)
+		h := newHarness(t, seed, func(c *settings.Settings) {
+			directDispatchSettings(c)
+			c.Tunables.LapseShare = float64(seed%3) / 2
+		})
 		h.cloud.capacity = 8
 		h.imageFetch = 5 * time.Millisecond // shorter than the leader takes to stop a task
 		h.submitJob(0, eventlog.Job{Tasks: 4, Kind: jobs.Service, Priority: 1, Spot: true, Spread: true})
@@ -30,6 +34,9 @@
 				Tasks: 1 + h.random.IntN(5), Priority: 1 + uint8(i%2), Spot: true, OneZone: i%7 == 3,
 			})
 		}
+		for range 8 {
+			h.after(time.Duration(5+h.random.IntN(80))*time.Second, func() { h.cancelJob(h.jobs[uint64(2+h.random.IntN(40))], 0) })
+		}
 		h.pollAll(2 * time.Second)
 		h.duplicateDelay = 30 * time.Second
 		sent := map[string][]effects.Dispatch{} // by machine
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -67,6 +67,7 @@
 	}
 	if seed%3 == 2 || seed%6 == 1 { // starts are sent directly to workers
 		c.Tunables.MaxPushDispatches, c.Tunables.MaxUnansweredProbes = 4, int(seed%2)
+		c.Tunables.LapseShare = []float64{0, 0.3, 1, 1}[seed/6%4]
 		c.Deployment.Objectives = append(c.Deployment.Objectives, settings.Objective{Kind: settings.ObjectiveWait, Class: "class", WithinS: 0.5})
 	}
 	usesPools := seed%4 == 1 || seed%4 == 2 // half of these runs start on the version in production
--- a/internal/scenario/sim_test.go
+++ b/internal/scenario/sim_test.go
@@ -539,6 +539,9 @@
 		epoch := c.core.Epoch()
 		if target := s.cloud.machines[e.Address]; target != nil {
 			s.directDispatches++
+			if !c.oldVersion {
+				s.check.checkDispatch(e)
+			}
 			held := s.holdDispatch != nil && s.holdDispatch(e)
 			targetIncarnation := target.incarnation
 			recordArrival := func() {
