--- a/internal/core/scheduler/binpacking.go
+++ b/internal/core/scheduler/binpacking.go
@@ -88,9 +88,17 @@
 	if s.ZoneAffinity > 0 && job.HomeZone != 0 && job.HomeZone != machine.Zone+1 {
 		cost += int64(costPerFetchSecond * s.ZoneAffinity)
 	}
+	if job.PushDispatch && !job.MayPushTo(machine.InFirstSession()) {
+		cost += int64(costPerFetchSecond * s.untilReport(snap.Now, machine).Seconds())
+	}
 	return cost
 }
 
+// untilReport returns the time until a machine's next report is due.
+func (s *Scheduler) untilReport(now time.Duration, machine *workers.Machine) time.Duration {
+	return max(0, machine.LastHeartbeat+s.ReportInterval-now)
+}
+
 // recordRefusal records that no machine was found for a job's need, unless a machine with room
 // was only skipped for now or the job's zone rule may have excluded machines.
 func (s *Scheduler) recordRefusal(snap *Snapshot, job *jobs.Job) {
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -45,6 +45,9 @@
 	// Locality is how long a job waits for machines that have its image.
 	Locality time.Duration
 
+	// ReportInterval is the time between two reports of a worker, with which starts that are not sent directly wait.
+	ReportInterval time.Duration
+
 	// State that is kept from one cycle to the next.
 
 	teamUse             []resources.Amounts // by team index, the sum of the needs of its placed tasks
--- a/internal/leader/cluster/state.go
+++ b/internal/leader/cluster/state.go
@@ -140,6 +140,7 @@
 	for _, team := range start.Cfg.Deployment.Teams {
 		s.SetTeam(team)
 	}
+	s.Scheduler.ReportInterval = settings.Seconds(start.Cfg.Deployment.Workers.ReportS)
 	s.Scheduler.Locality = settings.Seconds(tunables.LocalityS)
 	s.Scheduler.ZoneAffinity = tunables.ZoneAffinityS
 	s.Scheduler.BeginWithin = settings.Seconds(tunables.BeginWithinS)
