--- a/internal/scenario/checker_test.go
+++ b/internal/scenario/checker_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bitternmoor/internal/core/eventlog"
 	"bitternmoor/internal/core/jobs"
 	"bitternmoor/internal/core/workers"
 	"bitternmoor/internal/effects"
@@ -39,6 +40,7 @@
 func (c *checker) taskStarted(t task, w *worker) {
 	c.starts++
 	j := c.sim.jobs[t.job]
+	spec := j.spec.Job
 	j.lastStart = c.sim.now
 	if j.reportedCancelled && !j.cancelledByOldVersion {
 		c.fail("ran_cancelled", "task %d/%d started on %s after its user was told that the job is cancelled", t.job, t.index, w.name)
@@ -46,32 +48,51 @@
 	if c.startedAt == nil {
 		c.startedAt = map[uint64]time.Duration{}
 	}
-	if _, ok := c.startedAt[t.job]; !ok || (j.spec.Job.Kind == jobs.Gang && !c.completedTasks[t]) {
+	if _, ok := c.startedAt[t.job]; !ok || (spec.Kind == jobs.Gang && !c.completedTasks[t]) {
 		c.startedAt[t.job] = c.sim.now
 	}
+	c.checkOnlyMachine(t, w)
+	c.checkDependencies(t, spec)
+	if c.completedTasks[t] {
+		c.countUnnecessary(startedCompleted)
+	}
+	c.checkPlace(t, w, spec)
+	c.addPlacement(t, w, spec)
+	if j.reportedCancelled && c.sim.now > j.endReportedAt+settingsSeconds(c.sim.cfg.Deployment.Workers.CancelS) {
+		c.fail("ran_cancelled", "task %d/%d started on %s after the cancellation deadline", t.job, t.index, w.name)
+	}
+	c.checkUnits(t, w, spec)
+	c.checkLimits(spec)
+}
+
+// checkOnlyMachine checks that a task that starts on a machine runs on no other one.
+func (c *checker) checkOnlyMachine(t task, w *worker) {
 	for machine := range c.placements[t] {
 		if machine != w.name {
 			c.fail("ran_twice", "task %d/%d runs on %s while it runs on %s", t.job, t.index, w.name, machine)
 		}
 	}
-	spec := j.spec.Job
-	if (w.spot && !spec.Spot) || (spec.Zone != "" && spec.Zone != w.zone) {
-		c.fail("wrong_place", "task %d/%d runs on %s, which its job may not use", t.job, t.index, w.name)
-	}
+}
+
+// checkDependencies checks that all jobs on which a starting task's job depends are done.
+func (c *checker) checkDependencies(t task, spec *eventlog.Job) {
 	for _, dependency := range spec.Follows {
 		if !c.allCompleted(dependency) {
 			c.fail("too_early", "task %d/%d started before job %d was done", t.job, t.index, dependency)
 		}
 	}
-	if c.completedTasks[t] {
-		c.countUnnecessary(startedCompleted)
+}
+
+// checkPlace checks that a starting task's job may use the machine, also given the zones of its other tasks.
+func (c *checker) checkPlace(t task, w *worker, spec *eventlog.Job) {
+	if (w.spot && !spec.Spot) || (spec.Zone != "" && spec.Zone != w.zone) {
+		c.fail("wrong_place", "task %d/%d runs on %s, which its job may not use", t.job, t.index, w.name)
 	}
-	inZone := 0
-	tasks := spec.Tasks
 	if !spec.OneZone && !spec.Spread {
-		tasks = 0 // the places of the other tasks do not matter
+		return // the places of the other tasks do not matter
 	}
-	for index := range tasks {
+	inZone := 0
+	for index := range spec.Tasks {
 		for machine := range c.placements[task{t.job, index}] {
 			zone := c.machineZones[machine]
 			if spec.OneZone && zone != w.zone && index != t.index {
@@ -85,6 +106,10 @@
 	if spec.Spread && inZone+1 > (spec.Tasks+1)/2 {
 		c.fail("wrong_place", "%d of %d tasks of job %d run in zone %s", inZone+1, spec.Tasks, t.job, w.zone)
 	}
+}
+
+// addPlacement records that a task is on a machine.
+func (c *checker) addPlacement(t task, w *worker, spec *eventlog.Job) {
 	if c.placements[t] == nil {
 		c.placements[t] = map[string]bool{}
 	}
@@ -99,11 +124,12 @@
 	}
 	c.placements[t][w.name] = true
 	c.machineZones[w.name] = w.zone
-	if j.reportedCancelled && c.sim.now > j.endReportedAt+settingsSeconds(c.sim.cfg.Deployment.Workers.CancelS) {
-		c.fail("ran_cancelled", "task %d/%d started on %s after the cancellation deadline", t.job, t.index, w.name)
-	}
+}
+
+// checkUnits checks that no more units of a pool are in use than it has. Only a pool that was shrunk may be over its
+// size, and then no task that needs it starts.
+func (c *checker) checkUnits(t task, w *worker, spec *eventlog.Job) {
 	units := c.unitsInUse()
-	// Only a pool that was shrunk may be over its size, and then no task that needs it starts.
 	for _, need := range spec.Counted {
 		size := c.sim.poolUnits[need.Pool]
 		if need.PerJob { // a job that started when the pool was larger keeps its units
@@ -118,6 +144,10 @@
 			c.fail("overdrawn", "%d units of pool %s are in use, at most %d are allowed: task %d/%d on %s", units[need.Pool], need.Pool, size, t.job, t.index, w.name)
 		}
 	}
+}
+
+// checkLimits checks that no team is above its limit when a task of a job starts.
+func (c *checker) checkLimits(spec *eventlog.Job) {
 	for _, team := range c.sim.cfg.Deployment.Teams {
 		if limit := c.sim.teamLimit(team); limit > 0 && c.cpusInUse[team.Name] > limit && (team.Name == spec.Team || len(c.sim.configs.limits) == 0) {
 			c.fail("quota", "team %s uses %v CPUs, its limit is %v", team.Name, c.cpusInUse[team.Name], limit)
