No lapse begins while work has waited for longer than a lease

Cause: the machines that were rented for it were empty until both were there, so their workers were left without answers, took no work, were returned as idle and rented again, without end.

Change: no lapse begins while a job has had a waiting task for longer than a lease.

--- a/internal/leader/registry/lapse.go
+++ b/internal/leader/registry/lapse.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"bitternmoor/internal/core/jobs"
 	"bitternmoor/internal/core/workers"
 	"bitternmoor/internal/effects"
 	"bitternmoor/internal/settings"
@@ -13,14 +15,14 @@
 const lapseLimitLeases = 2
 
 // lapses reports whether a report of a machine is left without a renewal, so that its worker's lease expires (see
-// Machine.CanLapse). At most LapseShare of the machines lapse at a
+// Machine.CanLapse). No lapse begins while work has waited for longer than a lease: it may need the machine. At most LapseShare of the machines lapse at a
 // time, rounded up.
 func (c *Component) lapses(now time.Duration, leaseValid bool, m *workers.Machine) bool {
 	if m.Lapsing {
 		return true
 	}
 	allowed := int(math.Ceil(c.Cfg.Tunables.LapseShare * float64(len(c.Inventory.All()))))
-	if !leaseValid || c.lapsing >= allowed || !c.Cfg.AnyNeedsDispatch() || c.Cfg.Tunables.MaxPushDispatches == 0 || !m.CanLapse() {
+	if !leaseValid || c.workWaits || c.lapsing >= allowed || !c.Cfg.AnyNeedsDispatch() || c.Cfg.Tunables.MaxPushDispatches == 0 || !m.CanLapse() {
 		return false
 	}
 	m.BeginLapse(now)
@@ -33,9 +35,13 @@
 	c.Emit(effects.ReplyHeartbeat{To: request, Answer: effects.HeartbeatAnswer{Status: statusOK}})
 }
 
-// checkLapses gives up lapses that take too long, and counts the others.
+// checkLapses gives up lapses that take too long and counts the others, and determines whether new ones may begin.
 func (c *Component) checkLapses(now time.Duration) {
-	limit := settings.Seconds(lapseLimitLeases * c.Cfg.Deployment.Workers.LeaseS)
+	lease := settings.Seconds(c.Cfg.Deployment.Workers.LeaseS)
+	c.workWaits = slices.ContainsFunc(c.Jobs.All(), func(j *jobs.Job) bool {
+		return j != nil && j.Phase == jobs.Open && j.Waiting > 0 && now-max(j.AcceptedAt, c.TermBegan) > lease
+	})
+	limit := lapseLimitLeases * lease
 	c.lapsing = 0
 	for _, m := range c.Inventory.All() {
 		m.EndLapseAfter(now, limit)
--- a/internal/leader/registry/registry.go
+++ b/internal/leader/registry/registry.go
@@ -49,7 +49,8 @@
 	replayedMachines map[string]eventlog.Machine
 	replayedReturns  []returnRecord
 
-	lapsing int // number of machines whose lease is left to lapse, see lapses
+	lapsing   int  // number of machines whose lease is left to lapse, see lapses
+	workWaits bool // a job has waited for longer than a lease, so that no further lapse begins
 
 	returnsToRecord []string // empty machines whose return is to be recorded before they are deleted
 }
--- a/internal/scenario/direct_start_cancellation_test.go
+++ b/internal/scenario/direct_start_cancellation_test.go
@@ -207,3 +207,21 @@
 		return h.endFaultsAndSettle(10 * time.Minute)
 	})
 }
+
+// TestLapsesDoNotStarveJobs guards against a gang that never starts because the machines that are rented for it are
+// left without answers, returned as idle and rented again.
+func TestLapsesDoNotStarveJobs(t *testing.T) {
+	runSeeds(t, 16, func(t *testing.T, seed uint64) *sim {
+		h := newHarness(t, seed, func(c *settings.Settings) {
+			lapsingSettings(c)
+			c.Tunables.ReadyWindowS = 0 // idle machines are returned at once
+		})
+		h.pollAll(2 * time.Second)
+		gang := eventlog.Job{Class: "long", Kind: jobs.Gang, Tasks: 2, CPUs: 3, Spread: true, Spot: seed%2 == 0}
+		j := h.submitJob(10*time.Second, gang)
+		if !h.runUntil(4*time.Minute, func() bool { return j.reportedDone }) {
+			t.Errorf("the job is %s", j.state)
+		}
+		return h.endFaultsAndSettle(15 * time.Minute)
+	})
+}
